--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,7 +6,7 @@
 import {Contexts} from './contexts.js';
 import {Endpoints} from './endpoints.js';
 import {Listener} from './listener.js';
-import {Logger} from './logger.js';
+import {Logger} from '../log/index.js';
 import {Metrics} from './metrics.js';
 import {Peers} from './peers.js';
 import {Store} from './store.js';
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -6,7 +6,7 @@
 import {type Bus} from './bus.js';
 import {type Contexts} from './contexts.js';
 import {RequestError} from './error.js';
-import {type Logger} from './logger.js';
+import {type Logger} from '../log/index.js';
 import {type RequestHead, readHead} from './request.js';
 
 const HEADER_BYTES = 32_768;
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -7,7 +7,7 @@
 	type FrameError, Handshake, MAX_FRAME_BYTES, decodeFrame, encodeFrame, header,
 } from '../wire/index.js';
 import {type Bus} from './bus.js';
-import {type Logger} from './logger.js';
+import {type Logger} from '../log/index.js';
 
 const HANDSHAKE_MS = 1000;
 /** Bytes that may wait on one socket before it counts as dead. */
--- a/src/daemon/store.ts
+++ b/src/daemon/store.ts
@@ -4,7 +4,7 @@
 	CONFIG_PREFIX, PlatformClient, PlatformError, type Stored,
 } from '../platform/index.js';
 import {type Bus} from './bus.js';
-import {type Logger} from './logger.js';
+import {type Logger} from '../log/index.js';
 
 const JOIN_PREFIX = 'joins/';
 const WATCH_MS = 25_000;
--- /dev/null
+++ b/src/mesh/gate.ts
@@ -0,0 +1,194 @@
+/** Why a call isn't run here. */
+export type GateRefusal = 'full' | 'expired' | 'evicted';
+
+/** A call as the queue sees it. */
+export type GateCall = {
+	/** 0 is served first. */
+	readonly rank: number;
+	/** Whether a run in progress waits for it: its parent's work is already spent. */
+	readonly isNested: boolean;
+	/** When its answer must have come, in ms. */
+	readonly deadlineMs: number;
+	/** When its answer stops earning full credit, in ms. */
+	readonly objectiveEndMs: number;
+	/** How long it is expected to run, in ms. */
+	readonly serviceMs: number;
+};
+
+/** What the gate decides on an arriving call. */
+export type GateDecision<Call> = {
+	readonly verdict: 'run' | 'wait' | GateRefusal;
+	/** A waiting call that had to make room. */
+	readonly evicted?: Call;
+};
+
+/** How many calls may wait for each that runs: a queue longer than that is waited in for nothing. */
+const QUEUE_PER_SLOT = 4;
+const MIN_QUEUE = 16;
+
+/**
+ * Runs at most `limit` calls at once and lets the rest wait: nested calls
+ * first, then by rank, and within a rank the oldest first.
+ * Load pattern: demand beyond what the target serves well, of several ranks.
+ */
+export class Gate<Call extends GateCall> {
+	readonly #queues: Call[][] = [];
+	#limit: number;
+	#running = 0;
+	#queued = 0;
+	#meanServiceMs = 20;
+
+	constructor(limit: number) {
+		this.#limit = limit;
+	}
+
+	get limit(): number {
+		return this.#limit;
+	}
+
+	set limit(limit: number) {
+		this.#limit = Math.max(1, limit);
+	}
+
+	get running(): number {
+		return this.#running;
+	}
+
+	get queued(): number {
+		return this.#queued;
+	}
+
+	offer(call: Call, nowMs: number): GateDecision<Call> {
+		if (call.deadlineMs - nowMs <= 0) {
+			return {verdict: 'expired'};
+		}
+
+		if (this.#running < this.#limit && this.#queued === 0) {
+			this.#running++;
+			return {verdict: 'run'};
+		}
+
+		const level = levelOf(call);
+		if (nowMs + this.#waitMs(level) + call.serviceMs > call.deadlineMs) {
+			return {verdict: 'full'};
+		}
+
+		let evicted: Call | undefined;
+		if (this.#queued >= Math.max(MIN_QUEUE, this.#limit * QUEUE_PER_SLOT)) {
+			evicted = this.#evictBelow(level);
+			if (evicted === undefined) {
+				return {verdict: 'full'};
+			}
+		}
+
+		this.#queueAt(level).push(call);
+		this.#queued++;
+		return evicted === undefined ? {verdict: 'wait'} : {verdict: 'wait', evicted};
+	}
+
+	/** A running call has ended after a time, in ms. */
+	release(serviceMs: number): void {
+		this.#running = Math.max(0, this.#running - 1);
+		this.#meanServiceMs += (serviceMs - this.#meanServiceMs) * 0.05;
+	}
+
+	/** The next call that may run now; it counts as running. Calls that can't end in time come out as expired. */
+	next(nowMs: number): {call: Call; expired: boolean} | undefined {
+		if (this.#queued === 0) {
+			return undefined;
+		}
+
+		for (const queue of this.#queues) {
+			const call = queue?.[0];
+			if (call === undefined) {
+				continue;
+			}
+
+			const expired = nowMs + call.serviceMs > call.deadlineMs;
+			if (!expired && this.#running >= this.#limit) {
+				return undefined;
+			}
+
+			queue.shift();
+			this.#queued--;
+			if (!expired) {
+				this.#running++;
+			}
+
+			return {call, expired};
+		}
+
+		return undefined;
+	}
+
+	/** Takes out the waiting calls that can no longer end in time. */
+	expire(nowMs: number): Call[] {
+		const expired: Call[] = [];
+		for (const queue of this.#queues) {
+			for (let index = (queue?.length ?? 0) - 1; index >= 0; index--) {
+				if (nowMs + queue[index].serviceMs > queue[index].deadlineMs) {
+					expired.push(...queue.splice(index, 1));
+				}
+			}
+		}
+
+		this.#queued -= expired.length;
+		return expired;
+	}
+
+	/** Takes a waiting call out. @returns whether it was waiting */
+	cancel(call: Call): boolean {
+		const queue = this.#queues[levelOf(call)];
+		const index = queue?.indexOf(call) ?? -1;
+		if (index === -1) {
+			return false;
+		}
+
+		queue.splice(index, 1);
+		this.#queued--;
+		return true;
+	}
+
+	/** Takes out all that wait. */
+	clear(): Call[] {
+		const all = this.#queues.flat().filter(call => call !== undefined);
+		this.#queues.length = 0;
+		this.#queued = 0;
+		return all;
+	}
+
+	/** How long a call of a level would wait, in ms. */
+	#waitMs(level: number): number {
+		let ahead = Math.max(0, this.#running - this.#limit) + 1;
+		for (let index = 0; index <= level; index++) {
+			ahead += this.#queues[index]?.length ?? 0;
+		}
+
+		return ahead * this.#meanServiceMs / this.#limit;
+	}
+
+	#queueAt(level: number): Call[] {
+		while (this.#queues.length <= level) {
+			this.#queues.push([]);
+		}
+
+		return this.#queues[level];
+	}
+
+	#evictBelow(level: number): Call | undefined {
+		for (let index = this.#queues.length - 1; index > level; index--) {
+			const evicted = this.#queues[index].pop();
+			if (evicted !== undefined) {
+				this.#queued--;
+				return evicted;
+			}
+		}
+
+		return undefined;
+	}
+}
+
+/** The place of a call's queue: nested calls before all others. */
+function levelOf(call: GateCall): number {
+	return call.isNested ? 0 : Math.max(0, Math.floor(call.rank)) + 1;
+}
--- /dev/null
+++ b/src/relay/entry.ts
@@ -0,0 +1,236 @@
+import {type IncomingMessage, type Server, type ServerResponse, createServer} from 'node:http';
+import {type Socket} from 'node:net';
+import {type Clock} from '../clock/index.js';
+import {type EventLog} from '../log/index.js';
+import {
+	type ClientLimits, type HostEntry, type HostTable, type Placement, type RetryBudget, type Site, Splitter,
+} from '../mesh/index.js';
+import {type HeaderNames} from './adapter.js';
+import {type Call, type CallHandle, type CallShape, type CallSink} from './call.js';
+import {Exchange} from './exchange.js';
+import {type Address} from './settings.js';
+
+/** How often open requests are checked against their deadlines, in ms: well within the slack that a time-out has. */
+const SWEEP_MS = 20;
+/** The largest header block taken from a client, in bytes, whatever the configuration says. */
+const MAX_HEADER_BYTES = 65_536;
+/** When to return to a daemon that has no configuration yet, in s. */
+const NO_SITE_RETRY_S = '0.4';
+
+/** Headers that concern one connection only, or that this daemon sets itself. */
+const NOT_FORWARDED = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length']);
+
+export type EntryParts = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly names: HeaderNames;
+	readonly hosts: HostTable;
+	readonly placement: Placement;
+	readonly budget: RetryBudget;
+	readonly random: () => number;
+	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
+	/** Called before an answer's head is written. */
+	readonly prepare: (response: ServerResponse) => void;
+	readonly onEnded: (exchange: Exchange) => void;
+};
+
+export type EntryOptions = Omit<EntryParts, 'prepare' | 'onEnded'> & {
+	readonly site: () => Site | undefined;
+	/** The service that runs on this host now. */
+	readonly callerService: () => string;
+	/** Whether a run in progress on this host waits for this attempt. */
+	readonly isNested: (attemptId: string) => boolean;
+};
+
+type Connection = {open: number; isClosing: boolean};
+
+/** Takes the requests of the clients and the target on this host. */
+export class Entry {
+	readonly #options: EntryOptions;
+	readonly #parts: EntryParts;
+	readonly #server: Server;
+	readonly #splitter: Splitter;
+	readonly #exchanges = new Set<Exchange>();
+	readonly #connections = new WeakMap<Socket, Connection>();
+	readonly #forwarded: Set<string>;
+	readonly #sockets = new Set<Socket>();
+	#timer: NodeJS.Timeout | undefined;
+	#isStopping = false;
+	#lastRequestMs = 0;
+
+	constructor(options: EntryOptions) {
+		this.#options = options;
+		this.#splitter = new Splitter(options.random);
+		this.#forwarded = new Set([...NOT_FORWARDED, options.names.attemptId, options.names.deadlineMs, options.names.callerService, options.names.expectedInstance]);
+		this.#parts = {
+			...options,
+			prepare: response => {
+				this.#prepare(response);
+			},
+			onEnded: exchange => {
+				this.#exchanges.delete(exchange);
+			},
+		};
+		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (request, response) => {
+			this.#onRequest(request, response);
+		});
+		this.#server.on('connection', (socket: Socket) => {
+			this.#sockets.add(socket);
+			this.#connections.set(socket, {open: 0, isClosing: false});
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#onClientError(error, socket);
+		});
+	}
+
+	get open(): number {
+		return this.#exchanges.size;
+	}
+
+	/** When the last request came, in ms. */
+	get lastRequestMs(): number {
+		return this.#lastRequestMs;
+	}
+
+	async listen({ip, port}: Address): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, 1024, resolve);
+		});
+	}
+
+	/** Applies what clients may do by the configuration in force. */
+	limit(limits: ClientLimits): void {
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+	}
+
+	/** From now on each answer closes its connection. */
+	stop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Ends what is still open and closes all connections. */
+	close(): void {
+		for (const exchange of this.#exchanges) {
+			exchange.abort();
+		}
+
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.end();
+		}
+	}
+
+	#onRequest(request: IncomingMessage, response: ServerResponse): void {
+		const {clock, log, names, site: siteOf} = this.#options;
+		const connection = this.#connections.get(request.socket);
+		if (connection?.isClosing === true) {
+			// An answer before this request closes the connection: it counts as not read.
+			return;
+		}
+
+		this.#lastRequestMs = clock.nowMs();
+		response.sendDate = false;
+		const site = siteOf();
+		if (site === undefined) {
+			this.#answer(response, 503, 'no-site', ['retry-after', NO_SITE_RETRY_S]);
+			return;
+		}
+
+		const {headers, url = ''} = request;
+		const attemptId = headers[names.attemptId];
+		const leftMs = Number(headers[names.deadlineMs] ?? Number.POSITIVE_INFINITY);
+		if (!url.startsWith('/') || headers.host === undefined || typeof attemptId !== 'string' || Number.isNaN(leftMs)) {
+			this.#answer(response, 400, 'malformed');
+			return;
+		}
+
+		const route = site.table.match(headers.host, url);
+		if (route === undefined) {
+			this.#answer(response, 404, 'no-route');
+			log.event('no_route', {attempt: attemptId, siteRevision: site.revision, target: url.slice(0, 80)});
+			return;
+		}
+
+		const service = this.#splitter.choose(route) ?? '';
+		const exchange = new Exchange(this.#parts, request, response, {
+			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route.name, route), isNested: this.#options.isNested(attemptId),
+		});
+		this.#exchanges.add(exchange);
+		if (connection !== undefined) {
+			connection.open++;
+			response.on('close', () => {
+				connection.open--;
+			});
+		}
+
+		this.#arm();
+		const length = headers['content-length'];
+		const hasBody = headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+		exchange.begin(hasBody, site.spec.limits.bodyBytes);
+	}
+
+	#shapeOf(request: IncomingMessage, name: string, route: {rank: number; repeatability: CallShape['repeatability']}): CallShape {
+		const headers: string[] = [];
+		const {rawHeaders} = request;
+		for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
+			if (!this.#forwarded.has(rawHeaders[at].toLowerCase())) {
+				headers.push(rawHeaders[at], rawHeaders[at + 1]);
+			}
+		}
+
+		return {
+			route: name, rank: route.rank, repeatability: route.repeatability, method: request.method!, callerService: this.#options.callerService(), headers,
+		};
+	}
+
+	#prepare(response: ServerResponse): void {
+		const {socket} = response;
+		const connection = socket === null ? undefined : this.#connections.get(socket);
+		if (this.#isStopping && connection !== undefined && connection.open <= 1) {
+			connection.isClosing = true;
+			response.shouldKeepAlive = false;
+		}
+	}
+
+	#answer(response: ServerResponse, status: number, reason: string, headers: string[] = []): void {
+		this.#options.log.count('rejected', reason);
+		this.#prepare(response);
+		response.writeHead(status, [...headers, 'content-length', '0']);
+		response.end();
+	}
+
+	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		this.#options.log.count('bad_input', 'requests');
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
+		const isAnswering = (this.#connections.get(socket)?.open ?? 0) > 0;
+		if (isAnswering) {
+			socket.destroy();
+		} else {
+			socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		}
+	}
+
+	#arm(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			const nowMs = this.#options.clock.nowMs();
+			for (const exchange of this.#exchanges) {
+				exchange.checkTime(nowMs);
+			}
+
+			if (this.#exchanges.size > 0) {
+				this.#arm();
+			}
+		}, SWEEP_MS);
+	}
+}
--- /dev/null
+++ b/src/relay/exchange.ts
@@ -0,0 +1,401 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type LoadReport, type Route, comebackMs} from '../mesh/index.js';
+import {
+	type AnswerHead, type Call, type CallHandle, CallSink, type CallShape, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
+} from './call.js';
+import {type EntryParts} from './entry.js';
+
+/** Targets that a request may be refused by before it is refused itself. */
+const MAX_REFUSALS = 4;
+/** A second send needs this part of the objective still left: with less, it would be a token. */
+const RESEND_SHARE = 0.3;
+
+/** Why a request ended without its target's answer. */
+type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
+
+/** One client's request, from its arrival to its one final answer. */
+export class Exchange extends CallSink {
+	readonly route: Route;
+	readonly service: string;
+	readonly attemptId: string;
+	readonly deadlineMs: number;
+	readonly objectiveEndMs: number;
+	readonly #parts: EntryParts;
+	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #shape: CallShape;
+	readonly #arrivedMs: number;
+	readonly #isNested: boolean;
+	readonly #tried: string[] = [];
+	#body: Buffer = Buffer.alloc(0);
+	#isStreaming = false;
+	#handle: CallHandle | undefined;
+	#host = '';
+	#sends = 0;
+	#refusals = 0;
+	#creditBytes = WINDOW_BYTES;
+	#mayHaveRun = false;
+	#hasHead = false;
+	#isOver = false;
+
+	constructor(parts: EntryParts, request: IncomingMessage, response: ServerResponse, options: {route: Route; service: string; attemptId: string; leftMs: number; shape: CallShape; isNested: boolean}) {
+		super();
+		this.#parts = parts;
+		this.#request = request;
+		this.#response = response;
+		this.route = options.route;
+		this.service = options.service;
+		this.attemptId = options.attemptId;
+		this.#shape = options.shape;
+		this.#isNested = options.isNested;
+		this.#arrivedMs = parts.clock.nowMs();
+		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
+		this.objectiveEndMs = this.#arrivedMs + options.route.objectiveMs;
+	}
+
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	/** Reads the body as far as it travels in one piece, then sends the request on. */
+	begin(hasBody: boolean, maxBodyBytes: number): void {
+		this.#response.on('close', () => {
+			this.#onClientGone();
+		});
+		if (!hasBody) {
+			this.#place();
+			return;
+		}
+
+		const chunks: Buffer[] = [];
+		let length = 0;
+		this.#request.on('data', (chunk: Buffer) => {
+			length += chunk.length;
+			if (length > maxBodyBytes) {
+				this.#reject(413);
+			} else if (this.#isStreaming) {
+				this.#pass(chunk, false);
+			} else {
+				chunks.push(chunk);
+				if (length > INLINE_BYTES) {
+					this.#body = Buffer.concat(chunks);
+					this.#isStreaming = true;
+					this.#creditBytes -= this.#body.length;
+					this.#place();
+				}
+			}
+		});
+		this.#request.on('end', () => {
+			if (this.#isStreaming) {
+				this.#pass(Buffer.alloc(0), true);
+			} else if (!this.#isOver) {
+				this.#body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+				this.#place();
+			}
+		});
+	}
+
+	/** Ends the request if its time is up. */
+	checkTime(nowMs: number): void {
+		if (nowMs >= this.deadlineMs && !this.#isOver) {
+			const wasOut = this.#handle !== undefined || this.#mayHaveRun;
+			this.#withdraw();
+			if (wasOut) {
+				this.#fail(504, 'timeout');
+			} else {
+				this.#refuse('timeout', 'overload');
+			}
+		}
+	}
+
+	/** Refuses before anything was sent. */
+	refuseForLoad(): void {
+		this.#refuse('overload', 'overload');
+	}
+
+	/** The process stops before the answer came. */
+	abort(): void {
+		if (!this.#isOver) {
+			this.#withdraw();
+			this.#fail(502, 'cancelled');
+		}
+	}
+
+	override onAnswer(head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
+		const nowMs = this.#parts.clock.nowMs();
+		this.#onReport(report, nowMs);
+		if (isWhole) {
+			this.#release();
+		}
+
+		this.#parts.placement.onOutcome(this.#host, head.status >= 500, nowMs);
+		if (isWhole && head.status >= 500 && this.#mayResend(nowMs)) {
+			this.#mayHaveRun = true;
+			this.#resend('target-error');
+			return;
+		}
+
+		this.#hasHead = true;
+		const length = isWhole ? body.length : head.lengthBytes;
+		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
+		if (head.signature !== undefined) {
+			headers.push(this.#parts.names.signature, head.signature);
+		}
+
+		if (length !== undefined && head.status !== 204 && head.status !== 304) {
+			headers.push('content-length', String(length));
+		}
+
+		this.#parts.prepare(this.#response);
+		this.#response.writeHead(head.status, headers);
+		if (isWhole) {
+			this.#finish();
+			this.#response.end(body);
+			this.#parts.log.count('answers', `${this.route.name}|${head.status}`);
+		} else {
+			this.onChunk(body, false);
+		}
+	}
+
+	override onChunk(bytes: Buffer, isLast: boolean): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (isLast) {
+			this.#release();
+			this.#finish();
+			this.#response.end(bytes);
+		} else {
+			this.#response.write(bytes, () => {
+				this.#handle?.credit(bytes.length);
+			});
+		}
+	}
+
+	override onRefused(reason: RefusalReason, _retryAfterMs: number, report: LoadReport | undefined): void {
+		const nowMs = this.#parts.clock.nowMs();
+		const host = this.#host;
+		this.#onReport(report, nowMs);
+		this.#release();
+		this.#refusals++;
+		const {placement, log} = this.#parts;
+		log.count('placement_refused', reason);
+		if (reason === 'not-here' || reason === 'stopping' || reason === 'unreachable' || reason === 'misdirected') {
+			placement.suspect(host, nowMs);
+		}
+
+		const reachedTarget = reason === 'shed-by-target' || reason === 'misdirected';
+		this.#sends += reachedTarget ? 1 : 0;
+		if (reason === 'shed-by-target') {
+			placement.onOutcome(host, true, nowMs);
+		}
+
+		if (this.#isOver) {
+			return;
+		}
+
+		const mayGoOn = !this.#isStreaming && this.#refusals < MAX_REFUSALS && nowMs < this.deadlineMs && this.#hasRoomElsewhere(reason, nowMs)
+			&& (!reachedTarget || (this.#sends < this.route.attempts && this.#spend(nowMs)));
+		if (mayGoOn) {
+			this.#place(reason);
+		} else {
+			this.#refuse(reason, report === undefined || reason === 'not-here' || reason === 'stopping' || reason === 'misdirected' ? 'transient' : 'overload');
+		}
+	}
+
+	override onFailed(reason: FailureReason, report: LoadReport | undefined): void {
+		const nowMs = this.#parts.clock.nowMs();
+		this.#onReport(report, nowMs);
+		this.#release();
+		this.#parts.placement.onOutcome(this.#host, true, nowMs);
+		if (reason === 'link-lost') {
+			this.#parts.placement.suspect(this.#host, nowMs);
+		}
+
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#mayHaveRun = true;
+		if (this.#hasHead) {
+			this.#finish();
+			this.#response.destroy();
+			this.#note('answer_cut', reason);
+		} else if (this.#mayResend(nowMs)) {
+			this.#resend(reason);
+		} else {
+			this.#fail(reason === 'deadline' ? 504 : 502, reason);
+		}
+	}
+
+	override onCredit(bytes: number): void {
+		this.#creditBytes += bytes;
+		if (this.#creditBytes > 0) {
+			this.#request.resume();
+		}
+	}
+
+	#place(after?: string): void {
+		const {clock, hosts, placement, budget} = this.#parts;
+		const nowMs = clock.nowMs();
+		const entry = placement.choose(hosts.serving(this.service), this.route.name, this.route.objectiveMs, this.#tried, nowMs);
+		if (entry === undefined) {
+			this.#refuse(after === undefined ? 'no-target' : (after as EndReason), 'transient');
+			return;
+		}
+
+		if (after !== undefined) {
+			this.#note('placed_again', after, {to: entry.host});
+		}
+
+		if (this.#sends === 0 && this.#refusals === 0) {
+			budget.onFirst(this.service, nowMs);
+		}
+
+		this.#host = entry.host;
+		this.#tried.push(entry.host);
+		placement.onSent(entry.host);
+		const call: Call = {
+			shape: this.#shape,
+			attemptId: this.attemptId,
+			path: this.#request.url!,
+			instance: entry.target!.id,
+			leftMs: this.deadlineMs - nowMs,
+			objectiveLeftMs: this.objectiveEndMs - nowMs,
+			isNested: this.#isNested,
+			body: this.#body,
+			hasMore: this.#isStreaming,
+		};
+		this.#handle = undefined;
+		const sends = this.#tried.length;
+		const handle = this.#parts.send(entry, call, this);
+		// A refusal may have come, and the request been placed again, before `send` returned.
+		if (!this.#isOver && this.#tried.length === sends) {
+			this.#handle = handle;
+		}
+	}
+
+	#mayResend(nowMs: number): boolean {
+		return this.route.repeatability === 'safe' && !this.#isStreaming && !this.#isOver
+			&& this.#sends + 1 < this.route.attempts
+			&& Math.min(this.deadlineMs, this.objectiveEndMs) - nowMs > this.route.objectiveMs * RESEND_SHARE
+			&& this.#hasRoomElsewhere('broken', nowMs)
+			&& this.#spend(nowMs);
+	}
+
+	#resend(reason: string): void {
+		this.#sends++;
+		this.#parts.log.count('retries', reason);
+		this.#place(reason);
+	}
+
+	#spend(nowMs: number): boolean {
+		const granted = this.#parts.budget.spend(this.service, nowMs);
+		this.#parts.log.count(granted ? 'budget_spent' : 'budget_denied', this.service);
+		return granted;
+	}
+
+	#hasRoomElsewhere(reason: RefusalReason | FailureReason, nowMs: number): boolean {
+		const {hosts, placement} = this.#parts;
+		const isLoad = reason === 'full' || reason === 'evicted' || reason === 'expired' || reason === 'shed-by-target';
+		return hosts.serving(this.service).some(entry => !this.#tried.includes(entry.host) && !placement.isSuspect(entry.host, nowMs) && (!isLoad || placement.loadOf(entry, nowMs) < 1));
+	}
+
+	#pass(chunk: Buffer, isLast: boolean): void {
+		if (this.#isOver || this.#hasHead) {
+			return;
+		}
+
+		this.#creditBytes -= chunk.length;
+		this.#handle?.write(chunk, isLast);
+		if (this.#creditBytes <= 0 && !isLast) {
+			this.#request.pause();
+		}
+	}
+
+	#onReport(report: LoadReport | undefined, nowMs: number): void {
+		if (report !== undefined && this.#host !== '') {
+			this.#parts.placement.onReport(this.#host, this.route.name, report, nowMs);
+		}
+	}
+
+	#release(): void {
+		if (this.#host !== '') {
+			this.#parts.placement.onEnded(this.#host);
+		}
+
+		this.#handle = undefined;
+	}
+
+	#withdraw(): void {
+		const handle = this.#handle;
+		if (handle !== undefined) {
+			this.#release();
+			handle.cancel();
+		}
+	}
+
+	#onClientGone(): void {
+		if (!this.#isOver) {
+			this.#finish();
+			this.#withdraw();
+			this.#note('client_gone', 'client-gone');
+		}
+	}
+
+	#refuse(reason: EndReason, comeback: 'transient' | 'overload'): void {
+		if (this.#mayHaveRun) {
+			this.#fail(502, reason);
+			return;
+		}
+
+		const nowMs = this.#parts.clock.nowMs();
+		const waitMs = comebackMs(comeback, this.deadlineMs - nowMs, this.objectiveEndMs - nowMs, this.#parts.random);
+		this.#end(503, reason, ['retry-after', (waitMs / 1000).toFixed(3)]);
+	}
+
+	#fail(status: 502 | 504, reason: EndReason): void {
+		this.#end(status, reason, []);
+	}
+
+	#reject(status: 413): void {
+		this.#withdraw();
+		this.#response.shouldKeepAlive = false;
+		this.#end(status, 'cancelled', []);
+	}
+
+	#end(status: number, reason: EndReason, headers: string[]): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#finish();
+		this.#note(status === 503 ? 'refused' : 'failed', reason, {status});
+		this.#parts.log.count(status === 503 ? 'refused' : 'failed', `${this.route.name}|${reason}`);
+		this.#parts.prepare(this.#response);
+		this.#response.writeHead(status, [...headers, this.#parts.names.attemptId, this.attemptId, 'content-length', '0']);
+		this.#response.end();
+	}
+
+	#finish(): void {
+		this.#isOver = true;
+		this.#parts.onEnded(this);
+	}
+
+	#note(event: string, reason: string, more: Record<string, string | number> = {}): void {
+		const nowMs = this.#parts.clock.nowMs();
+		this.#parts.log.event(event, {
+			attempt: this.attemptId,
+			route: this.route.name,
+			service: this.service,
+			reason,
+			host: this.#host,
+			tried: this.#tried.length,
+			ageMs: Math.round(nowMs - this.#arrivedMs),
+			leftMs: Math.round(this.deadlineMs - nowMs),
+			...more,
+		});
+	}
+}
--- /dev/null
+++ b/src/relay/frame.ts
@@ -0,0 +1,140 @@
+import {type Buffer} from 'node:buffer';
+import {Packr} from 'msgpackr';
+import {type LoadReport} from '../mesh/index.js';
+import {type Call, type CallShape} from './call.js';
+
+/** What the first element of a frame says. */
+export const Tag = {
+	hello: 0,
+	call: 1,
+	answer: 2,
+	refused: 3,
+	failed: 4,
+	chunk: 5,
+	credit: 6,
+	cancel: 7,
+	site: 8,
+	leaving: 9,
+	news: 10,
+} as const;
+
+/** A frame that can't be read; the link that it came on is dropped. */
+export class FrameError extends Error {
+	override readonly name = 'FrameError';
+}
+
+const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
+/** Shapes kept for a link; past that it forgets them and begins anew. */
+const MAX_SHAPES = 1000;
+
+/** A frame as it lies in msgpack: a tag, then the fields in a fixed order. */
+export type Frame = readonly [tag: number, ...fields: unknown[]];
+
+export function encodeFrame(frame: Frame): Buffer {
+	return packr.pack(frame) as Buffer;
+}
+
+/** @throws {FrameError} */
+export function decodeFrame(bytes: Buffer): Frame {
+	let value: unknown;
+	try {
+		value = packr.unpack(bytes);
+	} catch (error) {
+		throw new FrameError('not msgpack', {cause: error});
+	}
+
+	if (!Array.isArray(value) || typeof value[0] !== 'number') {
+		throw new FrameError('not a frame');
+	}
+
+	return value as unknown as Frame;
+}
+
+/** Sends a repeated value whole once, and by its number afterwards. */
+export class ShapeWriter {
+	readonly #numbers = new Map<string, number>();
+
+	/** @returns the number, and the value if the other side doesn't have it yet */
+	write(key: string, value: unknown): readonly [number, unknown] {
+		let number = this.#numbers.get(key);
+		if (number !== undefined) {
+			return [number, null];
+		}
+
+		if (this.#numbers.size >= MAX_SHAPES) {
+			this.#numbers.clear();
+		}
+
+		number = this.#numbers.size;
+		this.#numbers.set(key, number);
+		return [number, value];
+	}
+}
+
+/** The other side of a `ShapeWriter`. */
+export class ShapeReader<T> {
+	readonly #values = new Map<number, T>();
+
+	/** @throws {FrameError} for a number that was never explained */
+	read(number: unknown, value: unknown): T {
+		if (value !== null && value !== undefined) {
+			this.#values.set(number as number, value as T);
+			return value as T;
+		}
+
+		const held = this.#values.get(number as number);
+		if (held === undefined) {
+			throw new FrameError(`unknown shape ${String(number)}`);
+		}
+
+		return held;
+	}
+}
+
+const NESTED = 1;
+const MORE = 2;
+
+/** The frame of a call. */
+export function callFrame(id: number, call: Call, shapes: ShapeWriter): Frame {
+	const {shape} = call;
+	const key = `${shape.route}\n${shape.rank}\n${shape.repeatability}\n${shape.method}\n${shape.callerService}\n${shape.headers.join('\n')}`;
+	const flags = (call.isNested ? NESTED : 0) | (call.hasMore ? MORE : 0);
+	const [number, value] = shapes.write(key, shape);
+	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, call.body.length > 0 ? call.body : null];
+}
+
+/** @throws {FrameError} */
+export function callOf(frame: Frame, shapes: ShapeReader<CallShape>, empty: Buffer): Call {
+	const [, , number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body] = frame;
+	if (typeof instance !== 'string' || typeof leftMs !== 'number' || typeof objectiveLeftMs !== 'number' || typeof path !== 'string' || typeof attemptId !== 'string') {
+		throw new FrameError('a call without its fields');
+	}
+
+	return {
+		shape: shapes.read(number, value),
+		instance,
+		leftMs,
+		objectiveLeftMs,
+		isNested: ((flags as number) & NESTED) !== 0,
+		hasMore: ((flags as number) & MORE) !== 0,
+		attemptId,
+		path,
+		body: (body as Buffer | null) ?? empty,
+	};
+}
+
+/** A report in a frame, as four numbers. */
+export function packReport(report: LoadReport | undefined): readonly number[] | null {
+	return report === undefined ? null : [report.running, report.queued, report.limit, Math.round(report.serviceMs)];
+}
+
+export function reportOf(packed: unknown): LoadReport | undefined {
+	if (!Array.isArray(packed)) {
+		return undefined;
+	}
+
+	const [running, queued, limit, serviceMs] = packed as number[];
+	return {
+		running, queued, limit, serviceMs,
+	};
+}
--- /dev/null
+++ b/src/relay/index.ts
@@ -0,0 +1,9 @@
+export {Relay} from './relay.js';
+export {type Address, type RelaySettings} from './settings.js';
+export {
+	Adapter, type ConfigurationPlace, type HeaderNames, type TargetMessage,
+} from './adapter.js';
+export {DecodeError, StoreError} from './error.js';
+export {
+	type Changes, type Listing, ObjectStore, type StoreEvent, type StoredObject,
+} from './store.js';
--- /dev/null
+++ b/src/relay/owner.ts
@@ -0,0 +1,335 @@
+import {Buffer} from 'node:buffer';
+import {type Clock} from '../clock/index.js';
+import {type EventLog} from '../log/index.js';
+import {
+	Gate, type GateCall, type Lifecycle, type LoadReport, ServiceTimes,
+} from '../mesh/index.js';
+import {
+	type AnswerHead, type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
+} from './call.js';
+import {RunSink, type Run, type Upstream} from './upstream.js';
+
+/** How often waiting and running calls are checked against their deadlines, in ms. */
+const SWEEP_MS = 20;
+/** How long past its deadline a run may last before its connection is closed, in ms: the target stops at the deadline by itself. */
+const OVERRUN_MS = 150;
+/** How long an unreachable target is left alone, in ms. */
+const UNREACHABLE_MS = 300;
+
+export type OwnerParts = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly lifecycle: Lifecycle;
+	readonly upstream: Upstream;
+};
+
+/**
+ * Owns the slots of the target beside this daemon: whatever reaches the target
+ * has passed here, so what is refused here has not run, and a target that
+ * leaves gets nothing more whatever the others believe.
+ */
+export class Owner {
+	readonly #parts: OwnerParts;
+	readonly #gate = new Gate<OwnedCall>(1);
+	readonly #times = new ServiceTimes();
+	readonly #running = new Set<OwnedCall>();
+	#timer: NodeJS.Timeout | undefined;
+	#unreachableUntilMs = 0;
+	#isStopping = false;
+	#isPumping = false;
+
+	constructor(parts: OwnerParts) {
+		this.#parts = parts;
+	}
+
+	get running(): number {
+		return this.#running.size;
+	}
+
+	get queued(): number {
+		return this.#gate.queued;
+	}
+
+	/** Whether the target runs a client attempt right now. */
+	isRunning(attemptId: string): boolean {
+		return this.#attempts.has(attemptId);
+	}
+
+	readonly #attempts = new Set<string>();
+
+	/** How many calls the target is given at once. */
+	set limit(limit: number) {
+		this.#gate.limit = limit;
+		this.#pump();
+	}
+
+	/** From now on nothing new is taken. */
+	stop(): void {
+		this.#isStopping = true;
+		this.#refuseWaiting('stopping');
+	}
+
+	/** The target is gone or another one: what waited for it goes elsewhere. */
+	onTargetGone(): void {
+		this.#refuseWaiting('not-here');
+	}
+
+	offer(call: Call, sink: CallSink): CallHandle {
+		const nowMs = this.#parts.clock.nowMs();
+		const owned = new OwnedCall(this, call, sink, nowMs, this.#times.expectedMs(call.shape.route));
+		const refusal = this.#unfit(call, nowMs);
+		if (refusal !== undefined) {
+			owned.refuse(refusal, this.report(call.shape.route));
+			return owned;
+		}
+
+		const {verdict, evicted} = this.#gate.offer(owned, nowMs);
+		evicted?.refuse('evicted', this.report(evicted.call.shape.route));
+		if (verdict === 'run') {
+			this.#start(owned);
+		} else if (verdict === 'wait') {
+			this.#arm();
+		} else {
+			owned.refuse(verdict, this.report(call.shape.route));
+		}
+
+		return owned;
+	}
+
+	report(route: string): LoadReport {
+		return {
+			running: this.#gate.running, queued: this.#gate.queued, limit: this.#gate.limit, serviceMs: this.#times.knownMs(route),
+		};
+	}
+
+	/** Nobody waits for this call any longer. */
+	cancel(owned: OwnedCall): void {
+		if (owned.run !== undefined) {
+			owned.run.cancel();
+			this.onRunEnded(owned, false);
+		} else {
+			this.#gate.cancel(owned);
+		}
+	}
+
+	/** @param served whether the target ran it to an answer of its own */
+	onRunEnded(owned: OwnedCall, served: boolean): void {
+		if (!this.#running.delete(owned)) {
+			return;
+		}
+
+		this.#attempts.delete(owned.call.attemptId);
+		const spentMs = this.#parts.clock.nowMs() - owned.startedMs;
+		if (served) {
+			this.#times.record(owned.call.shape.route, spentMs);
+		}
+
+		this.#gate.release(spentMs);
+		this.#pump();
+	}
+
+	onUnreachable(owned: OwnedCall): void {
+		this.#unreachableUntilMs = this.#parts.clock.nowMs() + UNREACHABLE_MS;
+		this.#parts.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
+		this.#refuseWaiting('unreachable');
+	}
+
+	onMisdirected(owned: OwnedCall): void {
+		this.#parts.log.warn('target_replaced', {attempt: owned.call.attemptId, expected: owned.call.instance});
+		if (this.#parts.lifecycle.current?.id === owned.call.instance) {
+			this.#parts.lifecycle.forget();
+			this.#refuseWaiting('not-here');
+		}
+	}
+
+	#unfit(call: Call, nowMs: number): RefusalReason | undefined {
+		if (this.#isStopping) {
+			return 'stopping';
+		}
+
+		if (!this.#parts.lifecycle.mayServe(call.instance, nowMs)) {
+			return 'not-here';
+		}
+
+		return nowMs < this.#unreachableUntilMs ? 'unreachable' : undefined;
+	}
+
+	#start(owned: OwnedCall): void {
+		const nowMs = this.#parts.clock.nowMs();
+		if (!this.#parts.lifecycle.mayServe(owned.call.instance, nowMs)) {
+			this.#gate.release(0);
+			owned.refuse('not-here', this.report(owned.call.shape.route));
+			return;
+		}
+
+		this.#running.add(owned);
+		this.#attempts.add(owned.call.attemptId);
+		this.#arm();
+		owned.start(this.#parts.upstream, nowMs);
+	}
+
+	#pump(): void {
+		if (this.#isPumping) {
+			return;
+		}
+
+		this.#isPumping = true;
+		for (let next = this.#gate.next(this.#parts.clock.nowMs()); next !== undefined; next = this.#gate.next(this.#parts.clock.nowMs())) {
+			if (next.expired) {
+				next.call.refuse('expired', this.report(next.call.call.shape.route));
+			} else {
+				this.#start(next.call);
+			}
+		}
+
+		this.#isPumping = false;
+	}
+
+	#refuseWaiting(reason: RefusalReason): void {
+		for (const owned of this.#gate.clear()) {
+			owned.refuse(reason, this.report(owned.call.shape.route));
+		}
+	}
+
+	#arm(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			this.#sweep();
+		}, SWEEP_MS);
+	}
+
+	#sweep(): void {
+		const nowMs = this.#parts.clock.nowMs();
+		for (const owned of this.#gate.expire(nowMs)) {
+			owned.refuse('expired', this.report(owned.call.shape.route));
+		}
+
+		for (const owned of this.#running) {
+			if (nowMs > owned.deadlineMs + OVERRUN_MS) {
+				owned.run?.cancel();
+				this.onRunEnded(owned, false);
+				owned.sink.onFailed('deadline', this.report(owned.call.shape.route));
+			}
+		}
+
+		if (this.#gate.queued > 0 || this.#running.size > 0) {
+			this.#arm();
+		}
+	}
+}
+
+/** One call at its owner, from its arrival to its end. */
+class OwnedCall extends RunSink implements GateCall, CallHandle {
+	readonly call: Call;
+	readonly sink: CallSink;
+	readonly rank: number;
+	readonly isNested: boolean;
+	readonly deadlineMs: number;
+	readonly objectiveEndMs: number;
+	readonly serviceMs: number;
+	startedMs = 0;
+	run: Run | undefined;
+	readonly #owner: Owner;
+	readonly #arrivedMs: number;
+	#early: Array<{bytes: Buffer; isLast: boolean}> = [];
+	#isOver = false;
+
+	constructor(owner: Owner, call: Call, sink: CallSink, nowMs: number, serviceMs: number) {
+		super();
+		this.#owner = owner;
+		this.#arrivedMs = nowMs;
+		this.call = call;
+		this.sink = sink;
+		this.rank = call.shape.rank;
+		this.isNested = call.isNested;
+		this.deadlineMs = nowMs + call.leftMs;
+		this.objectiveEndMs = nowMs + call.objectiveLeftMs;
+		this.serviceMs = serviceMs;
+	}
+
+	start(upstream: Upstream, nowMs: number): void {
+		this.startedMs = nowMs;
+		const waitedMs = nowMs - this.#arrivedMs;
+		this.run = upstream.run({...this.call, leftMs: this.call.leftMs - waitedMs}, this);
+		for (const {bytes, isLast} of this.#early) {
+			this.run.write(bytes, isLast);
+		}
+
+		this.#early = [];
+	}
+
+	refuse(reason: RefusalReason, report: LoadReport): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.sink.onRefused(reason, 0, report);
+		}
+	}
+
+	// From the sender of the call.
+
+	write(bytes: Buffer, isLast: boolean): void {
+		if (this.run === undefined) {
+			this.#early.push({bytes, isLast});
+		} else {
+			this.run.write(bytes, isLast);
+		}
+	}
+
+	credit(bytes: number): void {
+		this.run?.credit(bytes);
+	}
+
+	cancel(): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.#owner.cancel(this);
+		}
+	}
+
+	// From the run at the target.
+
+	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
+		if (isWhole) {
+			this.#end(true);
+		}
+
+		this.sink.onAnswer(head, body, isWhole, this.#report());
+	}
+
+	onChunk(bytes: Buffer, isLast: boolean): void {
+		if (isLast) {
+			this.#end(true);
+		}
+
+		this.sink.onChunk(bytes, isLast);
+	}
+
+	onNotRun(reason: RefusalReason): void {
+		this.#end(false);
+		if (reason === 'unreachable') {
+			this.#owner.onUnreachable(this);
+		} else if (reason === 'misdirected') {
+			this.#owner.onMisdirected(this);
+		}
+
+		this.sink.onRefused(reason, 0, this.#report());
+	}
+
+	onFailed(reason: FailureReason): void {
+		this.#end(false);
+		this.sink.onFailed(reason, this.#report());
+	}
+
+	onTaken(bytes: number): void {
+		this.sink.onCredit(bytes);
+	}
+
+	#end(served: boolean): void {
+		this.#isOver = true;
+		this.#owner.onRunEnded(this, served);
+	}
+
+	#report(): LoadReport {
+		return this.#owner.report(this.call.shape.route);
+	}
+}
--- /dev/null
+++ b/src/relay/readiness.ts
@@ -0,0 +1,27 @@
+import {type Server, createServer} from 'node:http';
+import {type Address} from './settings.js';
+
+/** Answers whether this daemon takes requests. */
+export class Readiness {
+	readonly #server: Server;
+
+	constructor(path: string, isReady: () => boolean) {
+		this.#server = createServer((request, response) => {
+			const status = request.url === path ? (isReady() ? 200 : 503) : 404;
+			response.writeHead(status, {'content-length': '0'});
+			response.end();
+		});
+	}
+
+	async listen({ip, port}: Address): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, resolve);
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- /dev/null
+++ b/src/relay/relay.ts
@@ -0,0 +1,346 @@
+import {type Clock, SystemClock} from '../clock/index.js';
+import {EventLog, Logger} from '../log/index.js';
+import {
+	type Announcement, type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, type Site,
+} from '../mesh/index.js';
+import {type Adapter, type TargetMessage} from './adapter.js';
+import {Announcements} from './announcements.js';
+import {type Call, type CallHandle, type CallSink} from './call.js';
+import {Directory, DirectoryEvents} from './directory.js';
+import {Entry} from './entry.js';
+import {type Frame, Tag} from './frame.js';
+import {hostEntryOf} from './hostentry.js';
+import {Link, LinkEvents} from './link.js';
+import {Owner} from './owner.js';
+import {Peers} from './peers.js';
+import {Readiness} from './readiness.js';
+import {type RelaySettings} from './settings.js';
+import {Upstream} from './upstream.js';
+
+/** How long an entry that vanished from the store is still used, in ms: entries that lapsed in an outage are back within it. */
+const LAPSE_GRACE_MS = 2000;
+const HOUSEKEEPING_MS = 500;
+/** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
+const NEWS_PATIENCE_MS = 150;
+/** Announcements missed before a target counts as gone. */
+const MISSED_ANNOUNCEMENTS = 4;
+/** The part of the drain bound within which a leaving target is still given work; the rest is for what is under way. */
+const DRAIN_SHARE = 0.6;
+/** What crossing to another failure domain costs, in ms of waiting: from the price of bytes between them. */
+const CROSSING_MS = 60;
+/** The load from which a call is worth sending to another failure domain. */
+const FULL_SHARE = 0.6;
+/** How long a stopping daemon goes on taking requests, in ms: two missed readiness questions and what is under way. */
+const LAME_DUCK_MS = 2300;
+/** The part of the grace after which a stopping daemon ends in any case. */
+const STOP_SHARE = 0.84;
+const STOP_CHECK_MS = 50;
+/** Where a target that knees before its slots are full is still fast. */
+const SLOT_SHARE = 1;
+
+/** One daemon in front of its own target and beside its clients: all tasks of it. */
+export class Relay {
+	readonly #settings: RelaySettings;
+	readonly #clock: Clock;
+	readonly #log: EventLog;
+	readonly #hosts = new HostTable(LAPSE_GRACE_MS);
+	readonly #placement: Placement;
+	readonly #budget: RetryBudget;
+	readonly #lifecycle: Lifecycle;
+	readonly #upstream: Upstream;
+	readonly #owner: Owner;
+	readonly #entry: Entry;
+	readonly #peers: Peers;
+	readonly #directory: Directory;
+	readonly #announcements: Announcements;
+	readonly #readiness: Readiness;
+	readonly #links = new Map<string, Link>();
+	#timer: NodeJS.Timeout | undefined;
+	#isStopping = false;
+
+	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new SystemClock()) {
+		this.#settings = settings;
+		this.#clock = clock;
+		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
+		const random = Math.random;
+		const nowMs = () => clock.nowMs();
+		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, fullShare: FULL_SHARE}, random);
+		this.#budget = new RetryBudget(settings.retry);
+		this.#lifecycle = new Lifecycle(settings.drainMs * DRAIN_SHARE);
+		this.#upstream = new Upstream(settings.target, adapter.headers, nowMs);
+		this.#owner = new Owner({
+			clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream,
+		});
+		this.#directory = new Directory({
+			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
+		});
+		this.#entry = new Entry({
+			clock,
+			log: this.#log,
+			names: adapter.headers,
+			hosts: this.#hosts,
+			placement: this.#placement,
+			budget: this.#budget,
+			random,
+			send: (entry, call, sink) => this.#send(entry, call, sink),
+			site: () => this.#directory.site,
+			callerService: () => this.#lifecycle.current?.service ?? settings.service,
+			isNested: attemptId => {
+				const parent = adapter.parentOf(attemptId);
+				return parent !== undefined && this.#owner.isRunning(parent);
+			},
+		});
+		this.#peers = new Peers(this.#owner, this.#log, () => this.#hello(), (frame, reply) => {
+			this.#onFrame(frame, reply);
+		});
+		this.#announcements = new Announcements(adapter, this.#log, message => {
+			this.#onTargetMessage(message);
+		});
+		this.#readiness = new Readiness(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
+	}
+
+	async start(): Promise<void> {
+		const {listen} = this.#settings;
+		await Promise.all([
+			this.#entry.listen(listen.requests),
+			this.#peers.listen(listen.peers),
+			this.#announcements.listen(listen.announcements),
+			this.#readiness.listen(listen.readiness),
+		]);
+		this.#directory.start();
+		this.#timer = setInterval(() => {
+			this.#keepHouse();
+		}, HOUSEKEEPING_MS);
+		this.#log.event('started', {host: this.#settings.host, failureDomain: this.#settings.failureDomain, service: this.#settings.service});
+	}
+
+	/** Stops without cutting a request: no new work, then the end of what runs, within the grace. */
+	async stop(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		this.#isStopping = true;
+		const startMs = this.#clock.nowMs();
+		this.#log.event('stopping', {open: this.#entry.open, running: this.#owner.running, queued: this.#owner.queued});
+		this.#entry.stop();
+		this.#owner.stop();
+		this.#peers.broadcast([Tag.leaving, this.#settings.host]);
+		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
+		await new Promise<void>(resolve => {
+			const timer = setInterval(() => {
+				const nowMs = this.#clock.nowMs();
+				const isIdle = this.#entry.open === 0 && this.#owner.running === 0;
+				if ((isIdle && nowMs - startMs >= LAME_DUCK_MS) || nowMs >= endMs) {
+					clearInterval(timer);
+					resolve();
+				}
+			}, STOP_CHECK_MS);
+		});
+		this.#log.event('stopped', {open: this.#entry.open, running: this.#owner.running, tookMs: Math.round(this.#clock.nowMs() - startMs)});
+		this.#entry.close();
+		this.#announcements.close();
+		this.#readiness.close();
+		this.#peers.close();
+		clearInterval(this.#timer);
+		await this.#directory.close();
+	}
+
+	#send(entry: HostEntry, call: Call, sink: CallSink): CallHandle {
+		return entry.host === this.#settings.host ? this.#owner.offer(call, sink) : this.#linkTo(entry).call(call, sink);
+	}
+
+	#linkTo({host, address}: HostEntry): Link {
+		const held = this.#links.get(host);
+		if (held?.address === address) {
+			return held;
+		}
+
+		held?.close('moved');
+		const link = new Link(host, address, new RelayLinkEvents(this.#links, this.#log, () => this.#hello(), (frame, reply) => {
+			this.#onFrame(frame, reply);
+		}), () => this.#clock.nowMs());
+		this.#links.set(host, link);
+		return link;
+	}
+
+	#hello(): Frame {
+		return [Tag.hello, this.#directory.site?.revision ?? 0];
+	}
+
+	#onFrame(frame: Frame, reply: (frame: Frame) => void): void {
+		switch (frame[0]) {
+			case Tag.hello: {
+				this.#onHello(frame[1] as number, reply);
+				break;
+			}
+
+			case Tag.news: {
+				const {site, siteValue} = this.#directory;
+				if (site !== undefined) {
+					reply([Tag.site, site.revision, siteValue, this.#hosts.entries]);
+				}
+
+				break;
+			}
+
+			case Tag.site: {
+				this.#onSiteOfPeer(frame);
+				break;
+			}
+
+			case Tag.leaving: {
+				this.#log.event('peer_leaving', {host: String(frame[1])});
+				this.#placement.suspect(String(frame[1]), this.#clock.nowMs());
+				break;
+			}
+
+			default: {
+				this.#log.count('bad_input', 'peers');
+			}
+		}
+	}
+
+	// The own watch mostly brings the news first; a peer is asked only if it doesn't.
+	#onHello(revision: number, reply: (frame: Frame) => void): void {
+		if (revision <= (this.#directory.site?.revision ?? 0)) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (revision > (this.#directory.site?.revision ?? 0)) {
+				reply([Tag.news]);
+			}
+		}, this.#directory.site === undefined ? 0 : NEWS_PATIENCE_MS);
+	}
+
+	#onSiteOfPeer([, revision, value, entries]: Frame): void {
+		this.#log.event('site_from_peer', {revision: revision as number});
+		this.#directory.offerSite(revision as number, value);
+		for (const entry of Array.isArray(entries) ? entries : []) {
+			try {
+				this.#directory.offerHost(hostEntryOf(entry));
+			} catch (error) {
+				this.#log.warn('host_rejected', {reason: (error as Error).message});
+			}
+		}
+	}
+
+	#onTargetMessage(message: TargetMessage): void {
+		const nowMs = this.#clock.nowMs();
+		if (message.type === 'farewell') {
+			const change = this.#lifecycle.leave(message.farewell, nowMs);
+			this.#log.event('target_farewell', {instance: message.farewell.id, bornMs: message.farewell.bornMs, change});
+			if (change === 'left') {
+				this.#publish();
+			}
+
+			return;
+		}
+
+		const {announcement} = message;
+		const services = this.#directory.site?.services;
+		if (announcement.service !== this.#settings.service && services?.has(announcement.service) !== true) {
+			this.#log.warn('announcement_foreign', {instance: announcement.id, service: announcement.service});
+			return;
+		}
+
+		const change = this.#lifecycle.announce(announcement, nowMs);
+		if (change !== 'none') {
+			this.#log.event('target_announced', {instance: announcement.id, bornMs: announcement.bornMs, seq: announcement.seq, state: announcement.state, change});
+			this.#onTargetChanged(change === 'joined', announcement);
+		}
+	}
+
+	#onTargetChanged(isOther: boolean, {slots}: Announcement): void {
+		if (isOther) {
+			this.#upstream.drop();
+		}
+
+		this.#owner.limit = Math.max(1, Math.floor(slots * SLOT_SHARE));
+		this.#publish();
+	}
+
+	#publish(): void {
+		const {host, failureDomain, listen} = this.#settings;
+		const address = `${listen.peers.ip}:${listen.peers.port}`;
+		const {current, isLeaving} = this.#lifecycle;
+		if (current === undefined) {
+			this.#directory.publish({host, failureDomain, address});
+			return;
+		}
+
+		const {id, bornMs, service, slots} = current;
+		this.#directory.publish({
+			host, failureDomain, address, target: {
+				id, bornMs, service, slots, state: isLeaving ? 'draining' : 'ready',
+			},
+		});
+	}
+
+	#keepHouse(): void {
+		this.#directory.expire();
+		this.#budget.daemons = this.#hosts.size;
+		const {current, heardMs} = this.#lifecycle;
+		if (current !== undefined && this.#clock.nowMs() - heardMs > this.#settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
+			this.#log.warn('target_silent', {instance: current.id, silentMs: Math.round(this.#clock.nowMs() - heardMs)});
+			this.#lifecycle.forget();
+			this.#owner.onTargetGone();
+			this.#publish();
+		}
+	}
+
+	#directoryEvents(): DirectoryEvents {
+		return {
+			onSite: (site: Site) => {
+				this.#entry.limit(site.spec.limits);
+				for (const link of this.#links.values()) {
+					link.send(this.#hello());
+				}
+
+				this.#peers.broadcast(this.#hello());
+			},
+			onHost: (entry: HostEntry) => {
+				this.#placement.clear(entry.host);
+			},
+			onHostGone: (host: string) => {
+				this.#placement.forget(host);
+				this.#links.get(host)?.close('host gone');
+			},
+		};
+	}
+}
+
+/** Keeps the table of links right, and greets on a new one. */
+class RelayLinkEvents extends LinkEvents {
+	readonly #links: Map<string, Link>;
+	readonly #log: EventLog;
+	readonly #hello: () => Frame;
+	readonly #onFrame: (frame: Frame, reply: (frame: Frame) => void) => void;
+
+	constructor(links: Map<string, Link>, log: EventLog, hello: () => Frame, onFrame: (frame: Frame, reply: (frame: Frame) => void) => void) {
+		super();
+		this.#links = links;
+		this.#log = log;
+		this.#hello = hello;
+		this.#onFrame = onFrame;
+	}
+
+	override onOpen(link: Link): void {
+		link.send(this.#hello());
+	}
+
+	override onFrame(link: Link, frame: Frame): void {
+		this.#onFrame(frame, reply => {
+			link.send(reply);
+		});
+	}
+
+	override onClosed(link: Link, reason: string): void {
+		if (this.#links.get(link.host) === link) {
+			this.#links.delete(link.host);
+		}
+
+		this.#log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
+	}
+}
--- /dev/null
+++ b/src/relay/upstream.ts
@@ -0,0 +1,295 @@
+import {Buffer} from 'node:buffer';
+import {Readable} from 'node:stream';
+import {Client, type Dispatcher} from 'undici';
+import {type HeaderNames} from './adapter.js';
+import {
+	type AnswerHead, type Call, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
+} from './call.js';
+import {type Address} from './settings.js';
+
+/** How long a connection to the target may take to open, in ms: the target is on the same host. */
+const CONNECT_MS = 1000;
+/** How long kept connections are distrusted after a target sent bytes that belong to no request, in ms. */
+const DISTRUST_MS = 5000;
+
+const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length']);
+
+/** Takes what comes of one run at the target. */
+export abstract class RunSink {
+	abstract onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void;
+	abstract onChunk(bytes: Buffer, isLast: boolean): void;
+	/** It did not run and won't. */
+	abstract onNotRun(reason: RefusalReason): void;
+	abstract onFailed(reason: FailureReason): void;
+	/** The target took a piece of the request's streamed body. */
+	abstract onTaken(bytes: number): void;
+}
+
+/** The connections to the target beside this daemon, one request at a time on each. */
+export class Upstream {
+	readonly #names: HeaderNames;
+	readonly #idle: Client[] = [];
+	readonly #nowMs: () => number;
+	#origin: string;
+	#distrustUntilMs = 0;
+	#generation = 0;
+
+	constructor(address: Address, names: HeaderNames, nowMs: () => number) {
+		this.#origin = originOf(address);
+		this.#names = names;
+		this.#nowMs = nowMs;
+	}
+
+	/** The target is another one now: kept connections are of no use. */
+	point(address: Address): void {
+		this.#origin = originOf(address);
+		this.drop();
+	}
+
+	/** Closes the kept connections. */
+	drop(): void {
+		this.#generation++;
+		for (const client of this.#idle.splice(0)) {
+			void client.destroy();
+		}
+	}
+
+	run(call: Call, sink: RunSink): Run {
+		const client = this.#idle.pop() ?? this.#open();
+		const generation = this.#generation;
+		const run = new Run(call, this.#names, sink, isSound => {
+			this.#release(client, isSound && generation === this.#generation);
+		});
+		try {
+			client.dispatch(run.options(), run);
+		} catch (error) {
+			run.onResponseError(undefined, error as Error);
+		}
+
+		return run;
+	}
+
+	#open(): Client {
+		const client = new Client(this.#origin, {
+			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: CONNECT_MS}, maxHeaderSize: 65_536,
+		});
+		client.on('disconnect', (_origin, _targets, error) => {
+			// Bytes that belong to no request: an answer too many, or what isn't HTTP.
+			if (error.name === 'HTTPParserError') {
+				this.#distrust();
+			}
+		});
+		return client;
+	}
+
+	#distrust(): void {
+		this.#distrustUntilMs = this.#nowMs() + DISTRUST_MS;
+		for (const client of this.#idle.splice(0)) {
+			void client.destroy();
+		}
+	}
+
+	#release(client: Client, isSound: boolean): void {
+		if (!isSound) {
+			void client.destroy();
+		} else if (this.#nowMs() < this.#distrustUntilMs) {
+			void client.close();
+		} else {
+			this.#idle.push(client);
+		}
+	}
+}
+
+function originOf({ip, port}: Address): string {
+	return `http://${ip}:${port}`;
+}
+
+/** One request at the target. */
+export class Run implements Dispatcher.DispatchHandler {
+	readonly #call: Call;
+	readonly #names: HeaderNames;
+	readonly #sink: RunSink;
+	readonly #release: (isSound: boolean) => void;
+	readonly #source: Readable | undefined;
+	#controller: Dispatcher.DispatchController | undefined;
+	#head: AnswerHead | undefined;
+	#fault: FailureReason | undefined;
+	#notRun: RefusalReason | undefined;
+	#chunks: Buffer[] = [];
+	#heldBytes = 0;
+	#isStreaming = false;
+	#isOver = false;
+	#creditBytes = WINDOW_BYTES;
+
+	constructor(call: Call, names: HeaderNames, sink: RunSink, release: (isSound: boolean) => void) {
+		this.#call = call;
+		this.#names = names;
+		this.#sink = sink;
+		this.#release = release;
+		if (call.hasMore) {
+			this.#source = new Readable({read() {/* pieces are pushed as they come */}});
+			this.#source.push(call.body);
+		}
+	}
+
+	options(): Dispatcher.DispatchOptions {
+		const {shape, attemptId, path, instance, leftMs, body} = this.#call;
+		const headers = [
+			...shape.headers,
+			this.#names.attemptId,
+			attemptId,
+			this.#names.deadlineMs,
+			String(Math.max(1, Math.floor(leftMs))),
+			this.#names.callerService,
+			shape.callerService,
+			this.#names.expectedInstance,
+			instance,
+		];
+		return {
+			path, method: shape.method as Dispatcher.HttpMethod, headers, body: this.#source ?? (body.length > 0 ? body : null),
+		};
+	}
+
+	/** More of a streamed request's body. */
+	write(bytes: Buffer, isLast: boolean): void {
+		if (this.#source === undefined || this.#isOver) {
+			return;
+		}
+
+		if (bytes.length > 0) {
+			this.#source.push(bytes);
+			this.#sink.onTaken(bytes.length);
+		}
+
+		if (isLast) {
+			this.#source.push(null);
+		}
+	}
+
+	/** The receiver can take more of the answer. */
+	credit(bytes: number): void {
+		this.#creditBytes += bytes;
+		if (this.#creditBytes > 0) {
+			this.#controller?.resume();
+		}
+	}
+
+	/** Breaks the run off; the target sees its connection close. */
+	cancel(): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.#controller?.abort(new Error('cancelled'));
+			this.#source?.destroy();
+			this.#release(false);
+		}
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isOver) {
+			controller.abort(new Error('cancelled'));
+		}
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (status < 200) {
+			return;
+		}
+
+		const signature = headers[this.#names.signature];
+		const echoed = headers[this.#names.attemptId];
+		if (echoed !== undefined && echoed !== this.#call.attemptId) {
+			this.#fault = 'garbled';
+		} else if (headers[this.#names.notRun] !== undefined || status === 421) {
+			this.#notRun = status === 421 ? 'misdirected' : 'shed-by-target';
+		} else if (status < 300 && (signature === undefined || echoed === undefined || headers['content-encoding'] !== undefined)) {
+			this.#fault = 'garbled';
+		}
+
+		const length = headers['content-length'];
+		this.#head = {
+			status,
+			headers: this.#kept(headers),
+			signature: signature as string | undefined,
+			lengthBytes: length === undefined ? undefined : Number(length),
+		};
+		if (this.#fault !== undefined) {
+			this.#fail(this.#fault);
+		}
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isStreaming) {
+			this.#creditBytes -= chunk.length;
+			this.#sink.onChunk(chunk, false);
+		} else {
+			this.#chunks.push(chunk);
+			this.#heldBytes += chunk.length;
+			if (this.#heldBytes > INLINE_BYTES && this.#notRun === undefined) {
+				this.#isStreaming = true;
+				this.#creditBytes -= this.#heldBytes;
+				this.#sink.onHead(this.#head!, Buffer.concat(this.#chunks), false);
+				this.#chunks = [];
+			}
+		}
+
+		if (this.#creditBytes <= 0) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		this.#source?.destroy();
+		this.#release(true);
+		if (this.#notRun !== undefined) {
+			this.#sink.onNotRun(this.#notRun);
+		} else if (this.#isStreaming) {
+			this.#sink.onChunk(Buffer.alloc(0), true);
+		} else {
+			this.#sink.onHead(this.#head!, this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks), true);
+		}
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, _error: Error): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		this.#source?.destroy();
+		this.#release(false);
+		if (this.#controller === undefined) {
+			this.#sink.onNotRun('unreachable');
+		} else {
+			this.#sink.onFailed('broken');
+		}
+	}
+
+	#fail(reason: FailureReason): void {
+		this.#isOver = true;
+		this.#controller?.abort(new Error(reason));
+		this.#source?.destroy();
+		this.#release(false);
+		this.#sink.onFailed(reason);
+	}
+
+	#kept(headers: Record<string, string | string[] | undefined>): string[] {
+		const kept: string[] = [];
+		for (const [name, value] of Object.entries(headers)) {
+			if (value === undefined || HOP_BY_HOP.has(name) || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
+				continue;
+			}
+
+			for (const one of Array.isArray(value) ? value : [value]) {
+				kept.push(name, one);
+			}
+		}
+
+		return kept;
+	}
+}
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -1,7 +1,7 @@
 import {createSocket} from 'node:dgram';
 import {expect, it} from 'vitest';
 import {Node} from '../src/core/index.js';
-import {Logger} from '../src/daemon/logger.js';
+import {Logger} from '../src/log/index.js';
 import {Metrics} from '../src/daemon/metrics.js';
 
 const HOST = '127.0.0.1';
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** XO's own rules; every exception names why it is made. */
 const config = [
-	{ignores: ['dist/**', '.build/**', 'vitest.config.ts']},
+	{ignores: ['dist/**', 'target/**', '.build/**', 'vitest.config.ts']},
 	{
 		rules: {
 			// ProseMirror's short names in small scopes are part of the house style.
