--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -1,11 +1,17 @@
-export {type Destination, type Repeatability, type Route, RouteTable} from './route.js';
-export {type ClientLimits, type ServiceSpec, type SiteSpec, Site} from './site.js';
+export {
+	type Destination, type Repeatability, type Route, RouteTable,
+} from './route.js';
+export {
+	type ClientLimits, type ServiceSpec, type SiteSpec, Site,
+} from './site.js';
 export {Splitter} from './split.js';
 export {type Announcement, type Farewell, type TargetState} from './target.js';
 export {type LifecycleChange, Lifecycle} from './lifecycle.js';
 export {type HostEntry, type PublishedTarget, HostTable} from './host.js';
 export {type LoadReport, type PlacementOptions, Placement} from './placement.js';
-export {type GateCall, type GateDecision, type GateRefusal, Gate} from './gate.js';
+export {
+	type GateCall, type GateDecision, type GateRefusal, Gate,
+} from './gate.js';
 export {type RetryBudgetOptions, RetryBudget} from './retrybudget.js';
 export {ServiceTimes} from './servicetimes.js';
 export {type ComebackReason, comebackMs} from './comeback.js';
--- a/src/mesh/retrybudget.ts
+++ b/src/mesh/retrybudget.ts
@@ -29,8 +29,9 @@
 		this.#options = options;
 	}
 
-	set daemons(count: number) {
-		this.#daemons = Math.max(1, count);
+	/** How many daemons share the budget. */
+	share(daemons: number): void {
+		this.#daemons = Math.max(1, daemons);
 	}
 
 	/** A request for a service was sent for the first time. */
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -14,9 +14,9 @@
 };
 
 /** What a target said to its daemon. */
-export type TargetMessage =
-	| {readonly type: 'announcement'; readonly announcement: Announcement}
-	| {readonly type: 'farewell'; readonly farewell: Farewell};
+export type TargetMessage
+	= | {readonly type: 'announcement'; readonly announcement: Announcement}
+		| {readonly type: 'farewell'; readonly farewell: Farewell};
 
 /** Where the configuration lies in the store. */
 export type ConfigurationPlace = {readonly kind: string; readonly name: string};
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -43,16 +43,16 @@
 };
 
 /** Why a call was not run: nothing of it reached a target that took it. */
-export type RefusalReason =
-	| 'full'
-	| 'expired'
-	| 'evicted'
-	| 'not-here'
-	| 'stopping'
-	| 'shed-by-target'
-	| 'misdirected'
-	| 'unreachable'
-	| 'cancelled';
+export type RefusalReason
+	= | 'full'
+		| 'expired'
+		| 'evicted'
+		| 'not-here'
+		| 'stopping'
+		| 'shed-by-target'
+		| 'misdirected'
+		| 'unreachable'
+		| 'cancelled';
 
 /** Why a call failed that may have run. */
 export type FailureReason = 'broken' | 'garbled' | 'deadline' | 'link-lost' | 'cancelled';
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -237,7 +237,9 @@
 		try {
 			const entry = hostEntryOf(object.value);
 			if (entry.host === object.name && this.#parts.hosts.put(entry, object.revision)) {
-				this.#parts.log.event('host_learned', {host: entry.host, instance: entry.target?.id ?? '', service: entry.target?.service ?? '', state: entry.target?.state ?? 'none', revision: object.revision});
+				this.#parts.log.event('host_learned', {
+					host: entry.host, instance: entry.target?.id ?? '', service: entry.target?.service ?? '', state: entry.target?.state ?? 'none', revision: object.revision,
+				});
 				this.#parts.events.onHost(entry);
 			}
 		} catch (error) {
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -1,4 +1,6 @@
-import {type IncomingMessage, type Server, type ServerResponse, createServer} from 'node:http';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer,
+} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
@@ -6,7 +8,9 @@
 	type ClientLimits, type HostEntry, type HostTable, type Placement, type RetryBudget, type Site, Splitter,
 } from '../mesh/index.js';
 import {type HeaderNames} from './adapter.js';
-import {type Call, type CallHandle, type CallShape, type CallSink} from './call.js';
+import {
+	type Call, type CallHandle, type CallShape, type CallSink,
+} from './call.js';
 import {Exchange} from './exchange.js';
 import {type Address} from './settings.js';
 
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -31,7 +31,7 @@
 export type Frame = readonly [tag: number, ...fields: unknown[]];
 
 export function encodeFrame(frame: Frame): Buffer {
-	return packr.pack(frame) as Buffer;
+	return packr.pack(frame);
 }
 
 /** @throws {FrameError} */
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -1,11 +1,11 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
 	Gate, type GateCall, type Lifecycle, type LoadReport, ServiceTimes,
 } from '../mesh/index.js';
 import {
-	type AnswerHead, type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {RunSink, type Run, type Upstream} from './upstream.js';
 
@@ -104,11 +104,11 @@
 
 	/** Nobody waits for this call any longer. */
 	cancel(owned: OwnedCall): void {
-		if (owned.run !== undefined) {
+		if (owned.run === undefined) {
+			this.#gate.cancel(owned);
+		} else {
 			owned.run.cancel();
 			this.onRunEnded(owned, false);
-		} else {
-			this.#gate.cancel(owned);
 		}
 	}
 
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -19,7 +19,10 @@
 /** Takes the links of other daemons and hands their calls to the owner of this host's target. */
 export class Peers {
 	readonly #server: Server;
-	readonly #sockets = new WebSocketServer({noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false, skipUTF8Validation: true});
+	readonly #sockets = new WebSocketServer({
+		noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false, skipUTF8Validation: true,
+	});
+
 	readonly #links = new Set<PeerLink>();
 	readonly #log: EventLog;
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,7 +6,7 @@
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {Announcements} from './announcements.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
-import {Directory, DirectoryEvents} from './directory.js';
+import {Directory, type DirectoryEvents} from './directory.js';
 import {Entry} from './entry.js';
 import {type Frame, Tag} from './frame.js';
 import {hostEntryOf} from './hostentry.js';
@@ -62,7 +62,7 @@
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
-		const random = Math.random;
+		const {random} = Math;
 		const nowMs = () => clock.nowMs();
 		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, fullShare: FULL_SHARE}, random);
 		this.#budget = new RetryBudget(settings.retry);
@@ -247,7 +247,9 @@
 
 		const change = this.#lifecycle.announce(announcement, nowMs);
 		if (change !== 'none') {
-			this.#log.event('target_announced', {instance: announcement.id, bornMs: announcement.bornMs, seq: announcement.seq, state: announcement.state, change});
+			this.#log.event('target_announced', {
+				instance: announcement.id, bornMs: announcement.bornMs, seq: announcement.seq, state: announcement.state, change,
+			});
 			this.#onTargetChanged(change === 'joined', announcement);
 		}
 	}
@@ -280,7 +282,7 @@
 
 	#keepHouse(): void {
 		this.#directory.expire();
-		this.#budget.daemons = this.#hosts.size;
+		this.#budget.share(this.#hosts.size);
 		const {current, heardMs} = this.#lifecycle;
 		if (current !== undefined && this.#clock.nowMs() - heardMs > this.#settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
 			this.#log.warn('target_silent', {instance: current.id, silentMs: Math.round(this.#clock.nowMs() - heardMs)});
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -146,7 +146,7 @@
 			instance,
 		];
 		return {
-			path, method: shape.method as Dispatcher.HttpMethod, headers, body: this.#source ?? (body.length > 0 ? body : null),
+			path, method: shape.method, headers, body: this.#source ?? (body.length > 0 ? body : null),
 		};
 	}
 
