--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -14,9 +14,9 @@
 
 /** What a target's daemon knows of its own load when it sets its floor. */
 export type LoadView = {
-	/** Requests per ms that the target finishes when all its slots are busy. */
+	/** Work per ms that the target finishes when all its slots are busy, in the unit of the arrivals' weights. */
 	readonly serviceRate: number;
-	/** How many requests wait at a level or above. */
+	/** How much work waits at a level or above. */
 	readonly waiting: (level: number) => number;
 	readonly queueTargetMs: number;
 	/** Whether anything waits or every slot is busy. */
@@ -51,11 +51,11 @@
 		return left > 0 ? waiting / left : Number.POSITIVE_INFINITY;
 	}
 
-	/** Counts an arrival of a level that its first daemon admitted under `senderFloor`. */
-	onArrival(level: number, senderFloor: number): void {
+	/** Counts an arrival of a level that its first daemon admitted under `senderFloor`, and the work that it brings. */
+	onArrival(level: number, senderFloor: number, work = 1): void {
 		const rank = rankOf(level);
 		const share = openShare(rank, senderFloor);
-		this.#weights[rank] += share <= 1 / MAX_WEIGHT ? MAX_WEIGHT : 1 / share;
+		this.#weights[rank] += work * (share <= 1 / MAX_WEIGHT ? MAX_WEIGHT : 1 / share);
 	}
 
 	/** Sets the floor anew when an interval has passed. */
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -6,7 +6,11 @@
 export {type Explanation, type Question} from './explain.js';
 export {type Call, type Frame} from './frame.js';
 export {MAX_KEY_LENGTH} from './key.js';
-export {BUCKETS, levelOf} from './level.js';
+export {type LoadView, FloorController} from './controller.js';
+export {
+	BUCKETS, CLOSED, RANKS, levelOf, rankOf,
+} from './level.js';
+export {type PressureReport, PressureTable} from './pressure.js';
 export {type Member} from './member.js';
 export {
 	type Announcement, type Input, type JoinRecord, type Output, type PlatformReply, type PlatformRequest, type RequestId, type Side, type TargetResult,
--- a/src/mesh/gate.ts
+++ b/src/mesh/gate.ts
@@ -1,10 +1,13 @@
+import {RANKS, rankOf} from '../core/index.js';
+import {type Standing} from './shedding.js';
+
 /** Why a call isn't run here. */
 export type GateRefusal = 'full' | 'expired' | 'evicted';
 
 /** A call as the queue sees it. */
 export type GateCall = {
-	/** 0 is served first. */
-	readonly rank: number;
+	/** The place of the root that the call is made for; higher ranks of it are served first. */
+	readonly standing: Standing;
 	/** Whether a run in progress waits for it: its parent's work is already spent. */
 	readonly isNested: boolean;
 	/** When its answer must have come, in ms. */
@@ -27,8 +30,8 @@
 const MIN_QUEUE = 16;
 
 /**
- * Runs at most `limit` calls at once and lets the rest wait: nested calls
- * first, then by rank, and within a rank the oldest first.
+ * Runs at most `limit` calls at once and lets the rest wait: by the rank of
+ * their root, nested calls before new ones, and then the oldest first.
  * Load pattern: demand beyond what the target serves well, of several ranks.
  */
 export class Gate<Call extends GateCall> {
@@ -68,20 +71,20 @@
 			return {verdict: 'run'};
 		}
 
-		const level = levelOf(call);
-		if (nowMs + this.#waitMs(level) + call.serviceMs > call.deadlineMs) {
+		const place = queueOf(call);
+		if (nowMs + this.#waitMs(place) + call.serviceMs > call.deadlineMs) {
 			return {verdict: 'full'};
 		}
 
 		let evicted: Call | undefined;
 		if (this.#queued >= Math.max(MIN_QUEUE, this.#limit * QUEUE_PER_SLOT)) {
-			evicted = this.#evictBelow(level);
+			evicted = this.#evictBelow(place);
 			if (evicted === undefined) {
 				return {verdict: 'full'};
 			}
 		}
 
-		this.#queueAt(level).push(call);
+		this.#queueAt(place).push(call);
 		this.#queued++;
 		return evicted === undefined ? {verdict: 'wait'} : {verdict: 'wait', evicted};
 	}
@@ -138,7 +141,7 @@
 
 	/** Takes a waiting call out. @returns whether it was waiting */
 	cancel(call: Call): boolean {
-		const queue = this.#queues[levelOf(call)];
+		const queue = this.#queues[queueOf(call)];
 		const index = queue?.indexOf(call) ?? -1;
 		if (index === -1) {
 			return false;
@@ -149,6 +152,18 @@
 		return true;
 	}
 
+	/** The slot time that waiting calls of a level or above will take, in ms. */
+	waitingMs(level: number): number {
+		let sumMs = 0;
+		for (const queue of this.#queues) {
+			for (const call of queue) {
+				sumMs += call.standing.level >= level ? call.serviceMs : 0;
+			}
+		}
+
+		return sumMs;
+	}
+
 	/** Takes out all that wait. */
 	clear(): Call[] {
 		const all = this.#queues.flat().filter(call => call !== undefined);
@@ -157,26 +172,26 @@
 		return all;
 	}
 
-	/** How long a call of a level would wait, in ms. */
-	#waitMs(level: number): number {
+	/** How long a call in a queue would wait, in ms. */
+	#waitMs(place: number): number {
 		let ahead = Math.max(0, this.#running - this.#limit) + 1;
-		for (let index = 0; index <= level; index++) {
+		for (let index = 0; index <= place; index++) {
 			ahead += this.#queues[index]?.length ?? 0;
 		}
 
 		return ahead * this.#meanServiceMs / this.#limit;
 	}
 
-	#queueAt(level: number): Call[] {
-		while (this.#queues.length <= level) {
+	#queueAt(place: number): Call[] {
+		while (this.#queues.length <= place) {
 			this.#queues.push([]);
 		}
 
-		return this.#queues[level];
+		return this.#queues[place];
 	}
 
-	#evictBelow(level: number): Call | undefined {
-		for (let index = this.#queues.length - 1; index > level; index--) {
+	#evictBelow(place: number): Call | undefined {
+		for (let index = this.#queues.length - 1; index > place; index--) {
 			const evicted = this.#queues[index].pop();
 			if (evicted !== undefined) {
 				this.#queued--;
@@ -188,7 +203,7 @@
 	}
 }
 
-/** The place of a call's queue: nested calls before all others. */
-function levelOf(call: GateCall): number {
-	return call.isNested ? 0 : Math.max(0, Math.floor(call.rank)) + 1;
+/** The number of a call's queue; lower ones are served first. */
+function queueOf({standing, isNested}: GateCall): number {
+	return ((RANKS - 1 - rankOf(standing.level)) * 2) + (isNested ? 0 : 1);
 }
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -15,3 +15,4 @@
 export {type RetryBudgetOptions, RetryBudget} from './retrybudget.js';
 export {ServiceTimes} from './servicetimes.js';
 export {type ComebackReason, comebackMs} from './comeback.js';
+export {type Standing, type Workload, Shedding} from './shedding.js';
--- /dev/null
+++ b/src/mesh/shedding.ts
@@ -0,0 +1,112 @@
+import {
+	CLOSED, FloorController, type PressureReport, PressureTable, RANKS, levelOf,
+} from '../core/index.js';
+
+/** How long a root keeps its place among those of its rank, in ms: a client that returns later has a new chance. */
+const EPOCH_MS = 2000;
+/** How long the calls of the lowest admitted rank should wait, in ms: little against any objective, enough to keep slots busy. */
+const QUEUE_TARGET_MS = 25;
+
+/** The place of a root request among all: it is kept by all calls made for it. */
+export type Standing = {
+	/** Higher levels are served first. */
+	readonly level: number;
+	/** The floor under which the root was admitted. */
+	readonly floor: number;
+};
+
+/** A route, and the one of its services that was chosen. */
+export type Way = {readonly route: string; readonly service: string};
+
+/** What the owner's target has to do. */
+export type Workload = {
+	/** How many calls run at once. */
+	readonly limit: number;
+	/** Work that waits at a level or above, in ms of slot time. */
+	readonly waitingMs: (level: number) => number;
+	readonly isSaturated: boolean;
+};
+
+/**
+ * Refuses roots before anything is spent, by the floors of all services that
+ * requests of their route have reached, which travel up with the answers.
+ * Load pattern: demand past what a deep service serves, where refusing late
+ * throws away what the services above have already done.
+ */
+export class Shedding {
+	readonly #host: string;
+	readonly #pressure = new PressureTable();
+	readonly #controller = new FloorController();
+	readonly #reached = new Map<string, Set<string>>();
+
+	constructor(host: string) {
+		this.#host = host;
+	}
+
+	/** The owner's floor now. */
+	get floor(): number {
+		return this.#controller.floor;
+	}
+
+	/** @param rank 0 is the highest */
+	standingOf({route, service}: Way, rank: number, attemptId: string, nowMs: number): Standing {
+		const level = levelOf(RANKS - 1 - Math.min(RANKS - 1, Math.max(0, Math.floor(rank))), attemptId, Math.floor(nowMs / EPOCH_MS));
+		return {level, floor: this.#pressure.floorOf(this.servicesOf({route, service}), nowMs)};
+	}
+
+	isAdmitted({level, floor}: Standing): boolean {
+		return level >= floor;
+	}
+
+	/** The services that requests have reached on a way, as far as is known here. */
+	servicesOf(way: Way): string[] {
+		return [...(this.#reached.get(keyOf(way)) ?? [])];
+	}
+
+	/** Requests reach services on a way, themselves or by the calls made for them. */
+	onReached(way: Way, services: readonly string[]): void {
+		const key = keyOf(way);
+		let known = this.#reached.get(key);
+		if (known === undefined) {
+			known = new Set();
+			this.#reached.set(key, known);
+		}
+
+		for (const service of services) {
+			known.add(service);
+		}
+	}
+
+	/** A call has arrived at this owner that will take about `serviceMs` of a slot. */
+	onArrival({level, floor}: Standing, serviceMs: number): void {
+		this.#controller.onArrival(level, floor, serviceMs);
+	}
+
+	/** Sets this owner's floor anew. */
+	update(service: string, workload: Workload, nowMs: number): void {
+		this.#controller.update(nowMs, () => ({
+			serviceRate: workload.limit,
+			waiting: workload.waitingMs,
+			queueTargetMs: QUEUE_TARGET_MS,
+			saturated: workload.isSaturated,
+		}));
+		this.#pressure.record({
+			service, upstream: this.#host, floor: Math.min(CLOSED, this.#controller.floor), ageMs: 0,
+		}, nowMs);
+	}
+
+	onReports(reports: readonly PressureReport[], nowMs: number): void {
+		for (const report of reports) {
+			this.#pressure.record(report, nowMs);
+		}
+	}
+
+	/** What to pass on to the daemons that call here. */
+	reports(nowMs: number): PressureReport[] {
+		return this.#pressure.reports(nowMs);
+	}
+}
+
+function keyOf({route, service}: Way): string {
+	return `${route} ${service}`;
+}
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {type LoadReport, type Repeatability} from '../mesh/index.js';
+import {type LoadReport, type Repeatability, type Standing} from '../mesh/index.js';
 
 /** What the calls of one route, method and client have in common; sent once over a link. */
 export type CallShape = {
@@ -25,6 +25,8 @@
 	readonly leftMs: number;
 	/** How long an answer still earns full credit, in ms; may be negative. */
 	readonly objectiveLeftMs: number;
+	/** The place of the root that it is made for. */
+	readonly standing: Standing;
 	/** Whether a run in progress waits for it. */
 	readonly isNested: boolean;
 	readonly body: Buffer;
@@ -40,6 +42,8 @@
 	readonly signature: string | undefined;
 	/** The body's length in bytes, when the target told it. */
 	readonly lengthBytes: number | undefined;
+	/** The services that requests of this route reach. */
+	readonly reached: readonly string[];
 };
 
 /** Why a call was not run: nothing of it reached a target that took it. */
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	type ClientLimits, type HostEntry, type HostTable, type Placement, type RetryBudget, type Site, Splitter,
+	type ClientLimits, type HostEntry, type HostTable, type Placement, type RetryBudget, type Shedding, type Site, Splitter,
 } from '../mesh/index.js';
 import {type HeaderNames} from './adapter.js';
 import {
@@ -31,6 +31,7 @@
 	readonly hosts: HostTable;
 	readonly placement: Placement;
 	readonly budget: RetryBudget;
+	readonly shedding: Shedding;
 	readonly random: () => number;
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	/** Called before an answer's head is written. */
@@ -42,8 +43,8 @@
 	readonly site: () => Site | undefined;
 	/** The service that runs on this host now. */
 	readonly callerService: () => string;
-	/** Whether a run in progress on this host waits for this attempt. */
-	readonly isNested: (attemptId: string) => boolean;
+	/** The run in progress on this host that waits for an attempt. */
+	readonly parentOf: (attemptId: string) => Call | undefined;
 };
 
 type Connection = {open: number; isClosing: boolean};
@@ -162,7 +163,7 @@
 
 		const service = this.#splitter.choose(route) ?? '';
 		const exchange = new Exchange(this.#parts, request, response, {
-			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route.name, route), isNested: this.#options.isNested(attemptId),
+			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route.name, route), parent: this.#options.parentOf(attemptId), callerService: this.#options.callerService(),
 		});
 		this.#exchanges.add(exchange);
 		if (connection !== undefined) {
@@ -175,7 +176,11 @@
 		this.#arm();
 		const length = headers['content-length'];
 		const hasBody = headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-		exchange.begin(hasBody, site.spec.limits.bodyBytes);
+		if (exchange.isAdmitted) {
+			exchange.begin(hasBody, site.spec.limits.bodyBytes);
+		} else {
+			exchange.refuseForLoad();
+		}
 	}
 
 	#shapeOf(request: IncomingMessage, name: string, route: {rank: number; repeatability: CallShape['repeatability']}): CallShape {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type LoadReport, type Route, comebackMs} from '../mesh/index.js';
+import {
+	type LoadReport, type Route, type Standing, comebackMs,
+} from '../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallShape, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
 } from './call.js';
@@ -26,7 +28,8 @@
 	readonly #response: ServerResponse;
 	readonly #shape: CallShape;
 	readonly #arrivedMs: number;
-	readonly #isNested: boolean;
+	readonly #parent: Call | undefined;
+	readonly #standing: Standing;
 	readonly #tried: string[] = [];
 	#body: Buffer = Buffer.alloc(0);
 	#isStreaming = false;
@@ -39,7 +42,7 @@
 	#hasHead = false;
 	#isOver = false;
 
-	constructor(parts: EntryParts, request: IncomingMessage, response: ServerResponse, options: {route: Route; service: string; attemptId: string; leftMs: number; shape: CallShape; isNested: boolean}) {
+	constructor(parts: EntryParts, request: IncomingMessage, response: ServerResponse, options: {route: Route; service: string; attemptId: string; leftMs: number; shape: CallShape; parent: Call | undefined; callerService: string}) {
 		super();
 		this.#parts = parts;
 		this.#request = request;
@@ -48,12 +51,22 @@
 		this.service = options.service;
 		this.attemptId = options.attemptId;
 		this.#shape = options.shape;
-		this.#isNested = options.isNested;
+		this.#parent = options.parent;
 		this.#arrivedMs = parts.clock.nowMs();
+		this.#standing = this.#parent?.standing ?? parts.shedding.standingOf({route: this.route.name, service: this.service}, this.route.rank, this.attemptId, this.#arrivedMs);
+		if (this.#parent !== undefined) {
+			parts.shedding.onReached({route: this.#parent.shape.route, service: options.callerService}, [this.service, ...parts.shedding.servicesOf({route: this.route.name, service: this.service})]);
+		}
+
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
 		this.objectiveEndMs = this.#arrivedMs + options.route.objectiveMs;
 	}
 
+	/** Whether it may go on: a nested call always does, what it belongs to is already paid for. */
+	get isAdmitted(): boolean {
+		return this.#parent !== undefined || this.#parts.shedding.isAdmitted(this.#standing);
+	}
+
 	get isOver(): boolean {
 		return this.#isOver;
 	}
@@ -130,6 +143,7 @@
 		}
 
 		this.#parts.placement.onOutcome(this.#host, head.status >= 500, nowMs);
+		this.#parts.shedding.onReached({route: this.route.name, service: this.service}, head.reached);
 		if (isWhole && head.status >= 500 && this.#mayResend(nowMs)) {
 			this.#mayHaveRun = true;
 			this.#resend('target-error');
@@ -264,7 +278,8 @@
 			instance: entry.target!.id,
 			leftMs: this.deadlineMs - nowMs,
 			objectiveLeftMs: this.objectiveEndMs - nowMs,
-			isNested: this.#isNested,
+			standing: this.#standing,
+			isNested: this.#parent !== undefined,
 			body: this.#body,
 			hasMore: this.#isStreaming,
 		};
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {Packr} from 'msgpackr';
+import {type PressureReport} from '../core/index.js';
 import {type LoadReport} from '../mesh/index.js';
 import {type Call, type CallShape} from './call.js';
 
@@ -16,6 +17,7 @@
 	site: 8,
 	leaving: 9,
 	news: 10,
+	pressure: 11,
 } as const;
 
 /** A frame that can't be read; the link that it came on is dropped. */
@@ -100,13 +102,13 @@
 	const key = `${shape.route}\n${shape.rank}\n${shape.repeatability}\n${shape.method}\n${shape.callerService}\n${shape.headers.join('\n')}`;
 	const flags = (call.isNested ? NESTED : 0) | (call.hasMore ? MORE : 0);
 	const [number, value] = shapes.write(key, shape);
-	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, call.body.length > 0 ? call.body : null];
+	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, call.body.length > 0 ? call.body : null, call.standing.level, call.standing.floor];
 }
 
 /** @throws {FrameError} */
 export function callOf(frame: Frame, shapes: ShapeReader<CallShape>, empty: Buffer): Call {
-	const [, , number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body] = frame;
-	if (typeof instance !== 'string' || typeof leftMs !== 'number' || typeof objectiveLeftMs !== 'number' || typeof path !== 'string' || typeof attemptId !== 'string') {
+	const [, , number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body, level, floor] = frame;
+	if (typeof instance !== 'string' || typeof leftMs !== 'number' || typeof objectiveLeftMs !== 'number' || typeof path !== 'string' || typeof attemptId !== 'string' || typeof level !== 'number' || typeof floor !== 'number') {
 		throw new FrameError('a call without its fields');
 	}
 
@@ -120,9 +122,26 @@
 		attemptId,
 		path,
 		body: (body as Buffer | null) ?? empty,
+		standing: {level, floor},
 	};
 }
 
+/** What a daemon knows of floors, as lists of service, upstream, floor and age in ms. */
+export function pressureFrame(reports: readonly PressureReport[]): Frame {
+	return [Tag.pressure, reports.map(({service, upstream, floor, ageMs}) => [service, upstream, Math.round(floor), Math.round(ageMs)])];
+}
+
+/** @throws {FrameError} */
+export function reportsOf([, packed]: Frame): PressureReport[] {
+	if (!Array.isArray(packed)) {
+		throw new FrameError('pressure without its list');
+	}
+
+	return (packed as Array<[string, string, number, number]>).map(([service, upstream, floor, ageMs]) => ({
+		service, upstream, floor, ageMs,
+	}));
+}
+
 /** A report in a frame, as four numbers. */
 export function packReport(report: LoadReport | undefined): readonly number[] | null {
 	return report === undefined ? null : [report.running, report.queued, report.limit, Math.round(report.serviceMs)];
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	Gate, type GateCall, type Lifecycle, type LoadReport, ServiceTimes,
+	Gate, type GateCall, type Lifecycle, type LoadReport, ServiceTimes, type Shedding, type Standing,
 } from '../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -21,6 +21,7 @@
 	readonly log: EventLog;
 	readonly lifecycle: Lifecycle;
 	readonly upstream: Upstream;
+	readonly shedding: Shedding;
 };
 
 /**
@@ -33,6 +34,7 @@
 	readonly #gate = new Gate<OwnedCall>(1);
 	readonly #times = new ServiceTimes();
 	readonly #running = new Set<OwnedCall>();
+	readonly #attempts = new Map<string, Call>();
 	#timer: NodeJS.Timeout | undefined;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
@@ -50,13 +52,11 @@
 		return this.#gate.queued;
 	}
 
-	/** Whether the target runs a client attempt right now. */
-	isRunning(attemptId: string): boolean {
-		return this.#attempts.has(attemptId);
+	/** The call that the target runs right now for a client attempt. */
+	runningCall(attemptId: string): Call | undefined {
+		return this.#attempts.get(attemptId);
 	}
 
-	readonly #attempts = new Set<string>();
-
 	/** How many calls the target is given at once. */
 	set limit(limit: number) {
 		this.#gate.limit = limit;
@@ -83,7 +83,9 @@
 			return owned;
 		}
 
+		this.#parts.shedding.onArrival(call.standing, owned.serviceMs);
 		const {verdict, evicted} = this.#gate.offer(owned, nowMs);
+		this.#updateFloor(nowMs);
 		evicted?.refuse('evicted', this.report(evicted.call.shape.route));
 		if (verdict === 'run') {
 			this.#start(owned);
@@ -96,6 +98,13 @@
 		return owned;
 	}
 
+	/** The services that calls of this route reach: the own one, and those of the calls made for them. */
+	reachedBy({shape}: Call): string[] {
+		const {lifecycle, shedding} = this.#parts;
+		const own = lifecycle.current?.service;
+		return own === undefined ? [] : [own, ...shedding.servicesOf({route: shape.route, service: own}).filter(service => service !== own)];
+	}
+
 	report(route: string): LoadReport {
 		return {
 			running: this.#gate.running, queued: this.#gate.queued, limit: this.#gate.limit, serviceMs: this.#times.knownMs(route),
@@ -163,7 +172,7 @@
 		}
 
 		this.#running.add(owned);
-		this.#attempts.add(owned.call.attemptId);
+		this.#attempts.set(owned.call.attemptId, owned.call);
 		this.#arm();
 		owned.start(this.#parts.upstream, nowMs);
 	}
@@ -185,6 +194,17 @@
 		this.#isPumping = false;
 	}
 
+	#updateFloor(nowMs: number): void {
+		const service = this.#parts.lifecycle.current?.service;
+		if (service !== undefined) {
+			this.#parts.shedding.update(service, {
+				limit: this.#gate.limit,
+				waitingMs: level => this.#gate.waitingMs(level),
+				isSaturated: this.#gate.running >= this.#gate.limit,
+			}, nowMs);
+		}
+	}
+
 	#refuseWaiting(reason: RefusalReason): void {
 		for (const owned of this.#gate.clear()) {
 			owned.refuse(reason, this.report(owned.call.shape.route));
@@ -200,6 +220,7 @@
 
 	#sweep(): void {
 		const nowMs = this.#parts.clock.nowMs();
+		this.#updateFloor(nowMs);
 		for (const owned of this.#gate.expire(nowMs)) {
 			owned.refuse('expired', this.report(owned.call.shape.route));
 		}
@@ -222,7 +243,7 @@
 class OwnedCall extends RunSink implements GateCall, CallHandle {
 	readonly call: Call;
 	readonly sink: CallSink;
-	readonly rank: number;
+	readonly standing: Standing;
 	readonly isNested: boolean;
 	readonly deadlineMs: number;
 	readonly objectiveEndMs: number;
@@ -240,7 +261,7 @@
 		this.#arrivedMs = nowMs;
 		this.call = call;
 		this.sink = sink;
-		this.rank = call.shape.rank;
+		this.standing = call.standing;
 		this.isNested = call.isNested;
 		this.deadlineMs = nowMs + call.leftMs;
 		this.objectiveEndMs = nowMs + call.objectiveLeftMs;
@@ -293,7 +314,7 @@
 			this.#end(true);
 		}
 
-		this.sink.onAnswer(head, body, isWhole, this.#report());
+		this.sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call)}, body, isWhole, this.#report());
 	}
 
 	onChunk(bytes: Buffer, isLast: boolean): void {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Server, createServer} from 'node:http';
 import {type WebSocket, WebSocketServer} from 'ws';
+import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {type LoadReport} from '../mesh/index.js';
 import {
@@ -15,6 +16,21 @@
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const EMPTY = Buffer.alloc(0);
+/** How often a link is told of floors while calls end on it, in ms: floors change at this pace. */
+const TELL_MS = 40;
+
+/** What links to this daemon need from it. */
+export type PeersParts = {
+	readonly owner: Owner;
+	readonly log: EventLog;
+	readonly clock: Clock;
+	/** What a new link is told first. */
+	readonly greeting: () => Frame;
+	/** What is known of floors, if there is any. */
+	readonly pressure: () => Frame | undefined;
+	/** Takes what belongs to no call. */
+	readonly onFrame: (frame: Frame, reply: (frame: Frame) => void) => void;
+};
 
 /** Takes the links of other daemons and hands their calls to the owner of this host's target. */
 export class Peers {
@@ -24,11 +40,11 @@
 	});
 
 	readonly #links = new Set<PeerLink>();
-	readonly #log: EventLog;
+	readonly #parts: PeersParts;
 
-	/** @param greeting what a new link is told first; @param onFrame takes what belongs to no call */
-	constructor(owner: Owner, log: EventLog, greeting: () => Frame, onFrame: (frame: Frame, reply: (frame: Frame) => void) => void) {
-		this.#log = log;
+	constructor(parts: PeersParts) {
+		this.#parts = parts;
+		const {log} = parts;
 		this.#server = createServer((_request, response) => {
 			response.writeHead(426, {connection: 'close'});
 			response.end();
@@ -41,12 +57,12 @@
 			}
 
 			this.#sockets.handleUpgrade(request, socket, head, ws => {
-				const link = new PeerLink(ws, owner, onFrame, reason => {
+				const link = new PeerLink(ws, parts, reason => {
 					this.#links.delete(link);
 					log.event('peer_link_closed', {from: request.socket.remoteAddress ?? '', reason});
 				});
 				this.#links.add(link);
-				link.send(greeting());
+				link.send(parts.greeting());
 			});
 		});
 	}
@@ -72,23 +88,22 @@
 
 		this.#sockets.close();
 		this.#server.close();
-		this.#log.event('peers_closed');
+		this.#parts.log.event('peers_closed');
 	}
 }
 
 /** The owner's side of one link. */
 class PeerLink {
 	readonly #socket: WebSocket;
-	readonly #owner: Owner;
-	readonly #onFrame: (frame: Frame, reply: (frame: Frame) => void) => void;
+	readonly #parts: PeersParts;
 	readonly #shapes = new ShapeReader<CallShape>();
 	readonly #answerShapes = new ShapeWriter();
 	readonly #calls = new Map<number, CallHandle>();
+	#toldMs = 0;
 
-	constructor(socket: WebSocket, owner: Owner, onFrame: (frame: Frame, reply: (frame: Frame) => void) => void, onClosed: (reason: string) => void) {
+	constructor(socket: WebSocket, parts: PeersParts, onClosed: (reason: string) => void) {
 		this.#socket = socket;
-		this.#owner = owner;
-		this.#onFrame = onFrame;
+		this.#parts = parts;
 		let reason = 'closed';
 		socket.on('message', (data: Buffer) => {
 			try {
@@ -122,13 +137,22 @@
 		this.#socket.close();
 	}
 
+	/** A call has ended: its sender learns of floors, too. */
 	end(id: number): void {
 		this.#calls.delete(id);
+		const nowMs = this.#parts.clock.nowMs();
+		if (nowMs - this.#toldMs >= TELL_MS) {
+			this.#toldMs = nowMs;
+			const frame = this.#parts.pressure();
+			if (frame !== undefined) {
+				this.send(frame);
+			}
+		}
 	}
 
 	answer(id: number, head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
-		const shape = {status: head.status, headers: head.headers};
-		const [number, value] = this.#answerShapes.write(`${head.status}\n${head.headers.join('\n')}`, shape);
+		const shape = {status: head.status, headers: head.headers, reached: head.reached};
+		const [number, value] = this.#answerShapes.write(`${head.status}\n${head.headers.join('\n')}\n${head.reached.join(' ')}`, shape);
 		this.send([Tag.answer, id, number, value, head.signature ?? null, isWhole ? null : (head.lengthBytes ?? null), body.length > 0 ? body : null, isWhole, packReport(report)]);
 	}
 
@@ -138,7 +162,7 @@
 			case Tag.call: {
 				const call = callOf(frame, this.#shapes, EMPTY);
 				const sink = new PeerSink(this, id);
-				const handle = this.#owner.offer(call, sink);
+				const handle = this.#parts.owner.offer(call, sink);
 				if (!sink.isOver) {
 					this.#calls.set(id, handle);
 				}
@@ -163,7 +187,7 @@
 			}
 
 			default: {
-				this.#onFrame(frame, reply => {
+				this.#parts.onFrame(frame, reply => {
 					this.send(reply);
 				});
 			}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,14 +1,14 @@
 import {type Clock, SystemClock} from '../clock/index.js';
 import {EventLog, Logger} from '../log/index.js';
 import {
-	type Announcement, type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, type Site,
+	type Announcement, type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
 } from '../mesh/index.js';
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {Announcements} from './announcements.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
 import {Directory, type DirectoryEvents} from './directory.js';
 import {Entry} from './entry.js';
-import {type Frame, Tag} from './frame.js';
+import {type Frame, Tag, pressureFrame, reportsOf} from './frame.js';
 import {hostEntryOf} from './hostentry.js';
 import {Link, LinkEvents} from './link.js';
 import {Owner} from './owner.js';
@@ -46,6 +46,7 @@
 	readonly #hosts = new HostTable(LAPSE_GRACE_MS);
 	readonly #placement: Placement;
 	readonly #budget: RetryBudget;
+	readonly #shedding: Shedding;
 	readonly #lifecycle: Lifecycle;
 	readonly #upstream: Upstream;
 	readonly #owner: Owner;
@@ -66,10 +67,11 @@
 		const nowMs = () => clock.nowMs();
 		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, fullShare: FULL_SHARE}, random);
 		this.#budget = new RetryBudget(settings.retry);
+		this.#shedding = new Shedding(settings.host);
 		this.#lifecycle = new Lifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#upstream = new Upstream(settings.target, adapter.headers, nowMs);
 		this.#owner = new Owner({
-			clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream,
+			clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream, shedding: this.#shedding,
 		});
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
@@ -81,17 +83,25 @@
 			hosts: this.#hosts,
 			placement: this.#placement,
 			budget: this.#budget,
+			shedding: this.#shedding,
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
 			callerService: () => this.#lifecycle.current?.service ?? settings.service,
-			isNested: attemptId => {
+			parentOf: attemptId => {
 				const parent = adapter.parentOf(attemptId);
-				return parent !== undefined && this.#owner.isRunning(parent);
+				return parent === undefined ? undefined : this.#owner.runningCall(parent);
 			},
 		});
-		this.#peers = new Peers(this.#owner, this.#log, () => this.#hello(), (frame, reply) => {
-			this.#onFrame(frame, reply);
+		this.#peers = new Peers({
+			owner: this.#owner,
+			log: this.#log,
+			clock,
+			greeting: () => this.#hello(),
+			pressure: () => this.#pressure(),
+			onFrame: (frame, reply) => {
+				this.#onFrame(frame, reply);
+			},
 		});
 		this.#announcements = new Announcements(adapter, this.#log, message => {
 			this.#onTargetMessage(message);
@@ -189,6 +199,11 @@
 				break;
 			}
 
+			case Tag.pressure: {
+				this.#shedding.onReports(reportsOf(frame), this.#clock.nowMs());
+				break;
+			}
+
 			case Tag.leaving: {
 				this.#log.event('peer_leaving', {host: String(frame[1])});
 				this.#placement.suspect(String(frame[1]), this.#clock.nowMs());
@@ -201,6 +216,11 @@
 		}
 	}
 
+	#pressure(): Frame | undefined {
+		const reports = this.#shedding.reports(this.#clock.nowMs());
+		return reports.length > 0 ? pressureFrame(reports) : undefined;
+	}
+
 	// The own watch mostly brings the news first; a peer is asked only if it doesn't.
 	#onHello(revision: number, reply: (frame: Frame) => void): void {
 		if (revision <= (this.#directory.site?.revision ?? 0)) {
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -212,6 +212,7 @@
 			headers: this.#kept(headers),
 			signature: signature as string | undefined,
 			lengthBytes: length === undefined ? undefined : Number(length),
+			reached: [],
 		};
 		if (this.#fault !== undefined) {
 			this.#fail(this.#fault);
