--- /dev/null
+++ b/fakes/memorystore.ts
@@ -0,0 +1,160 @@
+import {
+	type Changes, type Listing, ObjectStore, StoreError, type StoredObject,
+} from '../src/relay/index.js';
+
+type Record_ = {readonly kind: string; readonly object: StoredObject; readonly isDeleted: boolean};
+
+/** What goes wrong with a store just now. */
+export type StoreTrouble = 'none' | 'down' | 'lost-answers';
+
+/** The object store in memory, for all daemons of a test; each uses a view of its own. */
+export class MemoryStore {
+	readonly #objects = new Map<string, StoredObject>();
+	#history: Record_[] = [];
+	readonly #waiting = new Set<() => void>();
+	#revision = 1;
+	#compactedTo = 0;
+	trouble: StoreTrouble = 'none';
+	calls = 0;
+
+	view(): ObjectStore {
+		return new MemoryStoreView(this);
+	}
+
+	list(kind: string): Listing {
+		const prefix = `${kind}/`;
+		const objects = [...this.#objects].filter(([key]) => key.startsWith(prefix)).map(([, object]) => object);
+		return {objects, revision: this.#revision};
+	}
+
+	get(kind: string, name: string): StoredObject {
+		const object = this.#objects.get(`${kind}/${name}`);
+		if (object === undefined) {
+			throw new StoreError('missing', `${kind}/${name}`);
+		}
+
+		return object;
+	}
+
+	changes(kind: string, revision: number): Changes {
+		if (revision < this.#compactedTo) {
+			throw new StoreError('compacted', `revision ${revision}`);
+		}
+
+		const events = this.#history.filter(record => record.kind === kind && record.object.revision > revision);
+		return {events, revision: this.#revision};
+	}
+
+	/** Writes whatever the held revision is. */
+	set(kind: string, name: string, value: unknown): StoredObject {
+		const object = {name, revision: ++this.#revision, value: structuredClone(value)};
+		this.#objects.set(`${kind}/${name}`, object);
+		this.#record({kind, object, isDeleted: false});
+		return object;
+	}
+
+	put(kind: string, name: string, value: unknown, revision: number): StoredObject {
+		if ((this.#objects.get(`${kind}/${name}`)?.revision ?? 0) !== revision) {
+			throw new StoreError('conflict', `${kind}/${name}`);
+		}
+
+		return this.set(kind, name, value);
+	}
+
+	delete(kind: string, name: string): void {
+		const held = this.#objects.get(`${kind}/${name}`);
+		if (held !== undefined) {
+			this.#objects.delete(`${kind}/${name}`);
+			this.#record({kind, object: {...held, revision: ++this.#revision}, isDeleted: true});
+		}
+	}
+
+	/** Forgets what has happened so far. */
+	compact(): void {
+		this.#compactedTo = this.#revision;
+		this.#history = [];
+		this.wake();
+	}
+
+	/** Ends the waits of all watches. */
+	wake(): void {
+		for (const wake of this.#waiting) {
+			wake();
+		}
+
+		this.#waiting.clear();
+	}
+
+	async wait(waitMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, waitMs);
+			timer.unref();
+			this.#waiting.add(() => {
+				clearTimeout(timer);
+				resolve();
+			});
+		});
+	}
+
+	#record(record: Record_): void {
+		this.#history.push(record);
+		this.wake();
+	}
+}
+
+class MemoryStoreView extends ObjectStore {
+	readonly #store: MemoryStore;
+	#isClosed = false;
+
+	constructor(store: MemoryStore) {
+		super();
+		this.#store = store;
+	}
+
+	override async list(kind: string): Promise<Listing> {
+		this.#check();
+		return this.#store.list(kind);
+	}
+
+	override async get(kind: string, name: string): Promise<StoredObject> {
+		this.#check();
+		return this.#store.get(kind, name);
+	}
+
+	override async watch(kind: string, revision: number, waitMs: number): Promise<Changes> {
+		this.#check();
+		if (this.#store.changes(kind, revision).events.length === 0) {
+			await this.#store.wait(waitMs);
+		}
+
+		this.#check();
+		return this.#store.changes(kind, revision);
+	}
+
+	override async put(kind: string, name: string, value: unknown, revision: number): Promise<StoredObject> {
+		this.#check();
+		const object = this.#store.put(kind, name, value, revision);
+		if (this.#store.trouble === 'lost-answers') {
+			throw new StoreError('unavailable', 'answer lost');
+		}
+
+		return object;
+	}
+
+	override async remove(kind: string, name: string, _revision: number): Promise<void> {
+		this.#check();
+		this.#store.delete(kind, name);
+	}
+
+	override async close(): Promise<void> {
+		this.#isClosed = true;
+		this.#store.wake();
+	}
+
+	#check(): void {
+		this.#store.calls++;
+		if (this.#isClosed || this.#store.trouble === 'down') {
+			throw new StoreError('unavailable', 'down');
+		}
+	}
+}
--- a/src/mesh/lifecycle.ts
+++ b/src/mesh/lifecycle.ts
@@ -59,12 +59,13 @@
 	/** The target says that it ends; it serves on for a while, as one that drains does. */
 	leave(farewell: Farewell, nowMs: number): LifecycleChange {
 		const held = this.#current;
-		if (held !== undefined && (held.id !== farewell.id || held.bornMs > farewell.bornMs)) {
+		if (held !== undefined && (held.id !== farewell.id || held.bornMs > (farewell.bornMs ?? Number.POSITIVE_INFINITY))) {
 			return 'stale';
 		}
 
 		this.#endedId = farewell.id;
-		this.#endedBornMs = farewell.bornMs;
+		// Whatever was born before now under this id has ended.
+		this.#endedBornMs = farewell.bornMs ?? held?.bornMs ?? nowMs;
 		this.#leavingMs ??= nowMs;
 		return held === undefined ? 'none' : 'left';
 	}
--- a/src/mesh/target.ts
+++ b/src/mesh/target.ts
@@ -19,4 +19,8 @@
 };
 
 /** A start's end, as the target says it. */
-export type Farewell = {readonly id: string; readonly bornMs: number};
+export type Farewell = {
+	readonly id: string;
+	/** Absent when the target doesn't say which of its starts ends: it is the one known of. */
+	readonly bornMs?: number;
+};
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -250,7 +250,7 @@
 		const nowMs = this.#clock.nowMs();
 		if (message.type === 'farewell') {
 			const change = this.#lifecycle.leave(message.farewell, nowMs);
-			this.#log.event('target_farewell', {instance: message.farewell.id, bornMs: message.farewell.bornMs, change});
+			this.#log.event('target_farewell', {instance: message.farewell.id, bornMs: message.farewell.bornMs ?? 0, change});
 			if (change === 'left') {
 				this.#publish();
 			}
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
-import {Client, type Dispatcher} from 'undici';
+import {Client, type Dispatcher, buildConnector} from 'undici';
 import {type HeaderNames} from './adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
@@ -12,6 +12,9 @@
 /** How long kept connections are distrusted after a target sent bytes that belong to no request, in ms. */
 const DISTRUST_MS = 5000;
 
+/** The largest header block taken from the target, in bytes. */
+const MAX_HEADER_BYTES = 65_536;
+
 const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length']);
 
 /** Takes what comes of one run at the target. */
@@ -28,7 +31,7 @@
 /** The connections to the target beside this daemon, one request at a time on each. */
 export class Upstream {
 	readonly #names: HeaderNames;
-	readonly #idle: Client[] = [];
+	readonly #idle: Connection[] = [];
 	readonly #nowMs: () => number;
 	#origin: string;
 	#distrustUntilMs = 0;
@@ -49,16 +52,20 @@
 	/** Closes the kept connections. */
 	drop(): void {
 		this.#generation++;
-		for (const client of this.#idle.splice(0)) {
+		for (const {client} of this.#idle.splice(0)) {
 			void client.destroy();
 		}
 	}
 
 	run(call: Call, sink: RunSink): Run {
-		const client = this.#idle.pop() ?? this.#open();
+		const connection = this.#idle.pop() ?? this.#open();
+		const {client} = connection;
 		const generation = this.#generation;
-		const run = new Run(call, this.#names, sink, isSound => {
-			this.#release(client, isSound && generation === this.#generation);
+		const run = new Run(call, this.#names, sink, {
+			wasReset: () => connection.wasReset,
+			release: isSound => {
+				this.#release(connection, isSound && generation === this.#generation);
+			},
 		});
 		try {
 			client.dispatch(run.options(), run);
@@ -69,9 +76,10 @@
 		return run;
 	}
 
-	#open(): Client {
+	#open(): Connection {
+		const connection: {wasReset: boolean} = {wasReset: false};
 		const client = new Client(this.#origin, {
-			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: CONNECT_MS}, maxHeaderSize: 65_536,
+			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection), maxHeaderSize: MAX_HEADER_BYTES,
 		});
 		client.on('disconnect', (_origin, _targets, error) => {
 			// Bytes that belong to no request: an answer too many, or what isn't HTTP.
@@ -79,27 +87,55 @@
 				this.#distrust();
 			}
 		});
-		return client;
+		return Object.assign(connection, {client});
 	}
 
 	#distrust(): void {
 		this.#distrustUntilMs = this.#nowMs() + DISTRUST_MS;
-		for (const client of this.#idle.splice(0)) {
+		for (const {client} of this.#idle.splice(0)) {
 			void client.destroy();
 		}
 	}
 
-	#release(client: Client, isSound: boolean): void {
+	#release(connection: Connection, isSound: boolean): void {
+		const {client} = connection;
 		if (!isSound) {
 			void client.destroy();
 		} else if (this.#nowMs() < this.#distrustUntilMs) {
 			void client.close();
 		} else {
-			this.#idle.push(client);
+			this.#idle.push(connection);
 		}
 	}
 }
 
+/** What a run needs of the connection that it is sent on. */
+type RunConnection = {
+	readonly wasReset: () => boolean;
+	/** @param isSound whether the connection may carry another request */
+	readonly release: (isSound: boolean) => void;
+};
+
+type Connection = {readonly client: Client; wasReset: boolean};
+
+// The client takes an answer without a length that ends in a reset for a whole one.
+function markResets(connection: {wasReset: boolean}): buildConnector.connector {
+	const connect = buildConnector({timeout: CONNECT_MS});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			const [error, socket] = result;
+			connection.wasReset = false;
+			if (error === null) {
+				socket.on('error', () => {
+					connection.wasReset = true;
+				});
+			}
+
+			callback(...result);
+		});
+	};
+}
+
 function originOf({ip, port}: Address): string {
 	return `http://${ip}:${port}`;
 }
@@ -109,7 +145,7 @@
 	readonly #call: Call;
 	readonly #names: HeaderNames;
 	readonly #sink: RunSink;
-	readonly #release: (isSound: boolean) => void;
+	readonly #connection: RunConnection;
 	readonly #source: Readable | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#head: AnswerHead | undefined;
@@ -121,11 +157,11 @@
 	#isOver = false;
 	#creditBytes = WINDOW_BYTES;
 
-	constructor(call: Call, names: HeaderNames, sink: RunSink, release: (isSound: boolean) => void) {
+	constructor(call: Call, names: HeaderNames, sink: RunSink, connection: RunConnection) {
 		this.#call = call;
 		this.#names = names;
 		this.#sink = sink;
-		this.#release = release;
+		this.#connection = connection;
 		if (call.hasMore) {
 			this.#source = new Readable({read() {/* pieces are pushed as they come */}});
 			this.#source.push(call.body);
@@ -180,7 +216,7 @@
 			this.#isOver = true;
 			this.#controller?.abort(new Error('cancelled'));
 			this.#source?.destroy();
-			this.#release(false);
+			this.#connection.release(false);
 		}
 	}
 
@@ -244,9 +280,14 @@
 			return;
 		}
 
+		if (this.#connection.wasReset()) {
+			this.#fail('broken');
+			return;
+		}
+
 		this.#isOver = true;
 		this.#source?.destroy();
-		this.#release(true);
+		this.#connection.release(true);
 		if (this.#notRun !== undefined) {
 			this.#sink.onNotRun(this.#notRun);
 		} else if (this.#isStreaming) {
@@ -263,7 +304,7 @@
 
 		this.#isOver = true;
 		this.#source?.destroy();
-		this.#release(false);
+		this.#connection.release(false);
 		if (this.#controller === undefined) {
 			this.#sink.onNotRun('unreachable');
 		} else {
@@ -275,7 +316,7 @@
 		this.#isOver = true;
 		this.#controller?.abort(new Error(reason));
 		this.#source?.destroy();
-		this.#release(false);
+		this.#connection.release(false);
 		this.#sink.onFailed(reason);
 	}
 
--- /dev/null
+++ b/standins/mesh.ts
@@ -0,0 +1,111 @@
+import {createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {MemoryStore} from '../fakes/memorystore.js';
+import {type Route, type SiteSpec} from '../src/mesh/index.js';
+import {Relay, type RelaySettings} from '../src/relay/index.js';
+import {MeshAdapter} from './meshadapter.js';
+import {MeshTarget, type MeshTargetOptions} from './meshtarget.js';
+
+const ANNOUNCE_MS = 500;
+
+/** A daemon, its target, and their ports. */
+export type MeshHost = {readonly name: string; readonly relay: Relay; readonly target: MeshTarget; readonly settings: RelaySettings; stop: () => Promise<void>};
+
+/** A route with the usual values. */
+export function route(name: string, service: string, more: Partial<Route> = {}): Route {
+	return {
+		name, host: 'site', prefix: `/${name}/`, repeatability: 'safe', attempts: 2, timeoutMs: 2000, objectiveMs: 1000, rank: 1, destinations: [{service, weight: 1}], ...more,
+	};
+}
+
+/** A configuration of these routes. */
+export function siteOf(routes: readonly Route[], version = 1): SiteSpec {
+	const names = new Set(routes.flatMap(({destinations}) => destinations.map(({service}) => service)));
+	return {
+		version,
+		routes,
+		services: [...names].map(name => ({name, maxConnections: 100})),
+		limits: {
+			headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+	};
+}
+
+/** Several hosts in one process, around a store in memory. */
+export class Mesh {
+	readonly store = new MemoryStore();
+	readonly hosts: MeshHost[] = [];
+
+	configure(site: SiteSpec): void {
+		this.store.set('site', 'main', site);
+	}
+
+	async add(name: string, options: MeshTargetOptions, failureDomain = 'a'): Promise<MeshHost> {
+		const ports = await freePorts(4);
+		const target = new MeshTarget({...options, outbound: () => ports[0]});
+		await target.listen();
+		const host = await this.start(name, target, ports, failureDomain);
+		this.hosts.push(host);
+		return host;
+	}
+
+	/** A daemon beside a target that runs already. */
+	async start(name: string, target: MeshTarget, ports: readonly number[], failureDomain = 'a'): Promise<MeshHost> {
+		const at = (port: number) => ({ip: '127.0.0.1', port});
+		const settings: RelaySettings = {
+			host: name,
+			failureDomain,
+			service: target.options.service,
+			target: at(target.port),
+			listen: {
+				requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
+			},
+			seeds: [],
+			announceIntervalMs: ANNOUNCE_MS,
+			drainMs: 1000,
+			graceMs: 6000,
+			retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
+		};
+		const relay = new Relay(settings, new MeshAdapter(this.store.view()));
+		await relay.start();
+		await target.announce(ports[3]);
+		const timer = setInterval(() => {
+			void target.announce(ports[3]);
+		}, ANNOUNCE_MS);
+		return {
+			name,
+			relay,
+			target,
+			settings,
+			async stop() {
+				clearInterval(timer);
+				await relay.stop();
+			},
+		};
+	}
+
+	/** Waits until every daemon knows all hosts. */
+	async settle(): Promise<void> {
+		await sleep(600);
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.hosts.map(async ({stop, target}) => {
+			await Promise.all([stop(), target.close()]);
+		}));
+	}
+}
+
+async function freePorts(count: number): Promise<number[]> {
+	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<import('node:net').Server>(resolve => {
+		const server = createServer();
+		server.listen(0, '127.0.0.1', () => {
+			resolve(server);
+		});
+	})));
+	const ports = servers.map(server => (server.address() as {port: number}).port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+}
--- /dev/null
+++ b/standins/meshadapter.ts
@@ -0,0 +1,45 @@
+import {type SiteSpec} from '../src/mesh/index.js';
+import {
+	Adapter, DecodeError, type ObjectStore, type TargetMessage,
+} from '../src/relay/index.js';
+
+/** The header names that the stand-ins speak. */
+export const meshHeaders = {
+	attemptId: 'attempt-id',
+	deadlineMs: 'deadline-ms',
+	signature: 'signature',
+	expectedInstance: 'expected-instance',
+	load: 'target-load',
+	notRun: 'not-run',
+	callerService: 'caller-service',
+};
+
+/** An adapter for tests: values of the product's own types, unchanged. */
+export class MeshAdapter extends Adapter {
+	override readonly headers = meshHeaders;
+	override readonly configuration = {kind: 'site', name: 'main'};
+	override readonly readinessPath = '/ready';
+	override readonly store: ObjectStore;
+
+	constructor(store: ObjectStore) {
+		super();
+		this.store = store;
+	}
+
+	override decodeSite(value: unknown): SiteSpec {
+		return value as SiteSpec;
+	}
+
+	override decodeTargetMessage(_method: string, path: string, body: string): TargetMessage {
+		if (path !== '/target') {
+			throw new DecodeError('path: not a target\'s');
+		}
+
+		return JSON.parse(body) as TargetMessage;
+	}
+
+	override parentOf(attemptId: string): string | undefined {
+		const dot = attemptId.lastIndexOf('.');
+		return dot === -1 ? undefined : attemptId.slice(0, dot);
+	}
+}
--- /dev/null
+++ b/standins/meshtarget.ts
@@ -0,0 +1,174 @@
+import {Buffer} from 'node:buffer';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer, request as httpRequest,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {meshHeaders} from './meshadapter.js';
+
+/** One nested call that a path's run makes. */
+export type NestedCall = {readonly path: string; readonly times: number};
+
+/** What a target does with one request, in place of its usual answer. */
+export type Misbehaviour = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
+
+/** How a target runs. */
+export type MeshTargetOptions = {
+	readonly id: string;
+	readonly service: string;
+	readonly slots: number;
+	readonly workMs: number;
+	/** Where it sends its nested calls. */
+	readonly outbound?: () => number;
+	/** The nested calls of requests whose path begins so. */
+	readonly calls?: Readonly<Record<string, readonly NestedCall[]>>;
+	readonly bodyBytes?: number;
+};
+
+/** A target that works for a while, calls deeper, and remembers what it ran. */
+export class MeshTarget {
+	readonly ran: string[] = [];
+	readonly seen: IncomingMessage[] = [];
+	readonly bodies: Buffer[] = [];
+	running = 0;
+	most = 0;
+	misbehave: Misbehaviour | undefined;
+	readonly options: MeshTargetOptions;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+	#seq = 0;
+
+	constructor(options: MeshTargetOptions) {
+		this.options = options;
+		this.#server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
+			void this.#serve(request, response);
+		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+		});
+	}
+
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	get connections(): number {
+		return this.#sockets.size;
+	}
+
+	async listen(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	async close(): Promise<void> {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	/** Says something of itself to the daemon beside it. @returns the status */
+	async announce(port: number, state: 'ready' | 'draining' = 'ready', bornMs = 1): Promise<number> {
+		const {id, service, slots} = this.options;
+		const announcement = {
+			id, bornMs, seq: ++this.#seq, service, failureDomain: 'a', address: `127.0.0.1:${this.port}`, slots, state, warmUpLeftMs: 0,
+		};
+		return post(port, {type: 'announcement', announcement});
+	}
+
+	async leave(port: number): Promise<number> {
+		return post(port, {type: 'farewell', farewell: {id: this.options.id}});
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of request) {
+			chunks.push(chunk as Buffer);
+		}
+
+		const body = Buffer.concat(chunks);
+		const attemptId = String(request.headers[meshHeaders.attemptId]);
+		if (request.headers[meshHeaders.expectedInstance] !== this.options.id) {
+			response.writeHead(421);
+			response.end();
+			return;
+		}
+
+		this.seen.push(request);
+		this.bodies.push(body);
+		if (this.misbehave !== undefined) {
+			this.misbehave(request, response, body);
+			return;
+		}
+
+		this.ran.push(attemptId);
+		this.running++;
+		this.most = Math.max(this.most, this.running);
+		await sleep(this.options.workMs);
+		const isWhole = await this.#callDeeper(request, attemptId);
+		this.running--;
+		this.answer(response, attemptId, isWhole ? 200 : 500);
+	}
+
+	/** Writes a signed answer. */
+	answer(response: ServerResponse, attemptId: string, status = 200, body = Buffer.alloc(this.options.bodyBytes ?? 10, 'x')): void {
+		response.writeHead(status, {
+			[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
+		});
+		response.end(body);
+	}
+
+	async #callDeeper({url, headers}: IncomingMessage, attemptId: string): Promise<boolean> {
+		const calls = Object.entries(this.options.calls ?? {}).find(([prefix]) => url!.startsWith(prefix))?.[1] ?? [];
+		let number = 0;
+		for (const {path, times} of calls) {
+			for (let time = 0; time < times; time++) {
+				const options = {headers: {host: headers.host!, [meshHeaders.attemptId]: `${attemptId}.${number++}`, [meshHeaders.deadlineMs]: '2000'}};
+				// eslint-disable-next-line no-await-in-loop -- one call after the other, as services do
+				const {status} = await call(this.options.outbound!(), path, options);
+				if (status !== 200) {
+					return false;
+				}
+			}
+		}
+
+		return true;
+	}
+}
+
+/** What came back to a caller. */
+export type MeshAnswer = {readonly status: number; readonly headers: Readonly<Record<string, string | string[] | undefined>>; readonly body: Buffer; readonly isWhole: boolean};
+
+/** Sends one request. It resolves also when the connection breaks, with status 0. */
+export async function call(port: number, path: string, options: {method?: string; headers?: Record<string, string>; body?: Buffer; signal?: AbortSignal} = {}): Promise<MeshAnswer> {
+	return new Promise(resolve => {
+		const fail = () => {
+			resolve({
+				status: 0, headers: {}, body: Buffer.alloc(0), isWhole: false,
+			});
+		};
+
+		const request = httpRequest({
+			host: '127.0.0.1', port, path, method: options.method ?? 'GET', headers: options.headers ?? {}, signal: options.signal, agent: false,
+		}, response => {
+			const chunks: Buffer[] = [];
+			response.on('data', (chunk: Buffer) => {
+				chunks.push(chunk);
+			});
+			response.on('close', () => {
+				resolve({
+					status: response.statusCode!, headers: response.headers, body: Buffer.concat(chunks), isWhole: response.complete,
+				});
+			});
+			response.on('error', () => undefined);
+		});
+		request.on('error', fail);
+		request.end(options.body);
+	});
+}
+
+async function post(port: number, message: unknown): Promise<number> {
+	const {status} = await call(port, '/target', {method: 'POST', body: Buffer.from(JSON.stringify(message))});
+	return status;
+}
