--- /dev/null
+++ b/src/clock/tick.ts
@@ -0,0 +1,26 @@
+import process from 'node:process';
+import {Clock} from './clock.js';
+
+/** Reads another clock once for all that one event of the process does: reading the time is a system call on some hosts. */
+export class TickClock extends Clock {
+	readonly #source: Clock;
+	#nowMs = 0;
+	#isFresh = false;
+
+	constructor(source: Clock) {
+		super();
+		this.#source = source;
+	}
+
+	override nowMs(): number {
+		if (!this.#isFresh) {
+			this.#nowMs = this.#source.nowMs();
+			this.#isFresh = true;
+			process.nextTick(() => {
+				this.#isFresh = false;
+			});
+		}
+
+		return this.#nowMs;
+	}
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,4 +1,4 @@
-import {type Clock, SystemClock} from '../clock/index.js';
+import {type Clock, SystemClock, TickClock} from '../clock/index.js';
 import {EventLog, Logger} from '../log/index.js';
 import {
 	type Announcement, type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
@@ -59,7 +59,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
 
-	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new SystemClock()) {
+	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new TickClock(new SystemClock())) {
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
