Don't send again what failed below; keep returns within what clients wait for; tests of the mesh's decisions

Change: the owner tells whether a run's own call failed; such answers, and calls of repeated runs, are not sent again.

--- a/src/mesh/comeback.ts
+++ b/src/mesh/comeback.ts
@@ -7,6 +7,10 @@
 const MIN_SPREAD_MS = 150;
 /** The part of its time left within which a client returns; later than a third, it won't wait. */
 const LEFT_SHARE = 0.3;
+/** The part of the objective's rest within which a client returns; in what is then left it can still be served. */
+const OBJECTIVE_SHARE = 0.6;
+/** The shortest return after a passing fault, as a part of the longest. */
+const TRANSIENT_SPREAD = 0.6;
 
 /**
  * When a refused client should return, in ms. Returns spread over the time in
@@ -15,10 +19,12 @@
  * Load pattern: a burst whose refused clients all return once.
  */
 export function comebackMs(reason: ComebackReason, leftMs: number, objectiveLeftMs: number, random: () => number): number {
-	const latestMs = Math.max(MIN_SPREAD_MS, Math.min(leftMs * LEFT_SHARE, Math.max(objectiveLeftMs * 0.6, leftMs * 0.1)));
+	const longestMs = Math.max(0, leftMs * LEFT_SHARE);
 	if (reason === 'transient') {
-		return Math.min(SOON_MS, latestMs) * (0.8 + (0.4 * random()));
+		return Math.min(SOON_MS, longestMs) * (TRANSIENT_SPREAD + ((1 - TRANSIENT_SPREAD) * random()));
 	}
 
-	return MIN_SPREAD_MS + ((latestMs - MIN_SPREAD_MS) * random());
+	const latestMs = Math.min(longestMs, Math.max(objectiveLeftMs * OBJECTIVE_SHARE, MIN_SPREAD_MS * 2));
+	const earliestMs = Math.min(MIN_SPREAD_MS, latestMs);
+	return earliestMs + ((latestMs - earliestMs) * random());
 }
--- a/src/mesh/retrybudget.ts
+++ b/src/mesh/retrybudget.ts
@@ -10,9 +10,9 @@
 type Bucket = {tokens: number; refilledMs: number};
 
 /** The part of the ratio that is spent: a second run's calls are second sends at the services below it, too. */
-const RATIO_SHARE = 0.4;
+const RATIO_SHARE = 0.3;
 /** The part of the slack that is spent, over all daemons. */
-const SLACK_SHARE = 0.4;
+const SLACK_SHARE = 0.3;
 
 /**
  * The second sends that this daemon may make to each service: its part of a
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -30,6 +30,8 @@
 	/** Whether a run in progress waits for it. */
 	readonly isNested: boolean;
 	readonly body: Buffer;
+	/** Whether it, or the run that waits for it, was sent before. */
+	readonly isRepeat: boolean;
 	/** Whether more of the body follows in chunks. */
 	readonly hasMore: boolean;
 };
@@ -44,6 +46,8 @@
 	readonly lengthBytes: number | undefined;
 	/** The services that requests of this route reach. */
 	readonly reached: readonly string[];
+	/** Whether a call that the run made failed: the target is not to blame, and another would fare no better. */
+	readonly isFailedBelow: boolean;
 };
 
 /** Why a call was not run: nothing of it reached a target that took it. */
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -37,6 +37,8 @@
 	/** Called before an answer's head is written. */
 	readonly prepare: (response: ServerResponse) => void;
 	readonly onEnded: (exchange: Exchange) => void;
+	/** A nested call didn't succeed; its parent's attempt. */
+	readonly onFailedBelow: (attemptId: string) => void;
 };
 
 export type EntryOptions = Omit<EntryParts, 'prepare' | 'onEnded'> & {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -142,15 +142,19 @@
 			this.#release();
 		}
 
-		this.#parts.placement.onOutcome(this.#host, head.status >= 500, nowMs);
+		this.#parts.placement.onOutcome(this.#host, head.status >= 500 && !head.isFailedBelow, nowMs);
 		this.#parts.shedding.onReached({route: this.route.name, service: this.service}, head.reached);
-		if (isWhole && head.status >= 500 && this.#mayResend(nowMs)) {
+		if (isWhole && head.status >= 500 && !head.isFailedBelow && this.#mayResend(nowMs)) {
 			this.#mayHaveRun = true;
 			this.#resend('target-error');
 			return;
 		}
 
 		this.#hasHead = true;
+		if (head.status >= 500) {
+			this.#tellParent();
+		}
+
 		const length = isWhole ? body.length : head.lengthBytes;
 		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
 		if (head.signature !== undefined) {
@@ -282,6 +286,7 @@
 			isNested: this.#parent !== undefined,
 			body: this.#body,
 			hasMore: this.#isStreaming,
+			isRepeat: this.#sends > 0 || this.#parent?.isRepeat === true,
 		};
 		this.#handle = undefined;
 		const sends = this.#tried.length;
@@ -293,7 +298,7 @@
 	}
 
 	#mayResend(nowMs: number): boolean {
-		return this.route.repeatability === 'safe' && !this.#isStreaming && !this.#isOver
+		return this.route.repeatability === 'safe' && this.#parent?.isRepeat !== true && !this.#isStreaming && !this.#isOver
 			&& this.#sends + 1 < this.route.attempts
 			&& Math.min(this.deadlineMs, this.objectiveEndMs) - nowMs > this.route.objectiveMs * RESEND_SHARE
 			&& this.#hasRoomElsewhere('broken', nowMs)
@@ -386,6 +391,7 @@
 			return;
 		}
 
+		this.#tellParent();
 		this.#finish();
 		this.#note(status === 503 ? 'refused' : 'failed', reason, {status});
 		this.#parts.log.count(status === 503 ? 'refused' : 'failed', `${this.route.name}|${reason}`);
@@ -394,6 +400,12 @@
 		this.#response.end();
 	}
 
+	#tellParent(): void {
+		if (this.#parent !== undefined) {
+			this.#parts.onFailedBelow(this.#parent.attemptId);
+		}
+	}
+
 	#finish(): void {
 		this.#isOver = true;
 		this.#parts.onEnded(this);
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -95,12 +95,13 @@
 
 const NESTED = 1;
 const MORE = 2;
+const REPEAT = 4;
 
 /** The frame of a call. */
 export function callFrame(id: number, call: Call, shapes: ShapeWriter): Frame {
 	const {shape} = call;
 	const key = `${shape.route}\n${shape.rank}\n${shape.repeatability}\n${shape.method}\n${shape.callerService}\n${shape.headers.join('\n')}`;
-	const flags = (call.isNested ? NESTED : 0) | (call.hasMore ? MORE : 0);
+	const flags = (call.isNested ? NESTED : 0) | (call.hasMore ? MORE : 0) | (call.isRepeat ? REPEAT : 0);
 	const [number, value] = shapes.write(key, shape);
 	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, call.body.length > 0 ? call.body : null, call.standing.level, call.standing.floor];
 }
@@ -119,6 +120,7 @@
 		objectiveLeftMs,
 		isNested: ((flags as number) & NESTED) !== 0,
 		hasMore: ((flags as number) & MORE) !== 0,
+		isRepeat: ((flags as number) & REPEAT) !== 0,
 		attemptId,
 		path,
 		body: (body as Buffer | null) ?? empty,
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -34,7 +34,7 @@
 	readonly #gate = new Gate<OwnedCall>(1);
 	readonly #times = new ServiceTimes();
 	readonly #running = new Set<OwnedCall>();
-	readonly #attempts = new Map<string, Call>();
+	readonly #attempts = new Map<string, OwnedCall>();
 	#timer: NodeJS.Timeout | undefined;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
@@ -54,7 +54,15 @@
 
 	/** The call that the target runs right now for a client attempt. */
 	runningCall(attemptId: string): Call | undefined {
-		return this.#attempts.get(attemptId);
+		return this.#attempts.get(attemptId)?.call;
+	}
+
+	/** A call that a run made didn't succeed. */
+	onFailedBelow(attemptId: string): void {
+		const owned = this.#attempts.get(attemptId);
+		if (owned !== undefined) {
+			owned.isFailedBelow = true;
+		}
 	}
 
 	/** How many calls the target is given at once. */
@@ -172,7 +180,7 @@
 		}
 
 		this.#running.add(owned);
-		this.#attempts.set(owned.call.attemptId, owned.call);
+		this.#attempts.set(owned.call.attemptId, owned);
 		this.#arm();
 		owned.start(this.#parts.upstream, nowMs);
 	}
@@ -249,6 +257,7 @@
 	readonly objectiveEndMs: number;
 	readonly serviceMs: number;
 	startedMs = 0;
+	isFailedBelow = false;
 	run: Run | undefined;
 	readonly #owner: Owner;
 	readonly #arrivedMs: number;
@@ -314,7 +323,7 @@
 			this.#end(true);
 		}
 
-		this.sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call)}, body, isWhole, this.#report());
+		this.sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
 	}
 
 	onChunk(bytes: Buffer, isLast: boolean): void {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -35,8 +35,8 @@
 /** The part of the grace after which a stopping daemon ends in any case. */
 const STOP_SHARE = 0.84;
 const STOP_CHECK_MS = 50;
-/** Where a target that knees before its slots are full is still fast. */
-const SLOT_SHARE = 1;
+/** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
+const SLOT_SHARE = 0.95;
 
 /** One daemon in front of its own target and beside its clients: all tasks of it. */
 export class Relay {
@@ -88,6 +88,9 @@
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
 			callerService: () => this.#lifecycle.current?.service ?? settings.service,
+			onFailedBelow: attemptId => {
+				this.#owner.onFailedBelow(attemptId);
+			},
 			parentOf: attemptId => {
 				const parent = adapter.parentOf(attemptId);
 				return parent === undefined ? undefined : this.#owner.runningCall(parent);
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -249,6 +249,7 @@
 			signature: signature as string | undefined,
 			lengthBytes: length === undefined ? undefined : Number(length),
 			reached: [],
+			isFailedBelow: false,
 		};
 		if (this.#fault !== undefined) {
 			this.#fail(this.#fault);
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -49,23 +49,25 @@
 		return host;
 	}
 
+	/** A daemon beside a target of another process. @returns where its daemon listens */
+	async addBeside(name: string, {id, service, port}: {id: string; service: string; port: number}, failureDomain: string): Promise<RelaySettings['listen']> {
+		const ports = await freePorts(4);
+		const settings = settingsOf(name, service, port, ports, failureDomain);
+		const relay = new Relay(settings, new MeshAdapter(this.store.view()));
+		await relay.start();
+		const target = new MeshTarget({
+			id, service, slots: 50, workMs: 0,
+		});
+		setInterval(() => {
+			void target.announceAs(port, ports[3]);
+		}, ANNOUNCE_MS);
+		await target.announceAs(port, ports[3]);
+		return settings.listen;
+	}
+
 	/** A daemon beside a target that runs already. */
 	async start(name: string, target: MeshTarget, ports: readonly number[], failureDomain = 'a'): Promise<MeshHost> {
-		const at = (port: number) => ({ip: '127.0.0.1', port});
-		const settings: RelaySettings = {
-			host: name,
-			failureDomain,
-			service: target.options.service,
-			target: at(target.port),
-			listen: {
-				requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
-			},
-			seeds: [],
-			announceIntervalMs: ANNOUNCE_MS,
-			drainMs: 1000,
-			graceMs: 6000,
-			retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
-		};
+		const settings = settingsOf(name, target.options.service, target.port, ports, failureDomain);
 		const relay = new Relay(settings, new MeshAdapter(this.store.view()));
 		await relay.start();
 		await target.announce(ports[3]);
@@ -96,6 +98,24 @@
 	}
 }
 
+function settingsOf(host: string, service: string, targetPort: number, ports: readonly number[], failureDomain: string): RelaySettings {
+	const at = (port: number) => ({ip: '127.0.0.1', port});
+	return {
+		host,
+		failureDomain,
+		service,
+		target: at(targetPort),
+		listen: {
+			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
+		},
+		seeds: [],
+		announceIntervalMs: ANNOUNCE_MS,
+		drainMs: 1000,
+		graceMs: 6000,
+		retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
+	};
+}
+
 async function freePorts(count: number): Promise<number[]> {
 	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<import('node:net').Server>(resolve => {
 		const server = createServer();
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -70,9 +70,14 @@
 
 	/** Says something of itself to the daemon beside it. @returns the status */
 	async announce(port: number, state: 'ready' | 'draining' = 'ready', bornMs = 1): Promise<number> {
+		return this.announceAs(this.port, port, state, bornMs);
+	}
+
+	/** As `announce`, for a target that listens elsewhere. */
+	async announceAs(targetPort: number, port: number, state: 'ready' | 'draining' = 'ready', bornMs = 1): Promise<number> {
 		const {id, service, slots} = this.options;
 		const announcement = {
-			id, bornMs, seq: ++this.#seq, service, failureDomain: 'a', address: `127.0.0.1:${this.port}`, slots, state, warmUpLeftMs: 0,
+			id, bornMs, seq: ++this.#seq, service, failureDomain: 'a', address: `127.0.0.1:${targetPort}`, slots, state, warmUpLeftMs: 0,
 		};
 		return post(port, {type: 'announcement', announcement});
 	}
