--- a/src/mesh/gate.ts
+++ b/src/mesh/gate.ts
@@ -27,7 +27,7 @@
 
 /** How many calls may wait for each that runs: a queue longer than that is waited in for nothing. */
 const QUEUE_PER_SLOT = 4;
-const MIN_QUEUE = 16;
+const MIN_QUEUE = 64;
 
 /**
  * Runs at most `limit` calls at once and lets the rest wait: by the rank of
--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -3,7 +3,6 @@
 /** A target as its daemon publishes it to the other daemons. */
 export type PublishedTarget = {
 	readonly id: string;
-	readonly bornMs: number;
 	readonly service: string;
 	readonly slots: number;
 	readonly state: TargetState;
--- a/src/mesh/lifecycle.ts
+++ b/src/mesh/lifecycle.ts
@@ -65,7 +65,8 @@
 
 		this.#endedId = farewell.id;
 		// Whatever was born before now under this id has ended.
-		this.#endedBornMs = farewell.bornMs ?? held?.bornMs ?? nowMs;
+		const isKnown = held !== undefined && held.bornMs > 0;
+		this.#endedBornMs = farewell.bornMs ?? (isKnown ? held.bornMs : nowMs);
 		this.#leavingMs ??= nowMs;
 		return held === undefined ? 'none' : 'left';
 	}
--- a/src/mesh/placement.ts
+++ b/src/mesh/placement.ts
@@ -31,6 +31,7 @@
 	failuresAtMs: number;
 	suspectUntilMs: number;
 	suspicions: number;
+	leavingUntilMs: number;
 };
 
 /** How long a report says something of a target's load, in ms: a few heartbeats of a busy queue. */
@@ -45,7 +46,13 @@
 const LOAD_SLOPE = 3;
 /** How long an unreachable target is avoided after the first failure, in ms; doubles with each. */
 const SUSPECT_MS = 400;
-const MAX_SUSPECT_MS = 3200;
+const MAX_SUSPECT_MS = 1600;
+/** How long a host that said it stops is chosen last, in ms: its stop and its start again. */
+const LEAVING_MS = 4000;
+/** What a target that leaves, or whose daemon stops, costs in units of the call's objective: it is used if there is no other. */
+const LEAVING_COST = 10;
+/** The same for one that can't be reached. */
+const SUSPECT_COST = 100;
 /** Expected time of a call of which nothing is known, in ms. */
 const UNKNOWN_SERVICE_MS = 30;
 /** Random spread of costs, so that daemons with the same view don't all choose the same target. */
@@ -125,9 +132,15 @@
 		view.suspicions = Math.min(view.suspicions + 1, 8);
 	}
 
+	/** The host's daemon stops; it still serves for a while. */
+	onLeaving(host: string, nowMs: number): void {
+		this.#view(host).leavingUntilMs = nowMs + LEAVING_MS;
+	}
+
 	/** A new word of the host makes it usable again. */
 	clear(host: string): void {
 		const view = this.#view(host);
+		view.leavingUntilMs = 0;
 		view.suspectUntilMs = 0;
 		view.suspicions = 0;
 	}
@@ -163,12 +176,12 @@
 		}
 
 		cost += this.#failuresOf(view, nowMs) * FAILURE_COST * objectiveMs;
-		if (entry.target?.state === 'draining') {
-			cost += 10 * objectiveMs;
+		if (entry.target?.state === 'draining' || view.leavingUntilMs > nowMs) {
+			cost += LEAVING_COST * objectiveMs;
 		}
 
 		if (view.suspectUntilMs > nowMs) {
-			cost += 100 * objectiveMs;
+			cost += SUSPECT_COST * objectiveMs;
 		}
 
 		return cost;
@@ -193,6 +206,7 @@
 				failuresAtMs: 0,
 				suspectUntilMs: 0,
 				suspicions: 0,
+				leavingUntilMs: 0,
 			};
 			this.#views.set(host, view);
 		}
--- a/src/mesh/site.ts
+++ b/src/mesh/site.ts
@@ -9,7 +9,7 @@
 };
 
 /** What the operator says of one service. */
-export type ServiceSpec = {readonly name: string; readonly maxConnections: number};
+export type ServiceSpec = {readonly name: string; readonly maxConnections: number; readonly healthPath: string};
 
 /** One version of the operator's configuration. */
 export type SiteSpec = {
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -11,6 +11,8 @@
 	readonly load: string;
 	readonly notRun: string;
 	readonly callerService: string;
+	/** The target's id, on the answers to health checks. */
+	readonly instance: string;
 };
 
 /** What a target said to its daemon. */
@@ -32,6 +34,8 @@
 	abstract decodeSite(value: unknown): SiteSpec;
 	/** @throws {DecodeError} */
 	abstract decodeTargetMessage(method: string, path: string, body: string): TargetMessage;
+	/** How many calls a target runs at once, from what it tells of its load with its answers. */
+	abstract slotsOf(load: string): number | undefined;
 	/** The attempt that a nested call's attempt belongs to, if its id tells. */
 	abstract parentOf(attemptId: string): string | undefined;
 }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -200,7 +200,9 @@
 		this.#refusals++;
 		const {placement, log} = this.#parts;
 		log.count('placement_refused', reason);
-		if (reason === 'not-here' || reason === 'stopping' || reason === 'unreachable' || reason === 'misdirected') {
+		if (reason === 'stopping') {
+			placement.onLeaving(host, nowMs);
+		} else if (reason === 'not-here' || reason === 'unreachable' || reason === 'misdirected') {
 			placement.suspect(host, nowMs);
 		}
 
--- a/src/relay/hostentry.ts
+++ b/src/relay/hostentry.ts
@@ -8,7 +8,6 @@
 	address: z.string().regex(/^[\d.]+:\d+$/v),
 	target: z.object({
 		id: z.string().min(1),
-		bornMs: z.number(),
 		service: z.string().min(1),
 		slots: z.int().min(1),
 		state: z.enum(['ready', 'draining']),
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -10,7 +10,7 @@
 import {Entry} from './entry.js';
 import {type Frame, Tag, pressureFrame, reportsOf} from './frame.js';
 import {hostEntryOf} from './hostentry.js';
-import {Link, LinkEvents} from './link.js';
+import {Link, type LinkEvents} from './link.js';
 import {Owner} from './owner.js';
 import {Peers} from './peers.js';
 import {Readiness} from './readiness.js';
@@ -30,11 +30,13 @@
 const CROSSING_MS = 60;
 /** The load from which a call is worth sending to another failure domain. */
 const FULL_SHARE = 0.6;
-/** How long a stopping daemon goes on taking requests, in ms: two missed readiness questions and what is under way. */
-const LAME_DUCK_MS = 2300;
 /** The part of the grace after which a stopping daemon ends in any case. */
 const STOP_SHARE = 0.84;
 const STOP_CHECK_MS = 50;
+/** How long before the end of its lame-duck time a stopping daemon takes its last calls, in ms: most runs end within it. */
+const LAST_CALLS_MS = 600;
+/** Health checks of a target that ran before its daemon started; its next announcement comes anyway. */
+const MAX_PROBES = 4;
 /** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
 const SLOT_SHARE = 0.95;
 
@@ -42,6 +44,7 @@
 export class Relay {
 	readonly #settings: RelaySettings;
 	readonly #clock: Clock;
+	readonly #adapter: Adapter;
 	readonly #log: EventLog;
 	readonly #hosts = new HostTable(LAPSE_GRACE_MS);
 	readonly #placement: Placement;
@@ -58,10 +61,14 @@
 	readonly #links = new Map<string, Link>();
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	#probes = 0;
+	/** Hosts whose link broke: they are dialled until they are back, so that a daemon that started again hears of the site. */
+	readonly #lost = new Set<string>();
 
 	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new TickClock(new SystemClock())) {
 		this.#settings = settings;
 		this.#clock = clock;
+		this.#adapter = adapter;
 		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
@@ -137,14 +144,16 @@
 		const startMs = this.#clock.nowMs();
 		this.#log.event('stopping', {open: this.#entry.open, running: this.#owner.running, queued: this.#owner.queued});
 		this.#entry.stop();
-		this.#owner.stop();
+		setTimeout(() => {
+			this.#owner.stop();
+		}, Math.max(0, this.#settings.lameDuckMs - LAST_CALLS_MS));
 		this.#peers.broadcast([Tag.leaving, this.#settings.host]);
 		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
 		await new Promise<void>(resolve => {
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
 				const isIdle = this.#entry.open === 0 && this.#owner.running === 0;
-				if ((isIdle && nowMs - startMs >= LAME_DUCK_MS) || nowMs >= endMs) {
+				if ((isIdle && nowMs - startMs >= this.#settings.lameDuckMs) || nowMs >= endMs) {
 					clearInterval(timer);
 					resolve();
 				}
@@ -170,13 +179,39 @@
 		}
 
 		held?.close('moved');
-		const link = new Link(host, address, new RelayLinkEvents(this.#links, this.#log, () => this.#hello(), (frame, reply) => {
-			this.#onFrame(frame, reply);
-		}), () => this.#clock.nowMs());
+		const link = new Link(host, address, this.#linkEvents(), () => this.#clock.nowMs());
 		this.#links.set(host, link);
 		return link;
 	}
 
+	#linkEvents(): LinkEvents {
+		return {
+			onOpen: link => {
+				link.send(this.#hello());
+				if (this.#lost.delete(link.host)) {
+					this.#log.event('host_back', {host: link.host});
+					this.#placement.clear(link.host);
+				}
+			},
+			onFrame: (link, frame) => {
+				this.#onFrame(frame, reply => {
+					link.send(reply);
+				});
+			},
+			onClosed: (link, reason) => {
+				if (this.#links.get(link.host) === link) {
+					this.#links.delete(link.host);
+				}
+
+				if (reason !== 'idle' && this.#hosts.get(link.host) !== undefined) {
+					this.#lost.add(link.host);
+				}
+
+				this.#log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
+			},
+		};
+	}
+
 	#hello(): Frame {
 		return [Tag.hello, this.#directory.site?.revision ?? 0];
 	}
@@ -209,7 +244,7 @@
 
 			case Tag.leaving: {
 				this.#log.event('peer_leaving', {host: String(frame[1])});
-				this.#placement.suspect(String(frame[1]), this.#clock.nowMs());
+				this.#placement.onLeaving(String(frame[1]), this.#clock.nowMs());
 				break;
 			}
 
@@ -295,10 +330,10 @@
 			return;
 		}
 
-		const {id, bornMs, service, slots} = current;
+		const {id, service, slots} = current;
 		this.#directory.publish({
 			host, failureDomain, address, target: {
-				id, bornMs, service, slots, state: isLeaving ? 'draining' : 'ready',
+				id, service, slots, state: isLeaving ? 'draining' : 'ready',
 			},
 		});
 	}
@@ -306,7 +341,20 @@
 	#keepHouse(): void {
 		this.#directory.expire();
 		this.#budget.share(this.#hosts.size);
+		for (const host of this.#lost) {
+			const entry = this.#hosts.get(host);
+			if (entry === undefined) {
+				this.#lost.delete(host);
+			} else {
+				this.#linkTo(entry);
+			}
+		}
+
 		const {current, heardMs} = this.#lifecycle;
+		if (current === undefined && !this.#settings.isFirstStart && this.#probes < MAX_PROBES) {
+			void this.#probe();
+		}
+
 		if (current !== undefined && this.#clock.nowMs() - heardMs > this.#settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
 			this.#log.warn('target_silent', {instance: current.id, silentMs: Math.round(this.#clock.nowMs() - heardMs)});
 			this.#lifecycle.forget();
@@ -315,6 +363,33 @@
 		}
 	}
 
+	// A target that runs on beside a daemon that has just started announces itself only after a while.
+	async #probe(): Promise<void> {
+		const {service, failureDomain, target} = this.#settings;
+		const path = this.#directory.site?.services.get(service)?.healthPath;
+		if (path === undefined) {
+			return;
+		}
+
+		this.#probes++;
+		try {
+			const answer = await this.#upstream.probe(path);
+			const slots = answer === undefined ? undefined : this.#adapter.slotsOf(answer.load);
+			this.#log.event('target_probed', {instance: answer?.id ?? '', slots: slots ?? 0});
+			if (answer !== undefined && slots !== undefined && this.#lifecycle.current === undefined) {
+				// Born before anything that it will announce.
+				this.#onTargetMessage({
+					type: 'announcement',
+					announcement: {
+						id: answer.id, bornMs: 0, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
+					},
+				});
+			}
+		} catch (error) {
+			this.#log.event('target_unprobed', {reason: (error as Error).message});
+		}
+	}
+
 	#directoryEvents(): DirectoryEvents {
 		return {
 			onSite: (site: Site) => {
@@ -335,37 +410,3 @@
 		};
 	}
 }
-
-/** Keeps the table of links right, and greets on a new one. */
-class RelayLinkEvents extends LinkEvents {
-	readonly #links: Map<string, Link>;
-	readonly #log: EventLog;
-	readonly #hello: () => Frame;
-	readonly #onFrame: (frame: Frame, reply: (frame: Frame) => void) => void;
-
-	constructor(links: Map<string, Link>, log: EventLog, hello: () => Frame, onFrame: (frame: Frame, reply: (frame: Frame) => void) => void) {
-		super();
-		this.#links = links;
-		this.#log = log;
-		this.#hello = hello;
-		this.#onFrame = onFrame;
-	}
-
-	override onOpen(link: Link): void {
-		link.send(this.#hello());
-	}
-
-	override onFrame(link: Link, frame: Frame): void {
-		this.#onFrame(frame, reply => {
-			link.send(reply);
-		});
-	}
-
-	override onClosed(link: Link, reason: string): void {
-		if (this.#links.get(link.host) === link) {
-			this.#links.delete(link.host);
-		}
-
-		this.#log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
-	}
-}
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -18,6 +18,8 @@
 		/** For what the target says of itself. */
 		readonly announcements: Address;
 	};
+	/** Whether the whole system starts for the first time; otherwise the target may run already. */
+	readonly isFirstStart: boolean;
 	/** Peers' addresses to ask for a configuration at the start; may be stale. */
 	readonly seeds: readonly Address[];
 	/** How often a target announces itself, in ms. */
@@ -26,6 +28,8 @@
 	readonly drainMs: number;
 	/** How long after the signal to stop the process is killed, in ms. */
 	readonly graceMs: number;
+	/** How long a stopping daemon goes on taking requests, in ms: until its clients have noticed. */
+	readonly lameDuckMs: number;
 	/** The second sends that the site allows for each request, and besides in each window. */
 	readonly retry: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
 };
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
-import {Client, type Dispatcher, buildConnector} from 'undici';
+import {
+	Client, type Dispatcher, buildConnector, request,
+} from 'undici';
 import {type HeaderNames} from './adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
@@ -9,6 +11,8 @@
 
 /** How long a connection to the target may take to open, in ms: the target is on the same host. */
 const CONNECT_MS = 1000;
+/** How long a health check may take, in ms: it waits for a slot like any request. */
+const PROBE_MS = 1000;
 /** How long kept connections are distrusted after a target sent bytes that belong to no request, in ms. */
 const DISTRUST_MS = 5000;
 
@@ -57,6 +61,15 @@
 		}
 	}
 
+	/** Asks the target once how it is. @returns its id and what it tells of its load, if it is well and stays */
+	async probe(path: string): Promise<{id: string; load: string} | undefined> {
+		const response = await request(this.#origin + path, {signal: AbortSignal.timeout(PROBE_MS)});
+		await response.body.dump();
+		const id = response.headers[this.#names.instance];
+		const load = response.headers[this.#names.load];
+		return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load} : undefined;
+	}
+
 	run(call: Call, sink: RunSink): Run {
 		const connection = this.#idle.pop() ?? this.#open();
 		const {client} = connection;
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -24,7 +24,7 @@
 	return {
 		version,
 		routes,
-		services: [...names].map(name => ({name, maxConnections: 100})),
+		services: [...names].map(name => ({name, maxConnections: 100, healthPath: '/health'})),
 		limits: {
 			headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
@@ -109,9 +109,11 @@
 			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
 		},
 		seeds: [],
+		isFirstStart: true,
 		announceIntervalMs: ANNOUNCE_MS,
 		drainMs: 1000,
 		graceMs: 6000,
+		lameDuckMs: 300,
 		retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
 	};
 }
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -12,6 +12,7 @@
 	load: 'target-load',
 	notRun: 'not-run',
 	callerService: 'caller-service',
+	instance: 'target-instance',
 };
 
 /** An adapter for tests: values of the product's own types, unchanged. */
@@ -38,6 +39,10 @@
 		return JSON.parse(body) as TargetMessage;
 	}
 
+	override slotsOf(load: string): number | undefined {
+		return Number(load) || undefined;
+	}
+
 	override parentOf(attemptId: string): string | undefined {
 		const dot = attemptId.lastIndexOf('.');
 		return dot === -1 ? undefined : attemptId.slice(0, dot);
--- a/test/mesh/gate.test.ts
+++ b/test/mesh/gate.test.ts
@@ -51,12 +51,12 @@
 
 	it('makes room for a higher rank by the lowest that waits', () => {
 		const gate = busyGate();
-		for (let number = 0; number < 16; number++) {
+		for (let number = 0; number < 64; number++) {
 			gate.offer(call(`low-${number}`, 2, {deadlineMs: 60_000}), 0);
 		}
 
 		const {verdict, evicted} = gate.offer(call('high', 0), 0);
-		expect([verdict, evicted?.name]).toEqual(['wait', 'low-15']);
+		expect([verdict, evicted?.name]).toEqual(['wait', 'low-63']);
 		expect(gate.offer(call('low-again', 2, {deadlineMs: 60_000}), 0).verdict).toBe('full');
 	});
 
--- a/test/mesh/placement.test.ts
+++ b/test/mesh/placement.test.ts
@@ -5,7 +5,7 @@
 
 const entry = (host: string, failureDomain = 'a'): HostEntry => ({
 	host, failureDomain, address: '127.0.0.1:1', target: {
-		id: `i-${host}`, bornMs: 0, service: 's', slots: 10, state: 'ready',
+		id: `i-${host}`, service: 's', slots: 10, state: 'ready',
 	},
 });
 const placement = () => new Placement('a', {crossingMs: 60, fullShare: 0.6}, () => 0);
--- /dev/null
+++ b/test/relay/mesh.test.ts
@@ -0,0 +1,279 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {Mesh, route, siteOf} from '../../standins/mesh.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
+
+let mesh: Mesh;
+afterEach(async () => {
+	await mesh.close();
+});
+
+const attempt = (id: string, deadlineMs = 2000) => ({host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)});
+const target = (id: string, service: string, more = {}) => ({
+	id, service, slots: 4, workMs: 5, ...more,
+});
+
+describe('a mesh of daemons', () => {
+	it('carries a request to a target of another host and its answer back, whole', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back', {bodyBytes: 700}));
+		await mesh.settle();
+		const {status, headers, body} = await call(front.settings.listen.requests.port, '/x/y?z=1', {headers: attempt('a1')});
+		expect([status, headers[meshHeaders.signature], body.length]).toEqual([200, 'i-back/a1', 700]);
+		const [seen] = back.target.seen;
+		expect([seen.url, seen.headers[meshHeaders.callerService], Number(seen.headers[meshHeaders.deadlineMs]) <= 2000]).toEqual(['/x/y?z=1', 'front', true]);
+	});
+
+	it('streams large bodies both ways', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back', {bodyBytes: 1_500_000}));
+		await mesh.settle();
+		const sent = Buffer.alloc(900_000, 'abcdefg');
+		const {status, body, isWhole} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1'), body: sent});
+		expect([status, body.length, isWhole]).toEqual([200, 1_500_000, true]);
+		expect(back.target.bodies[0].equals(sent)).toBe(true);
+	});
+
+	it('answers 503 without a configuration and 404 without a route', async () => {
+		mesh = new Mesh();
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const port = front.settings.listen.requests.port;
+		const early = await call(port, '/x/', {headers: attempt('a1')});
+		expect([early.status, Number(early.headers['retry-after']) > 0]).toEqual([503, true]);
+		mesh.configure(siteOf([route('x', 'front')]));
+		await mesh.settle();
+		expect((await call(port, '/x/', {headers: attempt('a2')})).status).toBe(200);
+		expect((await call(port, '/none/', {headers: attempt('a3')})).status).toBe(404);
+	});
+
+	it('gives a target no more than its slots, and serves all', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back', {workMs: 30}));
+		await mesh.settle();
+		const answers = await Promise.all(Array.from({length: 20}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`)})));
+		expect(new Set(answers.map(({status}) => status))).toEqual(new Set([200]));
+		expect(back.target.most).toBeLessThanOrEqual(4);
+	});
+
+	it('ends a request at its route\'s time-out, and the target\'s work with it', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 200})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		let isClosed = false;
+		back.target.misbehave = (request, response) => {
+			response.on('close', () => {
+				isClosed = true;
+			});
+		};
+
+		await mesh.settle();
+		const startMs = performance.now();
+		const {status} = await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1')});
+		expect([status, performance.now() - startMs < 450]).toEqual([504, true]);
+		await sleep(100);
+		expect(isClosed).toBe(true);
+	});
+
+	it('cancels at the target when the client leaves', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		let isClosed = false;
+		back.target.misbehave = (request, response) => {
+			response.on('close', () => {
+				isClosed = true;
+			});
+		};
+
+		await mesh.settle();
+		await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1'), signal: AbortSignal.timeout(100)});
+		await sleep(300);
+		expect(isClosed).toBe(true);
+	});
+});
+
+describe('an answer that isn\'t the target\'s', () => {
+	const garbled = {
+		'without a signature': (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\nContent-Length: 2\r\n\r\nok`,
+		'of another request': () => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: other\r\n${meshHeaders.signature}: s\r\nContent-Length: 2\r\n\r\nok`,
+		'cut short': (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\nContent-Length: 9\r\n\r\nok`,
+		'no HTTP at all': () => 'hello\r\n\r\n',
+		'encoded': (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok`,
+	};
+	for (const [name, bytes] of Object.entries(garbled)) {
+		it(`${name} becomes a 502, and an unsafe request isn't sent again`, async () => {
+			mesh = new Mesh();
+			mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+			const front = await mesh.add('front', target('i-front', 'front'));
+			const backs = [await mesh.add('back-1', target('i-1', 'back')), await mesh.add('back-2', target('i-2', 'back'))];
+			let runs = 0;
+			for (const {target: one} of backs) {
+				one.misbehave = request => {
+					runs++;
+					request.socket.end(bytes(String(request.headers[meshHeaders.attemptId])));
+				};
+			}
+
+			await mesh.settle();
+			const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
+			expect([status, runs]).toEqual([502, 1]);
+		});
+	}
+
+	it('that has no length and is reset doesn\'t look whole; one that ends is', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		let isReset = false;
+		back.target.misbehave = ({socket, headers}) => {
+			socket.write(`HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${String(headers[meshHeaders.attemptId])}\r\n${meshHeaders.signature}: s\r\nConnection: close\r\n\r\nhalf`);
+			setTimeout(() => {
+				if (isReset) {
+					socket.resetAndDestroy();
+				} else {
+					socket.end(' whole');
+				}
+			}, 20);
+		};
+
+		await mesh.settle();
+		const {port} = front.settings.listen.requests;
+		const whole = await call(port, '/x/', {method: 'POST', headers: attempt('a1')});
+		expect([whole.status, whole.body.toString()]).toEqual([200, 'half whole']);
+		isReset = true;
+		expect((await call(port, '/x/', {method: 'POST', headers: attempt('a2')})).status).toBe(502);
+	});
+
+	it('in excess never reaches the next request', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front', {slots: 1}));
+		const back = await mesh.add('back', target('i-back', 'back', {slots: 1}));
+		back.target.misbehave = (request, response) => {
+			const {socket} = request;
+			back.target.answer(response, String(request.headers[meshHeaders.attemptId]));
+			setTimeout(() => {
+				socket.write(`HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${String(request.headers[meshHeaders.attemptId])}\r\n${meshHeaders.signature}: extra\r\nContent-Length: 2\r\n\r\nok`);
+			}, 5);
+		};
+
+		await mesh.settle();
+		for (let number = 0; number < 10; number++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other on one kept connection
+			const {status, headers} = await call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`)});
+			expect([200, 502]).toContain(status);
+			expect([undefined, `i-back/a${number}`]).toContain(headers[meshHeaders.signature]);
+		}
+	});
+});
+
+describe('a refusal', () => {
+	it('by the target counts as not run and is placed elsewhere', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const backs = [await mesh.add('back-1', target('i-1', 'back')), await mesh.add('back-2', target('i-2', 'back'))];
+		backs[0].target.misbehave = (request, response) => {
+			response.writeHead(503, {[meshHeaders.notRun]: '1'});
+			response.end();
+		};
+
+		await mesh.settle();
+		const answers = await Promise.all(Array.from({length: 4}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt(`a${number}`)})));
+		expect(answers.some(({status}) => status === 200)).toBe(true);
+		for (const {status, headers} of answers) {
+			expect(status === 200 || (status === 503 && Number(headers['retry-after']) > 0)).toBe(true);
+		}
+	});
+});
+
+describe('a target that leaves', () => {
+	it('gets nothing after its drain, from any host, also with the store down', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		await mesh.settle();
+		const {requests, announcements} = front.settings.listen;
+		expect((await call(requests.port, '/x/', {headers: attempt('a1')})).status).toBe(200);
+		mesh.store.trouble = 'down';
+		mesh.store.wake();
+		expect(await back.target.leave(back.settings.listen.announcements.port)).toBe(200);
+		await sleep(1000);
+		const ran = back.target.ran.length;
+		const {status} = await call(requests.port, '/x/', {headers: attempt('a2')});
+		expect([status, back.target.ran.length]).toEqual([503, ran]);
+		expect(announcements.port).toBeGreaterThan(0);
+	});
+});
+
+describe('a planned stop', () => {
+	it('cuts nothing, and peers go elsewhere', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back-1', target('i-1', 'back', {workMs: 40}));
+		await mesh.add('back-2', target('i-2', 'back', {workMs: 40}));
+		await mesh.settle();
+		const stopped = back.stop();
+		const statuses: number[] = [];
+		for (let number = 0; number < 25; number++) {
+			// eslint-disable-next-line no-await-in-loop -- a steady load
+			statuses.push((await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt(`a${number}`)})).status);
+		}
+
+		await stopped;
+		expect(new Set(statuses)).toEqual(new Set([200]));
+	});
+});
+
+describe('a daemon without the store', () => {
+	it('learns the site from the peers that link to it, and is used again', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back'), route('y', 'front')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		await mesh.settle();
+		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1')})).status).toBe(200);
+		mesh.store.trouble = 'down';
+		mesh.store.wake();
+		await back.stop();
+		const {requests, peers, readiness, announcements} = back.settings.listen;
+		const again = await mesh.start('back', back.target, [requests.port, peers.port, readiness.port, announcements.port]);
+		mesh.hosts.splice(1, 1, again);
+		await sleep(1500);
+		expect((await call(requests.port, '/y/', {headers: attempt('a2')})).status).toBe(200);
+		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a3')})).status).toBe(200);
+	});
+});
+
+describe('a new configuration', () => {
+	it('is in force on all hosts, and an older one never again', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'front')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		await mesh.settle();
+		mesh.configure(siteOf([route('x', 'back')], 2));
+		await sleep(300);
+		for (const {settings} of [front, back]) {
+			// eslint-disable-next-line no-await-in-loop -- each host in turn
+			const {headers} = await call(settings.listen.requests.port, '/x/', {headers: attempt('a1')});
+			expect(headers[meshHeaders.signature]).toBe('i-back/a1');
+		}
+
+		mesh.store.compact();
+		await sleep(200);
+		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a2')})).headers[meshHeaders.signature]).toBe('i-back/a2');
+	});
+});
