--- a/bench/relay/main.ts
+++ b/bench/relay/main.ts
@@ -31,7 +31,9 @@
 	let bad = 0;
 	await Promise.all(Array.from({length: WORKERS}, async (_, worker) => {
 		while (Date.now() < endMs) {
-			const headers = {host: 'site', 'user-agent': 'bench', accept: '*/*', [meshHeaders.attemptId]: `r${calls++}`, [meshHeaders.deadlineMs]: '5000'};
+			const headers = {
+				host: 'site', 'user-agent': 'bench', accept: '*/*', [meshHeaders.attemptId]: `r${calls++}`, [meshHeaders.deadlineMs]: '5000',
+			};
 			// eslint-disable-next-line no-await-in-loop -- a caller waits for its answer
 			const status = await new Promise<number>(resolve => {
 				request({
@@ -72,4 +74,5 @@
 	process.exit(0);
 }
 
-await (process.argv.includes('drive') ? drive() : main());
+const role = process.argv.includes('drive') ? drive : main;
+await role();
--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -9,13 +9,13 @@
 
 /** The object store in memory, for all daemons of a test; each uses a view of its own. */
 export class MemoryStore {
+	trouble: StoreTrouble = 'none';
+	calls = 0;
 	readonly #objects = new Map<string, StoredObject>();
 	#history: Record_[] = [];
 	readonly #waiting = new Set<() => void>();
 	#revision = 1;
 	#compactedTo = 0;
-	trouble: StoreTrouble = 'none';
-	calls = 0;
 
 	view(): ObjectStore {
 		return new MemoryStoreView(this);
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -2,11 +2,11 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Answer} from '../core/index.js';
 import {type HttpMessage, header} from '../wire/index.js';
+import {type Logger} from '../log/index.js';
 import {toHttp} from './answer.js';
 import {type Bus} from './bus.js';
 import {type Contexts} from './contexts.js';
 import {RequestError} from './error.js';
-import {type Logger} from '../log/index.js';
 import {type RequestHead, readHead} from './request.js';
 
 const HEADER_BYTES = 32_768;
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -6,8 +6,8 @@
 import {
 	type FrameError, Handshake, MAX_FRAME_BYTES, decodeFrame, encodeFrame, header,
 } from '../wire/index.js';
-import {type Bus} from './bus.js';
 import {type Logger} from '../log/index.js';
+import {type Bus} from './bus.js';
 
 const HANDSHAKE_MS = 1000;
 /** Bytes that may wait on one socket before it counts as dead. */
--- a/src/daemon/store.ts
+++ b/src/daemon/store.ts
@@ -3,8 +3,8 @@
 import {
 	CONFIG_PREFIX, PlatformClient, PlatformError, type Stored,
 } from '../platform/index.js';
-import {type Bus} from './bus.js';
 import {type Logger} from '../log/index.js';
+import {type Bus} from './bus.js';
 
 const JOIN_PREFIX = 'joins/';
 const WATCH_MS = 25_000;
--- a/src/log/events.ts
+++ b/src/log/events.ts
@@ -9,11 +9,11 @@
 
 /** Writes events through a logger, with a bound on each kind and a count of what was left out. */
 export class EventLog {
+	/** How often each thing was counted, by name and label. */
+	readonly counts = new Map<string, number>();
 	readonly #logger: Logger;
 	readonly #clock: Clock;
 	readonly #windows = new Map<string, Window>();
-	readonly counts = new Map<string, number>();
-
 	constructor(logger: Logger, clock: Clock) {
 		this.#logger = logger;
 		this.#clock = clock;
--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -48,6 +48,12 @@
 		return this.#services.get(service) ?? [];
 	}
 
+	/** Puts this daemon's own entry, which nobody else's word replaces. */
+	putOwn(entry: HostEntry): void {
+		this.#hosts.set(entry.host, {entry, revision: Number.POSITIVE_INFINITY});
+		this.#index();
+	}
+
 	/** @returns whether the entry was news */
 	put(entry: HostEntry, revision: number): boolean {
 		const held = this.#hosts.get(entry.host);
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -50,6 +50,7 @@
 	readonly #parts: DirectoryParts;
 	readonly #store: ObjectStore;
 	#site: Site | undefined;
+	#siteValue: unknown;
 	#wanted: HostEntry | undefined;
 	#ownRevision = 0;
 	#isWriting = false;
@@ -61,6 +62,11 @@
 		this.#store = parts.adapter.store;
 	}
 
+	/** The configuration as the store gave it, to pass on to a peer that lacks it. */
+	get siteValue(): unknown {
+		return this.#siteValue;
+	}
+
 	get site(): Site | undefined {
 		return this.#site;
 	}
@@ -112,8 +118,12 @@
 
 	/** Makes the store's entry of this daemon say this, as soon as the store can be reached. */
 	publish(entry: HostEntry): void {
+		if (isDeepStrictEqual(entry, this.#wanted)) {
+			return;
+		}
+
 		this.#wanted = entry;
-		this.#parts.hosts.put(entry, Number.MAX_SAFE_INTEGER);
+		this.#parts.hosts.putOwn(entry);
 		void this.#write();
 	}
 
@@ -130,13 +140,6 @@
 		}
 	}
 
-	/** The configuration as the store gave it, to pass on to a peer that lacks it. */
-	get siteValue(): unknown {
-		return this.#siteValue;
-	}
-
-	#siteValue: unknown;
-
 	/** Takes out the hosts whose entries lapsed and didn't return. */
 	expire(): void {
 		for (const host of this.#parts.hosts.expire(this.#parts.clock.nowMs())) {
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -12,6 +12,7 @@
 	type Call, type CallHandle, type CallShape, type CallSink,
 } from './call.js';
 import {Exchange} from './exchange.js';
+import {HOP_BY_HOP} from './hopbyhop.js';
 import {type Address} from './settings.js';
 
 /** How often open requests are checked against their deadlines, in ms: well within the slack that a time-out has. */
@@ -22,7 +23,7 @@
 const NO_SITE_RETRY_S = '0.4';
 
 /** Headers that concern one connection only, or that this daemon sets itself. */
-const NOT_FORWARDED = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length']);
+const NOT_FORWARDED = new Set([...HOP_BY_HOP, 'expect', 'content-length']);
 
 export type EntryParts = {
 	readonly clock: Clock;
@@ -61,7 +62,7 @@
 	readonly #connections = new WeakMap<Socket, Connection>();
 	readonly #forwarded: Set<string>;
 	readonly #sockets = new Set<Socket>();
-	#timer: NodeJS.Timeout | undefined;
+	#isArmed = false;
 	#isStopping = false;
 	#lastRequestMs = 0;
 
@@ -232,8 +233,13 @@
 	}
 
 	#arm(): void {
-		this.#timer ??= setTimeout(() => {
-			this.#timer = undefined;
+		if (this.#isArmed) {
+			return;
+		}
+
+		this.#isArmed = true;
+		setTimeout(() => {
+			this.#isArmed = false;
 			const nowMs = this.#options.clock.nowMs();
 			for (const exchange of this.#exchanges) {
 				exchange.checkTime(nowMs);
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -103,28 +103,31 @@
 	const key = `${shape.route}\n${shape.rank}\n${shape.repeatability}\n${shape.method}\n${shape.callerService}\n${shape.headers.join('\n')}`;
 	const flags = (call.isNested ? NESTED : 0) | (call.hasMore ? MORE : 0) | (call.isRepeat ? REPEAT : 0);
 	const [number, value] = shapes.write(key, shape);
-	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, call.body.length > 0 ? call.body : null, call.standing.level, call.standing.floor];
+	const body = call.body.length > 0 ? call.body : null;
+	const {level, floor} = call.standing;
+	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, body, level, floor];
 }
 
 /** @throws {FrameError} */
 export function callOf(frame: Frame, shapes: ShapeReader<CallShape>, empty: Buffer): Call {
-	const [, , number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body, level, floor] = frame;
-	if (typeof instance !== 'string' || typeof leftMs !== 'number' || typeof objectiveLeftMs !== 'number' || typeof path !== 'string' || typeof attemptId !== 'string' || typeof level !== 'number' || typeof floor !== 'number') {
+	const [number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body, level, floor] = frame.slice(2);
+	const areNumbers = [leftMs, objectiveLeftMs, flags, level, floor].every(field => typeof field === 'number');
+	if (!areNumbers || typeof instance !== 'string' || typeof path !== 'string' || typeof attemptId !== 'string') {
 		throw new FrameError('a call without its fields');
 	}
 
 	return {
 		shape: shapes.read(number, value),
 		instance,
-		leftMs,
-		objectiveLeftMs,
+		leftMs: leftMs as number,
+		objectiveLeftMs: objectiveLeftMs as number,
 		isNested: ((flags as number) & NESTED) !== 0,
 		hasMore: ((flags as number) & MORE) !== 0,
 		isRepeat: ((flags as number) & REPEAT) !== 0,
 		attemptId,
 		path,
 		body: (body as Buffer | null) ?? empty,
-		standing: {level, floor},
+		standing: {level: level as number, floor: floor as number},
 	};
 }
 
--- /dev/null
+++ b/src/relay/links.ts
@@ -0,0 +1,180 @@
+import {type Clock} from '../clock/index.js';
+import {type EventLog} from '../log/index.js';
+import {
+	type HostEntry, type HostTable, type Placement, type Shedding,
+} from '../mesh/index.js';
+import {type Directory} from './directory.js';
+import {
+	type Frame, Tag, pressureFrame, reportsOf,
+} from './frame.js';
+import {hostEntryOf} from './hostentry.js';
+import {Link, LinkEvents} from './link.js';
+
+/** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
+const NEWS_PATIENCE_MS = 150;
+
+export type LinksParts = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly hosts: HostTable;
+	readonly placement: Placement;
+	readonly shedding: Shedding;
+	readonly directory: Directory;
+};
+
+/** The links to other daemons, and what daemons tell each other besides calls: news, floors, stops. */
+export class Links extends LinkEvents {
+	readonly #parts: LinksParts;
+	readonly #links = new Map<string, Link>();
+	/** Hosts whose link broke: they are dialled until they are back, so that a daemon that started again hears of the site. */
+	readonly #lost = new Set<string>();
+
+	constructor(parts: LinksParts) {
+		super();
+		this.#parts = parts;
+	}
+
+	to({host, address}: HostEntry): Link {
+		const held = this.#links.get(host);
+		if (held?.address === address) {
+			return held;
+		}
+
+		held?.close('moved');
+		const link = new Link(host, address, this, () => this.#parts.clock.nowMs());
+		this.#links.set(host, link);
+		return link;
+	}
+
+	/** Dials the hosts that were lost. */
+	redial(): void {
+		for (const host of this.#lost) {
+			const entry = this.#parts.hosts.get(host);
+			if (entry === undefined) {
+				this.#lost.delete(host);
+			} else {
+				this.to(entry);
+			}
+		}
+	}
+
+	forget(host: string): void {
+		this.#lost.delete(host);
+		this.#links.get(host)?.close('host gone');
+	}
+
+	send(frame: Frame): void {
+		for (const link of this.#links.values()) {
+			link.send(frame);
+		}
+	}
+
+	hello(): Frame {
+		return [Tag.hello, this.#revision];
+	}
+
+	/** What is known of floors, if there is any. */
+	pressure(): Frame | undefined {
+		const reports = this.#parts.shedding.reports(this.#parts.clock.nowMs());
+		return reports.length > 0 ? pressureFrame(reports) : undefined;
+	}
+
+	/** Takes a frame that belongs to no call, from either side of a link. */
+	take(frame: Frame, reply: (frame: Frame) => void): void {
+		const {log, placement, shedding, clock} = this.#parts;
+		switch (frame[0]) {
+			case Tag.hello: {
+				this.#onHello(frame[1] as number, reply);
+				break;
+			}
+
+			case Tag.news: {
+				this.#tellSite(reply);
+				break;
+			}
+
+			case Tag.site: {
+				this.#onSite(frame);
+				break;
+			}
+
+			case Tag.pressure: {
+				shedding.onReports(reportsOf(frame), clock.nowMs());
+				break;
+			}
+
+			case Tag.leaving: {
+				log.event('peer_leaving', {host: String(frame[1])});
+				placement.onLeaving(String(frame[1]), clock.nowMs());
+				break;
+			}
+
+			default: {
+				log.count('bad_input', 'peers');
+			}
+		}
+	}
+
+	override onOpen(link: Link): void {
+		link.send(this.hello());
+		if (this.#lost.delete(link.host)) {
+			this.#parts.log.event('host_back', {host: link.host});
+			this.#parts.placement.clear(link.host);
+		}
+	}
+
+	override onFrame(link: Link, frame: Frame): void {
+		this.take(frame, reply => {
+			link.send(reply);
+		});
+	}
+
+	override onClosed(link: Link, reason: string): void {
+		if (this.#links.get(link.host) === link) {
+			this.#links.delete(link.host);
+		}
+
+		if (reason !== 'idle' && this.#parts.hosts.get(link.host) !== undefined) {
+			this.#lost.add(link.host);
+		}
+
+		this.#parts.log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
+	}
+
+	get #revision(): number {
+		return this.#parts.directory.site?.revision ?? 0;
+	}
+
+	#tellSite(reply: (frame: Frame) => void): void {
+		const {directory, hosts} = this.#parts;
+		if (directory.site !== undefined) {
+			reply([Tag.site, directory.site.revision, directory.siteValue, hosts.entries]);
+		}
+	}
+
+	// The own watch mostly brings the news first; a peer is asked only if it doesn't.
+	#onHello(revision: number, reply: (frame: Frame) => void): void {
+		if (revision <= this.#revision) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (revision > this.#revision) {
+				reply([Tag.news]);
+			}
+		}, this.#revision === 0 ? 0 : NEWS_PATIENCE_MS);
+	}
+
+	#onSite([, revision, value, entries]: Frame): void {
+		const {directory, log} = this.#parts;
+		log.event('site_from_peer', {revision: revision as number});
+		directory.offerSite(revision as number, value);
+		for (const entry of Array.isArray(entries) ? entries : []) {
+			try {
+				directory.offerHost(hostEntryOf(entry));
+			} catch (error) {
+				log.warn('host_rejected', {reason: (error as Error).message});
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/relay/neighbor.ts
@@ -0,0 +1,144 @@
+import {type Clock} from '../clock/index.js';
+import {type EventLog} from '../log/index.js';
+import {type Announcement, type Farewell, type Lifecycle} from '../mesh/index.js';
+import {type Adapter, type TargetMessage} from './adapter.js';
+import {type Directory} from './directory.js';
+import {type Owner} from './owner.js';
+import {type RelaySettings} from './settings.js';
+import {type Upstream} from './upstream.js';
+
+/** Announcements missed before a target counts as gone. */
+const MISSED_ANNOUNCEMENTS = 4;
+/** Health checks of a target that ran before its daemon started; its next announcement comes anyway. */
+const MAX_PROBES = 4;
+/** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
+const SLOT_SHARE = 0.95;
+
+export type NeighborParts = {
+	readonly settings: RelaySettings;
+	readonly adapter: Adapter;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly lifecycle: Lifecycle;
+	readonly upstream: Upstream;
+	readonly owner: Owner;
+	readonly directory: Directory;
+};
+
+/** Follows the target beside this daemon through its life, and tells the other daemons of it. */
+export class Neighbor {
+	readonly #parts: NeighborParts;
+	#probes = 0;
+
+	constructor(parts: NeighborParts) {
+		this.#parts = parts;
+	}
+
+	/** Takes in what the target says of itself. */
+	take(message: TargetMessage): void {
+		if (message.type === 'farewell') {
+			this.#onFarewell(message.farewell);
+		} else {
+			this.#onAnnouncement(message.announcement);
+		}
+	}
+
+	/** Asks a target that isn't known yet, and gives up one that has fallen silent. */
+	check(): void {
+		const {settings, clock, log, lifecycle, owner} = this.#parts;
+		const {current, heardMs} = lifecycle;
+		if (current === undefined) {
+			if (!settings.isFirstStart && this.#probes < MAX_PROBES) {
+				void this.#probe();
+			}
+
+			return;
+		}
+
+		const silentMs = clock.nowMs() - heardMs;
+		if (silentMs > settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
+			log.warn('target_silent', {instance: current.id, silentMs: Math.round(silentMs)});
+			lifecycle.forget();
+			owner.onTargetGone();
+			this.#publish();
+		}
+	}
+
+	#onFarewell(farewell: Farewell): void {
+		const {clock, log, lifecycle} = this.#parts;
+		const change = lifecycle.leave(farewell, clock.nowMs());
+		log.event('target_farewell', {instance: farewell.id, bornMs: farewell.bornMs ?? 0, change});
+		if (change === 'left') {
+			this.#publish();
+		}
+	}
+
+	#onAnnouncement(announcement: Announcement): void {
+		const {
+			settings, clock, log, lifecycle, upstream, owner, directory,
+		} = this.#parts;
+		const {id, bornMs, seq, service, state, slots} = announcement;
+		if (service !== settings.service && directory.site?.services.has(service) !== true) {
+			log.warn('announcement_foreign', {instance: id, service});
+			return;
+		}
+
+		const change = lifecycle.announce(announcement, clock.nowMs());
+		if (change === 'none') {
+			return;
+		}
+
+		log.event('target_announced', {
+			instance: id, bornMs, seq, state, change,
+		});
+		if (change === 'stale') {
+			return;
+		}
+
+		if (change === 'joined') {
+			upstream.drop();
+		}
+
+		owner.limit(Math.max(1, Math.floor(slots * SLOT_SHARE)));
+		this.#publish();
+	}
+
+	#publish(): void {
+		const {settings: {host, failureDomain, listen}, lifecycle: {current, isLeaving}, directory} = this.#parts;
+		const entry = {host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`};
+		directory.publish(current === undefined
+			? entry
+			: {
+				...entry,
+				target: {
+					id: current.id, service: current.service, slots: current.slots, state: isLeaving ? 'draining' : 'ready',
+				},
+			});
+	}
+
+	// A target that runs on beside a daemon that has just started announces itself only after a while.
+	async #probe(): Promise<void> {
+		const {
+			settings: {service, failureDomain, target}, adapter, log, lifecycle, upstream, directory,
+		} = this.#parts;
+		const path = directory.site?.services.get(service)?.healthPath;
+		if (path === undefined) {
+			return;
+		}
+
+		this.#probes++;
+		try {
+			const answer = await upstream.probe(path);
+			const slots = answer === undefined ? undefined : adapter.slotsOf(answer.load);
+			log.event('target_probed', {instance: answer?.id ?? '', slots: slots ?? 0});
+			if (answer !== undefined && slots !== undefined && lifecycle.current === undefined) {
+				// Born before anything that it will announce.
+				this.#onAnnouncement({
+					id: answer.id, bornMs: 0, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
+				});
+			}
+		} catch (error) {
+			log.event('target_unprobed', {reason: (error as Error).message});
+		}
+	}
+}
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -35,7 +35,7 @@
 	readonly #times = new ServiceTimes();
 	readonly #running = new Set<OwnedCall>();
 	readonly #attempts = new Map<string, OwnedCall>();
-	#timer: NodeJS.Timeout | undefined;
+	#isArmed = false;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
 	#isPumping = false;
@@ -65,9 +65,9 @@
 		}
 	}
 
-	/** How many calls the target is given at once. */
-	set limit(limit: number) {
-		this.#gate.limit = limit;
+	/** Sets how many calls the target is given at once. */
+	limit(calls: number): void {
+		this.#gate.limit = calls;
 		this.#pump();
 	}
 
@@ -84,7 +84,7 @@
 
 	offer(call: Call, sink: CallSink): CallHandle {
 		const nowMs = this.#parts.clock.nowMs();
-		const owned = new OwnedCall(this, call, sink, nowMs, this.#times.expectedMs(call.shape.route));
+		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#times.expectedMs(call.shape.route)});
 		const refusal = this.#unfit(call, nowMs);
 		if (refusal !== undefined) {
 			owned.refuse(refusal, this.report(call.shape.route));
@@ -220,10 +220,13 @@
 	}
 
 	#arm(): void {
-		this.#timer ??= setTimeout(() => {
-			this.#timer = undefined;
-			this.#sweep();
-		}, SWEEP_MS);
+		if (!this.#isArmed) {
+			this.#isArmed = true;
+			setTimeout(() => {
+				this.#isArmed = false;
+				this.#sweep();
+			}, SWEEP_MS);
+		}
 	}
 
 	#sweep(): void {
@@ -264,8 +267,9 @@
 	#early: Array<{bytes: Buffer; isLast: boolean}> = [];
 	#isOver = false;
 
-	constructor(owner: Owner, call: Call, sink: CallSink, nowMs: number, serviceMs: number) {
+	constructor(owner: Owner, call: Call, sink: CallSink, arrival: {readonly nowMs: number; readonly serviceMs: number}) {
 		super();
+		const {nowMs, serviceMs} = arrival;
 		this.#owner = owner;
 		this.#arrivedMs = nowMs;
 		this.call = call;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -151,7 +151,9 @@
 	}
 
 	answer(id: number, head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
-		const shape = {status: head.status, headers: head.headers, reached: head.reached, isFailedBelow: head.isFailedBelow};
+		const shape = {
+			status: head.status, headers: head.headers, reached: head.reached, isFailedBelow: head.isFailedBelow,
+		};
 		const [number, value] = this.#answerShapes.write(`${head.status}\n${head.headers.join('\n')}\n${head.reached.join(' ')}\n${head.isFailedBelow}`, shape);
 		this.send([Tag.answer, id, number, value, head.signature ?? null, isWhole ? null : (head.lengthBytes ?? null), body.length > 0 ? body : null, isWhole, packReport(report)]);
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,16 +1,16 @@
 import {type Clock, SystemClock, TickClock} from '../clock/index.js';
 import {EventLog, Logger} from '../log/index.js';
 import {
-	type Announcement, type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
+	type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
 } from '../mesh/index.js';
-import {type Adapter, type TargetMessage} from './adapter.js';
+import {type Adapter} from './adapter.js';
 import {Announcements} from './announcements.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
 import {Directory, type DirectoryEvents} from './directory.js';
 import {Entry} from './entry.js';
-import {type Frame, Tag, pressureFrame, reportsOf} from './frame.js';
-import {hostEntryOf} from './hostentry.js';
-import {Link, type LinkEvents} from './link.js';
+import {Tag} from './frame.js';
+import {Links} from './links.js';
+import {Neighbor} from './neighbor.js';
 import {Owner} from './owner.js';
 import {Peers} from './peers.js';
 import {Readiness} from './readiness.js';
@@ -20,10 +20,6 @@
 /** How long an entry that vanished from the store is still used, in ms: entries that lapsed in an outage are back within it. */
 const LAPSE_GRACE_MS = 2000;
 const HOUSEKEEPING_MS = 500;
-/** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
-const NEWS_PATIENCE_MS = 150;
-/** Announcements missed before a target counts as gone. */
-const MISSED_ANNOUNCEMENTS = 4;
 /** The part of the drain bound within which a leaving target is still given work; the rest is for what is under way. */
 const DRAIN_SHARE = 0.6;
 /** What crossing to another failure domain costs, in ms of waiting: from the price of bytes between them. */
@@ -35,16 +31,11 @@
 const STOP_CHECK_MS = 50;
 /** How long before the end of its lame-duck time a stopping daemon takes its last calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
-/** Health checks of a target that ran before its daemon started; its next announcement comes anyway. */
-const MAX_PROBES = 4;
-/** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
-const SLOT_SHARE = 0.95;
 
 /** One daemon in front of its own target and beside its clients: all tasks of it. */
 export class Relay {
 	readonly #settings: RelaySettings;
 	readonly #clock: Clock;
-	readonly #adapter: Adapter;
 	readonly #log: EventLog;
 	readonly #hosts = new HostTable(LAPSE_GRACE_MS);
 	readonly #placement: Placement;
@@ -58,17 +49,14 @@
 	readonly #directory: Directory;
 	readonly #announcements: Announcements;
 	readonly #readiness: Readiness;
-	readonly #links = new Map<string, Link>();
+	readonly #links: Links;
+	readonly #neighbor: Neighbor;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
-	#probes = 0;
-	/** Hosts whose link broke: they are dialled until they are back, so that a daemon that started again hears of the site. */
-	readonly #lost = new Set<string>();
 
 	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new TickClock(new SystemClock())) {
 		this.#settings = settings;
 		this.#clock = clock;
-		this.#adapter = adapter;
 		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
@@ -83,6 +71,12 @@
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
 		});
+		this.#links = new Links({
+			clock, log: this.#log, hosts: this.#hosts, placement: this.#placement, shedding: this.#shedding, directory: this.#directory,
+		});
+		this.#neighbor = new Neighbor({
+			settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream, owner: this.#owner, directory: this.#directory,
+		});
 		this.#entry = new Entry({
 			clock,
 			log: this.#log,
@@ -107,14 +101,14 @@
 			owner: this.#owner,
 			log: this.#log,
 			clock,
-			greeting: () => this.#hello(),
-			pressure: () => this.#pressure(),
+			greeting: () => this.#links.hello(),
+			pressure: () => this.#links.pressure(),
 			onFrame: (frame, reply) => {
-				this.#onFrame(frame, reply);
+				this.#links.take(frame, reply);
 			},
 		});
 		this.#announcements = new Announcements(adapter, this.#log, message => {
-			this.#onTargetMessage(message);
+			this.#neighbor.take(message);
 		});
 		this.#readiness = new Readiness(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
@@ -169,243 +163,29 @@
 	}
 
 	#send(entry: HostEntry, call: Call, sink: CallSink): CallHandle {
-		return entry.host === this.#settings.host ? this.#owner.offer(call, sink) : this.#linkTo(entry).call(call, sink);
-	}
-
-	#linkTo({host, address}: HostEntry): Link {
-		const held = this.#links.get(host);
-		if (held?.address === address) {
-			return held;
-		}
-
-		held?.close('moved');
-		const link = new Link(host, address, this.#linkEvents(), () => this.#clock.nowMs());
-		this.#links.set(host, link);
-		return link;
-	}
-
-	#linkEvents(): LinkEvents {
-		return {
-			onOpen: link => {
-				link.send(this.#hello());
-				if (this.#lost.delete(link.host)) {
-					this.#log.event('host_back', {host: link.host});
-					this.#placement.clear(link.host);
-				}
-			},
-			onFrame: (link, frame) => {
-				this.#onFrame(frame, reply => {
-					link.send(reply);
-				});
-			},
-			onClosed: (link, reason) => {
-				if (this.#links.get(link.host) === link) {
-					this.#links.delete(link.host);
-				}
-
-				if (reason !== 'idle' && this.#hosts.get(link.host) !== undefined) {
-					this.#lost.add(link.host);
-				}
-
-				this.#log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
-			},
-		};
-	}
-
-	#hello(): Frame {
-		return [Tag.hello, this.#directory.site?.revision ?? 0];
-	}
-
-	#onFrame(frame: Frame, reply: (frame: Frame) => void): void {
-		switch (frame[0]) {
-			case Tag.hello: {
-				this.#onHello(frame[1] as number, reply);
-				break;
-			}
-
-			case Tag.news: {
-				const {site, siteValue} = this.#directory;
-				if (site !== undefined) {
-					reply([Tag.site, site.revision, siteValue, this.#hosts.entries]);
-				}
-
-				break;
-			}
-
-			case Tag.site: {
-				this.#onSiteOfPeer(frame);
-				break;
-			}
-
-			case Tag.pressure: {
-				this.#shedding.onReports(reportsOf(frame), this.#clock.nowMs());
-				break;
-			}
-
-			case Tag.leaving: {
-				this.#log.event('peer_leaving', {host: String(frame[1])});
-				this.#placement.onLeaving(String(frame[1]), this.#clock.nowMs());
-				break;
-			}
-
-			default: {
-				this.#log.count('bad_input', 'peers');
-			}
-		}
-	}
-
-	#pressure(): Frame | undefined {
-		const reports = this.#shedding.reports(this.#clock.nowMs());
-		return reports.length > 0 ? pressureFrame(reports) : undefined;
-	}
-
-	// The own watch mostly brings the news first; a peer is asked only if it doesn't.
-	#onHello(revision: number, reply: (frame: Frame) => void): void {
-		if (revision <= (this.#directory.site?.revision ?? 0)) {
-			return;
-		}
-
-		setTimeout(() => {
-			if (revision > (this.#directory.site?.revision ?? 0)) {
-				reply([Tag.news]);
-			}
-		}, this.#directory.site === undefined ? 0 : NEWS_PATIENCE_MS);
-	}
-
-	#onSiteOfPeer([, revision, value, entries]: Frame): void {
-		this.#log.event('site_from_peer', {revision: revision as number});
-		this.#directory.offerSite(revision as number, value);
-		for (const entry of Array.isArray(entries) ? entries : []) {
-			try {
-				this.#directory.offerHost(hostEntryOf(entry));
-			} catch (error) {
-				this.#log.warn('host_rejected', {reason: (error as Error).message});
-			}
-		}
-	}
-
-	#onTargetMessage(message: TargetMessage): void {
-		const nowMs = this.#clock.nowMs();
-		if (message.type === 'farewell') {
-			const change = this.#lifecycle.leave(message.farewell, nowMs);
-			this.#log.event('target_farewell', {instance: message.farewell.id, bornMs: message.farewell.bornMs ?? 0, change});
-			if (change === 'left') {
-				this.#publish();
-			}
-
-			return;
-		}
-
-		const {announcement} = message;
-		const services = this.#directory.site?.services;
-		if (announcement.service !== this.#settings.service && services?.has(announcement.service) !== true) {
-			this.#log.warn('announcement_foreign', {instance: announcement.id, service: announcement.service});
-			return;
-		}
-
-		const change = this.#lifecycle.announce(announcement, nowMs);
-		if (change !== 'none') {
-			this.#log.event('target_announced', {
-				instance: announcement.id, bornMs: announcement.bornMs, seq: announcement.seq, state: announcement.state, change,
-			});
-			this.#onTargetChanged(change === 'joined', announcement);
-		}
-	}
-
-	#onTargetChanged(isOther: boolean, {slots}: Announcement): void {
-		if (isOther) {
-			this.#upstream.drop();
-		}
-
-		this.#owner.limit = Math.max(1, Math.floor(slots * SLOT_SHARE));
-		this.#publish();
-	}
-
-	#publish(): void {
-		const {host, failureDomain, listen} = this.#settings;
-		const address = `${listen.peers.ip}:${listen.peers.port}`;
-		const {current, isLeaving} = this.#lifecycle;
-		if (current === undefined) {
-			this.#directory.publish({host, failureDomain, address});
-			return;
-		}
-
-		const {id, service, slots} = current;
-		this.#directory.publish({
-			host, failureDomain, address, target: {
-				id, service, slots, state: isLeaving ? 'draining' : 'ready',
-			},
-		});
+		return entry.host === this.#settings.host ? this.#owner.offer(call, sink) : this.#links.to(entry).call(call, sink);
 	}
 
 	#keepHouse(): void {
 		this.#directory.expire();
 		this.#budget.share(this.#hosts.size);
-		for (const host of this.#lost) {
-			const entry = this.#hosts.get(host);
-			if (entry === undefined) {
-				this.#lost.delete(host);
-			} else {
-				this.#linkTo(entry);
-			}
-		}
-
-		const {current, heardMs} = this.#lifecycle;
-		if (current === undefined && !this.#settings.isFirstStart && this.#probes < MAX_PROBES) {
-			void this.#probe();
-		}
-
-		if (current !== undefined && this.#clock.nowMs() - heardMs > this.#settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
-			this.#log.warn('target_silent', {instance: current.id, silentMs: Math.round(this.#clock.nowMs() - heardMs)});
-			this.#lifecycle.forget();
-			this.#owner.onTargetGone();
-			this.#publish();
-		}
-	}
-
-	// A target that runs on beside a daemon that has just started announces itself only after a while.
-	async #probe(): Promise<void> {
-		const {service, failureDomain, target} = this.#settings;
-		const path = this.#directory.site?.services.get(service)?.healthPath;
-		if (path === undefined) {
-			return;
-		}
-
-		this.#probes++;
-		try {
-			const answer = await this.#upstream.probe(path);
-			const slots = answer === undefined ? undefined : this.#adapter.slotsOf(answer.load);
-			this.#log.event('target_probed', {instance: answer?.id ?? '', slots: slots ?? 0});
-			if (answer !== undefined && slots !== undefined && this.#lifecycle.current === undefined) {
-				// Born before anything that it will announce.
-				this.#onTargetMessage({
-					type: 'announcement',
-					announcement: {
-						id: answer.id, bornMs: 0, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
-					},
-				});
-			}
-		} catch (error) {
-			this.#log.event('target_unprobed', {reason: (error as Error).message});
-		}
+		this.#links.redial();
+		this.#neighbor.check();
 	}
 
 	#directoryEvents(): DirectoryEvents {
 		return {
 			onSite: (site: Site) => {
 				this.#entry.limit(site.spec.limits);
-				for (const link of this.#links.values()) {
-					link.send(this.#hello());
-				}
-
-				this.#peers.broadcast(this.#hello());
+				this.#links.send(this.#links.hello());
+				this.#peers.broadcast(this.#links.hello());
 			},
 			onHost: (entry: HostEntry) => {
 				this.#placement.clear(entry.host);
 			},
 			onHostGone: (host: string) => {
 				this.#placement.forget(host);
-				this.#links.get(host)?.close('host gone');
+				this.#links.forget(host);
 			},
 		};
 	}
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -7,6 +7,7 @@
 import {
 	type AnswerHead, type Call, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
 } from './call.js';
+import {HOP_BY_HOP} from './hopbyhop.js';
 import {type Address} from './settings.js';
 
 /** How long a connection to the target may take to open, in ms: the target is on the same host. */
@@ -19,8 +20,6 @@
 /** The largest header block taken from the target, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
-const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length']);
-
 /** Takes what comes of one run at the target. */
 export abstract class RunSink {
 	abstract onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void;
@@ -166,6 +165,7 @@
 	#notRun: RefusalReason | undefined;
 	#chunks: Buffer[] = [];
 	#heldBytes = 0;
+	#untakenBytes = 0;
 	#isStreaming = false;
 	#isOver = false;
 	#creditBytes = WINDOW_BYTES;
@@ -176,7 +176,11 @@
 		this.#sink = sink;
 		this.#connection = connection;
 		if (call.hasMore) {
-			this.#source = new Readable({read() {/* pieces are pushed as they come */}});
+			this.#source = new Readable({
+				read: () => {
+					this.#onTaken();
+				},
+			});
 			this.#source.push(call.body);
 		}
 	}
@@ -206,8 +210,8 @@
 		}
 
 		if (bytes.length > 0) {
+			this.#untakenBytes += bytes.length;
 			this.#source.push(bytes);
-			this.#sink.onTaken(bytes.length);
 		}
 
 		if (isLast) {
@@ -326,6 +330,15 @@
 		}
 	}
 
+	// The target's connection has taken what was pushed so far.
+	#onTaken(): void {
+		if (this.#untakenBytes > 0) {
+			const bytes = this.#untakenBytes;
+			this.#untakenBytes = 0;
+			this.#sink.onTaken(bytes);
+		}
+	}
+
 	#fail(reason: FailureReason): void {
 		this.#isOver = true;
 		this.#controller?.abort(new Error(reason));
@@ -337,7 +350,7 @@
 	#kept(headers: Record<string, string | string[] | undefined>): string[] {
 		const kept: string[] = [];
 		for (const [name, value] of Object.entries(headers)) {
-			if (value === undefined || HOP_BY_HOP.has(name) || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
+			if (value === undefined || HOP_BY_HOP.has(name) || name === 'content-length' || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
 				continue;
 			}
 
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -1,4 +1,4 @@
-import {createServer} from 'node:net';
+import {type Server, createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MemoryStore} from '../fakes/memorystore.js';
 import {type Route, type SiteSpec} from '../src/mesh/index.js';
@@ -119,7 +119,7 @@
 }
 
 async function freePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<import('node:net').Server>(resolve => {
+	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<Server>(resolve => {
 		const server = createServer();
 		server.listen(0, '127.0.0.1', () => {
 			resolve(server);
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -45,7 +45,9 @@
 		});
 		this.#server.on('connection', socket => {
 			this.#sockets.add(socket);
-			socket.on('close', () => this.#sockets.delete(socket));
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
 		});
 	}
 
@@ -86,6 +88,14 @@
 		return post(port, {type: 'farewell', farewell: {id: this.options.id}});
 	}
 
+	/** Writes a signed answer. */
+	answer(response: ServerResponse, attemptId: string, status = 200, body = Buffer.alloc(this.options.bodyBytes ?? 10, 'x')): void {
+		response.writeHead(status, {
+			[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
+		});
+		response.end(body);
+	}
+
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const chunks: Buffer[] = [];
 		for await (const chunk of request) {
@@ -116,14 +126,6 @@
 		this.answer(response, attemptId, isWhole ? 200 : 500);
 	}
 
-	/** Writes a signed answer. */
-	answer(response: ServerResponse, attemptId: string, status = 200, body = Buffer.alloc(this.options.bodyBytes ?? 10, 'x')): void {
-		response.writeHead(status, {
-			[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
-		});
-		response.end(body);
-	}
-
 	async #callDeeper({url, headers}: IncomingMessage, attemptId: string): Promise<boolean> {
 		const calls = Object.entries(this.options.calls ?? {}).find(([prefix]) => url!.startsWith(prefix))?.[1] ?? [];
 		let number = 0;
--- a/test/mesh/gate.test.ts
+++ b/test/mesh/gate.test.ts
@@ -14,7 +14,8 @@
 
 const order = (gate: Gate<Named>) => {
 	const names: string[] = [];
-	for (gate.release(10); ; gate.release(10)) {
+	for (;;) {
+		gate.release(10);
 		const next = gate.next(0);
 		if (next === undefined) {
 			return names;
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -1,8 +1,11 @@
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {afterEach, describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {Mesh, route, siteOf} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
-import {call} from '../../standins/meshtarget.js';
+import {type Misbehaviour, call} from '../../standins/meshtarget.js';
 
 let mesh: Mesh;
 afterEach(async () => {
@@ -10,6 +13,16 @@
 });
 
 const attempt = (id: string, deadlineMs = 2000) => ({host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)});
+const statusOf = async (port: number, path: string, id: string, method = 'GET') => {
+	const {status} = await call(port, path, {method, headers: attempt(id)});
+	return status;
+};
+
+const signatureOf = async (port: number, path: string, id: string) => {
+	const {headers} = await call(port, path, {headers: attempt(id)});
+	return headers[meshHeaders.signature];
+};
+
 const target = (id: string, service: string, more = {}) => ({
 	id, service, slots: 4, workMs: 5, ...more,
 });
@@ -42,13 +55,13 @@
 	it('answers 503 without a configuration and 404 without a route', async () => {
 		mesh = new Mesh();
 		const front = await mesh.add('front', target('i-front', 'front'));
-		const port = front.settings.listen.requests.port;
+		const {port} = front.settings.listen.requests;
 		const early = await call(port, '/x/', {headers: attempt('a1')});
 		expect([early.status, Number(early.headers['retry-after']) > 0]).toEqual([503, true]);
 		mesh.configure(siteOf([route('x', 'front')]));
 		await mesh.settle();
-		expect((await call(port, '/x/', {headers: attempt('a2')})).status).toBe(200);
-		expect((await call(port, '/none/', {headers: attempt('a3')})).status).toBe(404);
+		expect(await statusOf(port, '/x/', 'a2')).toBe(200);
+		expect(await statusOf(port, '/none/', 'a3')).toBe(404);
 	});
 
 	it('gives a target no more than its slots, and serves all', async () => {
@@ -107,27 +120,27 @@
 		'of another request': () => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: other\r\n${meshHeaders.signature}: s\r\nContent-Length: 2\r\n\r\nok`,
 		'cut short': (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\nContent-Length: 9\r\n\r\nok`,
 		'no HTTP at all': () => 'hello\r\n\r\n',
-		'encoded': (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok`,
+		encoded: (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok`,
 	};
-	for (const [name, bytes] of Object.entries(garbled)) {
-		it(`${name} becomes a 502, and an unsafe request isn't sent again`, async () => {
-			mesh = new Mesh();
-			mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
-			const front = await mesh.add('front', target('i-front', 'front'));
-			const backs = [await mesh.add('back-1', target('i-1', 'back')), await mesh.add('back-2', target('i-2', 'back'))];
-			let runs = 0;
-			for (const {target: one} of backs) {
-				one.misbehave = request => {
-					runs++;
-					request.socket.end(bytes(String(request.headers[meshHeaders.attemptId])));
-				};
-			}
+	it.each(Object.entries(garbled))('%s becomes a 502, and an unsafe request isn\'t sent again', async (_name, bytes) => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const backs = [await mesh.add('back-1', target('i-1', 'back')), await mesh.add('back-2', target('i-2', 'back'))];
+		let runs = 0;
+		const garble: Misbehaviour = request => {
+			runs++;
+			request.socket.end(bytes(String(request.headers[meshHeaders.attemptId])));
+		};
+
+		for (const {target: one} of backs) {
+			one.misbehave = garble;
+		}
 
-			await mesh.settle();
-			const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
-			expect([status, runs]).toEqual([502, 1]);
-		});
-	}
+		await mesh.settle();
+		const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
+		expect([status, runs]).toEqual([502, 1]);
+	});
 
 	it('that has no length and is reset doesn\'t look whole; one that ends is', async () => {
 		mesh = new Mesh();
@@ -151,7 +164,7 @@
 		const whole = await call(port, '/x/', {method: 'POST', headers: attempt('a1')});
 		expect([whole.status, whole.body.toString()]).toEqual([200, 'half whole']);
 		isReset = true;
-		expect((await call(port, '/x/', {method: 'POST', headers: attempt('a2')})).status).toBe(502);
+		expect(await statusOf(port, '/x/', 'a2', 'POST')).toBe(502);
 	});
 
 	it('in excess never reaches the next request', async () => {
@@ -205,7 +218,7 @@
 		const back = await mesh.add('back', target('i-back', 'back'));
 		await mesh.settle();
 		const {requests, announcements} = front.settings.listen;
-		expect((await call(requests.port, '/x/', {headers: attempt('a1')})).status).toBe(200);
+		expect(await statusOf(requests.port, '/x/', 'a1')).toBe(200);
 		mesh.store.trouble = 'down';
 		mesh.store.wake();
 		expect(await back.target.leave(back.settings.listen.announcements.port)).toBe(200);
@@ -229,7 +242,7 @@
 		const statuses: number[] = [];
 		for (let number = 0; number < 25; number++) {
 			// eslint-disable-next-line no-await-in-loop -- a steady load
-			statuses.push((await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt(`a${number}`)})).status);
+			statuses.push(await statusOf(front.settings.listen.requests.port, '/x/', `a${number}`, 'POST'));
 		}
 
 		await stopped;
@@ -244,7 +257,7 @@
 		const front = await mesh.add('front', target('i-front', 'front'));
 		const back = await mesh.add('back', target('i-back', 'back'));
 		await mesh.settle();
-		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1')})).status).toBe(200);
+		expect(await statusOf(front.settings.listen.requests.port, '/x/', 'a1')).toBe(200);
 		mesh.store.trouble = 'down';
 		mesh.store.wake();
 		await back.stop();
@@ -252,8 +265,8 @@
 		const again = await mesh.start('back', back.target, [requests.port, peers.port, readiness.port, announcements.port]);
 		mesh.hosts.splice(1, 1, again);
 		await sleep(1500);
-		expect((await call(requests.port, '/y/', {headers: attempt('a2')})).status).toBe(200);
-		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a3')})).status).toBe(200);
+		expect(await statusOf(requests.port, '/y/', 'a2')).toBe(200);
+		expect(await statusOf(front.settings.listen.requests.port, '/x/', 'a3')).toBe(200);
 	});
 });
 
@@ -274,6 +287,6 @@
 
 		mesh.store.compact();
 		await sleep(200);
-		expect((await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a2')})).headers[meshHeaders.signature]).toBe('i-back/a2');
+		expect(await signatureOf(front.settings.listen.requests.port, '/x/', 'a2')).toBe('i-back/a2');
 	});
 });
