--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -50,7 +50,12 @@
 	readonly parentOf: (attemptId: string) => Call | undefined;
 };
 
-type Connection = {open: number; isClosing: boolean};
+type Connection = {
+	readonly exchanges: Set<Exchange>;
+	/** Requests whose answers haven't been handed to the socket yet. */
+	unanswered: number;
+	isClosing: boolean;
+};
 
 /** Takes the requests of the clients and the target on this host. */
 export class Entry {
@@ -77,6 +82,7 @@
 			},
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
+				this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
 			},
 		};
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (request, response) => {
@@ -84,9 +90,13 @@
 		});
 		this.#server.on('connection', (socket: Socket) => {
 			this.#sockets.add(socket);
-			this.#connections.set(socket, {open: 0, isClosing: false});
+			const connection: Connection = {exchanges: new Set(), unanswered: 0, isClosing: false};
+			this.#connections.set(socket, connection);
 			socket.on('close', () => {
 				this.#sockets.delete(socket);
+				for (const exchange of connection.exchanges) {
+					exchange.onClientGone();
+				}
 			});
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -135,12 +145,17 @@
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
 		const {clock, log, names, site: siteOf} = this.#options;
-		const connection = this.#connections.get(request.socket);
-		if (connection?.isClosing === true) {
+		const connection = this.#connections.get(request.socket)!;
+		if (connection.isClosing) {
 			// An answer before this request closes the connection: it counts as not read.
 			return;
 		}
 
+		connection.unanswered++;
+		response.on('finish', () => {
+			connection.unanswered--;
+		});
+
 		this.#lastRequestMs = clock.nowMs();
 		response.sendDate = false;
 		const site = siteOf();
@@ -169,12 +184,7 @@
 			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route.name, route), parent: this.#options.parentOf(attemptId), callerService: this.#options.callerService(),
 		});
 		this.#exchanges.add(exchange);
-		if (connection !== undefined) {
-			connection.open++;
-			response.on('close', () => {
-				connection.open--;
-			});
-		}
+		connection.exchanges.add(exchange);
 
 		this.#arm();
 		const length = headers['content-length'];
@@ -201,9 +211,8 @@
 	}
 
 	#prepare(response: ServerResponse): void {
-		const {socket} = response;
-		const connection = socket === null ? undefined : this.#connections.get(socket);
-		if (this.#isStopping && connection !== undefined && connection.open <= 1) {
+		const connection = this.#connections.get(response.req.socket);
+		if (this.#isStopping && connection !== undefined && connection.unanswered <= 1) {
 			connection.isClosing = true;
 			response.shouldKeepAlive = false;
 		}
@@ -224,7 +233,7 @@
 		}
 
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		const isAnswering = (this.#connections.get(socket)?.open ?? 0) > 0;
+		const isAnswering = (this.#connections.get(socket)?.unanswered ?? 0) > 0;
 		if (isAnswering) {
 			socket.destroy();
 		} else {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {
 	type LoadReport, type Route, type Standing, comebackMs,
 } from '../mesh/index.js';
@@ -67,15 +68,16 @@
 		return this.#parent !== undefined || this.#parts.shedding.isAdmitted(this.#standing);
 	}
 
+	get socket(): Socket {
+		return this.#request.socket;
+	}
+
 	get isOver(): boolean {
 		return this.#isOver;
 	}
 
 	/** Reads the body as far as it travels in one piece, then sends the request on. */
 	begin(hasBody: boolean, maxBodyBytes: number): void {
-		this.#response.on('close', () => {
-			this.#onClientGone();
-		});
 		if (!hasBody) {
 			this.#place();
 			return;
@@ -135,6 +137,15 @@
 		}
 	}
 
+	/** Nobody waits for the answer any longer. */
+	onClientGone(): void {
+		if (!this.#isOver) {
+			this.#finish();
+			this.#withdraw();
+			this.#note('client_gone', 'client-gone');
+		}
+	}
+
 	override onAnswer(head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
 		const nowMs = this.#parts.clock.nowMs();
 		this.#onReport(report, nowMs);
@@ -155,7 +166,7 @@
 			this.#tellParent();
 		}
 
-		const length = isWhole ? body.length : head.lengthBytes;
+		const length = isWhole && this.#request.method !== 'HEAD' ? body.length : head.lengthBytes;
 		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
 		if (head.signature !== undefined) {
 			headers.push(this.#parts.names.signature, head.signature);
@@ -359,14 +370,6 @@
 		}
 	}
 
-	#onClientGone(): void {
-		if (!this.#isOver) {
-			this.#finish();
-			this.#withdraw();
-			this.#note('client_gone', 'client-gone');
-		}
-	}
-
 	#refuse(reason: EndReason, comeback: 'transient' | 'overload'): void {
 		if (this.#mayHaveRun) {
 			this.#fail(502, reason);
--- a/src/relay/neighbor.ts
+++ b/src/relay/neighbor.ts
@@ -15,7 +15,7 @@
 const SLOT_SHARE = 0.95;
 
 export type NeighborParts = {
-	readonly settings: RelaySettings;
+	readonly settings: () => RelaySettings;
 	readonly adapter: Adapter;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -45,7 +45,8 @@
 
 	/** Asks a target that isn't known yet, and gives up one that has fallen silent. */
 	check(): void {
-		const {settings, clock, log, lifecycle, owner} = this.#parts;
+		const {clock, log, lifecycle, owner} = this.#parts;
+		const settings = this.#parts.settings();
 		const {current, heardMs} = lifecycle;
 		if (current === undefined) {
 			if (!settings.isFirstStart && this.#probes < MAX_PROBES) {
@@ -75,8 +76,9 @@
 
 	#onAnnouncement(announcement: Announcement): void {
 		const {
-			settings, clock, log, lifecycle, upstream, owner, directory,
+			clock, log, lifecycle, upstream, owner, directory,
 		} = this.#parts;
+		const settings = this.#parts.settings();
 		const {id, bornMs, seq, service, state, slots} = announcement;
 		if (service !== settings.service && directory.site?.services.has(service) !== true) {
 			log.warn('announcement_foreign', {instance: id, service});
@@ -104,7 +106,8 @@
 	}
 
 	#publish(): void {
-		const {settings: {host, failureDomain, listen}, lifecycle: {current, isLeaving}, directory} = this.#parts;
+		const {lifecycle: {current, isLeaving}, directory} = this.#parts;
+		const {host, failureDomain, listen} = this.#parts.settings();
 		const entry = {host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`};
 		directory.publish(current === undefined
 			? entry
@@ -119,8 +122,9 @@
 	// A target that runs on beside a daemon that has just started announces itself only after a while.
 	async #probe(): Promise<void> {
 		const {
-			settings: {service, failureDomain, target}, adapter, log, lifecycle, upstream, directory,
+			adapter, log, lifecycle, upstream, directory,
 		} = this.#parts;
+		const {service, failureDomain, target} = this.#parts.settings();
 		const path = directory.site?.services.get(service)?.healthPath;
 		if (path === undefined) {
 			return;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -34,7 +34,7 @@
 
 /** One daemon in front of its own target and beside its clients: all tasks of it. */
 export class Relay {
-	readonly #settings: RelaySettings;
+	#settings: RelaySettings;
 	readonly #clock: Clock;
 	readonly #log: EventLog;
 	readonly #hosts = new HostTable(LAPSE_GRACE_MS);
@@ -75,7 +75,7 @@
 			clock, log: this.#log, hosts: this.#hosts, placement: this.#placement, shedding: this.#shedding, directory: this.#directory,
 		});
 		this.#neighbor = new Neighbor({
-			settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream, owner: this.#owner, directory: this.#directory,
+			settings: () => this.#settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream, owner: this.#owner, directory: this.#directory,
 		});
 		this.#entry = new Entry({
 			clock,
@@ -88,7 +88,7 @@
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
-			callerService: () => this.#lifecycle.current?.service ?? settings.service,
+			callerService: () => this.#lifecycle.current?.service ?? this.#settings.service,
 			onFailedBelow: attemptId => {
 				this.#owner.onFailedBelow(attemptId);
 			},
@@ -128,6 +128,17 @@
 		this.#log.event('started', {host: this.#settings.host, failureDomain: this.#settings.failureDomain, service: this.#settings.service});
 	}
 
+	/** Takes changed settings in. Addresses stay what they were: other parties were told of them. */
+	reload(settings: RelaySettings): void {
+		this.#log.event('reloaded', {service: settings.service, before: this.#settings.service});
+		this.#settings = {...this.#settings, service: settings.service, seeds: settings.seeds};
+	}
+
+	/** Changed settings can't be read: the ones before stay in force. */
+	onSettingsFault(reason: string): void {
+		this.#log.warn('settings_rejected', {reason});
+	}
+
 	/** Stops without cutting a request: no new work, then the end of what runs, within the grace. */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -5,7 +5,7 @@
 export type RelaySettings = {
 	readonly host: string;
 	readonly failureDomain: string;
-	/** The service of the target beside this daemon. */
+	/** The service of the target beside this daemon; may change while it runs. */
 	readonly service: string;
 	/** Where the target beside this daemon takes requests. */
 	readonly target: Address;
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {type Socket, connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
@@ -290,3 +291,40 @@
 		expect(await signatureOf(front.settings.listen.requests.port, '/x/', 'a2')).toBe('i-back/a2');
 	});
 });
+
+describe('pipelined requests', () => {
+	it('are answered in order, and cancelled with their connection', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'front')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		await mesh.settle();
+		const send = (socket: Socket, id: string) => {
+			socket.write(`GET /x/ HTTP/1.1\r\nHost: site\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.deadlineMs}: 2000\r\n\r\n`);
+		};
+
+		const socket = connect(front.settings.listen.requests.port, '127.0.0.1');
+		let text = '';
+		socket.on('data', data => {
+			text += data.toString();
+		});
+		for (const id of ['p1', 'p2', 'p3']) {
+			send(socket, id);
+		}
+
+		await sleep(200);
+		expect([...text.matchAll(/signature: i-front\/(?<id>p\d)/gv)].map(({groups}) => groups!.id)).toEqual(['p1', 'p2', 'p3']);
+		let closed = 0;
+		front.target.misbehave = (_request, response) => {
+			response.on('close', () => {
+				closed++;
+			});
+		};
+
+		send(socket, 'p4');
+		send(socket, 'p5');
+		await sleep(100);
+		socket.destroy();
+		await sleep(200);
+		expect(closed).toBe(2);
+	});
+});
