Pass answers without a length on without one

Ruled out by a trace of the sockets: no reset came. Change: such an answer ends with the client's connection too; if other answers wait on it, it becomes a 502. Cut answers reset the client's connection. Conclusion: who can't tell doesn't vouch.

--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -44,6 +44,8 @@
 	readonly signature: string | undefined;
 	/** The body's length in bytes, when the target told it. */
 	readonly lengthBytes: number | undefined;
+	/** Whether it has no length and ends with its connection, so that nobody can tell if it is whole. */
+	readonly isUnframed: boolean;
 	/** The services that requests of this route reach. */
 	readonly reached: readonly string[];
 	/** Whether a call that the run made failed: the target is not to blame, and another would fare no better. */
@@ -63,7 +65,7 @@
 		| 'cancelled';
 
 /** Why a call failed that may have run. */
-export type FailureReason = 'broken' | 'garbled' | 'deadline' | 'link-lost' | 'cancelled';
+export type FailureReason = 'broken' | 'garbled' | 'deadline' | 'unframed' | 'link-lost' | 'cancelled';
 
 /** Takes what becomes of one call: one answer, refusal or failure. */
 export abstract class CallSink {
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -37,12 +37,14 @@
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	/** Called before an answer's head is written. */
 	readonly prepare: (response: ServerResponse) => void;
+	/** Makes an answer end with its connection. @returns whether that cuts no other answer off */
+	readonly closeAfter: (response: ServerResponse) => boolean;
 	readonly onEnded: (exchange: Exchange) => void;
 	/** A nested call didn't succeed; its parent's attempt. */
 	readonly onFailedBelow: (attemptId: string) => void;
 };
 
-export type EntryOptions = Omit<EntryParts, 'prepare' | 'onEnded'> & {
+export type EntryOptions = Omit<EntryParts, 'prepare' | 'closeAfter' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that runs on this host now. */
 	readonly callerService: () => string;
@@ -80,6 +82,7 @@
 			prepare: response => {
 				this.#prepare(response);
 			},
+			closeAfter: response => this.#closeAfter(response),
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
 				this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
@@ -211,11 +214,20 @@
 	}
 
 	#prepare(response: ServerResponse): void {
+		if (this.#isStopping) {
+			this.#closeAfter(response);
+		}
+	}
+
+	#closeAfter(response: ServerResponse): boolean {
 		const connection = this.#connections.get(response.req.socket);
-		if (this.#isStopping && connection !== undefined && connection.unanswered <= 1) {
-			connection.isClosing = true;
-			response.shouldKeepAlive = false;
+		if (connection === undefined || connection.unanswered > 1) {
+			return false;
 		}
+
+		connection.isClosing = true;
+		response.shouldKeepAlive = false;
+		return true;
 	}
 
 	#answer(response: ServerResponse, status: number, reason: string, headers: string[] = []): void {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -161,23 +161,18 @@
 			return;
 		}
 
+		if (head.isUnframed && !this.#parts.closeAfter(this.#response)) {
+			this.#withdraw();
+			this.#fail(502, 'unframed');
+			return;
+		}
+
 		this.#hasHead = true;
 		if (head.status >= 500) {
 			this.#tellParent();
 		}
 
-		const length = isWhole && this.#request.method !== 'HEAD' ? body.length : head.lengthBytes;
-		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
-		if (head.signature !== undefined) {
-			headers.push(this.#parts.names.signature, head.signature);
-		}
-
-		if (length !== undefined && head.status !== 204 && head.status !== 304) {
-			headers.push('content-length', String(length));
-		}
-
-		this.#parts.prepare(this.#response);
-		this.#response.writeHead(head.status, headers);
+		this.#writeHead(head, isWhole ? body.length : undefined);
 		if (isWhole) {
 			this.#finish();
 			this.#response.end(body);
@@ -252,7 +247,8 @@
 		this.#mayHaveRun = true;
 		if (this.#hasHead) {
 			this.#finish();
-			this.#response.destroy();
+			// A reset: an answer without a length would look whole otherwise.
+			this.#request.socket.resetAndDestroy();
 			this.#note('answer_cut', reason);
 		} else if (this.#mayResend(nowMs)) {
 			this.#resend(reason);
@@ -268,6 +264,24 @@
 		}
 	}
 
+	#writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
+		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
+		if (head.signature !== undefined) {
+			headers.push(this.#parts.names.signature, head.signature);
+		}
+
+		const length = this.#request.method === 'HEAD' ? head.lengthBytes : (wholeBytes ?? head.lengthBytes);
+		if (head.isUnframed) {
+			// It ends with the connection here, too: a length would call it whole.
+			this.#response.useChunkedEncodingByDefault = false;
+		} else if (length !== undefined && head.status !== 204 && head.status !== 304) {
+			headers.push('content-length', String(length));
+		}
+
+		this.#parts.prepare(this.#response);
+		this.#response.writeHead(head.status, headers);
+	}
+
 	#place(after?: string): void {
 		const {clock, hosts, placement, budget} = this.#parts;
 		const nowMs = clock.nowMs();
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -21,7 +21,7 @@
 /** Calls in flight on a link, and bytes waiting in its socket, past which it takes no more. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
-type AnswerShape = {readonly status: number; readonly headers: readonly string[]; readonly reached: readonly string[]; readonly isFailedBelow: boolean};
+type AnswerShape = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean};
 
 /** Told of what happens on a link besides its calls. */
 export abstract class LinkEvents {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -151,10 +151,13 @@
 	}
 
 	answer(id: number, head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
+		const {
+			status, headers, isUnframed, reached, isFailedBelow,
+		} = head;
 		const shape = {
-			status: head.status, headers: head.headers, reached: head.reached, isFailedBelow: head.isFailedBelow,
+			status, headers, isUnframed, reached, isFailedBelow,
 		};
-		const [number, value] = this.#answerShapes.write(`${head.status}\n${head.headers.join('\n')}\n${head.reached.join(' ')}\n${head.isFailedBelow}`, shape);
+		const [number, value] = this.#answerShapes.write(`${status}\n${headers.join('\n')}\n${reached.join(' ')}\n${isFailedBelow}\n${isUnframed}`, shape);
 		this.send([Tag.answer, id, number, value, head.signature ?? null, isWhole ? null : (head.lengthBytes ?? null), body.length > 0 ? body : null, isWhole, packReport(report)]);
 	}
 
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -265,6 +265,7 @@
 			headers: this.#kept(headers),
 			signature: signature as string | undefined,
 			lengthBytes: length === undefined ? undefined : Number(length),
+			isUnframed: length === undefined && headers['transfer-encoding'] === undefined && status !== 204 && status !== 304,
 			reached: [],
 			isFailedBelow: false,
 		};
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -163,7 +163,7 @@
 		await mesh.settle();
 		const {port} = front.settings.listen.requests;
 		const whole = await call(port, '/x/', {method: 'POST', headers: attempt('a1')});
-		expect([whole.status, whole.body.toString()]).toEqual([200, 'half whole']);
+		expect([whole.status, whole.body.toString(), whole.headers['content-length'], whole.headers.connection]).toEqual([200, 'half whole', undefined, 'close']);
 		isReset = true;
 		expect(await statusOf(port, '/x/', 'a2', 'POST')).toBe(502);
 	});
