--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -9,21 +9,24 @@
 
 /** The kind under which the daemons' entries lie in the store. */
 export const HOST_KIND = 'comfreydyke-hosts';
-/** How long one watch for configurations waits, in ms: a silent connection is found after it. */
-const SITE_WATCH_MS = 3000;
-/** How long one watch for hosts waits, in ms. */
-const HOST_WATCH_MS = 6000;
-/** A pause between watches for hosts, in ms, so that changes that come together cost one call. */
-const HOST_PAUSE_MS = 200;
-const SITE_PAUSE_MS = 20;
+/** Waits in ms that grow with the fleet, so that its calls to the store don't grow with its square: for each host, least, most. */
+type Pace = {readonly perHostMs: number; readonly leastMs: number; readonly mostMs: number};
+/** How long one watch for configurations waits: of all daemons' watches one ends soon after an outage, and its daemon tells the others. */
+const SITE_WATCH: Pace = {perHostMs: 150, leastMs: 4000, mostMs: 15_000};
+/** How long one watch for hosts waits. */
+const HOST_WATCH: Pace = {perHostMs: 200, leastMs: 6000, mostMs: 20_000};
+/** The pause before the next watch for configurations, so that changes that come together cost one call. */
+const SITE_PAUSE: Pace = {perHostMs: 1, leastMs: 20, mostMs: 250};
+/** The same for hosts: a host that isn't known yet costs little. */
+const HOST_PAUSE: Pace = {perHostMs: 5, leastMs: 200, mostMs: 2000};
 /** The wait after a failed call to the store, in ms; it doubles up to the longest. */
 const BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 1000;
 
 type Follower = {
 	readonly kind: string;
-	readonly waitMs: number;
-	readonly pauseMs: number;
+	readonly watch: Pace;
+	readonly pause: Pace;
 	readonly replace: (objects: readonly StoredObject[], revision: number) => void;
 	readonly change: (changes: Changes) => void;
 };
@@ -75,8 +78,8 @@
 		const {configuration} = this.#parts.adapter;
 		void this.#follow({
 			kind: configuration.kind,
-			waitMs: SITE_WATCH_MS,
-			pauseMs: SITE_PAUSE_MS,
+			watch: SITE_WATCH,
+			pause: SITE_PAUSE,
 			replace: objects => {
 				for (const object of objects) {
 					this.#takeSite(object);
@@ -92,8 +95,8 @@
 		});
 		void this.#follow({
 			kind: HOST_KIND,
-			waitMs: HOST_WATCH_MS,
-			pauseMs: HOST_PAUSE_MS,
+			watch: HOST_WATCH,
+			pause: HOST_PAUSE,
 			replace: (objects, revision) => {
 				this.#parts.hosts.reconcile(new Set(objects.map(({name}) => name)), revision, this.#parts.clock.nowMs());
 				if (!objects.some(({name}) => name === this.#parts.host)) {
@@ -165,12 +168,12 @@
 					follower.replace(listing.objects, listing.revision);
 				} else {
 					// eslint-disable-next-line no-await-in-loop -- each call needs the one before
-					const changes = await this.#store.watch(follower.kind, revision, follower.waitMs);
+					const changes = await this.#store.watch(follower.kind, revision, this.#pacedMs(follower.watch));
 					revision = Math.max(revision, changes.revision);
 					follower.change(changes);
 					if (changes.events.length > 0) {
 						// eslint-disable-next-line no-await-in-loop -- gathers what comes together
-						await delay(follower.pauseMs);
+						await delay(this.#pacedMs(follower.pause));
 					}
 				}
 
@@ -192,6 +195,10 @@
 		}
 	}
 
+	#pacedMs({perHostMs, leastMs, mostMs}: Pace): number {
+		return Math.min(mostMs, Math.max(leastMs, perHostMs * this.#parts.hosts.size));
+	}
+
 	#onStore(isUp: boolean, kind: string, error?: Error): void {
 		if (error !== undefined) {
 			this.#parts.log.count('store_errors', error instanceof StoreError ? error.kind : 'unexpected');
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -12,6 +12,8 @@
 
 /** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
 const NEWS_PATIENCE_MS = 150;
+/** How many daemons are told of a new configuration; each that didn't know tells as many. */
+const NEWS_FANOUT = 6;
 
 export type LinksParts = {
 	readonly clock: Clock;
@@ -20,6 +22,7 @@
 	readonly placement: Placement;
 	readonly shedding: Shedding;
 	readonly directory: Directory;
+	readonly random: () => number;
 };
 
 /** The links to other daemons, and what daemons tell each other besides calls: news, floors, stops. */
@@ -63,9 +66,12 @@
 		this.#links.get(host)?.close('host gone');
 	}
 
-	send(frame: Frame): void {
-		for (const link of this.#links.values()) {
-			link.send(frame);
+	/** Tells some daemons what is in force here; they tell others if it is news to them. */
+	spreadNews(): void {
+		const links = [...this.#links.values()];
+		for (let told = 0; told < NEWS_FANOUT && links.length > 0; told++) {
+			const [link] = links.splice(Math.floor(this.#parts.random() * links.length), 1);
+			link.send(this.hello());
 		}
 	}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -72,7 +72,7 @@
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
 		});
 		this.#links = new Links({
-			clock, log: this.#log, hosts: this.#hosts, placement: this.#placement, shedding: this.#shedding, directory: this.#directory,
+			clock, log: this.#log, hosts: this.#hosts, placement: this.#placement, shedding: this.#shedding, directory: this.#directory, random,
 		});
 		this.#neighbor = new Neighbor({
 			settings: () => this.#settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, upstream: this.#upstream, owner: this.#owner, directory: this.#directory,
@@ -188,8 +188,7 @@
 		return {
 			onSite: (site: Site) => {
 				this.#entry.limit(site.spec.limits);
-				this.#links.send(this.#links.hello());
-				this.#peers.broadcast(this.#links.hello());
+				this.#links.spreadNews();
 			},
 			onHost: (entry: HostEntry) => {
 				this.#placement.clear(entry.host);
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,103 @@
+import {readFileSync, readdirSync} from 'node:fs';
+import path from 'node:path';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {PlatformAdapter} from '../../platform/adapter.js';
+import {headerNames} from '../../platform/names.js';
+import {decodeSettings} from '../../platform/settings.js';
+import {DecodeError} from '../../src/relay/index.js';
+
+const adapter = new PlatformAdapter('127.0.0.1:1');
+const HEARTBEAT = '/v1/rpc?call=instances.heartbeat&of=i-1';
+const beat = (more: object = {}) => JSON.stringify({
+	address: '10.0.0.1:80', born: 5, info: {
+		service: 's', version: 'v1', zone: 'z', slots: 9,
+	}, status: {state: 'ready', seq: 1, warmup_left_ms: 0}, ...more,
+});
+const spec = {
+	version: 7,
+	routes: {
+		columns: ['name', 'host', 'path_prefix', 'kind', 'timeout_ms', 'target_latency_ms', 'priority', 'traffic_split', 'attempts', 'service'],
+		rows: [
+			['r1', 'a.example', '/x/', 'safe', 5000, 1200, 2, [{service: 's', weight: 90}, {service: 't', weight: 10}], 2, null],
+			['r2', 'a.example', '/y/', 'unsafe', 800, 1500, 0, null, 2, 's'],
+		],
+	},
+	services: {columns: ['name', 'health_path', 'max_connections', 'protocol', 'tls'], rows: [['s', '/health', 640, 'h1', false]]},
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+	},
+};
+
+describe('the operator\'s configuration', () => {
+	it('is read from its columns and rows', () => {
+		const {version, routes, services, limits} = adapter.decodeSite(spec);
+		expect([version, services[0].maxConnections, limits.idleTimeoutMs]).toEqual([7, 640, 15_000]);
+		expect(routes[0].destinations).toEqual([{service: 's', weight: 90}, {service: 't', weight: 10}]);
+		expect(routes[1]).toMatchObject({
+			repeatability: 'unsafe', timeoutMs: 800, objectiveMs: 1500, rank: 0, destinations: [{service: 's', weight: 1}],
+		});
+	});
+
+	it('is refused with the field at fault', () => {
+		expect(() => adapter.decodeSite({...spec, limits: {}})).toThrow('limits.max_header_bytes');
+		expect(() => adapter.decodeSite({...spec, routes: {columns: ['name'], rows: [['r']]}})).toThrow(/host/v);
+	});
+});
+
+describe('what a target says', () => {
+	it('is read as an announcement or a farewell', () => {
+		expect(adapter.decodeTargetMessage('POST', HEARTBEAT, beat())).toMatchObject({announcement: {id: 'i-1', bornMs: 5, slots: 9}});
+		expect(adapter.decodeTargetMessage('POST', '/v1/rpc?call=instances.deregister&of=i-1', '')).toEqual({type: 'farewell', farewell: {id: 'i-1', bornMs: undefined}});
+	});
+
+	it.each([
+		['a state not named', beat({status: {state: 'odd', seq: 1, warmup_left_ms: 0}}), 'status.state'],
+		['a field of another type', beat({born: '5'}), 'born'],
+		['a missing field', beat({info: {}}), 'info.service'],
+		['bytes that can\'t be read', '{', 'not JSON'],
+	])('is refused for %s', (_name, body, fault) => {
+		expect(() => adapter.decodeTargetMessage('POST', HEARTBEAT, body)).toThrow(fault);
+	});
+
+	it('never breaks anything, whatever the bytes', () => {
+		fc.assert(fc.property(fc.webPath(), fc.oneof(fc.string(), fc.json()), (target, body) => {
+			try {
+				adapter.decodeTargetMessage('POST', target, body);
+			} catch (error) {
+				expect(error).toBeInstanceOf(DecodeError);
+			}
+		}), {seed: 1, numRuns: 500});
+	});
+});
+
+describe('the settings', () => {
+	const settings = {
+		host: 'h', failureDomain: 'z', service: 's', target: '10.0.0.1:1', listen: {
+			requests: '10.0.0.1:2', peers: '10.0.0.1:3', readiness: '10.0.0.1:4', announcements: '10.0.0.1:5',
+		}, seeds: [], isFirstStart: true, announceIntervalMs: 1500, store: '10.0.0.9:6', bounds: {drain_ms: 2500, grace_s: 6, drain_whole: true},
+	};
+
+	it('carry the rules\' figures', () => {
+		const {relay, storeAddress} = decodeSettings(JSON.stringify(settings));
+		expect([relay.drainMs, relay.graceMs, relay.listen.peers.port, storeAddress]).toEqual([2500, 6000, 3, '10.0.0.9:6']);
+	});
+
+	it('are refused with the field at fault', () => {
+		expect(() => decodeSettings(JSON.stringify({...settings, target: 'nowhere'}))).toThrow('target: is not IP:PORT');
+	});
+});
+
+describe('the adapter\'s folder', () => {
+	const sources = (folder: string) => readdirSync(folder, {recursive: true, encoding: 'utf8'}).filter(file => file.endsWith('.ts')).map(file => readFileSync(path.join(folder, file), 'utf8'));
+
+	it('is small', () => {
+		expect(sources('platform').reduce((lines, text) => lines + text.split('\n').length, 0)).toBeLessThan(600);
+	});
+
+	it('is alone in naming what the platform names', () => {
+		const names = [...Object.values(headerNames), 'path_prefix', 'traffic_split', 'target_latency_ms', 'warmup_left_ms', '/v1/', 'wait_ms', 'current_rev', 'instances.'];
+		const found = sources('src').flatMap(text => names.filter(name => text.includes(name)));
+		expect(found).toEqual([]);
+	});
+});
--- a/test/platform.test.ts
+++ b/test/platform/product.test.ts
@@ -1,11 +1,11 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {type SiteSpec} from '../src/core/index.js';
+import {type SiteSpec} from '../../src/core/index.js';
 import {
 	ConfigWriter, ConflictError, PlatformClient, PlatformError,
-} from '../src/platform/index.js';
-import {PlatformStandIn} from '../standins/platform.js';
+} from '../../src/platform/index.js';
+import {PlatformStandIn} from '../../standins/platform.js';
 
 const HOST = '127.0.0.1';
 const spec = (retryPot: number): SiteSpec => ({
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,81 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {PlatformStore} from '../../platform/store.js';
+import {StoreStandin} from './standin.js';
+
+const KIND = 'things';
+let standin: StoreStandin;
+let store: PlatformStore;
+
+beforeEach(async () => {
+	standin = new StoreStandin();
+	await standin.listen();
+	store = new PlatformStore(standin.address);
+});
+
+afterEach(async () => {
+	await store.close();
+	standin.close();
+});
+
+const kindOf = async (call: Promise<unknown>) => {
+	try {
+		await call;
+		return 'none';
+	} catch (error) {
+		return (error as {kind: string}).kind;
+	}
+};
+
+describe('the platform\'s store', () => {
+	it('creates, replaces under a revision, and removes', async () => {
+		const made = await store.put(KIND, 'a', {x: 1}, 0);
+		expect(await kindOf(store.put(KIND, 'a', {x: 2}, 0))).toBe('conflict');
+		expect(await kindOf(store.put(KIND, 'a', {x: 2}, made.revision + 1))).toBe('conflict');
+		const changed = await store.put(KIND, 'a', {x: 2}, made.revision);
+		expect(await store.get(KIND, 'a')).toEqual({name: 'a', revision: changed.revision, value: {x: 2}});
+		await store.remove(KIND, 'a', changed.revision);
+		expect(await kindOf(store.get(KIND, 'a'))).toBe('missing');
+	});
+
+	it('lists over several pages', async () => {
+		standin.pageSize = 2;
+		for (const name of ['a', 'b', 'c', 'd', 'e']) {
+			standin.put(KIND, name, {name});
+		}
+
+		const {objects} = await store.list(KIND);
+		expect(objects.map(({name}) => name)).toEqual(['a', 'b', 'c', 'd', 'e']);
+	});
+
+	it('watches from a revision on, and says when that history is gone', async () => {
+		const {revision} = await store.list(KIND);
+		const waiting = store.watch(KIND, revision, 2000);
+		await sleep(20);
+		standin.put(KIND, 'a', {x: 1});
+		const {events, revision: next} = await waiting;
+		expect(events.map(({object, isDeleted}) => [object.name, isDeleted])).toEqual([['a', false]]);
+		standin.put(KIND, 'b', {});
+		standin.compact();
+		expect(await kindOf(store.watch(KIND, next, 100))).toBe('compacted');
+	});
+
+	it.each([
+		['refuse', 'unavailable'],
+		['lose-answer', 'unavailable'],
+		['garble', 'malformed'],
+		['silent', 'unavailable'],
+	] as const)('that does "%s" ends a call within its time as %s', async (trouble, kind) => {
+		standin.trouble = trouble;
+		expect(await kindOf(trouble === 'lose-answer' ? store.put(KIND, 'a', {}, 0) : store.list(KIND))).toBe(kind);
+	});
+
+	it('keeps what was written though its answer was lost', async () => {
+		standin.trouble = 'lose-answer';
+		await kindOf(store.put(KIND, 'a', {x: 1}, 0));
+		standin.trouble = 'none';
+		expect(await store.get(KIND, 'a')).toMatchObject({value: {x: 1}});
+	});
+});
