--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -3,7 +3,7 @@
 import {describe, expect, it} from 'vitest';
 import {askAnswers, blankAnswers} from '../src/cli/questionnaire.js';
 import {
-	type ConfigError, generate, nearestOf, parseAnswers, parseDeclaration, parseSettings,
+	type ConfigError, configObjectSchema, generate, nearestOf, parseAnswers, parseDeclaration, parseSettings,
 } from '../src/config/index.js';
 
 const read = (file: string): unknown => JSON.parse(readFileSync(file, 'utf8'));
@@ -88,3 +88,14 @@
 		await expect(askAnswers(Readable.from(['shop\n']), sink)).rejects.toThrow('the input ended before the last question');
 	});
 });
+
+describe('a configuration object', () => {
+	it('must hold what its name says', () => {
+		const {services, site} = generate(blankAnswers());
+		const [service] = Object.values(services);
+		const isValid = (name: string, spec: unknown) => configObjectSchema.safeParse({
+			name, generation: 1, operationId: 'o', spec,
+		}).success;
+		expect([isValid('site', site), isValid('service/orders', service), isValid('site', service), isValid('service/orders', site)]).toEqual([true, true, false, false]);
+	});
+});
