--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import {EXIT_FAILURE, EXIT_USAGE, report} from './error.js';
 import {registerOperate} from './operate.js';
 import {checkOptions} from './options.js';
+import {registerTrace} from './trace.js';
 
 /** The package's version; the bundler puts it in. */
 declare const COMFREYDYKE_VERSION: string;
@@ -13,6 +14,7 @@
 registerDaemon(cli);
 registerConfig(cli);
 registerOperate(cli);
+registerTrace(cli);
 cli.help();
 cli.version(COMFREYDYKE_VERSION);
 
--- a/src/log/events.ts
+++ b/src/log/events.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '../clock/index.js';
 import {type LogFields, type Logger} from './logger.js';
+import {Registry} from './registry.js';
 
 /** Lines of one kind of event that are written in a second; the rest is counted. From the processor time that a line costs. */
 const LINES_PER_S = 20;
@@ -9,8 +10,8 @@
 
 /** Writes events through a logger, with a bound on each kind and a count of what was left out. */
 export class EventLog {
-	/** How often each thing was counted, by name and label. */
-	readonly counts = new Map<string, number>();
+	/** What is counted and timed beside the events. */
+	readonly registry = new Registry();
 	readonly #logger: Logger;
 	readonly #clock: Clock;
 	readonly #windows = new Map<string, Window>();
@@ -29,12 +30,6 @@
 		this.#write(name, fields, true);
 	}
 
-	/** Counts without a line; `label` is the reason. */
-	count(name: string, label = ''): void {
-		const key = label === '' ? name : `${name}|${label}`;
-		this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
-	}
-
 	#write(name: string, fields: LogFields, isWarning: boolean): void {
 		const nowMs = this.#clock.nowMs();
 		let window = this.#windows.get(name);
--- a/src/relay/announcements.ts
+++ b/src/relay/announcements.ts
@@ -34,7 +34,7 @@
 					onMessage(adapter.decodeTargetMessage(request.method!, request.url!, Buffer.concat(chunks).toString()));
 				} catch (error) {
 					const {message} = error as Error;
-					log.count('bad_input', 'announcements');
+					log.registry.count('bad_input', {address: 'announcements'});
 					log.warn('announcement_rejected', {reason: message, path: request.url!.slice(0, 100)});
 					status = 400;
 					body = JSON.stringify({error: message});
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -201,7 +201,7 @@
 
 	#onStore(isUp: boolean, kind: string, error?: Error): void {
 		if (error !== undefined) {
-			this.#parts.log.count('store_errors', error instanceof StoreError ? error.kind : 'unexpected');
+			this.#parts.log.registry.count('store_errors', {kind: error instanceof StoreError ? error.kind : 'unexpected'});
 		}
 
 		if (this.#isClosed || isUp === this.#isStoreUp) {
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -231,14 +231,14 @@
 	}
 
 	#answer(response: ServerResponse, status: number, reason: string, headers: string[] = []): void {
-		this.#options.log.count('rejected', reason);
+		this.#options.log.registry.count('rejected', {reason});
 		this.#prepare(response);
 		response.writeHead(status, [...headers, 'content-length', '0']);
 		response.end();
 	}
 
 	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		this.#options.log.count('bad_input', 'requests');
+		this.#options.log.registry.count('bad_input', {address: 'requests'});
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 			return;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -176,7 +176,9 @@
 		if (isWhole) {
 			this.#finish();
 			this.#response.end(body);
-			this.#parts.log.count('answers', `${this.route.name}|${head.status}`);
+			const {registry} = this.#parts.log;
+			registry.count('answers', {service: this.service, status: head.status});
+			registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
 		} else {
 			this.onChunk(body, false);
 		}
@@ -205,7 +207,7 @@
 		this.#release();
 		this.#refusals++;
 		const {placement, log} = this.#parts;
-		log.count('placement_refused', reason);
+		log.registry.count('owner_refusals', {service: this.service, reason});
 		if (reason === 'stopping') {
 			placement.onLeaving(host, nowMs);
 		} else if (reason === 'not-here' || reason === 'unreachable' || reason === 'misdirected') {
@@ -334,13 +336,13 @@
 
 	#resend(reason: string): void {
 		this.#sends++;
-		this.#parts.log.count('retries', reason);
+		this.#parts.log.registry.count('retries', {service: this.service, reason});
 		this.#place(reason);
 	}
 
 	#spend(nowMs: number): boolean {
 		const granted = this.#parts.budget.spend(this.service, nowMs);
-		this.#parts.log.count(granted ? 'budget_spent' : 'budget_denied', this.service);
+		this.#parts.log.registry.count(granted ? 'budget_spent' : 'budget_denied', {service: this.service});
 		return granted;
 	}
 
@@ -413,7 +415,7 @@
 		this.#tellParent();
 		this.#finish();
 		this.#note(status === 503 ? 'refused' : 'failed', reason, {status});
-		this.#parts.log.count(status === 503 ? 'refused' : 'failed', `${this.route.name}|${reason}`);
+		this.#parts.log.registry.count(status === 503 ? 'refused' : 'failed', {service: this.service, rank: this.route.rank, reason});
 		this.#parts.prepare(this.#response);
 		this.#response.writeHead(status, [...headers, this.#parts.names.attemptId, this.attemptId, 'content-length', '0']);
 		this.#response.end();
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -116,7 +116,7 @@
 			}
 
 			default: {
-				log.count('bad_input', 'peers');
+				log.registry.count('bad_input', {address: 'peers'});
 			}
 		}
 	}
--- /dev/null
+++ b/src/relay/metricspage.ts
@@ -0,0 +1,27 @@
+import {type Server, createServer} from 'node:http';
+import {type Registry} from '../log/index.js';
+import {type Address} from './settings.js';
+
+/** Serves the registry as text. */
+export class MetricsPage {
+	readonly #server: Server;
+
+	constructor(registry: Registry) {
+		this.#server = createServer((_request, response) => {
+			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+			response.end(registry.text());
+		});
+	}
+
+	async listen({ip, port}: Address): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, resolve);
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -87,20 +87,23 @@
 		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#times.expectedMs(call.shape.route)});
 		const refusal = this.#unfit(call, nowMs);
 		if (refusal !== undefined) {
-			owned.refuse(refusal, this.report(call.shape.route));
+			this.#refuse(owned, refusal);
 			return owned;
 		}
 
 		this.#parts.shedding.onArrival(call.standing, owned.serviceMs);
 		const {verdict, evicted} = this.#gate.offer(owned, nowMs);
 		this.#updateFloor(nowMs);
-		evicted?.refuse('evicted', this.report(evicted.call.shape.route));
+		if (evicted !== undefined) {
+			this.#refuse(evicted, 'evicted');
+		}
+
 		if (verdict === 'run') {
 			this.#start(owned);
 		} else if (verdict === 'wait') {
 			this.#arm();
 		} else {
-			owned.refuse(verdict, this.report(call.shape.route));
+			this.#refuse(owned, verdict);
 		}
 
 		return owned;
@@ -145,6 +148,12 @@
 		this.#pump();
 	}
 
+	onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
+		this.#parts.log.event('run_failed', {
+			attempt: call.attemptId, route: call.shape.route, reason, instance: call.instance, ranMs: Math.round(this.#parts.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
+		});
+	}
+
 	onUnreachable(owned: OwnedCall): void {
 		this.#unreachableUntilMs = this.#parts.clock.nowMs() + UNREACHABLE_MS;
 		this.#parts.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
@@ -175,7 +184,7 @@
 		const nowMs = this.#parts.clock.nowMs();
 		if (!this.#parts.lifecycle.mayServe(owned.call.instance, nowMs)) {
 			this.#gate.release(0);
-			owned.refuse('not-here', this.report(owned.call.shape.route));
+			this.#refuse(owned, 'not-here');
 			return;
 		}
 
@@ -193,7 +202,7 @@
 		this.#isPumping = true;
 		for (let next = this.#gate.next(this.#parts.clock.nowMs()); next !== undefined; next = this.#gate.next(this.#parts.clock.nowMs())) {
 			if (next.expired) {
-				next.call.refuse('expired', this.report(next.call.call.shape.route));
+				this.#refuse(next.call, 'expired');
 			} else {
 				this.#start(next.call);
 			}
@@ -202,23 +211,52 @@
 		this.#isPumping = false;
 	}
 
+	#noteFloor(before: number): void {
+		const {floor} = this.#parts.shedding;
+		if ((before === 0) !== (floor === 0)) {
+			this.#parts.log.event(floor === 0 ? 'floor_lifted' : 'floor_set', {
+				floor, running: this.#gate.running, queued: this.#gate.queued, limit: this.#gate.limit,
+			});
+		}
+	}
+
 	#updateFloor(nowMs: number): void {
 		const service = this.#parts.lifecycle.current?.service;
 		if (service !== undefined) {
+			const before = this.#parts.shedding.floor;
 			this.#parts.shedding.update(service, {
 				limit: this.#gate.limit,
 				waitingMs: level => this.#gate.waitingMs(level),
 				isSaturated: this.#gate.running >= this.#gate.limit,
 			}, nowMs);
+			this.#noteFloor(before);
 		}
 	}
 
 	#refuseWaiting(reason: RefusalReason): void {
 		for (const owned of this.#gate.clear()) {
-			owned.refuse(reason, this.report(owned.call.shape.route));
+			this.#refuse(owned, reason);
 		}
 	}
 
+	#refuse(owned: OwnedCall, reason: RefusalReason): void {
+		const {call, waitedMs} = owned;
+		this.#parts.log.event('owner_refused', {
+			attempt: call.attemptId,
+			route: call.shape.route,
+			reason,
+			instance: call.instance,
+			running: this.#gate.running,
+			queued: this.#gate.queued,
+			limit: this.#gate.limit,
+			level: call.standing.level,
+			floor: this.#parts.shedding.floor,
+			waitedMs: Math.round(waitedMs(this.#parts.clock.nowMs())),
+			leftMs: Math.round(call.leftMs),
+		});
+		owned.refuse(reason, this.report(call.shape.route));
+	}
+
 	#arm(): void {
 		if (!this.#isArmed) {
 			this.#isArmed = true;
@@ -233,13 +271,14 @@
 		const nowMs = this.#parts.clock.nowMs();
 		this.#updateFloor(nowMs);
 		for (const owned of this.#gate.expire(nowMs)) {
-			owned.refuse('expired', this.report(owned.call.shape.route));
+			this.#refuse(owned, 'expired');
 		}
 
 		for (const owned of this.#running) {
 			if (nowMs > owned.deadlineMs + OVERRUN_MS) {
 				owned.run?.cancel();
 				this.onRunEnded(owned, false);
+				this.onRunFailed(owned, 'deadline');
 				owned.sink.onFailed('deadline', this.report(owned.call.shape.route));
 			}
 		}
@@ -292,6 +331,9 @@
 		this.#early = [];
 	}
 
+	/** How long it has waited here, in ms. */
+	readonly waitedMs = (nowMs: number): number => nowMs - this.#arrivedMs;
+
 	refuse(reason: RefusalReason, report: LoadReport): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
@@ -351,6 +393,7 @@
 
 	onFailed(reason: FailureReason): void {
 		this.#end(false);
+		this.#owner.onRunFailed(this, reason);
 		this.sink.onFailed(reason, this.#report());
 	}
 
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -51,7 +51,7 @@
 		});
 		this.#server.on('upgrade', (request, socket, head) => {
 			if (request.url !== PEER_PATH) {
-				log.count('bad_input', 'peers');
+				log.registry.count('bad_input', {address: 'peers'});
 				socket.destroy();
 				return;
 			}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -10,6 +10,7 @@
 import {Entry} from './entry.js';
 import {Tag} from './frame.js';
 import {Links} from './links.js';
+import {MetricsPage} from './metricspage.js';
 import {Neighbor} from './neighbor.js';
 import {Owner} from './owner.js';
 import {Peers} from './peers.js';
@@ -32,6 +33,13 @@
 /** How long before the end of its lame-duck time a stopping daemon takes its last calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
 
+/** What a test puts in place of the host's. */
+export type RelayOptions = {
+	readonly clock?: Clock;
+	/** Takes the log's lines. */
+	readonly write?: (line: string) => void;
+};
+
 /** One daemon in front of its own target and beside its clients: all tasks of it. */
 export class Relay {
 	#settings: RelaySettings;
@@ -49,15 +57,16 @@
 	readonly #directory: Directory;
 	readonly #announcements: Announcements;
 	readonly #readiness: Readiness;
+	readonly #metrics: MetricsPage;
 	readonly #links: Links;
 	readonly #neighbor: Neighbor;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
 
-	constructor(settings: RelaySettings, adapter: Adapter, clock: Clock = new TickClock(new SystemClock())) {
+	constructor(settings: RelaySettings, adapter: Adapter, {clock = new TickClock(new SystemClock()), write}: RelayOptions = {}) {
 		this.#settings = settings;
 		this.#clock = clock;
-		this.#log = new EventLog(new Logger(settings.host, 'info'), clock);
+		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
 		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, fullShare: FULL_SHARE}, random);
@@ -110,6 +119,7 @@
 		this.#announcements = new Announcements(adapter, this.#log, message => {
 			this.#neighbor.take(message);
 		});
+		this.#metrics = new MetricsPage(this.#log.registry);
 		this.#readiness = new Readiness(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
 
@@ -120,6 +130,7 @@
 			this.#peers.listen(listen.peers),
 			this.#announcements.listen(listen.announcements),
 			this.#readiness.listen(listen.readiness),
+			listen.metrics === undefined ? undefined : this.#metrics.listen(listen.metrics),
 		]);
 		this.#directory.start();
 		this.#timer = setInterval(() => {
@@ -168,6 +179,7 @@
 		this.#entry.close();
 		this.#announcements.close();
 		this.#readiness.close();
+		this.#metrics.close();
 		this.#peers.close();
 		clearInterval(this.#timer);
 		await this.#directory.close();
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -17,6 +17,8 @@
 		readonly readiness: Address;
 		/** For what the target says of itself. */
 		readonly announcements: Address;
+		/** For those who read the metrics. */
+		readonly metrics?: Address;
 	};
 	/** Whether the whole system starts for the first time; otherwise the target may run already. */
 	readonly isFirstStart: boolean;
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -34,6 +34,8 @@
 /** Several hosts in one process, around a store in memory. */
 export class Mesh {
 	readonly store = new MemoryStore();
+	/** What all daemons logged. */
+	readonly lines: string[] = [];
 	readonly hosts: MeshHost[] = [];
 
 	configure(site: SiteSpec): void {
@@ -68,7 +70,11 @@
 	/** A daemon beside a target that runs already. */
 	async start(name: string, target: MeshTarget, ports: readonly number[], failureDomain = 'a'): Promise<MeshHost> {
 		const settings = settingsOf(name, target.options.service, target.port, ports, failureDomain);
-		const relay = new Relay(settings, new MeshAdapter(this.store.view()));
+		const relay = new Relay(settings, new MeshAdapter(this.store.view()), {
+			write: line => {
+				this.lines.push(line.trim());
+			},
+		});
 		await relay.start();
 		await target.announce(ports[3]);
 		const timer = setInterval(() => {
--- /dev/null
+++ b/test/log.test.ts
@@ -0,0 +1,48 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../src/clock/index.js';
+import {
+	EventLog, Logger, Registry, traceOf,
+} from '../src/log/index.js';
+
+describe('the event log', () => {
+	it('bounds the lines of each kind in a second, and says how many it left out', () => {
+		const lines: string[] = [];
+		const clock = new ManualClock(0);
+		const log = new EventLog(new Logger('d', 'info', line => lines.push(line)), clock);
+		for (let second = 0; second < 3; second++) {
+			clock.advanceTo(second * 1000);
+			for (let number = 0; number < 1000; number++) {
+				log.event('refused', {attempt: `a${number}`});
+			}
+
+			log.event('started');
+		}
+
+		expect(lines.filter(line => line.includes('event=refused'))).toHaveLength(60);
+		expect(lines.filter(line => line.includes('event=started'))).toHaveLength(3);
+		expect(lines.filter(line => line.includes('event=omitted')).map(line => /of=refused lines=(?<lines>\d+)/v.exec(line)?.groups?.lines)).toEqual(['980', '980']);
+	});
+});
+
+describe('the registry', () => {
+	it('writes counters and times in the Prometheus text format', () => {
+		const registry = new Registry();
+		registry.count('refused', {service: 's', reason: 'full'});
+		registry.count('refused', {service: 's', reason: 'full'});
+		registry.observe('answer', {rank: 0}, 250);
+		const text = registry.text();
+		expect(text).toContain('# TYPE comfreydyke_refused_total counter\ncomfreydyke_refused_total{service="s",reason="full"} 2\n');
+		expect(text).toContain('comfreydyke_answer_seconds{rank="0",quantile="0.5"} 0.25');
+		expect(text).toContain('comfreydyke_answer_seconds_count{rank="0"} 1');
+	});
+});
+
+describe('a trace', () => {
+	it('has the lines of an attempt and its nested calls, of all daemons, in order', () => {
+		const line = (ms: number, daemon: string, attempt: string) => `12.5 x time=2026-01-01T00:00:00.${ms}Z level=info daemon=${daemon} event=refused attempt=${attempt} reason=full`;
+		expect(traceOf('a1', [line(300, 'b', 'a1.c'), line(100, 'a', 'a1'), line(200, 'a', 'a10'), 'no log line'])).toEqual([
+			'+0 ms  a  refused  attempt=a1 reason=full',
+			'+200 ms  b  refused  attempt=a1.c reason=full',
+		]);
+	});
+});
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -74,7 +74,7 @@
 describe('the settings', () => {
 	const settings = {
 		host: 'h', failureDomain: 'z', service: 's', target: '10.0.0.1:1', listen: {
-			requests: '10.0.0.1:2', peers: '10.0.0.1:3', readiness: '10.0.0.1:4', announcements: '10.0.0.1:5',
+			requests: '10.0.0.1:2', peers: '10.0.0.1:3', readiness: '10.0.0.1:4', announcements: '10.0.0.1:5', metrics: '10.0.0.1:6',
 		}, seeds: [], isFirstStart: true, announceIntervalMs: 1500, store: '10.0.0.9:6', bounds: {drain_ms: 2500, grace_s: 6, drain_whole: true},
 	};
 
--- /dev/null
+++ b/test/relay/explain.test.ts
@@ -0,0 +1,66 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import {traceOf} from '../../src/log/index.js';
+import {Mesh, route, siteOf} from '../../standins/mesh.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
+
+let mesh: Mesh;
+afterEach(async () => {
+	await mesh.close();
+});
+
+const attempt = (id: string, deadlineMs = 2000) => ({host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)});
+const traced = (id: string) => traceOf(id, mesh.lines).join('\n');
+
+describe('from its id to its cause', () => {
+	it('a request refused under load: the owner\'s line tells of the full queue', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 300})]));
+		const front = await mesh.add('front', {
+			id: 'i-front', service: 'front', slots: 4, workMs: 1,
+		});
+		await mesh.add('back', {
+			id: 'i-back', service: 'back', slots: 1, workMs: 100,
+		});
+		await mesh.settle();
+		const answers = await Promise.all(Array.from({length: 30}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`, 300)})));
+		const refused = answers.findIndex(({status}) => status === 503);
+		expect(refused).toBeGreaterThan(-1);
+		expect(traced(`a${refused}`)).toMatch(/back +owner_refused .*reason=(?:full|expired) .*queued=\d+ limit=1/v);
+		expect(traced(`a${refused}`)).toMatch(/front +refused .*status=503/v);
+	});
+
+	it('a request that ended 502 after its target died: the run broke, then the answer to the client', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', {
+			id: 'i-front', service: 'front', slots: 4, workMs: 1,
+		});
+		const back = await mesh.add('back', {
+			id: 'i-back', service: 'back', slots: 4, workMs: 500,
+		});
+		await mesh.settle();
+		const waiting = call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
+		await sleep(100);
+		await back.target.close();
+		const {status} = await waiting;
+		expect(status).toBe(502);
+		expect(traced('a1')).toMatch(/back +run_failed .*reason=broken .*\n.*front +failed .*reason=broken .*status=502/v);
+	});
+
+	it('a request timed out behind a slow deep service: the nested call\'s line names it', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('top', 'front', {timeoutMs: 400}), route('deep', 'back', {timeoutMs: 300})]));
+		const front = await mesh.add('front', {
+			id: 'i-front', service: 'front', slots: 4, workMs: 1, calls: {'/top/': [{path: '/deep/', times: 1}]},
+		});
+		await mesh.add('back', {
+			id: 'i-back', service: 'back', slots: 4, workMs: 1000,
+		});
+		await mesh.settle();
+		const {status} = await call(front.settings.listen.requests.port, '/top/', {headers: attempt('a1')});
+		expect(status).toBe(500);
+		expect(traced('a1')).toMatch(/front +failed +attempt=a1\.0 route=deep service=back reason=timeout .*host=back/v);
+	});
+});
