Send a safe request again when its answer must have been lost

Load pattern: targets that run calls and lose their answers, or fall silent; one lost answer deep down fails the whole tree, and nothing showed it before the time-out. Change: past 0.45 of the objective and 6 times the target's usual time a safe call is cancelled and placed elsewhere, within the retry budget; time-outs count against the target.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -13,6 +13,10 @@
 const MAX_REFUSALS = 4;
 /** A second send needs this part of the objective still left: with less, it would be a token. */
 const RESEND_SHARE = 0.3;
+/** An answer counts as lost after this part of the objective, */
+const OVERDUE_SHARE = 0.45;
+/** and after so many times the target's usual time for the route. */
+const OVERDUE_FACTOR = 6;
 
 /** Why a request ended without its target's answer. */
 type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
@@ -36,6 +40,7 @@
 	#isStreaming = false;
 	#handle: CallHandle | undefined;
 	#host = '';
+	#sentMs = 0;
 	#sends = 0;
 	#refusals = 0;
 	#creditBytes = WINDOW_BYTES;
@@ -111,10 +116,20 @@
 		});
 	}
 
-	/** Ends the request if its time is up. */
+	/** Ends the request if its time is up, or sends it again if its answer must have been lost. */
 	checkTime(nowMs: number): void {
-		if (nowMs >= this.deadlineMs && !this.#isOver) {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (nowMs < this.deadlineMs) {
+			this.#checkOverdue(nowMs);
+		} else {
 			const wasOut = this.#handle !== undefined || this.#mayHaveRun;
+			if (this.#handle !== undefined) {
+				this.#parts.placement.onOutcome(this.#host, true, nowMs);
+			}
+
 			this.#withdraw();
 			if (wasOut) {
 				this.#fail(504, 'timeout');
@@ -302,6 +317,7 @@
 		}
 
 		this.#host = entry.host;
+		this.#sentMs = nowMs;
 		this.#tried.push(entry.host);
 		placement.onSent(entry.host);
 		const call: Call = {
@@ -326,6 +342,21 @@
 		}
 	}
 
+	#checkOverdue(nowMs: number): void {
+		const {placement} = this.#parts;
+		if (this.#handle === undefined || this.#hasHead || this.#isStreaming) {
+			return;
+		}
+
+		const overdueMs = Math.max(this.route.objectiveMs * OVERDUE_SHARE, placement.expectedMs(this.#host, this.route.name) * OVERDUE_FACTOR);
+		if (nowMs - this.#sentMs > overdueMs && this.#mayResend(nowMs)) {
+			placement.onOutcome(this.#host, true, nowMs);
+			this.#withdraw();
+			this.#mayHaveRun = true;
+			this.#resend('overdue');
+		}
+	}
+
 	#mayResend(nowMs: number): boolean {
 		return this.route.repeatability === 'safe' && this.#parent?.isRepeat !== true && !this.#isStreaming && !this.#isOver
 			&& this.#sends + 1 < this.route.attempts
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -328,3 +328,29 @@
 		expect(closed).toBe(2);
 	});
 });
+
+describe('an answer that never comes', () => {
+	const muteNeighbor = async (repeatability: 'safe' | 'unsafe') => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {objectiveMs: 400, timeoutMs: 500, repeatability})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back-1', target('i-1', 'back'));
+		await mesh.add('back-2', target('i-2', 'back'), 'b');
+		let runs = 0;
+		back.target.misbehave = () => {
+			runs++;
+		};
+
+		await mesh.settle();
+		const status = await statusOf(front.settings.listen.requests.port, '/x/', 'a1', 'POST');
+		return [status, runs];
+	};
+
+	it('makes a safe request go elsewhere while there is time', async () => {
+		expect(await muteNeighbor('safe')).toEqual([200, 1]);
+	});
+
+	it('makes an unsafe request end unknown', async () => {
+		expect(await muteNeighbor('unsafe')).toEqual([504, 1]);
+	});
+});
