--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -15,10 +15,15 @@
 const DEFAULT_SEED = 1;
 const DEPLOYMENTS: Record<string, () => Deployment> = {threshold, riddim, chain12: () => chain(12)};
 
-type Job = {readonly deployment: string; readonly scenario: string; readonly policy: PolicyName; readonly seed: number};
+type Job = {readonly deployment: string; readonly scenario: string; readonly policy: PolicyName; readonly seed: number; readonly isQuick: boolean};
 
-function runJob({deployment, scenario, policy, seed}: Job): Measures {
-	return runScenario(DEPLOYMENTS[deployment](), SCENARIOS.find(({name}) => name === scenario)!, policy, seed);
+/** What a quick run plays, and for how long its pressure lasts, in ms. */
+const QUICK_SCENARIOS = new Set(['steady', 'surge-2x', 'deep-slowdown']);
+const QUICK_MS = 8000;
+
+function runJob({deployment, scenario, policy, seed, isQuick}: Job): Measures {
+	const full = SCENARIOS.find(({name}) => name === scenario)!;
+	return runScenario(DEPLOYMENTS[deployment](), isQuick ? {...full, pressureMs: Math.min(full.pressureMs, QUICK_MS)} : full, policy, seed);
 }
 
 async function main(): Promise<void> {
@@ -27,6 +32,7 @@
 	cli.option('--scenario <name>', 'Only this one');
 	cli.option('--policy <name>', 'Only this one');
 	cli.option('--seed <n>', 'Seed of all randomness', {default: DEFAULT_SEED});
+	cli.option('--quick', 'A few scenarios with short pressure, on the two users\' deployments');
 	cli.option('--json', 'Print everything as JSON');
 	cli.option('--plot <file>', 'Write an SVG of goodput over time');
 	cli.help();
@@ -39,10 +45,11 @@
 	for (const deployment of Object.keys(DEPLOYMENTS)) {
 		for (const {name: scenario} of SCENARIOS) {
 			for (const policy of POLICIES) {
-				const wanted = (options.deployment ?? deployment) === deployment && (options.scenario ?? scenario) === scenario && (options.policy ?? policy) === policy;
+				const isLeftOut = options.quick === true && (!QUICK_SCENARIOS.has(scenario) || deployment === 'chain12');
+				const wanted = !isLeftOut && (options.deployment ?? deployment) === deployment && (options.scenario ?? scenario) === scenario && (options.policy ?? policy) === policy;
 				if (wanted) {
 					jobs.push({
-						deployment, scenario, policy, seed: Number(options.seed),
+						deployment, scenario, policy, seed: Number(options.seed), isQuick: options.quick === true,
 					});
 				}
 			}
