--- a/test/structure.test.ts
+++ b/test/structure.test.ts
@@ -28,8 +28,14 @@
 		expect(strangers).toEqual([]);
 	});
 
-	it('keeps clocks and chance out of the core', () => {
-		const impure = filesOf('src/core').filter(file => /Date\.now|Math\.random|performance\.|setTimeout|setInterval/v.test(readFileSync(file, 'utf8')));
+	it('keeps the mesh\'s decisions free of IO', () => {
+		const allowed = /^(?:\.\/|\.\.\/core\/index\.js$)/v;
+		const strangers = filesOf('src/mesh').flatMap(file => importsOf(file).filter(source => !allowed.test(source)).map(source => `${file}: ${source}`));
+		expect(strangers).toEqual([]);
+	});
+
+	it('keeps clocks and chance out of the decisions', () => {
+		const impure = [...filesOf('src/core'), ...filesOf('src/mesh')].filter(file => /Date\.now|Math\.random|performance\.|setTimeout|setInterval/v.test(readFileSync(file, 'utf8')));
 		expect(impure).toEqual([]);
 	});
 
