--- a/src/log/trace.ts
+++ b/src/log/trace.ts
@@ -10,9 +10,11 @@
 		const {time, daemon, event, fields = ''} = LINE.exec(line)?.groups ?? {};
 		const attempt = /\battempt=(?<attempt>\S+)/v.exec(fields)?.groups?.attempt;
 		const isOfIt = attempt === id || attempt?.startsWith(`${id}.`) === true;
-		return isOfIt ? [{
-			atMs: Date.parse(time), daemon, event, fields,
-		}] : [];
+		return isOfIt
+			? [{
+				atMs: Date.parse(time), daemon, event, fields,
+			}]
+			: [];
 	}).toSorted((a, b) => a.atMs - b.atMs);
 	const startMs = found[0]?.atMs ?? 0;
 	return found.map(({atMs, daemon, event, fields}) => `+${atMs - startMs} ms  ${daemon}  ${event}  ${fields}`);
--- /dev/null
+++ b/src/mesh/attempts.ts
@@ -0,0 +1,119 @@
+import {type HostEntry, type HostTable} from './host.js';
+import {type Placement} from './placement.js';
+import {type RetryBudget} from './retrybudget.js';
+import {type Route} from './route.js';
+
+/** Targets that a request may be refused by before it is refused itself. */
+const MAX_REFUSALS = 4;
+/** A second send needs this part of the objective still left: with less, it would be a token. */
+const RESEND_SHARE = 0.3;
+/** An answer counts as lost after this part of the objective, if also a multiple of the usual time has passed. */
+const OVERDUE_SHARE = 0.45;
+/** That multiple of the target's usual time for the route. */
+const OVERDUE_FACTOR = 6;
+
+export type AttemptsParts = {
+	readonly hosts: HostTable;
+	readonly placement: Placement;
+	readonly budget: RetryBudget;
+	/** Told of each second send that was wanted. */
+	readonly onBudget: (service: string, isGranted: boolean) => void;
+};
+
+/** The time that a request has. */
+export type Allowance = {readonly deadlineMs: number; readonly objectiveEndMs: number};
+
+/** Why a host didn't run a call: for want of room, and whether its target saw it. */
+export type Turnaway = {readonly isForLoad: boolean; readonly reachedTarget: boolean};
+
+/**
+ * Where one request has been and may still go.
+ * Load pattern: refusals and lost answers at some copies while others have room.
+ */
+export class Attempts {
+	readonly #parts: AttemptsParts;
+	readonly #route: Route;
+	readonly #service: string;
+	readonly #isRepeat: boolean;
+	readonly #allowance: Allowance;
+	readonly #tried: string[] = [];
+	#sentMs = 0;
+	#sends = 0;
+	#refusals = 0;
+
+	/** @param isRepeat whether it is made for a run that was itself sent again */
+	constructor(parts: AttemptsParts, {route, service, isRepeat}: {route: Route; service: string; isRepeat: boolean}, allowance: Allowance) {
+		this.#parts = parts;
+		this.#route = route;
+		this.#service = service;
+		this.#isRepeat = isRepeat;
+		this.#allowance = allowance;
+	}
+
+	/** The host that has the request now, or had it last; empty before the first. */
+	get host(): string {
+		return this.#tried.at(-1) ?? '';
+	}
+
+	get count(): number {
+		return this.#tried.length;
+	}
+
+	/** Whether a target may see the request for a second time. */
+	get isRepeat(): boolean {
+		return this.#isRepeat || this.#sends > 0;
+	}
+
+	/** Chooses the next host and counts on the request being sent there. */
+	next(nowMs: number): HostEntry | undefined {
+		const {hosts, placement, budget} = this.#parts;
+		const entry = placement.choose(hosts.serving(this.#service), this.#route.name, this.#route.objectiveMs, this.#tried, nowMs);
+		if (entry !== undefined) {
+			if (this.#tried.length === 0) {
+				budget.onFirst(this.#service, nowMs);
+			}
+
+			this.#sentMs = nowMs;
+			this.#tried.push(entry.host);
+			placement.onSent(entry.host);
+		}
+
+		return entry;
+	}
+
+	/** A host has refused it unrun. @returns whether it may go to another; the budget is then spent */
+	mayGoOn({isForLoad, reachedTarget}: Turnaway, nowMs: number): boolean {
+		this.#refusals++;
+		this.#sends += reachedTarget ? 1 : 0;
+		return this.#refusals < MAX_REFUSALS && nowMs < this.#allowance.deadlineMs && this.#hasRoomElsewhere(isForLoad, nowMs)
+			&& (!reachedTarget || (this.#sends < this.#route.attempts && this.#spend(nowMs)));
+	}
+
+	/** A target may have run it. @returns whether it may go to another; the budget is then spent */
+	mayResend(nowMs: number): boolean {
+		const {objectiveMs, attempts, repeatability} = this.#route;
+		const leftMs = Math.min(this.#allowance.deadlineMs, this.#allowance.objectiveEndMs) - nowMs;
+		const may = repeatability === 'safe' && !this.#isRepeat && this.#sends + 1 < attempts
+			&& leftMs > objectiveMs * RESEND_SHARE && this.#hasRoomElsewhere(false, nowMs) && this.#spend(nowMs);
+		this.#sends += may ? 1 : 0;
+		return may;
+	}
+
+	/** Whether the answer of the present host must have been lost. */
+	isOverdue(nowMs: number): boolean {
+		const usualMs = this.#parts.placement.expectedMs(this.host, this.#route.name);
+		return nowMs - this.#sentMs > Math.max(this.#route.objectiveMs * OVERDUE_SHARE, usualMs * OVERDUE_FACTOR);
+	}
+
+	#spend(nowMs: number): boolean {
+		const isGranted = this.#parts.budget.spend(this.#service, nowMs);
+		this.#parts.onBudget(this.#service, isGranted);
+		return isGranted;
+	}
+
+	#hasRoomElsewhere(isForLoad: boolean, nowMs: number): boolean {
+		const {hosts, placement} = this.#parts;
+		return hosts.serving(this.#service).some(entry => !this.#tried.includes(entry.host)
+			&& !placement.isSuspect(entry.host, nowMs) && (!isForLoad || placement.loadOf(entry, nowMs) < 1));
+	}
+}
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -16,3 +16,6 @@
 export {ServiceTimes} from './servicetimes.js';
 export {type ComebackReason, comebackMs} from './comeback.js';
 export {type Standing, type Workload, Shedding} from './shedding.js';
+export {
+	type Allowance, Attempts, type AttemptsParts, type Turnaway,
+} from './attempts.js';
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -5,14 +5,14 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	type ClientLimits, type HostEntry, type HostTable, type Placement, type RetryBudget, type Shedding, type Site, Splitter,
+	type AttemptsParts, type ClientLimits, type HostEntry, type Shedding, type Site, Splitter,
 } from '../mesh/index.js';
-import {type HeaderNames} from './adapter.js';
 import {
 	type Call, type CallHandle, type CallShape, type CallSink,
 } from './call.js';
 import {Exchange} from './exchange.js';
 import {HOP_BY_HOP} from './hopbyhop.js';
+import {type ReplyParts} from './reply.js';
 import {type Address} from './settings.js';
 
 /** How often open requests are checked against their deadlines, in ms: well within the slack that a time-out has. */
@@ -25,26 +25,18 @@
 /** Headers that concern one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED = new Set([...HOP_BY_HOP, 'expect', 'content-length']);
 
-export type EntryParts = {
+export type EntryParts = ReplyParts & AttemptsParts & {
 	readonly clock: Clock;
 	readonly log: EventLog;
-	readonly names: HeaderNames;
-	readonly hosts: HostTable;
-	readonly placement: Placement;
-	readonly budget: RetryBudget;
 	readonly shedding: Shedding;
 	readonly random: () => number;
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
-	/** Called before an answer's head is written. */
-	readonly prepare: (response: ServerResponse) => void;
-	/** Makes an answer end with its connection. @returns whether that cuts no other answer off */
-	readonly closeAfter: (response: ServerResponse) => boolean;
 	readonly onEnded: (exchange: Exchange) => void;
 	/** A nested call didn't succeed; its parent's attempt. */
 	readonly onFailedBelow: (attemptId: string) => void;
 };
 
-export type EntryOptions = Omit<EntryParts, 'prepare' | 'closeAfter' | 'onEnded'> & {
+export type EntryOptions = Omit<EntryParts, 'onBudget' | 'prepare' | 'closeAfter' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that runs on this host now. */
 	readonly callerService: () => string;
@@ -82,6 +74,9 @@
 			prepare: response => {
 				this.#prepare(response);
 			},
+			onBudget(service, isGranted) {
+				options.log.registry.count(isGranted ? 'budget_spent' : 'budget_denied', {service});
+			},
 			closeAfter: response => this.#closeAfter(response),
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,26 +1,33 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {
-	type LoadReport, type Route, type Standing, comebackMs,
+	Attempts, type LoadReport, type Route, type Standing, comebackMs,
 } from '../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, CallSink, type CallShape, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
+	type AnswerHead, type Call, type CallHandle, CallSink, type CallShape, type FailureReason, type RefusalReason,
 } from './call.js';
 import {type EntryParts} from './entry.js';
-
-/** Targets that a request may be refused by before it is refused itself. */
-const MAX_REFUSALS = 4;
-/** A second send needs this part of the objective still left: with less, it would be a token. */
-const RESEND_SHARE = 0.3;
-/** An answer counts as lost after this part of the objective, */
-const OVERDUE_SHARE = 0.45;
-/** and after so many times the target's usual time for the route. */
-const OVERDUE_FACTOR = 6;
+import {Reply} from './reply.js';
+import {RequestBody} from './requestbody.js';
 
 /** Why a request ended without its target's answer. */
 type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
 
+/** What a request asks for. */
+export type ExchangeOptions = {
+	readonly route: Route;
+	/** The one of the route's services that was chosen. */
+	readonly service: string;
+	readonly attemptId: string;
+	/** How long the client waits, in ms. */
+	readonly leftMs: number;
+	readonly shape: CallShape;
+	/** The run on this host that waits for it. */
+	readonly parent: Call | undefined;
+	readonly callerService: string;
+};
+
 /** One client's request, from its arrival to its one final answer. */
 export class Exchange extends CallSink {
 	readonly route: Route;
@@ -30,35 +37,31 @@
 	readonly objectiveEndMs: number;
 	readonly #parts: EntryParts;
 	readonly #request: IncomingMessage;
-	readonly #response: ServerResponse;
+	readonly #reply: Reply;
+	readonly #body: RequestBody;
+	readonly #attempts: Attempts;
 	readonly #shape: CallShape;
 	readonly #arrivedMs: number;
 	readonly #parent: Call | undefined;
 	readonly #standing: Standing;
-	readonly #tried: string[] = [];
-	#body: Buffer = Buffer.alloc(0);
-	#isStreaming = false;
 	#handle: CallHandle | undefined;
-	#host = '';
-	#sentMs = 0;
-	#sends = 0;
-	#refusals = 0;
-	#creditBytes = WINDOW_BYTES;
 	#mayHaveRun = false;
 	#hasHead = false;
 	#isOver = false;
 
-	constructor(parts: EntryParts, request: IncomingMessage, response: ServerResponse, options: {route: Route; service: string; attemptId: string; leftMs: number; shape: CallShape; parent: Call | undefined; callerService: string}) {
+	constructor(parts: EntryParts, request: IncomingMessage, response: ServerResponse, options: ExchangeOptions) {
 		super();
 		this.#parts = parts;
 		this.#request = request;
-		this.#response = response;
 		this.route = options.route;
 		this.service = options.service;
 		this.attemptId = options.attemptId;
+		this.#body = new RequestBody(request);
+		this.#reply = new Reply(parts, request, response, options.attemptId);
 		this.#shape = options.shape;
 		this.#parent = options.parent;
 		this.#arrivedMs = parts.clock.nowMs();
+		this.#attempts = new Attempts(parts, {route: this.route, service: this.service, isRepeat: this.#parent?.isRepeat === true}, this);
 		this.#standing = this.#parent?.standing ?? parts.shedding.standingOf({route: this.route.name, service: this.service}, this.route.rank, this.attemptId, this.#arrivedMs);
 		if (this.#parent !== undefined) {
 			parts.shedding.onReached({route: this.#parent.shape.route, service: options.callerService}, [this.service, ...parts.shedding.servicesOf({route: this.route.name, service: this.service})]);
@@ -88,31 +91,22 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
-		let length = 0;
-		this.#request.on('data', (chunk: Buffer) => {
-			length += chunk.length;
-			if (length > maxBodyBytes) {
-				this.#reject(413);
-			} else if (this.#isStreaming) {
-				this.#pass(chunk, false);
-			} else {
-				chunks.push(chunk);
-				if (length > INLINE_BYTES) {
-					this.#body = Buffer.concat(chunks);
-					this.#isStreaming = true;
-					this.#creditBytes -= this.#body.length;
+		this.#body.read(maxBodyBytes, {
+			onReady: () => {
+				if (!this.#isOver) {
 					this.#place();
 				}
-			}
-		});
-		this.#request.on('end', () => {
-			if (this.#isStreaming) {
-				this.#pass(Buffer.alloc(0), true);
-			} else if (!this.#isOver) {
-				this.#body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-				this.#place();
-			}
+			},
+			onPiece: (bytes, isLast) => {
+				if (!this.#isOver && !this.#hasHead) {
+					this.#handle?.write(bytes, isLast);
+				}
+			},
+			onTooLong: () => {
+				this.#withdraw();
+				this.#reply.closeConnection();
+				this.#end(413, 'cancelled');
+			},
 		});
 	}
 
@@ -127,12 +121,12 @@
 		} else {
 			const wasOut = this.#handle !== undefined || this.#mayHaveRun;
 			if (this.#handle !== undefined) {
-				this.#parts.placement.onOutcome(this.#host, true, nowMs);
+				this.#parts.placement.onOutcome(this.#attempts.host, true, nowMs);
 			}
 
 			this.#withdraw();
 			if (wasOut) {
-				this.#fail(504, 'timeout');
+				this.#end(504, 'timeout');
 			} else {
 				this.#refuse('timeout', 'overload');
 			}
@@ -148,7 +142,7 @@
 	abort(): void {
 		if (!this.#isOver) {
 			this.#withdraw();
-			this.#fail(502, 'cancelled');
+			this.#end(502, 'cancelled');
 		}
 	}
 
@@ -168,7 +162,7 @@
 			this.#release();
 		}
 
-		this.#parts.placement.onOutcome(this.#host, head.status >= 500 && !head.isFailedBelow, nowMs);
+		this.#parts.placement.onOutcome(this.#attempts.host, head.status >= 500 && !head.isFailedBelow, nowMs);
 		this.#parts.shedding.onReached({route: this.route.name, service: this.service}, head.reached);
 		if (isWhole && head.status >= 500 && !head.isFailedBelow && this.#mayResend(nowMs)) {
 			this.#mayHaveRun = true;
@@ -176,9 +170,9 @@
 			return;
 		}
 
-		if (head.isUnframed && !this.#parts.closeAfter(this.#response)) {
+		if (head.isUnframed && !this.#reply.canBeUnframed()) {
 			this.#withdraw();
-			this.#fail(502, 'unframed');
+			this.#end(502, 'unframed');
 			return;
 		}
 
@@ -187,10 +181,10 @@
 			this.#tellParent();
 		}
 
-		this.#writeHead(head, isWhole ? body.length : undefined);
+		this.#reply.writeHead(head, isWhole ? body.length : undefined);
 		if (isWhole) {
 			this.#finish();
-			this.#response.end(body);
+			this.#reply.end(body);
 			const {registry} = this.#parts.log;
 			registry.count('answers', {service: this.service, status: head.status});
 			registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
@@ -207,9 +201,9 @@
 		if (isLast) {
 			this.#release();
 			this.#finish();
-			this.#response.end(bytes);
+			this.#reply.end(bytes);
 		} else {
-			this.#response.write(bytes, () => {
+			this.#reply.write(bytes, () => {
 				this.#handle?.credit(bytes.length);
 			});
 		}
@@ -217,10 +211,9 @@
 
 	override onRefused(reason: RefusalReason, _retryAfterMs: number, report: LoadReport | undefined): void {
 		const nowMs = this.#parts.clock.nowMs();
-		const host = this.#host;
+		const {host} = this.#attempts;
 		this.#onReport(report, nowMs);
 		this.#release();
-		this.#refusals++;
 		const {placement, log} = this.#parts;
 		log.registry.count('owner_refusals', {service: this.service, reason});
 		if (reason === 'stopping') {
@@ -230,7 +223,6 @@
 		}
 
 		const reachedTarget = reason === 'shed-by-target' || reason === 'misdirected';
-		this.#sends += reachedTarget ? 1 : 0;
 		if (reason === 'shed-by-target') {
 			placement.onOutcome(host, true, nowMs);
 		}
@@ -239,8 +231,8 @@
 			return;
 		}
 
-		const mayGoOn = !this.#isStreaming && this.#refusals < MAX_REFUSALS && nowMs < this.deadlineMs && this.#hasRoomElsewhere(reason, nowMs)
-			&& (!reachedTarget || (this.#sends < this.route.attempts && this.#spend(nowMs)));
+		const isForLoad = reason === 'full' || reason === 'evicted' || reason === 'expired' || reason === 'shed-by-target';
+		const mayGoOn = !this.#body.isStreaming && this.#attempts.mayGoOn({isForLoad, reachedTarget}, nowMs);
 		if (mayGoOn) {
 			this.#place(reason);
 		} else {
@@ -252,9 +244,9 @@
 		const nowMs = this.#parts.clock.nowMs();
 		this.#onReport(report, nowMs);
 		this.#release();
-		this.#parts.placement.onOutcome(this.#host, true, nowMs);
+		this.#parts.placement.onOutcome(this.#attempts.host, true, nowMs);
 		if (reason === 'link-lost') {
-			this.#parts.placement.suspect(this.#host, nowMs);
+			this.#parts.placement.suspect(this.#attempts.host, nowMs);
 		}
 
 		if (this.#isOver) {
@@ -264,62 +256,31 @@
 		this.#mayHaveRun = true;
 		if (this.#hasHead) {
 			this.#finish();
-			// A reset: an answer without a length would look whole otherwise.
-			this.#request.socket.resetAndDestroy();
+			this.#reply.cut();
 			this.#note('answer_cut', reason);
 		} else if (this.#mayResend(nowMs)) {
 			this.#resend(reason);
 		} else {
-			this.#fail(reason === 'deadline' ? 504 : 502, reason);
+			this.#end(reason === 'deadline' ? 504 : 502, reason);
 		}
 	}
 
 	override onCredit(bytes: number): void {
-		this.#creditBytes += bytes;
-		if (this.#creditBytes > 0) {
-			this.#request.resume();
-		}
-	}
-
-	#writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
-		const headers = [...head.headers, this.#parts.names.attemptId, this.attemptId];
-		if (head.signature !== undefined) {
-			headers.push(this.#parts.names.signature, head.signature);
-		}
-
-		const length = this.#request.method === 'HEAD' ? head.lengthBytes : (wholeBytes ?? head.lengthBytes);
-		if (head.isUnframed) {
-			// It ends with the connection here, too: a length would call it whole.
-			this.#response.useChunkedEncodingByDefault = false;
-		} else if (length !== undefined && head.status !== 204 && head.status !== 304) {
-			headers.push('content-length', String(length));
-		}
-
-		this.#parts.prepare(this.#response);
-		this.#response.writeHead(head.status, headers);
+		this.#body.credit(bytes);
 	}
 
 	#place(after?: string): void {
-		const {clock, hosts, placement, budget} = this.#parts;
-		const nowMs = clock.nowMs();
-		const entry = placement.choose(hosts.serving(this.service), this.route.name, this.route.objectiveMs, this.#tried, nowMs);
+		const nowMs = this.#parts.clock.nowMs();
+		const entry = this.#attempts.next(nowMs);
 		if (entry === undefined) {
 			this.#refuse(after === undefined ? 'no-target' : (after as EndReason), 'transient');
 			return;
 		}
 
 		if (after !== undefined) {
-			this.#note('placed_again', after, {to: entry.host});
+			this.#note('placed_again', after);
 		}
 
-		if (this.#sends === 0 && this.#refusals === 0) {
-			budget.onFirst(this.service, nowMs);
-		}
-
-		this.#host = entry.host;
-		this.#sentMs = nowMs;
-		this.#tried.push(entry.host);
-		placement.onSent(entry.host);
 		const call: Call = {
 			shape: this.#shape,
 			attemptId: this.attemptId,
@@ -329,81 +290,51 @@
 			objectiveLeftMs: this.objectiveEndMs - nowMs,
 			standing: this.#standing,
 			isNested: this.#parent !== undefined,
-			body: this.#body,
-			hasMore: this.#isStreaming,
-			isRepeat: this.#sends > 0 || this.#parent?.isRepeat === true,
+			body: this.#body.first,
+			hasMore: this.#body.isStreaming,
+			isRepeat: this.#attempts.isRepeat,
 		};
 		this.#handle = undefined;
-		const sends = this.#tried.length;
+		const {count} = this.#attempts;
 		const handle = this.#parts.send(entry, call, this);
 		// A refusal may have come, and the request been placed again, before `send` returned.
-		if (!this.#isOver && this.#tried.length === sends) {
+		if (!this.#isOver && this.#attempts.count === count) {
 			this.#handle = handle;
 		}
 	}
 
 	#checkOverdue(nowMs: number): void {
 		const {placement} = this.#parts;
-		if (this.#handle === undefined || this.#hasHead || this.#isStreaming) {
+		if (this.#handle === undefined || this.#hasHead || this.#body.isStreaming) {
 			return;
 		}
 
-		const overdueMs = Math.max(this.route.objectiveMs * OVERDUE_SHARE, placement.expectedMs(this.#host, this.route.name) * OVERDUE_FACTOR);
-		if (nowMs - this.#sentMs > overdueMs && this.#mayResend(nowMs)) {
-			placement.onOutcome(this.#host, true, nowMs);
+		if (this.#attempts.isOverdue(nowMs) && this.#mayResend(nowMs)) {
+			placement.onOutcome(this.#attempts.host, true, nowMs);
 			this.#withdraw();
 			this.#mayHaveRun = true;
 			this.#resend('overdue');
 		}
 	}
 
-	#mayResend(nowMs: number): boolean {
-		return this.route.repeatability === 'safe' && this.#parent?.isRepeat !== true && !this.#isStreaming && !this.#isOver
-			&& this.#sends + 1 < this.route.attempts
-			&& Math.min(this.deadlineMs, this.objectiveEndMs) - nowMs > this.route.objectiveMs * RESEND_SHARE
-			&& this.#hasRoomElsewhere('broken', nowMs)
-			&& this.#spend(nowMs);
-	}
-
 	#resend(reason: string): void {
-		this.#sends++;
 		this.#parts.log.registry.count('retries', {service: this.service, reason});
 		this.#place(reason);
 	}
 
-	#spend(nowMs: number): boolean {
-		const granted = this.#parts.budget.spend(this.service, nowMs);
-		this.#parts.log.registry.count(granted ? 'budget_spent' : 'budget_denied', {service: this.service});
-		return granted;
-	}
-
-	#hasRoomElsewhere(reason: RefusalReason | FailureReason, nowMs: number): boolean {
-		const {hosts, placement} = this.#parts;
-		const isLoad = reason === 'full' || reason === 'evicted' || reason === 'expired' || reason === 'shed-by-target';
-		return hosts.serving(this.service).some(entry => !this.#tried.includes(entry.host) && !placement.isSuspect(entry.host, nowMs) && (!isLoad || placement.loadOf(entry, nowMs) < 1));
-	}
-
-	#pass(chunk: Buffer, isLast: boolean): void {
-		if (this.#isOver || this.#hasHead) {
-			return;
-		}
-
-		this.#creditBytes -= chunk.length;
-		this.#handle?.write(chunk, isLast);
-		if (this.#creditBytes <= 0 && !isLast) {
-			this.#request.pause();
-		}
+	#mayResend(nowMs: number): boolean {
+		return !this.#body.isStreaming && !this.#isOver && this.#attempts.mayResend(nowMs);
 	}
 
 	#onReport(report: LoadReport | undefined, nowMs: number): void {
-		if (report !== undefined && this.#host !== '') {
-			this.#parts.placement.onReport(this.#host, this.route.name, report, nowMs);
+		if (report !== undefined && this.#attempts.count > 0) {
+			this.#parts.placement.onReport(this.#attempts.host, this.route.name, report, nowMs);
 		}
 	}
 
 	#release(): void {
-		if (this.#host !== '') {
-			this.#parts.placement.onEnded(this.#host);
+		if (this.#attempts.count > 0) {
+			this.#parts.placement.onEnded(this.#attempts.host);
 		}
 
 		this.#handle = undefined;
@@ -419,7 +350,7 @@
 
 	#refuse(reason: EndReason, comeback: 'transient' | 'overload'): void {
 		if (this.#mayHaveRun) {
-			this.#fail(502, reason);
+			this.#end(502, reason);
 			return;
 		}
 
@@ -428,17 +359,7 @@
 		this.#end(503, reason, ['retry-after', (waitMs / 1000).toFixed(3)]);
 	}
 
-	#fail(status: 502 | 504, reason: EndReason): void {
-		this.#end(status, reason, []);
-	}
-
-	#reject(status: 413): void {
-		this.#withdraw();
-		this.#response.shouldKeepAlive = false;
-		this.#end(status, 'cancelled', []);
-	}
-
-	#end(status: number, reason: EndReason, headers: string[]): void {
+	#end(status: number, reason: EndReason, headers: string[] = []): void {
 		if (this.#isOver) {
 			return;
 		}
@@ -447,9 +368,7 @@
 		this.#finish();
 		this.#note(status === 503 ? 'refused' : 'failed', reason, {status});
 		this.#parts.log.registry.count(status === 503 ? 'refused' : 'failed', {service: this.service, rank: this.route.rank, reason});
-		this.#parts.prepare(this.#response);
-		this.#response.writeHead(status, [...headers, this.#parts.names.attemptId, this.attemptId, 'content-length', '0']);
-		this.#response.end();
+		this.#reply.own(status, headers);
 	}
 
 	#tellParent(): void {
@@ -470,8 +389,8 @@
 			route: this.route.name,
 			service: this.service,
 			reason,
-			host: this.#host,
-			tried: this.#tried.length,
+			host: this.#attempts.host,
+			tried: this.#attempts.count,
 			ageMs: Math.round(nowMs - this.#arrivedMs),
 			leftMs: Math.round(this.deadlineMs - nowMs),
 			...more,
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -1,13 +1,13 @@
-import {type Buffer} from 'node:buffer';
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	Gate, type GateCall, type Lifecycle, type LoadReport, ServiceTimes, type Shedding, type Standing,
+	Gate, type Lifecycle, type LoadReport, ServiceTimes, type Shedding,
 } from '../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
-import {RunSink, type Run, type Upstream} from './upstream.js';
+import {CallOwner, OwnedCall} from './ownedcall.js';
+import {type Upstream} from './upstream.js';
 
 /** How often waiting and running calls are checked against their deadlines, in ms. */
 const SWEEP_MS = 20;
@@ -29,7 +29,7 @@
  * has passed here, so what is refused here has not run, and a target that
  * leaves gets nothing more whatever the others believe.
  */
-export class Owner {
+export class Owner extends CallOwner {
 	readonly #parts: OwnerParts;
 	readonly #gate = new Gate<OwnedCall>(1);
 	readonly #times = new ServiceTimes();
@@ -41,6 +41,7 @@
 	#isPumping = false;
 
 	constructor(parts: OwnerParts) {
+		super();
 		this.#parts = parts;
 	}
 
@@ -110,20 +111,20 @@
 	}
 
 	/** The services that calls of this route reach: the own one, and those of the calls made for them. */
-	reachedBy({shape}: Call): string[] {
+	override reachedBy({shape}: Call): string[] {
 		const {lifecycle, shedding} = this.#parts;
 		const own = lifecycle.current?.service;
 		return own === undefined ? [] : [own, ...shedding.servicesOf({route: shape.route, service: own}).filter(service => service !== own)];
 	}
 
-	report(route: string): LoadReport {
+	override report(route: string): LoadReport {
 		return {
 			running: this.#gate.running, queued: this.#gate.queued, limit: this.#gate.limit, serviceMs: this.#times.knownMs(route),
 		};
 	}
 
 	/** Nobody waits for this call any longer. */
-	cancel(owned: OwnedCall): void {
+	override cancel(owned: OwnedCall): void {
 		if (owned.run === undefined) {
 			this.#gate.cancel(owned);
 		} else {
@@ -133,7 +134,7 @@
 	}
 
 	/** @param served whether the target ran it to an answer of its own */
-	onRunEnded(owned: OwnedCall, served: boolean): void {
+	override onRunEnded(owned: OwnedCall, served: boolean): void {
 		if (!this.#running.delete(owned)) {
 			return;
 		}
@@ -148,19 +149,19 @@
 		this.#pump();
 	}
 
-	onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
+	override onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
 		this.#parts.log.event('run_failed', {
 			attempt: call.attemptId, route: call.shape.route, reason, instance: call.instance, ranMs: Math.round(this.#parts.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
 		});
 	}
 
-	onUnreachable(owned: OwnedCall): void {
+	override onUnreachable(owned: OwnedCall): void {
 		this.#unreachableUntilMs = this.#parts.clock.nowMs() + UNREACHABLE_MS;
 		this.#parts.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
 		this.#refuseWaiting('unreachable');
 	}
 
-	onMisdirected(owned: OwnedCall): void {
+	override onMisdirected(owned: OwnedCall): void {
 		this.#parts.log.warn('target_replaced', {attempt: owned.call.attemptId, expected: owned.call.instance});
 		if (this.#parts.lifecycle.current?.id === owned.call.instance) {
 			this.#parts.lifecycle.forget();
@@ -288,125 +289,3 @@
 		}
 	}
 }
-
-/** One call at its owner, from its arrival to its end. */
-class OwnedCall extends RunSink implements GateCall, CallHandle {
-	readonly call: Call;
-	readonly sink: CallSink;
-	readonly standing: Standing;
-	readonly isNested: boolean;
-	readonly deadlineMs: number;
-	readonly objectiveEndMs: number;
-	readonly serviceMs: number;
-	startedMs = 0;
-	isFailedBelow = false;
-	run: Run | undefined;
-	readonly #owner: Owner;
-	readonly #arrivedMs: number;
-	#early: Array<{bytes: Buffer; isLast: boolean}> = [];
-	#isOver = false;
-
-	constructor(owner: Owner, call: Call, sink: CallSink, arrival: {readonly nowMs: number; readonly serviceMs: number}) {
-		super();
-		const {nowMs, serviceMs} = arrival;
-		this.#owner = owner;
-		this.#arrivedMs = nowMs;
-		this.call = call;
-		this.sink = sink;
-		this.standing = call.standing;
-		this.isNested = call.isNested;
-		this.deadlineMs = nowMs + call.leftMs;
-		this.objectiveEndMs = nowMs + call.objectiveLeftMs;
-		this.serviceMs = serviceMs;
-	}
-
-	start(upstream: Upstream, nowMs: number): void {
-		this.startedMs = nowMs;
-		const waitedMs = nowMs - this.#arrivedMs;
-		this.run = upstream.run({...this.call, leftMs: this.call.leftMs - waitedMs}, this);
-		for (const {bytes, isLast} of this.#early) {
-			this.run.write(bytes, isLast);
-		}
-
-		this.#early = [];
-	}
-
-	/** How long it has waited here, in ms. */
-	readonly waitedMs = (nowMs: number): number => nowMs - this.#arrivedMs;
-
-	refuse(reason: RefusalReason, report: LoadReport): void {
-		if (!this.#isOver) {
-			this.#isOver = true;
-			this.sink.onRefused(reason, 0, report);
-		}
-	}
-
-	// From the sender of the call.
-
-	write(bytes: Buffer, isLast: boolean): void {
-		if (this.run === undefined) {
-			this.#early.push({bytes, isLast});
-		} else {
-			this.run.write(bytes, isLast);
-		}
-	}
-
-	credit(bytes: number): void {
-		this.run?.credit(bytes);
-	}
-
-	cancel(): void {
-		if (!this.#isOver) {
-			this.#isOver = true;
-			this.#owner.cancel(this);
-		}
-	}
-
-	// From the run at the target.
-
-	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
-		if (isWhole) {
-			this.#end(true);
-		}
-
-		this.sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
-	}
-
-	onChunk(bytes: Buffer, isLast: boolean): void {
-		if (isLast) {
-			this.#end(true);
-		}
-
-		this.sink.onChunk(bytes, isLast);
-	}
-
-	onNotRun(reason: RefusalReason): void {
-		this.#end(false);
-		if (reason === 'unreachable') {
-			this.#owner.onUnreachable(this);
-		} else if (reason === 'misdirected') {
-			this.#owner.onMisdirected(this);
-		}
-
-		this.sink.onRefused(reason, 0, this.#report());
-	}
-
-	onFailed(reason: FailureReason): void {
-		this.#end(false);
-		this.#owner.onRunFailed(this, reason);
-		this.sink.onFailed(reason, this.#report());
-	}
-
-	onTaken(bytes: number): void {
-		this.sink.onCredit(bytes);
-	}
-
-	#end(served: boolean): void {
-		this.#isOver = true;
-		this.#owner.onRunEnded(this, served);
-	}
-
-	#report(): LoadReport {
-		return this.#owner.report(this.call.shape.route);
-	}
-}
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -8,7 +8,9 @@
 	it('bounds the lines of each kind in a second, and says how many it left out', () => {
 		const lines: string[] = [];
 		const clock = new ManualClock(0);
-		const log = new EventLog(new Logger('d', 'info', line => lines.push(line)), clock);
+		const log = new EventLog(new Logger('d', 'info', line => {
+			lines.push(line);
+		}), clock);
 		for (let second = 0; second < 3; second++) {
 			clock.advanceTo(second * 1000);
 			for (let number = 0; number < 1000; number++) {
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -1,4 +1,6 @@
-import {type IncomingMessage, type Server, type ServerResponse, createServer} from 'node:http';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 
 type Stored = {metadata: {name: string; revision: number; created_rev: number; finalizers: string[]; deleting: boolean}; spec: unknown; status: unknown};
@@ -72,7 +74,7 @@
 	#serve(request: IncomingMessage, response: ServerResponse, text: string): void {
 		this.calls++;
 		const url = new URL(request.url!, 'http://store');
-		const [, , , kind, name] = url.pathname.split('/');
+		const [kind, name] = url.pathname.split('/').slice(3);
 		switch (this.trouble) {
 			case 'refuse': {
 				send(response, 503, {error: 'busy'});
@@ -88,7 +90,8 @@
 				return;
 			}
 
-			default: {
+			case 'lose-answer':
+			case 'none': {
 				break;
 			}
 		}
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -1,5 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {afterEach, describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {traceOf} from '../../src/log/index.js';
 import {Mesh, route, siteOf} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
