--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -52,7 +52,7 @@
 	operationId: z.string().min(1).max(100),
 	spec: z.union([siteSchema, serviceSchema]).optional(),
 }).refine(({name: object, spec}) => spec === undefined || (object === SITE_OBJECT) === ('classes' in spec), {
-	path: ['spec'], message: 'is of another kind than the object\'s name says',
+	path: ['spec'], error: 'is of another kind than the object\'s name says',
 });
 
 export const joinRecordSchema = z.strictObject({
