--- a/src/mesh/gate.ts
+++ b/src/mesh/gate.ts
@@ -12,8 +12,6 @@
 	readonly isNested: boolean;
 	/** When its answer must have come, in ms. */
 	readonly deadlineMs: number;
-	/** When its answer stops earning full credit, in ms. */
-	readonly objectiveEndMs: number;
 	/** How long it is expected to run, in ms. */
 	readonly serviceMs: number;
 };
--- a/src/relay/announcements.ts
+++ b/src/relay/announcements.ts
@@ -3,6 +3,7 @@
 import {type EventLog} from '../log/index.js';
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {DecodeError} from './error.js';
+import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
 /** A target's message is a few hundred bytes; more than this, in bytes, isn't one. */
@@ -46,11 +47,8 @@
 		});
 	}
 
-	async listen({ip, port}: Address): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, ip, resolve);
-		});
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
 	}
 
 	close(): void {
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -23,8 +23,6 @@
 	readonly instance: string;
 	/** How long its client, or its route, still waits, in ms. */
 	readonly leftMs: number;
-	/** How long an answer still earns full credit, in ms; may be negative. */
-	readonly objectiveLeftMs: number;
 	/** The place of the root that it is made for. */
 	readonly standing: Standing;
 	/** Whether a run in progress waits for it. */
@@ -73,7 +71,7 @@
 	abstract onAnswer(head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void;
 	abstract onChunk(bytes: Buffer, isLast: boolean): void;
 	/** The call has not run and never will. */
-	abstract onRefused(reason: RefusalReason, retryAfterMs: number, report: LoadReport | undefined): void;
+	abstract onRefused(reason: RefusalReason, report: LoadReport | undefined): void;
 	/** The call may have run. After an answer's head it means that the rest won't come. */
 	abstract onFailed(reason: FailureReason, report: LoadReport | undefined): void;
 	/** The owner can take more of the request's body. */
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -7,12 +7,13 @@
 import {
 	type AttemptsParts, type ClientLimits, type HostEntry, type Shedding, type Site, Splitter,
 } from '../mesh/index.js';
+import {CONNECTION_HEADERS} from '../wire/index.js';
 import {
 	type Call, type CallHandle, type CallShape, type CallSink,
 } from './call.js';
 import {Exchange} from './exchange.js';
-import {HOP_BY_HOP} from './hopbyhop.js';
 import {type ReplyParts} from './reply.js';
+import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
 /** How often open requests are checked against their deadlines, in ms: well within the slack that a time-out has. */
@@ -23,7 +24,7 @@
 const NO_SITE_RETRY_S = '0.4';
 
 /** Headers that concern one connection only, or that this daemon sets itself. */
-const NOT_FORWARDED = new Set([...HOP_BY_HOP, 'expect', 'content-length']);
+const NOT_FORWARDED = new Set([...CONNECTION_HEADERS, 'expect', 'content-length']);
 
 export type EntryParts = ReplyParts & AttemptsParts & {
 	readonly clock: Clock;
@@ -111,11 +112,8 @@
 		return this.#lastRequestMs;
 	}
 
-	async listen({ip, port}: Address): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, ip, 1024, resolve);
-		});
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
 	}
 
 	/** Applies what clients may do by the configuration in force. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -209,7 +209,7 @@
 		}
 	}
 
-	override onRefused(reason: RefusalReason, _retryAfterMs: number, report: LoadReport | undefined): void {
+	override onRefused(reason: RefusalReason, report: LoadReport | undefined): void {
 		const nowMs = this.#parts.clock.nowMs();
 		const {host} = this.#attempts;
 		this.#onReport(report, nowMs);
@@ -287,7 +287,6 @@
 			path: this.#request.url!,
 			instance: entry.target!.id,
 			leftMs: this.deadlineMs - nowMs,
-			objectiveLeftMs: this.objectiveEndMs - nowMs,
 			standing: this.#standing,
 			isNested: this.#parent !== undefined,
 			body: this.#body.first,
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -105,13 +105,13 @@
 	const [number, value] = shapes.write(key, shape);
 	const body = call.body.length > 0 ? call.body : null;
 	const {level, floor} = call.standing;
-	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), Math.round(call.objectiveLeftMs), flags, call.attemptId, call.path, body, level, floor];
+	return [Tag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor];
 }
 
 /** @throws {FrameError} */
 export function callOf(frame: Frame, shapes: ShapeReader<CallShape>, empty: Buffer): Call {
-	const [number, value, instance, leftMs, objectiveLeftMs, flags, attemptId, path, body, level, floor] = frame.slice(2);
-	const areNumbers = [leftMs, objectiveLeftMs, flags, level, floor].every(field => typeof field === 'number');
+	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor] = frame.slice(2);
+	const areNumbers = [leftMs, flags, level, floor].every(field => typeof field === 'number');
 	if (!areNumbers || typeof instance !== 'string' || typeof path !== 'string' || typeof attemptId !== 'string') {
 		throw new FrameError('a call without its fields');
 	}
@@ -120,7 +120,6 @@
 		shape: shapes.read(number, value),
 		instance,
 		leftMs: leftMs as number,
-		objectiveLeftMs: objectiveLeftMs as number,
 		isNested: ((flags as number) & NESTED) !== 0,
 		hasMore: ((flags as number) & MORE) !== 0,
 		isRepeat: ((flags as number) & REPEAT) !== 0,
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -86,7 +86,7 @@
 		this.#usedMs = this.#nowMs();
 		const held = new LinkCall(this, this.#nextId++, call, sink, this.#usedMs);
 		if (this.#isClosed || this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) {
-			sink.onRefused('unreachable', 0, undefined);
+			sink.onRefused('unreachable', undefined);
 			return held;
 		}
 
@@ -130,7 +130,7 @@
 			if (isSent) {
 				sink.onFailed('link-lost', undefined);
 			} else {
-				sink.onRefused('unreachable', 0, undefined);
+				sink.onRefused('unreachable', undefined);
 			}
 		}
 	}
@@ -173,7 +173,7 @@
 		switch (tag) {
 			case Tag.refused: {
 				this.#calls.delete(id as number);
-				held?.sink.onRefused(frame[2] as RefusalReason, frame[3] as number, reportOf(frame[4]));
+				held?.sink.onRefused(frame[2] as RefusalReason, reportOf(frame[3]));
 				break;
 			}
 
@@ -255,7 +255,7 @@
 	/** The call with what is left of its time now. */
 	remaining(nowMs: number): Call {
 		const waitedMs = nowMs - this.#sinceMs;
-		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: this.#call.leftMs - waitedMs, objectiveLeftMs: this.#call.objectiveLeftMs - waitedMs};
+		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: this.#call.leftMs - waitedMs};
 	}
 
 	flush(): void {
--- a/src/relay/metricspage.ts
+++ b/src/relay/metricspage.ts
@@ -1,5 +1,6 @@
 import {type Server, createServer} from 'node:http';
 import {type Registry} from '../log/index.js';
+import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
 /** Serves the registry as text. */
@@ -13,11 +14,8 @@
 		});
 	}
 
-	async listen({ip, port}: Address): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, ip, resolve);
-		});
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
 	}
 
 	close(): void {
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -25,7 +25,6 @@
 	readonly standing: Standing;
 	readonly isNested: boolean;
 	readonly deadlineMs: number;
-	readonly objectiveEndMs: number;
 	readonly serviceMs: number;
 	startedMs = 0;
 	isFailedBelow = false;
@@ -45,7 +44,6 @@
 		this.standing = call.standing;
 		this.isNested = call.isNested;
 		this.deadlineMs = nowMs + call.leftMs;
-		this.objectiveEndMs = nowMs + call.objectiveLeftMs;
 		this.serviceMs = serviceMs;
 	}
 
@@ -66,7 +64,7 @@
 	refuse(reason: RefusalReason, report: LoadReport): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
-			this.sink.onRefused(reason, 0, report);
+			this.sink.onRefused(reason, report);
 		}
 	}
 
@@ -117,7 +115,7 @@
 			this.#owner.onMisdirected(this);
 		}
 
-		this.sink.onRefused(reason, 0, this.#report());
+		this.sink.onRefused(reason, this.#report());
 	}
 
 	onFailed(reason: FailureReason): void {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -12,6 +12,7 @@
 } from './frame.js';
 import {PEER_PATH} from './link.js';
 import {type Owner} from './owner.js';
+import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -67,11 +68,8 @@
 		});
 	}
 
-	async listen({ip, port}: Address): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, ip, resolve);
-		});
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
 	}
 
 	/** Tells all daemons that have a link to this one. */
@@ -228,9 +226,9 @@
 		this.#link.send([Tag.chunk, this.#id, bytes.length > 0 ? bytes : null, isLast]);
 	}
 
-	override onRefused(reason: RefusalReason, retryAfterMs: number, report: LoadReport | undefined): void {
+	override onRefused(reason: RefusalReason, report: LoadReport | undefined): void {
 		this.#end();
-		this.#link.send([Tag.refused, this.#id, reason, retryAfterMs, packReport(report)]);
+		this.#link.send([Tag.refused, this.#id, reason, packReport(report)]);
 	}
 
 	override onFailed(reason: FailureReason, report: LoadReport | undefined): void {
--- a/src/relay/readiness.ts
+++ b/src/relay/readiness.ts
@@ -1,4 +1,5 @@
 import {type Server, createServer} from 'node:http';
+import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
 /** Answers whether this daemon takes requests. */
@@ -13,11 +14,8 @@
 		});
 	}
 
-	async listen({ip, port}: Address): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, ip, resolve);
-		});
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
 	}
 
 	close(): void {
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -3,11 +3,11 @@
 import {
 	Client, type Dispatcher, buildConnector, request,
 } from 'undici';
+import {CONNECTION_HEADERS} from '../wire/index.js';
 import {type HeaderNames} from './adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, INLINE_BYTES, type RefusalReason, WINDOW_BYTES,
 } from './call.js';
-import {HOP_BY_HOP} from './hopbyhop.js';
 import {type Address} from './settings.js';
 
 /** How long a connection to the target may take to open, in ms: the target is on the same host. */
@@ -351,7 +351,7 @@
 	#kept(headers: Record<string, string | string[] | undefined>): string[] {
 		const kept: string[] = [];
 		for (const [name, value] of Object.entries(headers)) {
-			if (value === undefined || HOP_BY_HOP.has(name) || name === 'content-length' || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
+			if (value === undefined || CONNECTION_HEADERS.has(name) || name === 'content-length' || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
 				continue;
 			}
 
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -13,11 +13,9 @@
 	readonly body: Uint8Array | Buffer;
 };
 
-const HOP_BY_HOP = new Set([
+/** Headers that concern one connection only, in lower case. */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
 	'connection',
-	'content-length',
-	'expect',
-	'host',
 	'keep-alive',
 	'proxy-authenticate',
 	'proxy-authorization',
@@ -27,6 +25,8 @@
 	'transfer-encoding',
 	'upgrade',
 ]);
+// What a daemon writes anew besides.
+const REWRITTEN = new Set([...CONNECTION_HEADERS, 'content-length', 'expect', 'host']);
 const OWN_PREFIX = 'comfreydyke-';
 
 /** Leaves out the headers that belong to one connection or to the daemons. */
@@ -34,7 +34,7 @@
 	const headers: string[] = [];
 	for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
 		const name = rawHeaders[at].toLowerCase();
-		if (!HOP_BY_HOP.has(name) && !name.startsWith(OWN_PREFIX)) {
+		if (!REWRITTEN.has(name) && !name.startsWith(OWN_PREFIX)) {
 			headers.push(name, rawHeaders[at + 1]);
 		}
 	}
--- a/test/mesh/gate.test.ts
+++ b/test/mesh/gate.test.ts
@@ -4,7 +4,7 @@
 
 type Named = GateCall & {readonly name: string};
 const call = (name: string, rank: number, more: Partial<GateCall> = {}): Named => ({
-	name, standing: {level: levelOf(RANKS - 1 - rank, name, 0), floor: 0}, isNested: false, deadlineMs: 1000, objectiveEndMs: 500, serviceMs: 10, ...more,
+	name, standing: {level: levelOf(RANKS - 1 - rank, name, 0), floor: 0}, isNested: false, deadlineMs: 1000, serviceMs: 10, ...more,
 });
 const busyGate = () => {
 	const gate = new Gate<Named>(1);
