--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -62,6 +62,7 @@
 	readonly #neighbor: Neighbor;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	#stopped: Promise<void> | undefined;
 
 	constructor(settings: RelaySettings, adapter: Adapter, {clock = new TickClock(new SystemClock()), write}: RelayOptions = {}) {
 		this.#settings = settings;
@@ -152,10 +153,11 @@
 
 	/** Stops without cutting a request: no new work, then the end of what runs, within the grace. */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
+		this.#stopped ??= this.#stop();
+		return this.#stopped;
+	}
 
+	async #stop(): Promise<void> {
 		this.#isStopping = true;
 		const startMs = this.#clock.nowMs();
 		this.#log.event('stopping', {open: this.#entry.open, running: this.#owner.running, queued: this.#owner.queued});
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -354,3 +354,19 @@
 		expect(await muteNeighbor('unsafe')).toEqual([504, 1]);
 	});
 });
+
+describe('a second signal to stop', () => {
+	it('waits for the same end as the first', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		await mesh.add('back', target('i-back', 'back', {workMs: 500}));
+		await mesh.settle();
+		const waiting = statusOf(front.settings.listen.requests.port, '/x/', 'a1', 'POST');
+		await sleep(50);
+		const first = front.relay.stop();
+		await front.relay.stop();
+		expect(await waiting).toBe(200);
+		await first;
+	});
+});
