Make the test of a second stop fail without the change

This one fails on the old code (the second stop resolves with the request open) and passes on the new.

--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -364,9 +364,12 @@
 		await mesh.settle();
 		const waiting = statusOf(front.settings.listen.requests.port, '/x/', 'a1', 'POST');
 		await sleep(50);
-		const first = front.relay.stop();
+		let isAnswered = false;
+		void waiting.then(() => {
+			isAnswered = true;
+		});
+		void front.relay.stop();
 		await front.relay.stop();
-		expect(await waiting).toBe(200);
-		await first;
+		expect([isAnswered, await waiting]).toEqual([true, 200]);
 	});
 });
