--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -382,9 +382,9 @@
 		await mesh.add('back', target('i-back', 'back', {workMs: 150, slots: 50}));
 		await mesh.settle();
 		const statuses: number[] = [];
-		let isStopped = false;
+		const stop = new AbortController();
 		const clients = Array.from({length: 6}, async (_, client) => {
-			for (let number = 0; !isStopped; number++) {
+			for (let number = 0; !stop.signal.aborted; number++) {
 				// eslint-disable-next-line no-await-in-loop -- one request after the other
 				const status = await statusOf(front.settings.listen.requests.port, '/x/', `c${client}-${number}`, 'POST');
 				statuses.push(status);
@@ -396,7 +396,7 @@
 		const startMs = performance.now();
 		await front.relay.stop();
 		const tookMs = performance.now() - startMs;
-		isStopped = true;
+		stop.abort();
 		await Promise.all(clients);
 		// Status 0: the connection was refused, nothing was read.
 		expect([tookMs < 1500, new Set(statuses)]).toEqual([true, new Set([200, 0])]);
