Revert the resend of overdue calls

Ruled out: the stop itself, all of whose ends had nothing open. Change: safe calls are no longer cut before their time-out; time-outs still count against the target.

--- a/src/mesh/attempts.ts
+++ b/src/mesh/attempts.ts
@@ -7,11 +7,6 @@
 const MAX_REFUSALS = 4;
 /** A second send needs this part of the objective still left: with less, it would be a token. */
 const RESEND_SHARE = 0.3;
-/** An answer counts as lost after this part of the objective, if also a multiple of the usual time has passed. */
-const OVERDUE_SHARE = 0.45;
-/** That multiple of the target's usual time for the route. */
-const OVERDUE_FACTOR = 6;
-
 export type AttemptsParts = {
 	readonly hosts: HostTable;
 	readonly placement: Placement;
@@ -37,7 +32,6 @@
 	readonly #isRepeat: boolean;
 	readonly #allowance: Allowance;
 	readonly #tried: string[] = [];
-	#sentMs = 0;
 	#sends = 0;
 	#refusals = 0;
 
@@ -73,7 +67,6 @@
 				budget.onFirst(this.#service, nowMs);
 			}
 
-			this.#sentMs = nowMs;
 			this.#tried.push(entry.host);
 			placement.onSent(entry.host);
 		}
@@ -99,12 +92,6 @@
 		return may;
 	}
 
-	/** Whether the answer of the present host must have been lost. */
-	isOverdue(nowMs: number): boolean {
-		const usualMs = this.#parts.placement.expectedMs(this.host, this.#route.name);
-		return nowMs - this.#sentMs > Math.max(this.#route.objectiveMs * OVERDUE_SHARE, usualMs * OVERDUE_FACTOR);
-	}
-
 	#spend(nowMs: number): boolean {
 		const isGranted = this.#parts.budget.spend(this.#service, nowMs);
 		this.#parts.onBudget(this.#service, isGranted);
--- a/src/mesh/placement.ts
+++ b/src/mesh/placement.ts
@@ -149,11 +149,6 @@
 		return (this.#views.get(host)?.suspectUntilMs ?? 0) > nowMs;
 	}
 
-	/** How long a route's calls take at a host, in ms; a guess where none has been answered. */
-	expectedMs(host: string, route: string): number {
-		return this.#views.get(host)?.serviceMs.get(route) ?? UNKNOWN_SERVICE_MS;
-	}
-
 	/** The part of the host's limit in use, as far as is known. */
 	loadOf(entry: HostEntry, nowMs: number): number {
 		const view = this.#view(entry.host);
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -110,15 +110,9 @@
 		});
 	}
 
-	/** Ends the request if its time is up, or sends it again if its answer must have been lost. */
+	/** Ends the request if its time is up. */
 	checkTime(nowMs: number): void {
-		if (this.#isOver) {
-			return;
-		}
-
-		if (nowMs < this.deadlineMs) {
-			this.#checkOverdue(nowMs);
-		} else {
+		if (!this.#isOver && nowMs >= this.deadlineMs) {
 			const wasOut = this.#handle !== undefined || this.#mayHaveRun;
 			if (this.#handle !== undefined) {
 				this.#parts.placement.onOutcome(this.#attempts.host, true, nowMs);
@@ -302,20 +296,6 @@
 		}
 	}
 
-	#checkOverdue(nowMs: number): void {
-		const {placement} = this.#parts;
-		if (this.#handle === undefined || this.#hasHead || this.#body.isStreaming) {
-			return;
-		}
-
-		if (this.#attempts.isOverdue(nowMs) && this.#mayResend(nowMs)) {
-			placement.onOutcome(this.#attempts.host, true, nowMs);
-			this.#withdraw();
-			this.#mayHaveRun = true;
-			this.#resend('overdue');
-		}
-	}
-
 	#resend(reason: string): void {
 		this.#parts.log.registry.count('retries', {service: this.service, reason});
 		this.#place(reason);
