--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -1,4 +1,5 @@
-import {type Server, createServer} from 'node:net';
+import {createServer} from 'node:net';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MemoryStore} from '../fakes/memorystore.js';
 import {type Route, type SiteSpec} from '../src/mesh/index.js';
@@ -124,16 +125,36 @@
 	};
 }
 
+/** Below the range from which connections take their ports, so that none of them takes one between its choice and its use. */
+const FIRST_PORT = 10_000;
+/** Ports for the tests of one worker process. */
+const PORTS_PER_WORKER = 1000;
+
+let nextPort = FIRST_PORT + (Number(process.env.VITEST_POOL_ID ?? 0) * PORTS_PER_WORKER);
+
 async function freePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<Server>(resolve => {
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = nextPort++;
+		// eslint-disable-next-line no-await-in-loop -- tries one port after the other
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
+	return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+	return new Promise(resolve => {
 		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
+		server.once('error', () => {
+			resolve(false);
 		});
-	})));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
 }
