--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -18,15 +18,17 @@
 describe('from its id to its cause', () => {
 	it('a request refused under load: the owner\'s line tells of the full queue', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 300})]));
+		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 1000})]));
 		const front = await mesh.add('front', {
 			id: 'i-front', service: 'front', slots: 4, workMs: 1,
 		});
 		await mesh.add('back', {
-			id: 'i-back', service: 'back', slots: 1, workMs: 100,
+			id: 'i-back', service: 'back', slots: 1, workMs: 400,
 		});
 		await mesh.settle();
-		const answers = await Promise.all(Array.from({length: 30}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`, 300)})));
+		// The owner learns how long such calls take, so it refuses well before their time is over.
+		await call(front.settings.listen.requests.port, '/x/', {headers: attempt('first', 1000)});
+		const answers = await Promise.all(Array.from({length: 12}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`, 1000)})));
 		const refused = answers.findIndex(({status}) => status === 503);
 		expect(refused).toBeGreaterThan(-1);
 		expect(traced(`a${refused}`)).toMatch(/back +owner_refused .*reason=(?:full|expired) .*queued=\d+ limit=1/v);
