Drop what nothing reads; one bound on a frame's size

Found in the last reading: the entry kept the time of the last request, on each request, for nobody; the target's connections could be pointed elsewhere, which nothing did; the size of a frame stood three times.

--- a/src/log/events.ts
+++ b/src/log/events.ts
@@ -15,6 +15,7 @@
 	readonly #logger: Logger;
 	readonly #clock: Clock;
 	readonly #windows = new Map<string, Window>();
+
 	constructor(logger: Logger, clock: Clock) {
 		this.#logger = logger;
 		this.#clock = clock;
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -64,7 +64,6 @@
 	readonly #sockets = new Set<Socket>();
 	#isArmed = false;
 	#isStopping = false;
-	#lastRequestMs = 0;
 
 	constructor(options: EntryOptions) {
 		this.#options = options;
@@ -107,11 +106,6 @@
 		return this.#exchanges.size;
 	}
 
-	/** When the last request came, in ms. */
-	get lastRequestMs(): number {
-		return this.#lastRequestMs;
-	}
-
 	async listen(address: Address): Promise<void> {
 		await listen(this.#server, address);
 	}
@@ -152,7 +146,7 @@
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
-		const {clock, log, names, site: siteOf} = this.#options;
+		const {log, names, site: siteOf} = this.#options;
 		const connection = this.#connections.get(request.socket)!;
 		if (connection.isClosing) {
 			// An answer before this request closes the connection: it counts as not read.
@@ -164,7 +158,6 @@
 			connection.unanswered--;
 		});
 
-		this.#lastRequestMs = clock.nowMs();
 		response.sendDate = false;
 		const site = siteOf();
 		if (site === undefined) {
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {WebSocket} from 'ws';
+import {MAX_FRAME_BYTES} from '../wire/index.js';
 import {
 	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
@@ -17,7 +18,6 @@
 const SILENCE_MS = 1200;
 /** A link without calls is closed after this time, in ms; opening it again costs a round trip. */
 const IDLE_MS = 20_000;
-const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 /** Calls in flight on a link, and bytes waiting in its socket, past which it takes no more. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -4,6 +4,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {type LoadReport} from '../mesh/index.js';
+import {MAX_FRAME_BYTES} from '../wire/index.js';
 import {
 	type AnswerHead, type CallHandle, CallSink, type CallShape, type FailureReason, type RefusalReason,
 } from './call.js';
@@ -15,7 +16,6 @@
 import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
-const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const EMPTY = Buffer.alloc(0);
 /** How often a link is told of floors while calls end on it, in ms: floors change at this pace. */
 const TELL_MS = 40;
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -36,7 +36,7 @@
 	readonly #names: HeaderNames;
 	readonly #idle: Connection[] = [];
 	readonly #nowMs: () => number;
-	#origin: string;
+	readonly #origin: string;
 	#distrustUntilMs = 0;
 	#generation = 0;
 
@@ -46,13 +46,7 @@
 		this.#nowMs = nowMs;
 	}
 
-	/** The target is another one now: kept connections are of no use. */
-	point(address: Address): void {
-		this.#origin = originOf(address);
-		this.drop();
-	}
-
-	/** Closes the kept connections. */
+	/** The target is another one now: its kept connections are closed. */
 	drop(): void {
 		this.#generation++;
 		for (const {client} of this.#idle.splice(0)) {
