Trust no kept connection that rested longer than one that was lost

Ruled out: sending it again (it may have run). Change: a request lost on a rested connection halves the rest that is trusted for 10 s (mesh/rest), and the connections below it in the stack are closed.

--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -3,6 +3,7 @@
 import {
 	Client, type Dispatcher, buildConnector, request,
 } from 'undici';
+import {RestLimit} from '../mesh/index.js';
 import {CONNECTION_HEADERS} from '../wire/index.js';
 import {type HeaderNames} from './adapter.js';
 import {
@@ -37,6 +38,7 @@
 	readonly #idle: Connection[] = [];
 	readonly #nowMs: () => number;
 	readonly #origin: string;
+	readonly #restLimit = new RestLimit();
 	#distrustUntilMs = 0;
 	#generation = 0;
 
@@ -64,11 +66,17 @@
 	}
 
 	run(call: Call, sink: RunSink): Run {
-		const connection = this.#idle.pop() ?? this.#open();
+		const connection = this.#rested() ?? this.#open();
 		const {client} = connection;
+		const restedMs = this.#nowMs() - connection.restsSinceMs;
 		const generation = this.#generation;
 		const run = new Run(call, this.#names, sink, {
 			wasReset: () => connection.wasReset,
+			onLost: () => {
+				if (Number.isFinite(restedMs)) {
+					this.#restLimit.onLost(restedMs, this.#nowMs());
+				}
+			},
 			release: isSound => {
 				this.#release(connection, isSound && generation === this.#generation);
 			},
@@ -82,8 +90,24 @@
 		return run;
 	}
 
+	/** The kept connection that was used last, if it hasn't rested for too long. */
+	#rested(): Connection | undefined {
+		const nowMs = this.#nowMs();
+		const connection = this.#idle.pop();
+		if (connection === undefined || this.#restLimit.allows(nowMs - connection.restsSinceMs, nowMs)) {
+			return connection;
+		}
+
+		// Those below it in the stack have rested longer.
+		for (const {client} of [connection, ...this.#idle.splice(0)]) {
+			void client.destroy();
+		}
+
+		return undefined;
+	}
+
 	#open(): Connection {
-		const connection: {wasReset: boolean} = {wasReset: false};
+		const connection = {wasReset: false, restsSinceMs: Number.POSITIVE_INFINITY};
 		const client = new Client(this.#origin, {
 			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection), maxHeaderSize: MAX_HEADER_BYTES,
 		});
@@ -110,6 +134,7 @@
 		} else if (this.#nowMs() < this.#distrustUntilMs) {
 			void client.close();
 		} else {
+			connection.restsSinceMs = this.#nowMs();
 			this.#idle.push(connection);
 		}
 	}
@@ -118,11 +143,18 @@
 /** What a run needs of the connection that it is sent on. */
 type RunConnection = {
 	readonly wasReset: () => boolean;
+	/** It ended before any of the answer came. */
+	readonly onLost: () => void;
 	/** @param isSound whether the connection may carry another request */
 	readonly release: (isSound: boolean) => void;
 };
 
-type Connection = {readonly client: Client; wasReset: boolean};
+type Connection = {
+	readonly client: Client;
+	wasReset: boolean;
+	/** When it was last used, in ms; infinite for one that never was. */
+	restsSinceMs: number;
+};
 
 // The client takes an answer without a length that ends in a reset for a whole one.
 function markResets(connection: {wasReset: boolean}): buildConnector.connector {
@@ -321,6 +353,10 @@
 		if (this.#controller === undefined) {
 			this.#sink.onNotRun('unreachable');
 		} else {
+			if (this.#head === undefined) {
+				this.#connection.onLost();
+			}
+
 			this.#sink.onFailed('broken');
 		}
 	}
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -191,6 +191,35 @@
 	});
 });
 
+describe('a target that forgets connections that rested', () => {
+	it('costs one request, and then no more', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		const answeredMs = new WeakMap<Socket, number>();
+		back.target.misbehave = ({socket, headers}, response) => {
+			if (performance.now() - (answeredMs.get(socket) ?? Number.POSITIVE_INFINITY) > 80) {
+				socket.resetAndDestroy();
+			} else {
+				back.target.answer(response, String(headers[meshHeaders.attemptId]));
+				answeredMs.set(socket, performance.now());
+			}
+		};
+
+		await mesh.settle();
+		const statuses: number[] = [];
+		for (let number = 0; number < 8; number++) {
+			// eslint-disable-next-line no-await-in-loop -- the connection rests in between
+			statuses.push(await statusOf(front.settings.listen.requests.port, '/x/', `a${number}`, 'POST'));
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(150);
+		}
+
+		expect(statuses.filter(status => status === 502)).toHaveLength(1);
+	});
+});
+
 describe('a refusal', () => {
 	it('by the target counts as not run and is placed elsewhere', async () => {
 		mesh = new Mesh();
