--- a/src/mesh/attempts.ts
+++ b/src/mesh/attempts.ts
@@ -15,6 +15,16 @@
 	readonly onBudget: (service: string, isGranted: boolean) => void;
 };
 
+/** What is to be placed. */
+export type Errand = {
+	readonly route: Route;
+	readonly service: string;
+	/** Whether it is made for a run that was itself sent again. */
+	readonly isRepeat: boolean;
+	/** The standing of its root. */
+	readonly level: number;
+};
+
 /** The time that a request has. */
 export type Allowance = {readonly deadlineMs: number; readonly objectiveEndMs: number};
 
@@ -30,17 +40,18 @@
 	readonly #route: Route;
 	readonly #service: string;
 	readonly #isRepeat: boolean;
+	readonly #level: number;
 	readonly #allowance: Allowance;
 	readonly #tried: string[] = [];
 	#sends = 0;
 	#refusals = 0;
 
-	/** @param isRepeat whether it is made for a run that was itself sent again */
-	constructor(parts: AttemptsParts, {route, service, isRepeat}: {route: Route; service: string; isRepeat: boolean}, allowance: Allowance) {
+	constructor(parts: AttemptsParts, {route, service, isRepeat, level}: Errand, allowance: Allowance) {
 		this.#parts = parts;
 		this.#route = route;
 		this.#service = service;
 		this.#isRepeat = isRepeat;
+		this.#level = level;
 		this.#allowance = allowance;
 	}
 
@@ -65,6 +76,9 @@
 		if (entry !== undefined) {
 			if (this.#tried.length === 0) {
 				budget.onFirst(this.#service, nowMs);
+				if (this.#isRepeat) {
+					budget.onRepeated(this.#service, nowMs);
+				}
 			}
 
 			this.#tried.push(entry.host);
@@ -93,7 +107,7 @@
 	}
 
 	#spend(nowMs: number): boolean {
-		const isGranted = this.#parts.budget.spend(this.#service, nowMs);
+		const isGranted = this.#parts.budget.spend(this.#service, this.#level, nowMs);
 		this.#parts.onBudget(this.#service, isGranted);
 		return isGranted;
 	}
--- a/src/mesh/retrybudget.ts
+++ b/src/mesh/retrybudget.ts
@@ -1,3 +1,5 @@
+import {CLOSED} from '../core/index.js';
+
 /** How the budget of second sends is shared, as settings. */
 export type RetryBudgetOptions = {
 	/** Second sends for each first one that the site allows, over the window. */
@@ -7,17 +9,23 @@
 	readonly windowMs: number;
 };
 
-type Bucket = {tokens: number; refilledMs: number};
+type Bucket = {tokens: number; refilledMs: number; firstsPerS: number};
 
-/** The part of the ratio that is spent: a second run's calls are second sends at the services below it, too. */
-const RATIO_SHARE = 0.3;
-/** The part of the slack that is spent, over all daemons. */
-const SLACK_SHARE = 0.3;
+/** The part of the site's budget that is spent: the rest is for windows that the daemons see shifted against each other. */
+const SHARE = 0.6;
+/** How much of what requests bring may be saved up, in ms of their arrivals: failures come in bursts. */
+const SAVED_MS = 250;
+/** The time over which the rate of arrivals is taken, in ms. */
+const RATE_MS = 2000;
+/** How much of the lowest standing's reserve a place below the top costs: only the upper ranks are in use. */
+const RESERVE_SLOPE = 2;
 
 /**
  * The second sends that this daemon may make to each service: its part of a
  * budget that all daemons share without talking of it. Each spends from what
- * its own requests bring, and from an equal part of the slack.
+ * its own requests bring, and from an equal part of the slack. When it runs
+ * low, calls of the roots with the highest standing spend it alone, so that
+ * some roots get all their calls through rather than all of them a part.
  * Load pattern: many failures at once, when every daemon would send again.
  */
 export class RetryBudget {
@@ -37,13 +45,23 @@
 	/** A request for a service was sent for the first time. */
 	onFirst(service: string, nowMs: number): void {
 		const bucket = this.#bucket(service, nowMs);
-		bucket.tokens = Math.min(bucket.tokens + (this.#options.ratio * RATIO_SHARE), this.#capacity());
+		bucket.firstsPerS += 1000 / RATE_MS;
+		bucket.tokens = Math.min(bucket.tokens + (this.#options.ratio * SHARE), this.#capacity(bucket));
+	}
+
+	/** A run that was itself a second one makes a call: that counts, too, though nobody asked. */
+	onRepeated(service: string, nowMs: number): void {
+		this.#bucket(service, nowMs).tokens--;
 	}
 
-	/** @returns whether a second send is within the budget; it is then spent */
-	spend(service: string, nowMs: number): boolean {
+	/**
+	 * @param level the standing of the call's root
+	 * @returns whether a second send is within the budget; it is then spent
+	 */
+	spend(service: string, level: number, nowMs: number): boolean {
 		const bucket = this.#bucket(service, nowMs);
-		if (bucket.tokens < 1) {
+		const reserve = (this.#capacity(bucket) - 1) * Math.min(1, (1 - (level / CLOSED)) * RESERVE_SLOPE);
+		if (bucket.tokens < 1 + reserve) {
 			return false;
 		}
 
@@ -54,21 +72,23 @@
 	#bucket(service: string, nowMs: number): Bucket {
 		let bucket = this.#buckets.get(service);
 		if (bucket === undefined) {
-			bucket = {tokens: Math.min(1, this.#slack()), refilledMs: nowMs};
+			bucket = {tokens: Math.min(1, this.#slack()), refilledMs: nowMs, firstsPerS: 0};
 			this.#buckets.set(service, bucket);
 		}
 
-		const earned = this.#slack() * Math.max(0, nowMs - bucket.refilledMs) / this.#options.windowMs;
-		bucket.tokens = Math.min(bucket.tokens + earned, this.#capacity());
+		const passedMs = Math.max(0, nowMs - bucket.refilledMs);
+		bucket.firstsPerS *= Math.exp(-passedMs / RATE_MS);
+		const earned = this.#slack() * passedMs / this.#options.windowMs;
+		bucket.tokens = Math.min(bucket.tokens + earned, this.#capacity(bucket));
 		bucket.refilledMs = nowMs;
 		return bucket;
 	}
 
 	#slack(): number {
-		return this.#options.slack * SLACK_SHARE / this.#daemons;
+		return this.#options.slack * SHARE / this.#daemons;
 	}
 
-	#capacity(): number {
-		return Math.max(2, 2 * this.#slack());
+	#capacity({firstsPerS}: Bucket): number {
+		return 1 + (this.#options.ratio * firstsPerS * SAVED_MS / 1000);
 	}
 }
--- a/test/mesh/placement.test.ts
+++ b/test/mesh/placement.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {CLOSED} from '../../src/core/index.js';
 import {
 	type HostEntry, HostTable, Placement, RetryBudget, comebackMs,
 } from '../../src/mesh/index.js';
@@ -86,22 +87,51 @@
 });
 
 describe('the budget of second sends', () => {
-	it('over all daemons stays within the site\'s, in any window', () => {
-		const daemons = 12;
-		const requests = 3000;
+	const site = {ratio: 0.2, slack: 48, windowMs: 10_000};
+	// Each daemon sends for a window first without and then with failures; what it spends in the second counts.
+	const spentBy = (daemons: number, requests: number, fail: (budget: RetryBudget, nowMs: number) => number) => {
 		let spent = 0;
 		for (let daemon = 0; daemon < daemons; daemon++) {
-			const budget = new RetryBudget({ratio: 0.2, slack: 48, windowMs: 10_000});
+			const budget = new RetryBudget(site);
 			budget.share(daemons);
-			for (let number = 0; number < requests; number++) {
+			for (let number = 0; number < requests * 2; number++) {
 				const nowMs = number * 10_000 / requests;
 				budget.onFirst('s', nowMs);
-				spent += budget.spend('s', nowMs) ? 1 : 0;
+				spent += number >= requests ? fail(budget, nowMs) : 0;
 			}
 		}
 
+		return spent;
+	};
+
+	it.each([[12, 3000], [12, 25], [79, 300], [300, 20]])('of %d daemons with %d requests each stays within the site\'s, in any window', (daemons, requests) => {
+		const spent = spentBy(daemons, requests, (budget, nowMs) => budget.spend('s', CLOSED, nowMs) ? 1 : 0);
 		expect(spent).toBeLessThanOrEqual((0.2 * requests * daemons) + 48);
-		expect(spent).toBeGreaterThan(0);
+		expect(spent).toBeGreaterThan((0.2 * requests * daemons) / 2);
+	});
+
+	it('is spent by the calls that repeated runs make', () => {
+		const spent = spentBy(12, 3000, (budget, nowMs) => {
+			if (!budget.spend('s', CLOSED, nowMs)) {
+				return 0;
+			}
+
+			budget.onRepeated('s', nowMs);
+			budget.onRepeated('s', nowMs);
+			return 3;
+		});
+		expect(spent).toBeLessThanOrEqual((0.2 * 3000 * 12) + 48);
+	});
+
+	it('is left to the roots of the highest standing when it runs low', () => {
+		let high = 0;
+		let low = 0;
+		spentBy(12, 3000, (budget, nowMs) => {
+			low += budget.spend('s', CLOSED * 0.7, nowMs) ? 1 : 0;
+			high += budget.spend('s', CLOSED * 0.98, nowMs) ? 1 : 0;
+			return 0;
+		});
+		expect(low / high).toBeLessThan(0.2);
 	});
 });
 
