--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -1,5 +1,5 @@
 import {
-	type Changes, type Listing, ObjectStore, StoreError, type StoredObject,
+	type Changes, type Listing, ObjectStore, StoreError, type StoredObject, type WatchOptions,
 } from '../src/relay/index.js';
 
 type Record_ = {readonly kind: string; readonly object: StoredObject; readonly isDeleted: boolean};
@@ -121,7 +121,7 @@
 		return this.#store.get(kind, name);
 	}
 
-	override async watch(kind: string, revision: number, waitMs: number): Promise<Changes> {
+	override async watch(kind: string, revision: number, {waitMs}: WatchOptions): Promise<Changes> {
 		this.#check();
 		if (this.#store.changes(kind, revision).events.length === 0) {
 			await this.#store.wait(waitMs);
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -5,16 +5,24 @@
 import {type Adapter} from './adapter.js';
 import {StoreError} from './error.js';
 import {hostEntryOf} from './hostentry.js';
-import {type Changes, type ObjectStore, type StoredObject} from './store.js';
+import {
+	type Changes, type Freshness, type ObjectStore, type StoredObject,
+} from './store.js';
 
 /** The kind under which the daemons' entries lie in the store. */
 export const HOST_KIND = 'comfreydyke-hosts';
 /** Waits in ms that grow with the fleet, so that its calls to the store don't grow with its square: for each host, least, most. */
 type Pace = {readonly perHostMs: number; readonly leastMs: number; readonly mostMs: number};
-/** How long one watch for configurations waits: of all daemons' watches one ends soon after an outage, and its daemon tells the others. */
-const SITE_WATCH: Pace = {perHostMs: 150, leastMs: 4000, mostMs: 15_000};
-/** How long one watch for hosts waits. */
-const HOST_WATCH: Pace = {perHostMs: 200, leastMs: 6000, mostMs: 20_000};
+/**
+ * How long one watch for configurations waits at most: of all daemons' watches
+ * one ends soon after an outage, and its daemon tells the others. No longer
+ * than the store lets any watch wait.
+ */
+const SITE_WATCH: Pace = {perHostMs: 1000, leastMs: 4000, mostMs: 30_000};
+/** The same for hosts; links find out sooner what became of a known one. */
+const HOST_WATCH: Pace = {perHostMs: 500, leastMs: 6000, mostMs: 15_000};
+/** The shortest wait of a watch, in ms: watches that began together end one by one. */
+const WATCH_LEAST_MS = 2000;
 /** The pause before the next watch for configurations, so that changes that come together cost one call. */
 const SITE_PAUSE: Pace = {perHostMs: 1, leastMs: 20, mostMs: 250};
 /** The same for hosts: a host that isn't known yet costs little. */
@@ -25,6 +33,7 @@
 
 type Follower = {
 	readonly kind: string;
+	readonly freshness: Freshness;
 	readonly watch: Pace;
 	readonly pause: Pace;
 	readonly replace: (objects: readonly StoredObject[], revision: number) => void;
@@ -78,6 +87,7 @@
 		const {configuration} = this.#parts.adapter;
 		void this.#follow({
 			kind: configuration.kind,
+			freshness: 'fresh',
 			watch: SITE_WATCH,
 			pause: SITE_PAUSE,
 			replace: objects => {
@@ -95,6 +105,7 @@
 		});
 		void this.#follow({
 			kind: HOST_KIND,
+			freshness: 'stale',
 			watch: HOST_WATCH,
 			pause: HOST_PAUSE,
 			replace: (objects, revision) => {
@@ -163,12 +174,12 @@
 			try {
 				if (revision === undefined) {
 					// eslint-disable-next-line no-await-in-loop -- each call needs the one before
-					const listing = await this.#store.list(follower.kind);
+					const listing = await this.#store.list(follower.kind, follower.freshness);
 					revision = listing.revision;
 					follower.replace(listing.objects, listing.revision);
 				} else {
 					// eslint-disable-next-line no-await-in-loop -- each call needs the one before
-					const changes = await this.#store.watch(follower.kind, revision, this.#pacedMs(follower.watch));
+					const changes = await this.#store.watch(follower.kind, revision, {waitMs: this.#watchMs(follower.watch), freshness: follower.freshness});
 					revision = Math.max(revision, changes.revision);
 					follower.change(changes);
 					if (changes.events.length > 0) {
@@ -195,6 +206,10 @@
 		}
 	}
 
+	#watchMs(pace: Pace): number {
+		return WATCH_LEAST_MS + ((this.#pacedMs(pace) - WATCH_LEAST_MS) * this.#parts.random());
+	}
+
 	#pacedMs({perHostMs, leastMs, mostMs}: Pace): number {
 		return Math.min(mostMs, Math.max(leastMs, perHostMs * this.#parts.hosts.size));
 	}
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -5,5 +5,5 @@
 } from './adapter.js';
 export {DecodeError, StoreError} from './error.js';
 export {
-	type Changes, type Listing, ObjectStore, type StoreEvent, type StoredObject,
+	type Changes, type Freshness, type Listing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
 } from './store.js';
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -15,6 +15,8 @@
 	/** Items in one page of a list. */
 	pageSize = 500;
 	calls = 0;
+	/** Calls of these that may be answered with old data, at less cost. */
+	staleCalls = 0;
 	readonly #server: Server;
 	readonly #objects = new Map<string, Stored>();
 	readonly #events: Event[] = [];
@@ -74,6 +76,7 @@
 	#serve(request: IncomingMessage, response: ServerResponse, text: string): void {
 		this.calls++;
 		const url = new URL(request.url!, 'http://store');
+		this.staleCalls += url.searchParams.get('stale_ok') === '1' ? 1 : 0;
 		const [kind, name] = url.pathname.split('/').slice(3);
 		switch (this.trouble) {
 			case 'refuse': {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -46,20 +46,28 @@
 			standin.put(KIND, name, {name});
 		}
 
-		const {objects} = await store.list(KIND);
+		const {objects} = await store.list(KIND, 'fresh');
 		expect(objects.map(({name}) => name)).toEqual(['a', 'b', 'c', 'd', 'e']);
 	});
 
 	it('watches from a revision on, and says when that history is gone', async () => {
-		const {revision} = await store.list(KIND);
-		const waiting = store.watch(KIND, revision, 2000);
+		const {revision} = await store.list(KIND, 'fresh');
+		const waiting = store.watch(KIND, revision, {waitMs: 2000, freshness: 'fresh'});
 		await sleep(20);
 		standin.put(KIND, 'a', {x: 1});
 		const {events, revision: next} = await waiting;
 		expect(events.map(({object, isDeleted}) => [object.name, isDeleted])).toEqual([['a', false]]);
 		standin.put(KIND, 'b', {});
 		standin.compact();
-		expect(await kindOf(store.watch(KIND, next, 100))).toBe('compacted');
+		expect(await kindOf(store.watch(KIND, next, {waitMs: 100, freshness: 'fresh'}))).toBe('compacted');
+	});
+
+	it('is asked for what may be old at its lower price, and only then', async () => {
+		const {revision} = await store.list(KIND, 'stale');
+		await store.watch(KIND, revision, {waitMs: 1, freshness: 'stale'});
+		await store.list(KIND, 'fresh');
+		await store.watch(KIND, revision, {waitMs: 1, freshness: 'fresh'});
+		expect([standin.calls, standin.staleCalls]).toEqual([4, 2]);
 	});
 
 	it.each([
@@ -69,7 +77,7 @@
 		['silent', 'unavailable'],
 	] as const)('that does "%s" ends a call within its time as %s', async (trouble, kind) => {
 		standin.trouble = trouble;
-		expect(await kindOf(trouble === 'lose-answer' ? store.put(KIND, 'a', {}, 0) : store.list(KIND))).toBe(kind);
+		expect(await kindOf(trouble === 'lose-answer' ? store.put(KIND, 'a', {}, 0) : store.list(KIND, 'fresh'))).toBe(kind);
 	});
 
 	it('keeps what was written though its answer was lost', async () => {
