--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -62,6 +62,11 @@
 		expect(await kindOf(store.watch(KIND, next, {waitMs: 100, freshness: 'fresh'}))).toBe('compacted');
 	});
 
+	it('takes a wait that is no whole number', async () => {
+		const {events} = await store.watch(KIND, 1, {waitMs: 1.5, freshness: 'fresh'});
+		expect(events).toEqual([]);
+	});
+
 	it('is asked for what may be old at its lower price, and only then', async () => {
 		const {revision} = await store.list(KIND, 'stale');
 		await store.watch(KIND, revision, {waitMs: 1, freshness: 'stale'});
