--- a/src/mesh/retrybudget.ts
+++ b/src/mesh/retrybudget.ts
@@ -12,7 +12,7 @@
 type Bucket = {tokens: number; refilledMs: number; firstsPerS: number};
 
 /** The part of the site's budget that is spent: the rest is for windows that the daemons see shifted against each other. */
-const SHARE = 0.6;
+const SHARE = 0.8;
 /** How much of what requests bring may be saved up, in ms of their arrivals: failures come in bursts. */
 const SAVED_MS = 250;
 /** The time over which the rate of arrivals is taken, in ms. */
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -170,16 +170,21 @@
 	async #follow(follower: Follower): Promise<void> {
 		let revision: number | undefined;
 		let backoffMs = BACKOFF_MS;
+		// Data that may be old can be older than the history that is left.
+		let isBehind = false;
 		while (!this.#isClosed) {
+			const freshness = isBehind ? 'fresh' : follower.freshness;
 			try {
 				if (revision === undefined) {
 					// eslint-disable-next-line no-await-in-loop -- each call needs the one before
-					const listing = await this.#store.list(follower.kind, follower.freshness);
+					const listing = await this.#store.list(follower.kind, freshness);
 					revision = listing.revision;
 					follower.replace(listing.objects, listing.revision);
 				} else {
 					// eslint-disable-next-line no-await-in-loop -- each call needs the one before
-					const changes = await this.#store.watch(follower.kind, revision, {waitMs: this.#watchMs(follower.watch), freshness: follower.freshness});
+					const changes = await this.#store.watch(follower.kind, revision, {waitMs: this.#watchMs(follower.watch), freshness});
+					isBehind = false;
+					backoffMs = BACKOFF_MS;
 					revision = Math.max(revision, changes.revision);
 					follower.change(changes);
 					if (changes.events.length > 0) {
@@ -189,7 +194,6 @@
 				}
 
 				this.#onStore(true, follower.kind);
-				backoffMs = BACKOFF_MS;
 			} catch (error) {
 				const isCompacted = error instanceof StoreError && error.kind === 'compacted';
 				if (isCompacted) {
@@ -198,9 +202,11 @@
 					this.#onStore(false, follower.kind, error as Error);
 				}
 
+				const waitMs = isCompacted && !isBehind ? 0 : backoffMs * (0.5 + this.#parts.random());
+				isBehind = isCompacted;
 				revision = undefined;
 				// eslint-disable-next-line no-await-in-loop -- waits before it asks again
-				await delay(isCompacted ? 0 : backoffMs * (0.5 + this.#parts.random()));
+				await delay(waitMs);
 				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
 			}
 		}
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type GateCall, type LoadReport, type Standing} from '../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type AnswerHead, type Call, type CallHandle, CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {RunSink, type Run, type Upstream} from './upstream.js';
 
@@ -18,10 +18,20 @@
 	abstract onMisdirected(owned: OwnedCall): void;
 }
 
+/** Takes what nobody waits for. */
+class Nowhere extends CallSink {
+	override onAnswer(): void {}
+	override onChunk(): void {}
+	override onRefused(): void {}
+	override onFailed(): void {}
+	override onCredit(): void {}
+}
+
+const NOWHERE = new Nowhere();
+
 /** One call at its owner, from its arrival to its end. */
 export class OwnedCall extends RunSink implements GateCall, CallHandle {
 	readonly call: Call;
-	readonly sink: CallSink;
 	readonly standing: Standing;
 	readonly isNested: boolean;
 	readonly deadlineMs: number;
@@ -29,6 +39,9 @@
 	startedMs = 0;
 	isFailedBelow = false;
 	run: Run | undefined;
+	/** When its sender left while its run was let end, in ms. */
+	abandonedMs: number | undefined;
+	#sink: CallSink;
 	readonly #owner: CallOwner;
 	readonly #arrivedMs: number;
 	#early: Array<{bytes: Buffer; isLast: boolean}> = [];
@@ -40,13 +53,23 @@
 		this.#owner = owner;
 		this.#arrivedMs = nowMs;
 		this.call = call;
-		this.sink = sink;
+		this.#sink = sink;
 		this.standing = call.standing;
 		this.isNested = call.isNested;
 		this.deadlineMs = nowMs + call.leftMs;
 		this.serviceMs = serviceMs;
 	}
 
+	get sink(): CallSink {
+		return this.#sink;
+	}
+
+	/** Nobody waits for it any longer, but its run may end, and leave its connection whole. */
+	abandon(nowMs: number): void {
+		this.abandonedMs = nowMs;
+		this.#sink = NOWHERE;
+	}
+
 	start(upstream: Upstream, nowMs: number): void {
 		this.startedMs = nowMs;
 		const waitedMs = nowMs - this.#arrivedMs;
@@ -64,7 +87,7 @@
 	refuse(reason: RefusalReason, report: LoadReport): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
-			this.sink.onRefused(reason, report);
+			this.#sink.onRefused(reason, report);
 		}
 	}
 
@@ -96,7 +119,7 @@
 			this.#end(true);
 		}
 
-		this.sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
+		this.#sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
 	}
 
 	onChunk(bytes: Buffer, isLast: boolean): void {
@@ -104,7 +127,7 @@
 			this.#end(true);
 		}
 
-		this.sink.onChunk(bytes, isLast);
+		this.#sink.onChunk(bytes, isLast);
 	}
 
 	onNotRun(reason: RefusalReason): void {
@@ -115,17 +138,17 @@
 			this.#owner.onMisdirected(this);
 		}
 
-		this.sink.onRefused(reason, this.#report());
+		this.#sink.onRefused(reason, this.#report());
 	}
 
 	onFailed(reason: FailureReason): void {
 		this.#end(false);
 		this.#owner.onRunFailed(this, reason);
-		this.sink.onFailed(reason, this.#report());
+		this.#sink.onFailed(reason, this.#report());
 	}
 
 	onTaken(bytes: number): void {
-		this.sink.onCredit(bytes);
+		this.#sink.onCredit(bytes);
 	}
 
 	#end(served: boolean): void {
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -13,6 +13,8 @@
 const SWEEP_MS = 20;
 /** How long past its deadline a run may last before its connection is closed, in ms: the target stops at the deadline by itself. */
 const OVERRUN_MS = 150;
+/** How long a run that nobody waits for may still take, in ms: well within the half second in which a target must hear of it. */
+const LINGER_MS = 200;
 /** How long an unreachable target is left alone, in ms. */
 const UNREACHABLE_MS = 300;
 
@@ -125,11 +127,13 @@
 
 	/** Nobody waits for this call any longer. */
 	override cancel(owned: OwnedCall): void {
+		const nowMs = this.#parts.clock.nowMs();
 		if (owned.run === undefined) {
 			this.#gate.cancel(owned);
+		} else if (this.#mayEnd(owned, nowMs)) {
+			owned.abandon(nowMs);
 		} else {
-			owned.run.cancel();
-			this.onRunEnded(owned, false);
+			this.#breakOff(owned);
 		}
 	}
 
@@ -169,6 +173,17 @@
 		}
 	}
 
+	// Breaking a run off costs a connection; a short one is let end while nothing waits for its slot.
+	#mayEnd({call, startedMs, serviceMs}: OwnedCall, nowMs: number): boolean {
+		const leftMs = startedMs + (serviceMs * 2) - nowMs;
+		return !call.hasMore && this.#gate.queued === 0 && leftMs > 0 && leftMs < LINGER_MS;
+	}
+
+	#breakOff(owned: OwnedCall): void {
+		owned.run?.cancel();
+		this.onRunEnded(owned, false);
+	}
+
 	#unfit(call: Call, nowMs: number): RefusalReason | undefined {
 		if (this.#isStopping) {
 			return 'stopping';
@@ -276,9 +291,10 @@
 		}
 
 		for (const owned of this.#running) {
-			if (nowMs > owned.deadlineMs + OVERRUN_MS) {
-				owned.run?.cancel();
-				this.onRunEnded(owned, false);
+			if (owned.abandonedMs !== undefined && (nowMs > owned.abandonedMs + LINGER_MS || this.#gate.queued > 0)) {
+				this.#breakOff(owned);
+			} else if (nowMs > owned.deadlineMs + OVERRUN_MS) {
+				this.#breakOff(owned);
 				this.onRunFailed(owned, 'deadline');
 				owned.sink.onFailed('deadline', this.report(owned.call.shape.route));
 			}
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -32,6 +32,8 @@
 	readonly bodies: Buffer[] = [];
 	running = 0;
 	most = 0;
+	/** Connections that were opened to it so far. */
+	opened = 0;
 	misbehave: Misbehaviour | undefined;
 	readonly options: MeshTargetOptions;
 	readonly #server: Server;
@@ -44,6 +46,7 @@
 			void this.#serve(request, response);
 		});
 		this.#server.on('connection', socket => {
+			this.opened++;
 			this.#sockets.add(socket);
 			socket.on('close', () => {
 				this.#sockets.delete(socket);
--- /dev/null
+++ b/test/relay/directory.test.ts
@@ -0,0 +1,68 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {SystemClock} from '../../src/clock/index.js';
+import {EventLog, Logger} from '../../src/log/index.js';
+import {HostTable} from '../../src/mesh/index.js';
+import {Directory, DirectoryEvents} from '../../src/relay/directory.js';
+import {
+	type Changes, type Freshness, type Listing, ObjectStore, StoreError, type StoredObject, type WatchOptions,
+} from '../../src/relay/index.js';
+import {MeshAdapter} from '../../standins/meshadapter.js';
+
+/** A store whose cheap answers are older than the history that it still has. */
+class LaggingStore extends ObjectStore {
+	calls = 0;
+
+	override async list(_kind: string, freshness: Freshness): Promise<Listing> {
+		this.calls++;
+		return {objects: [], revision: freshness === 'fresh' ? 10 : 3};
+	}
+
+	override async watch(_kind: string, revision: number, {waitMs}: WatchOptions): Promise<Changes> {
+		this.calls++;
+		if (revision < 10) {
+			throw new StoreError('compacted', 'history is gone');
+		}
+
+		await sleep(waitMs, undefined, {ref: false});
+		return {events: [], revision};
+	}
+
+	override async get(): Promise<StoredObject> {
+		throw new StoreError('missing', 'none');
+	}
+
+	override async put(_kind: string, name: string, value: unknown): Promise<StoredObject> {
+		return {name, revision: 11, value};
+	}
+
+	override async remove(): Promise<void> {}
+	override async close(): Promise<void> {}
+}
+
+class NoEvents extends DirectoryEvents {
+	override onSite(): void {}
+	override onHost(): void {}
+	override onHostGone(): void {}
+}
+
+let directory: Directory;
+afterEach(async () => {
+	await directory.close();
+});
+
+describe('a directory', () => {
+	it('asks for the newest list once its cheap one was older than the store\'s history', async () => {
+		const store = new LaggingStore();
+		const clock = new SystemClock();
+		directory = new Directory({
+			adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts: new HostTable(2000), events: new NoEvents(), host: 'h', random: Math.random,
+		});
+		directory.start();
+		await sleep(300);
+		// One list and one watch for the configuration; for the hosts both once too old and once not.
+		expect(store.calls).toBe(6);
+	});
+});
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -96,6 +96,30 @@
 		expect(isClosed).toBe(true);
 	});
 
+	it('lets a short run end when its client leaves, and keeps the connection', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back', {workMs: 40}));
+		await mesh.settle();
+		const {port} = front.settings.listen.requests;
+		// The first ones tell how long a run takes.
+		for (let number = 0; number < 25; number++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			await statusOf(port, '/x/', `a${number}`);
+		}
+
+		const {connections} = back.target;
+		for (let number = 0; number < 5; number++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			await call(port, '/x/', {headers: attempt(`b${number}`), signal: AbortSignal.timeout(15)});
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(60);
+		}
+
+		expect([back.target.ran.length, back.target.running, back.target.opened]).toEqual([30, 0, connections]);
+	});
+
 	it('cancels at the target when the client leaves', async () => {
 		mesh = new Mesh();
 		mesh.configure(siteOf([route('x', 'back')]));
