--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -43,6 +43,11 @@
 		return this.#hosts.get(host)?.entry;
 	}
 
+	/** The store's revision of an entry, as far as is known here. */
+	revisionOf(host: string): number | undefined {
+		return this.#hosts.get(host)?.revision;
+	}
+
 	/** The entries whose target runs a service. */
 	serving(service: string): readonly HostEntry[] {
 		return this.#services.get(service) ?? [];
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -13,6 +13,7 @@
 	type GateCall, type GateDecision, type GateRefusal, Gate,
 } from './gate.js';
 export {type RetryBudgetOptions, RetryBudget} from './retrybudget.js';
+export {LostHosts} from './lost.js';
 export {RestLimit} from './rest.js';
 export {ServiceTimes} from './servicetimes.js';
 export {type ComebackReason, comebackMs} from './comeback.js';
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -154,6 +154,22 @@
 		}
 	}
 
+	/** Takes the entry of a host that is gone for good out of the store, if nobody has written it meanwhile. */
+	async collect(host: string): Promise<void> {
+		const {hosts, log} = this.#parts;
+		const revision = hosts.revisionOf(host);
+		if (revision === undefined || this.#isClosed) {
+			return;
+		}
+
+		try {
+			await this.#store.remove(HOST_KIND, host, revision);
+			log.event('host_collected', {host, revision});
+		} catch (error) {
+			log.event('host_uncollected', {host, revision, reason: (error as Error).message});
+		}
+	}
+
 	/** Takes out the hosts whose entries lapsed and didn't return. */
 	expire(): void {
 		for (const host of this.#parts.hosts.expire(this.#parts.clock.nowMs())) {
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	type HostEntry, type HostTable, type Placement, type Shedding,
+	type HostEntry, type HostTable, LostHosts, type Placement, type Shedding,
 } from '../mesh/index.js';
 import {type Directory} from './directory.js';
 import {
@@ -29,12 +29,13 @@
 export class Links extends LinkEvents {
 	readonly #parts: LinksParts;
 	readonly #links = new Map<string, Link>();
-	/** Hosts whose link broke: they are dialled until they are back, so that a daemon that started again hears of the site. */
-	readonly #lost = new Set<string>();
+	/** Hosts whose link broke: dialled so that a daemon that started again hears of the site. */
+	readonly #lost: LostHosts;
 
 	constructor(parts: LinksParts) {
 		super();
 		this.#parts = parts;
+		this.#lost = new LostHosts(parts.random);
 	}
 
 	to({host, address}: HostEntry): Link {
@@ -49,9 +50,13 @@
 		return link;
 	}
 
-	/** Dials the hosts that were lost. */
+	/** Dials the hosts that were lost, and takes out the entries of those that stay away. */
 	redial(): void {
-		for (const host of this.#lost) {
+		for (const host of this.#lost.due(this.#parts.clock.nowMs())) {
+			void this.#parts.directory.collect(host);
+		}
+
+		for (const host of this.#lost.hosts) {
 			const entry = this.#parts.hosts.get(host);
 			if (entry === undefined) {
 				this.#lost.delete(host);
@@ -141,7 +146,7 @@
 		}
 
 		if (reason !== 'idle' && this.#parts.hosts.get(link.host) !== undefined) {
-			this.#lost.add(link.host);
+			this.#lost.add(link.host, this.#parts.clock.nowMs());
 		}
 
 		this.#parts.log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -14,6 +14,7 @@
 /** A store whose cheap answers are older than the history that it still has. */
 class LaggingStore extends ObjectStore {
 	calls = 0;
+	readonly removed: Array<[string, number]> = [];
 
 	override async list(_kind: string, freshness: Freshness): Promise<Listing> {
 		this.calls++;
@@ -38,7 +39,10 @@
 		return {name, revision: 11, value};
 	}
 
-	override async remove(): Promise<void> {}
+	override async remove(_kind: string, name: string, revision: number): Promise<void> {
+		this.removed.push([name, revision]);
+	}
+
 	override async close(): Promise<void> {}
 }
 
@@ -48,6 +52,14 @@
 	override onHostGone(): void {}
 }
 
+const hosts = new HostTable(2000);
+const directoryOn = (store: ObjectStore) => {
+	const clock = new SystemClock();
+	return new Directory({
+		adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts, events: new NoEvents(), host: 'h', random: Math.random,
+	});
+};
+
 let directory: Directory;
 afterEach(async () => {
 	await directory.close();
@@ -56,13 +68,19 @@
 describe('a directory', () => {
 	it('asks for the newest list once its cheap one was older than the store\'s history', async () => {
 		const store = new LaggingStore();
-		const clock = new SystemClock();
-		directory = new Directory({
-			adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts: new HostTable(2000), events: new NoEvents(), host: 'h', random: Math.random,
-		});
+		directory = directoryOn(store);
 		directory.start();
 		await sleep(300);
 		// One list and one watch for the configuration; for the hosts both once too old and once not.
 		expect(store.calls).toBe(6);
 	});
+
+	it('takes out the entry of a host that is gone, under the revision that is known', async () => {
+		const store = new LaggingStore();
+		directory = directoryOn(store);
+		hosts.put({host: 'gone', failureDomain: 'a', address: '127.0.0.1:1'}, 7);
+		await directory.collect('gone');
+		await directory.collect('unknown');
+		expect(store.removed).toEqual([['gone', 7]]);
+	});
 });
