Feed StatsD from the one registry; name the request when the budget denies it

Cause: counters of the platform's path went to the metrics page only, and a denied second send was counted but not explained. Change: CounterFeed in src/log serves both the product's daemon and the relay (settings.statsd); budget_denied carries the attempt, its route and level. A test shows the log's lines bounded under ten times the load. Growth was sent by the daemon's own copy of the same code, which is gone.

--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,5 +1,5 @@
-import {StatsD} from 'hot-shots';
 import {type Status} from '../core/index.js';
+import {type Counter, CounterFeed, type FeedOptions} from '../log/index.js';
 
 const LABELS: Record<string, readonly string[]> = {
 	requests: ['service', 'class'],
@@ -11,53 +11,42 @@
 	joined: ['service'],
 };
 
-/** Where and how often metrics go. */
-export type MetricsOptions = {readonly host: string; readonly port: number; readonly prefix: string; readonly intervalMs: number};
-
-// A lost metric is not worth an event of its own.
-const ignore = () => undefined;
-
 /** Sends the growth of each counter and the present gauges to StatsD. */
 export class Metrics {
-	readonly #client: StatsD;
+	readonly #feed: CounterFeed;
 	readonly #status: () => Status;
-	readonly #sent = new Map<string, number>();
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(options: MetricsOptions, daemon: string, status: () => Status) {
-		this.#client = new StatsD({
-			host: options.host, port: options.port, prefix: options.prefix, globalTags: {daemon}, errorHandler: ignore,
-		});
+	constructor(options: FeedOptions, daemon: string, status: () => Status) {
+		this.#feed = new CounterFeed(options, daemon, () => countersOf(status()));
 		this.#status = status;
 		this.#timer = setInterval(() => {
-			this.flush();
+			this.#sendGauges();
 		}, options.intervalMs);
 	}
 
 	flush(): void {
-		const status = this.#status();
-		for (const {name, labels, count} of status.counters) {
-			const id = `${name}|${labels}`;
-			const growth = count - (this.#sent.get(id) ?? 0);
-			if (growth > 0) {
-				this.#sent.set(id, count);
-				this.#client.increment(name, growth, tagsOf(name, labels));
-			}
-		}
+		this.#feed.flush();
+		this.#sendGauges();
+	}
 
+	async close(): Promise<void> {
+		clearInterval(this.#timer);
+		this.#sendGauges();
+		await this.#feed.close();
+	}
+
+	#sendGauges(): void {
+		const status = this.#status();
 		for (const gauge of ['limit', 'running', 'queued', 'inFlight', 'floor', 'ledgerSize'] as const) {
-			this.#client.gauge(gauge, status[gauge]);
+			this.#feed.gauge(gauge, status[gauge]);
 		}
 	}
+}
 
-	async close(): Promise<void> {
-		clearInterval(this.#timer);
-		this.flush();
-		return new Promise(resolve => {
-			this.#client.close(() => {
-				resolve();
-			});
-		});
+function * countersOf({counters}: Status): Iterable<Counter> {
+	for (const {name, labels, count} of counters) {
+		yield {name, tags: tagsOf(name, labels), count};
 	}
 }
 
--- /dev/null
+++ b/src/log/counterfeed.ts
@@ -0,0 +1,53 @@
+import {StatsD} from 'hot-shots';
+
+/** Where and how often metrics go, by StatsD. */
+export type FeedOptions = {readonly host: string; readonly port: number; readonly prefix: string; readonly intervalMs: number};
+
+/** One counter of a process as it stands. */
+export type Counter = {readonly name: string; readonly tags: Readonly<Record<string, string>>; readonly count: number};
+
+// A lost metric is not worth an event of its own.
+const ignore = () => undefined;
+
+/** Sends the growth of counters to StatsD. */
+export class CounterFeed {
+	readonly #client: StatsD;
+	readonly #counters: () => Iterable<Counter>;
+	readonly #sent = new Map<string, number>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor({host, port, prefix, intervalMs}: FeedOptions, daemon: string, counters: () => Iterable<Counter>) {
+		this.#client = new StatsD({
+			host, port, prefix, globalTags: {daemon}, errorHandler: ignore,
+		});
+		this.#counters = counters;
+		this.#timer = setInterval(() => {
+			this.flush();
+		}, intervalMs);
+	}
+
+	flush(): void {
+		for (const {name, tags, count} of this.#counters()) {
+			const id = `${name} ${JSON.stringify(tags)}`;
+			const growth = count - (this.#sent.get(id) ?? 0);
+			if (growth > 0) {
+				this.#sent.set(id, count);
+				this.#client.increment(name, growth, tags);
+			}
+		}
+	}
+
+	gauge(name: string, value: number): void {
+		this.#client.gauge(name, value);
+	}
+
+	async close(): Promise<void> {
+		clearInterval(this.#timer);
+		this.flush();
+		return new Promise(resolve => {
+			this.#client.close(() => {
+				resolve();
+			});
+		});
+	}
+}
--- a/src/log/registry.ts
+++ b/src/log/registry.ts
@@ -1,4 +1,5 @@
 import {type Histogram, build} from 'hdr-histogram-js';
+import {type Counter} from './counterfeed.js';
 
 /** Names and values that tell one series from another. */
 export type Labels = Readonly<Record<string, string | number>>;
@@ -9,18 +10,24 @@
 const QUANTILES = [0.5, 0.9, 0.99, 0.999];
 const PREFIX = 'comfreydyke';
 
+type Count = {readonly tags: Readonly<Record<string, string>>; count: number};
 type Summary = {readonly histogram: Histogram; sumMs: number};
 
 /** All counters and histograms of a process, by name and labels. */
 export class Registry {
-	readonly #counters = new Map<string, Map<string, number>>();
+	readonly #counters = new Map<string, Map<string, Count>>();
 	readonly #summaries = new Map<string, Map<string, Summary>>();
 
 	/** Adds one to a counter. */
 	count(name: string, labels: Labels = {}): void {
 		const series = seriesOf(this.#counters, name);
 		const key = keyOf(labels);
-		series.set(key, (series.get(key) ?? 0) + 1);
+		const held = series.get(key);
+		if (held === undefined) {
+			series.set(key, {tags: Object.fromEntries(Object.entries(labels).map(([label, value]) => [label, String(value)])), count: 1});
+		} else {
+			held.count++;
+		}
 	}
 
 	/** Takes in a time in ms. */
@@ -44,7 +51,16 @@
 
 	/** A counter's value, for tests and status. */
 	value(name: string, labels: Labels = {}): number {
-		return this.#counters.get(name)?.get(keyOf(labels)) ?? 0;
+		return this.#counters.get(name)?.get(keyOf(labels))?.count ?? 0;
+	}
+
+	/** The counters as they stand. */
+	* counters(): Iterable<Counter> {
+		for (const [name, series] of this.#counters) {
+			for (const {tags, count} of series.values()) {
+				yield {name, tags, count};
+			}
+		}
 	}
 
 	/** Everything in the Prometheus text format. */
@@ -53,8 +69,8 @@
 		for (const [name, series] of this.#counters) {
 			const full = `${PREFIX}_${name}_total`;
 			lines.push(`# TYPE ${full} counter`);
-			for (const [key, value] of series) {
-				lines.push(`${full}${braced(key)} ${value}`);
+			for (const [key, {count}] of series) {
+				lines.push(`${full}${braced(key)} ${count}`);
 			}
 		}
 
--- a/src/mesh/attempts.ts
+++ b/src/mesh/attempts.ts
@@ -12,11 +12,12 @@
 	readonly placement: Placement;
 	readonly budget: RetryBudget;
 	/** Told of each second send that was wanted. */
-	readonly onBudget: (service: string, isGranted: boolean) => void;
+	readonly onBudget: (errand: Errand, isGranted: boolean) => void;
 };
 
 /** What is to be placed. */
 export type Errand = {
+	readonly attemptId: string;
 	readonly route: Route;
 	readonly service: string;
 	/** Whether it is made for a run that was itself sent again. */
@@ -37,21 +38,15 @@
  */
 export class Attempts {
 	readonly #parts: AttemptsParts;
-	readonly #route: Route;
-	readonly #service: string;
-	readonly #isRepeat: boolean;
-	readonly #level: number;
+	readonly #errand: Errand;
 	readonly #allowance: Allowance;
 	readonly #tried: string[] = [];
 	#sends = 0;
 	#refusals = 0;
 
-	constructor(parts: AttemptsParts, {route, service, isRepeat, level}: Errand, allowance: Allowance) {
+	constructor(parts: AttemptsParts, errand: Errand, allowance: Allowance) {
 		this.#parts = parts;
-		this.#route = route;
-		this.#service = service;
-		this.#isRepeat = isRepeat;
-		this.#level = level;
+		this.#errand = errand;
 		this.#allowance = allowance;
 	}
 
@@ -66,18 +61,19 @@
 
 	/** Whether a target may see the request for a second time. */
 	get isRepeat(): boolean {
-		return this.#isRepeat || this.#sends > 0;
+		return this.#errand.isRepeat || this.#sends > 0;
 	}
 
 	/** Chooses the next host and counts on the request being sent there. */
 	next(nowMs: number): HostEntry | undefined {
 		const {hosts, placement, budget} = this.#parts;
-		const entry = placement.choose(hosts.serving(this.#service), this.#route.name, this.#route.objectiveMs, this.#tried, nowMs);
+		const {route, service, isRepeat} = this.#errand;
+		const entry = placement.choose(hosts.serving(service), route.name, route.objectiveMs, this.#tried, nowMs);
 		if (entry !== undefined) {
 			if (this.#tried.length === 0) {
-				budget.onFirst(this.#service, nowMs);
-				if (this.#isRepeat) {
-					budget.onRepeated(this.#service, nowMs);
+				budget.onFirst(service, nowMs);
+				if (isRepeat) {
+					budget.onRepeated(service, nowMs);
 				}
 			}
 
@@ -93,28 +89,29 @@
 		this.#refusals++;
 		this.#sends += reachedTarget ? 1 : 0;
 		return this.#refusals < MAX_REFUSALS && nowMs < this.#allowance.deadlineMs && this.#hasRoomElsewhere(isForLoad, nowMs)
-			&& (!reachedTarget || (this.#sends < this.#route.attempts && this.#spend(nowMs)));
+			&& (!reachedTarget || (this.#sends < this.#errand.route.attempts && this.#spend(nowMs)));
 	}
 
 	/** A target may have run it. @returns whether it may go to another; the budget is then spent */
 	mayResend(nowMs: number): boolean {
-		const {objectiveMs, attempts, repeatability} = this.#route;
+		const {isRepeat, route: {objectiveMs, attempts, repeatability}} = this.#errand;
 		const leftMs = Math.min(this.#allowance.deadlineMs, this.#allowance.objectiveEndMs) - nowMs;
-		const may = repeatability === 'safe' && !this.#isRepeat && this.#sends + 1 < attempts
+		const may = repeatability === 'safe' && !isRepeat && this.#sends + 1 < attempts
 			&& leftMs > objectiveMs * RESEND_SHARE && this.#hasRoomElsewhere(false, nowMs) && this.#spend(nowMs);
 		this.#sends += may ? 1 : 0;
 		return may;
 	}
 
 	#spend(nowMs: number): boolean {
-		const isGranted = this.#parts.budget.spend(this.#service, this.#level, nowMs);
-		this.#parts.onBudget(this.#service, isGranted);
+		const {service, level} = this.#errand;
+		const isGranted = this.#parts.budget.spend(service, level, nowMs);
+		this.#parts.onBudget(this.#errand, isGranted);
 		return isGranted;
 	}
 
 	#hasRoomElsewhere(isForLoad: boolean, nowMs: number): boolean {
 		const {hosts, placement} = this.#parts;
-		return hosts.serving(this.#service).some(entry => !this.#tried.includes(entry.host)
+		return hosts.serving(this.#errand.service).some(entry => !this.#tried.includes(entry.host)
 			&& !placement.isSuspect(entry.host, nowMs) && (!isForLoad || placement.loadOf(entry, nowMs) < 1));
 	}
 }
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -74,8 +74,13 @@
 			prepare: response => {
 				this.#prepare(response);
 			},
-			onBudget(service, isGranted) {
+			onBudget({attemptId, service, route, level}, isGranted) {
 				options.log.registry.count(isGranted ? 'budget_spent' : 'budget_denied', {service});
+				if (!isGranted) {
+					options.log.event('budget_denied', {
+						attempt: attemptId, route: route.name, service, level,
+					});
+				}
 			},
 			closeAfter: response => this.#closeAfter(response),
 			onEnded: exchange => {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -63,7 +63,7 @@
 		this.#arrivedMs = parts.clock.nowMs();
 		this.#standing = this.#parent?.standing ?? parts.shedding.standingOf({route: this.route.name, service: this.service}, this.route.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(parts, {
-			route: this.route, service: this.service, isRepeat: this.#parent?.isRepeat === true, level: this.#standing.level,
+			attemptId: this.attemptId, route: this.route, service: this.service, isRepeat: this.#parent?.isRepeat === true, level: this.#standing.level,
 		}, this);
 		if (this.#parent !== undefined) {
 			parts.shedding.onReached({route: this.#parent.shape.route, service: options.callerService}, [this.service, ...parts.shedding.servicesOf({route: this.route.name, service: this.service})]);
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type GateCall, type LoadReport, type Standing} from '../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, CallSink, type FailureReason, type RefusalReason,
+	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {RunSink, type Run, type Upstream} from './upstream.js';
 
@@ -18,17 +18,6 @@
 	abstract onMisdirected(owned: OwnedCall): void;
 }
 
-/** Takes what nobody waits for. */
-class Nowhere extends CallSink {
-	override onAnswer(): void {}
-	override onChunk(): void {}
-	override onRefused(): void {}
-	override onFailed(): void {}
-	override onCredit(): void {}
-}
-
-const NOWHERE = new Nowhere();
-
 /** One call at its owner, from its arrival to its end. */
 export class OwnedCall extends RunSink implements GateCall, CallHandle {
 	readonly call: Call;
@@ -41,7 +30,7 @@
 	run: Run | undefined;
 	/** When its sender left while its run was let end, in ms. */
 	abandonedMs: number | undefined;
-	#sink: CallSink;
+	#sink: CallSink | undefined;
 	readonly #owner: CallOwner;
 	readonly #arrivedMs: number;
 	#early: Array<{bytes: Buffer; isLast: boolean}> = [];
@@ -60,14 +49,15 @@
 		this.serviceMs = serviceMs;
 	}
 
-	get sink(): CallSink {
+	/** Who waits for it, if anybody still does. */
+	get sink(): CallSink | undefined {
 		return this.#sink;
 	}
 
 	/** Nobody waits for it any longer, but its run may end, and leave its connection whole. */
 	abandon(nowMs: number): void {
 		this.abandonedMs = nowMs;
-		this.#sink = NOWHERE;
+		this.#sink = undefined;
 	}
 
 	start(upstream: Upstream, nowMs: number): void {
@@ -87,7 +77,7 @@
 	refuse(reason: RefusalReason, report: LoadReport): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
-			this.#sink.onRefused(reason, report);
+			this.#sink?.onRefused(reason, report);
 		}
 	}
 
@@ -119,7 +109,7 @@
 			this.#end(true);
 		}
 
-		this.#sink.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
+		this.#sink?.onAnswer({...head, reached: this.#owner.reachedBy(this.call), isFailedBelow: this.isFailedBelow}, body, isWhole, this.#report());
 	}
 
 	onChunk(bytes: Buffer, isLast: boolean): void {
@@ -127,7 +117,7 @@
 			this.#end(true);
 		}
 
-		this.#sink.onChunk(bytes, isLast);
+		this.#sink?.onChunk(bytes, isLast);
 	}
 
 	onNotRun(reason: RefusalReason): void {
@@ -138,17 +128,17 @@
 			this.#owner.onMisdirected(this);
 		}
 
-		this.#sink.onRefused(reason, this.#report());
+		this.#sink?.onRefused(reason, this.#report());
 	}
 
 	onFailed(reason: FailureReason): void {
 		this.#end(false);
 		this.#owner.onRunFailed(this, reason);
-		this.#sink.onFailed(reason, this.#report());
+		this.#sink?.onFailed(reason, this.#report());
 	}
 
 	onTaken(bytes: number): void {
-		this.#sink.onCredit(bytes);
+		this.#sink?.onCredit(bytes);
 	}
 
 	#end(served: boolean): void {
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -296,7 +296,7 @@
 			} else if (nowMs > owned.deadlineMs + OVERRUN_MS) {
 				this.#breakOff(owned);
 				this.onRunFailed(owned, 'deadline');
-				owned.sink.onFailed('deadline', this.report(owned.call.shape.route));
+				owned.sink?.onFailed('deadline', this.report(owned.call.shape.route));
 			}
 		}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,5 +1,5 @@
 import {type Clock, SystemClock, TickClock} from '../clock/index.js';
-import {EventLog, Logger} from '../log/index.js';
+import {CounterFeed, EventLog, Logger} from '../log/index.js';
 import {
 	type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
 } from '../mesh/index.js';
@@ -60,6 +60,7 @@
 	readonly #metrics: MetricsPage;
 	readonly #links: Links;
 	readonly #neighbor: Neighbor;
+	#feed: CounterFeed | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
@@ -134,6 +135,8 @@
 			listen.metrics === undefined ? undefined : this.#metrics.listen(listen.metrics),
 		]);
 		this.#directory.start();
+		const {statsd, host} = this.#settings;
+		this.#feed = statsd === undefined ? undefined : new CounterFeed(statsd, host, () => this.#log.registry.counters());
 		this.#timer = setInterval(() => {
 			this.#keepHouse();
 		}, HOUSEKEEPING_MS);
@@ -188,6 +191,7 @@
 		this.#metrics.close();
 		this.#peers.close();
 		clearInterval(this.#timer);
+		await this.#feed?.close();
 		await this.#directory.close();
 	}
 
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -1,3 +1,5 @@
+import {type FeedOptions} from '../log/index.js';
+
 /** A TCP address. */
 export type Address = {readonly ip: string; readonly port: number};
 
@@ -20,6 +22,8 @@
 		/** For those who read the metrics. */
 		readonly metrics?: Address;
 	};
+	/** Where counters are sent to by StatsD, if anywhere. */
+	readonly statsd?: FeedOptions;
 	/** Whether the whole system starts for the first time; otherwise the target may run already. */
 	readonly isFirstStart: boolean;
 	/** Peers' addresses to ask for a configuration at the start; may be stale. */
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -1,7 +1,8 @@
+import {createSocket} from 'node:dgram';
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../src/clock/index.js';
 import {
-	EventLog, Logger, Registry, traceOf,
+	CounterFeed, EventLog, Logger, Registry, traceOf,
 } from '../src/log/index.js';
 
 describe('the event log', () => {
@@ -39,6 +40,33 @@
 	});
 });
 
+describe('the feed of counters', () => {
+	it('sends what each counter has grown by, with its labels as tags', async () => {
+		const socket = createSocket('udp4');
+		const received: string[] = [];
+		await new Promise<void>(resolve => {
+			socket.bind(0, '127.0.0.1', resolve);
+		});
+		const came = new Promise<void>(resolve => {
+			socket.on('message', message => {
+				received.push(String(message));
+				resolve();
+			});
+		});
+		const registry = new Registry();
+		registry.count('refused', {service: 's', reason: 'full'});
+		registry.count('refused', {service: 's', reason: 'full'});
+		const feed = new CounterFeed({
+			host: '127.0.0.1', port: socket.address().port, prefix: 'comfreydyke.', intervalMs: 60_000,
+		}, 'd', () => registry.counters());
+		feed.flush();
+		await feed.close();
+		await came;
+		socket.close();
+		expect(received.join('\n')).toMatch(/^comfreydyke\.refused:2\|c\|#daemon:d,service:s,reason:full$/v);
+	});
+});
+
 describe('a trace', () => {
 	it('has the lines of an attempt and its nested calls, of all daemons, in order', () => {
 		const line = (ms: number, daemon: string, attempt: string) => `12.5 x time=2026-01-01T00:00:00.${ms}Z level=info daemon=${daemon} event=refused attempt=${attempt} reason=full`;
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -43,13 +43,25 @@
 		this.removed.push([name, revision]);
 	}
 
-	override async close(): Promise<void> {}
+	override async close(): Promise<void> {
+		this.calls = 0;
+	}
 }
 
 class NoEvents extends DirectoryEvents {
-	override onSite(): void {}
-	override onHost(): void {}
-	override onHostGone(): void {}
+	seen = 0;
+
+	override onSite(): void {
+		this.seen++;
+	}
+
+	override onHost(): void {
+		this.seen++;
+	}
+
+	override onHostGone(): void {
+		this.seen++;
+	}
 }
 
 const hosts = new HostTable(2000);
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -68,3 +68,27 @@
 		expect(traced('a1')).toMatch(/front +failed +attempt=a1\.0 route=deep service=back reason=timeout .*host=back/v);
 	});
 });
+
+describe('the log', () => {
+	it('stays bounded under ten times the load', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 300})]));
+		const front = await mesh.add('front', {
+			id: 'i-front', service: 'front', slots: 4, workMs: 1,
+		});
+		await mesh.add('back', {
+			id: 'i-back', service: 'back', slots: 1, workMs: 100,
+		});
+		await mesh.settle();
+		const linesOf = async (requests: number) => {
+			const before = mesh.lines.length;
+			await Promise.all(Array.from({length: requests}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`${requests}-${number}`, 300)})));
+			await sleep(1000);
+			return mesh.lines.length - before;
+		};
+
+		const usual = await linesOf(40);
+		expect(await linesOf(400)).toBeLessThan(usual * 3);
+		expect(mesh.lines.some(line => line.includes('event=omitted'))).toBe(true);
+	});
+});
