--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -16,8 +16,8 @@
 import {listen} from './listen.js';
 import {type Address} from './settings.js';
 
-/** How often open requests are checked against their deadlines, in ms: well within the slack that a time-out has. */
-const SWEEP_MS = 20;
+/** How often open requests are checked against their deadlines, in ms: a fifth of the slack that a time-out has, as each check wakes the process up. */
+const SWEEP_MS = 50;
 /** The largest header block taken from a client, in bytes, whatever the configuration says. */
 const MAX_HEADER_BYTES = 65_536;
 /** When to return to a daemon that has no configuration yet, in s. */
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -9,8 +9,8 @@
 import {CallOwner, OwnedCall} from './ownedcall.js';
 import {type Upstream} from './upstream.js';
 
-/** How often waiting and running calls are checked against their deadlines, in ms. */
-const SWEEP_MS = 20;
+/** How often waiting and running calls are checked against their deadlines, in ms: with each call the floor is set anew anyway. */
+const SWEEP_MS = 50;
 /** How long past its deadline a run may last before its connection is closed, in ms: the target stops at the deadline by itself. */
 const OVERRUN_MS = 150;
 /** How long a run that nobody waits for may still take, in ms: well within the half second in which a target must hear of it. */
