--- a/proof/main.ts
+++ b/proof/main.ts
@@ -10,6 +10,7 @@
 import {type CaseResult, type Point} from './point.js';
 import {POINTS} from './points/index.js';
 import {proveReal} from './real.js';
+import {proveRules} from './rules/index.js';
 
 const DEFAULT_SEED = 1;
 const DEFAULT_CASES = 500;
@@ -141,7 +142,7 @@
 	const cli = cac('proof');
 	cli.option('--seed <n>', 'Seed of all cases', {default: DEFAULT_SEED});
 	cli.option('--cases <n>', 'Cases for each point', {default: DEFAULT_CASES});
-	cli.option('--only <point>', `One of ${POINTS.map(({name}) => name).join(', ')}, fuzz, real`);
+	cli.option('--only <point>', `One of ${POINTS.map(({name}) => name).join(', ')}, fuzz, real, rules`);
 	cli.option('--sabotage', 'Break each rule and show that its proof fails');
 	cli.option('--virtual', 'Leave out the real processes');
 	cli.help();
@@ -152,7 +153,7 @@
 
 	const seed = Number(options.seed);
 	const points = POINTS.filter(({name}) => options.only === undefined || options.only === name);
-	if (points.length === 0 && options.only !== 'real' && options.only !== 'fuzz') {
+	if (points.length === 0 && !['real', 'fuzz', 'rules'].includes(String(options.only))) {
 		throw new Error(`no point "${String(options.only)}"`);
 	}
 
@@ -166,6 +167,10 @@
 		faults += await proveReal();
 	}
 
+	if (options.only === 'rules' || (options.only === undefined && options.virtual !== true)) {
+		faults += await proveRules(options.sabotage === true);
+	}
+
 	process.exitCode = faults > 0 ? 1 : 0;
 }
 
--- /dev/null
+++ b/proof/rules/ends.ts
@@ -0,0 +1,111 @@
+import {Lifecycle} from '../../src/mesh/index.js';
+import {Entry} from '../../src/relay/entry.js';
+import {Links} from '../../src/relay/links.js';
+import {OwnedCall} from '../../src/relay/ownedcall.js';
+import {type Mesh, route, siteOf} from '../../standins/mesh.js';
+import {
+	type RuleCheck, broken, replace, send,
+} from './check.js';
+
+/** How long after its acknowledgement the stand-ins' targets may be given work, in ms. */
+const DRAIN_MS = 1000;
+/** Until when a target must hear of its caller's leaving, in ms. */
+const GONE_MS = 500;
+/** Until when a daemon that started again must serve, in ms. */
+const RECOVER_MS = 2500;
+
+async function frontAndBack(mesh: Mesh, workMs: number) {
+	mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'}), route('y', 'front')]));
+	const front = await mesh.add('front', {
+		id: 'i-front', service: 'front', slots: 4, workMs: 1,
+	});
+	const back = await mesh.add('back', {
+		id: 'i-back', service: 'back', slots: 4, workMs,
+	});
+	await mesh.settle();
+	return {front, back, port: front.settings.listen.requests.port};
+}
+
+async function pause(waitMs: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, waitMs);
+	});
+}
+
+export const END_CHECKS: readonly RuleCheck[] = [
+	{
+		rule: 'GONE',
+		async run(mesh) {
+			const {back, port} = await frontAndBack(mesh, 1);
+			let isAtWork = false;
+			back.target.misbehave = (_request, response) => {
+				isAtWork = true;
+				response.on('close', () => {
+					isAtWork = false;
+				});
+			};
+
+			await send(port, '/x/', 'a1', {signal: AbortSignal.timeout(100)});
+			await pause(GONE_MS);
+			return broken(isAtWork, 'a target still worked for a client that had left');
+		},
+		sabotage: {
+			title: 'owners aren\'t told',
+			apply: () => replace(OwnedCall.prototype, 'cancel', () => undefined),
+		},
+	},
+	{
+		rule: 'LOST',
+		async run(mesh) {
+			const {front, port} = await frontAndBack(mesh, 300);
+			const waiting = send(port, '/x/', 'a1', {method: 'POST'});
+			await pause(100);
+			await front.stop();
+			const {status} = await waiting;
+			return broken(status !== 200, `a planned stop ended a request that ran with ${status}`);
+		},
+		sabotage: {
+			title: 'a stop closes what is open',
+			apply: () => replace(Entry.prototype, 'stop', function (this: Entry) {
+				this.close();
+			}),
+		},
+	},
+	{
+		rule: 'DRAIN',
+		async run(mesh) {
+			const {back, port} = await frontAndBack(mesh, 1);
+			await send(port, '/x/', 'a1');
+			mesh.store.trouble = 'down';
+			mesh.store.wake();
+			await back.target.leave(back.settings.listen.announcements.port);
+			await pause(DRAIN_MS);
+			const before = back.target.ran.length;
+			await send(port, '/x/', 'a2');
+			return broken(back.target.ran.length > before, 'a target that left was given work after its bound');
+		},
+		sabotage: {
+			title: 'the owner doesn\'t look at the time',
+			apply: () => replace(Lifecycle.prototype, 'mayServe', () => true),
+		},
+	},
+	{
+		rule: 'RECOVER',
+		async run(mesh) {
+			const {back, port} = await frontAndBack(mesh, 1);
+			await send(port, '/x/', 'a1');
+			mesh.store.trouble = 'down';
+			mesh.store.wake();
+			await back.stop();
+			const {requests, peers, readiness, announcements} = back.settings.listen;
+			mesh.hosts.splice(1, 1, await mesh.start('back', back.target, [requests.port, peers.port, readiness.port, announcements.port]));
+			await pause(RECOVER_MS);
+			const {status} = await send(requests.port, '/y/', 'a2');
+			return broken(status !== 200, `a daemon that started again without the store answers ${status}`);
+		},
+		sabotage: {
+			title: 'lost hosts aren\'t dialled',
+			apply: () => replace(Links.prototype, 'redial', () => undefined),
+		},
+	},
+];
--- /dev/null
+++ b/proof/rules/load.ts
@@ -0,0 +1,83 @@
+import {RetryBudget} from '../../src/mesh/index.js';
+import {Exchange} from '../../src/relay/exchange.js';
+import {Owner} from '../../src/relay/owner.js';
+import {route, siteOf} from '../../standins/mesh.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {
+	type RuleCheck, type Undo, broken, replace, send,
+} from './check.js';
+
+const REQUESTS = 320;
+const AT_ONCE = 16;
+/** The stand-ins' site allows so many second sends for these requests. */
+const ALLOWED = (REQUESTS * 0.2) + 48;
+const TIMEOUT_MS = 300;
+/** How late a time-out may be, in ms. */
+const SLACK_MS = 500;
+
+export const LOAD_CHECKS: readonly RuleCheck[] = [
+	{
+		rule: 'BUDGET',
+		async run(mesh) {
+			mesh.configure(siteOf([route('x', 'back')]));
+			const front = await mesh.add('front', {
+				id: 'i-front', service: 'front', slots: 4, workMs: 1,
+			});
+			let arrivals = 0;
+			for (const name of ['1', '2', '3']) {
+				// eslint-disable-next-line no-await-in-loop -- hosts are added in turn
+				const {target} = await mesh.add(`back-${name}`, {
+					id: `i-${name}`, service: 'back', slots: 50, workMs: 1,
+				});
+				target.misbehave = (_request, response) => {
+					arrivals++;
+					response.writeHead(503, {[meshHeaders.notRun]: '1'});
+					response.end();
+				};
+			}
+
+			await mesh.settle();
+			let sent = 0;
+			await Promise.all(Array.from({length: AT_ONCE}, async () => {
+				while (sent < REQUESTS) {
+					// eslint-disable-next-line no-await-in-loop -- so many at once
+					await send(front.settings.listen.requests.port, '/x/', `a${sent++}`);
+				}
+			}));
+			return broken(arrivals - REQUESTS > ALLOWED, `${arrivals - REQUESTS} second sends for ${REQUESTS} requests`);
+		},
+		sabotage: {
+			title: 'no bound on second sends',
+			apply: () => replace(RetryBudget.prototype, 'spend', () => true),
+		},
+	},
+	{
+		rule: 'CONFIG, time-outs',
+		async run(mesh) {
+			mesh.configure(siteOf([route('x', 'back', {timeoutMs: TIMEOUT_MS})]));
+			const front = await mesh.add('front', {
+				id: 'i-front', service: 'front', slots: 4, workMs: 1,
+			});
+			const back = await mesh.add('back', {
+				id: 'i-back', service: 'back', slots: 4, workMs: 1,
+			});
+			back.target.misbehave = () => undefined;
+			await mesh.settle();
+			const startMs = performance.now();
+			await send(front.settings.listen.requests.port, '/x/', 'a1', {signal: AbortSignal.timeout(TIMEOUT_MS + (SLACK_MS * 2))});
+			const lateMs = Math.round(performance.now() - startMs - TIMEOUT_MS);
+			return broken(lateMs > SLACK_MS, `a request was answered ${lateMs} ms after its route's time-out`);
+		},
+		sabotage: {
+			title: 'neither entry nor owner looks at the time',
+			apply(): Undo {
+				const undos = [replace(Exchange.prototype, 'checkTime', () => undefined), replace(Owner.prototype, 'checkTimes', () => undefined)];
+				return () => {
+					for (const undo of undos) {
+						undo();
+					}
+				};
+			},
+		},
+	},
+];
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -85,6 +85,23 @@
 		this.#refuseWaiting('not-here');
 	}
 
+	/** Refuses what waited too long, and ends the runs whose time is over. */
+	checkTimes(nowMs: number): void {
+		for (const owned of this.#gate.expire(nowMs)) {
+			this.#refuse(owned, 'expired');
+		}
+
+		for (const owned of this.#running) {
+			if (owned.abandonedMs !== undefined && (nowMs > owned.abandonedMs + LINGER_MS || this.#gate.queued > 0)) {
+				this.#breakOff(owned);
+			} else if (nowMs > owned.deadlineMs + OVERRUN_MS) {
+				this.#breakOff(owned);
+				this.onRunFailed(owned, 'deadline');
+				owned.sink?.onFailed('deadline', this.report(owned.call.shape.route));
+			}
+		}
+	}
+
 	offer(call: Call, sink: CallSink): CallHandle {
 		const nowMs = this.#parts.clock.nowMs();
 		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#times.expectedMs(call.shape.route)});
@@ -278,30 +295,13 @@
 			this.#isArmed = true;
 			setTimeout(() => {
 				this.#isArmed = false;
-				this.#sweep();
+				const nowMs = this.#parts.clock.nowMs();
+				this.#updateFloor(nowMs);
+				this.checkTimes(nowMs);
+				if (this.#gate.queued > 0 || this.#running.size > 0) {
+					this.#arm();
+				}
 			}, SWEEP_MS);
 		}
 	}
-
-	#sweep(): void {
-		const nowMs = this.#parts.clock.nowMs();
-		this.#updateFloor(nowMs);
-		for (const owned of this.#gate.expire(nowMs)) {
-			this.#refuse(owned, 'expired');
-		}
-
-		for (const owned of this.#running) {
-			if (owned.abandonedMs !== undefined && (nowMs > owned.abandonedMs + LINGER_MS || this.#gate.queued > 0)) {
-				this.#breakOff(owned);
-			} else if (nowMs > owned.deadlineMs + OVERRUN_MS) {
-				this.#breakOff(owned);
-				this.onRunFailed(owned, 'deadline');
-				owned.sink?.onFailed('deadline', this.report(owned.call.shape.route));
-			}
-		}
-
-		if (this.#gate.queued > 0 || this.#running.size > 0) {
-			this.#arm();
-		}
-	}
 }
