--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -13,7 +13,7 @@
 /** How long a link may take to open, in ms: half of what two missed answers to a ping cost. */
 const OPEN_MS = 500;
 /** How often a link is pinged while calls are in flight on it, in ms. */
-const PING_MS = 400;
+export const PING_MS = 400;
 /** A link that was silent for so long is dead, in ms. */
 const SILENCE_MS = 1200;
 /** A link without calls is closed after this time, in ms; opening it again costs a round trip. */
@@ -40,7 +40,6 @@
 	readonly #calls = new Map<number, LinkCall>();
 	readonly #shapes = new ShapeWriter();
 	readonly #answerShapes = new ShapeReader<AnswerShape>();
-	readonly #timer: NodeJS.Timeout;
 	readonly #nowMs: () => number;
 	#waiting: LinkCall[] = [];
 	#nextId = 1;
@@ -73,9 +72,6 @@
 		this.#socket.on('close', () => {
 			this.close('closed');
 		});
-		this.#timer = setInterval(() => {
-			this.#watch();
-		}, PING_MS);
 	}
 
 	get inFlight(): number {
@@ -106,6 +102,20 @@
 		}
 	}
 
+	/** Pings the link if it has calls in flight and was silent, and closes it if it is dead or idle. */
+	watch(nowMs: number): void {
+		if (this.#calls.size === 0) {
+			this.#heardMs = nowMs;
+			if (nowMs - this.#usedMs > IDLE_MS) {
+				this.close('idle');
+			}
+		} else if (nowMs - this.#heardMs > SILENCE_MS) {
+			this.close('silent');
+		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#heardMs >= PING_MS / 2) {
+			this.#socket.ping();
+		}
+	}
+
 	/** Forgets a call whose sender no longer waits. */
 	drop(held: LinkCall): void {
 		if (this.#calls.delete(held.id) && held.isSent) {
@@ -120,7 +130,6 @@
 		}
 
 		this.#isClosed = true;
-		clearInterval(this.#timer);
 		this.#socket.terminate();
 		const calls = [...this.#calls.values()];
 		this.#waiting = [];
@@ -217,20 +226,6 @@
 		const head = {...shape, signature: (signature as string | null) ?? undefined, lengthBytes: (lengthBytes as number | null) ?? undefined};
 		held.sink.onAnswer(head, (body as Buffer | null) ?? Buffer.alloc(0), isWhole === true, reportOf(report)!);
 	}
-
-	#watch(): void {
-		const nowMs = this.#nowMs();
-		if (this.#calls.size === 0) {
-			this.#heardMs = nowMs;
-			if (nowMs - this.#usedMs > IDLE_MS) {
-				this.close('idle');
-			}
-		} else if (nowMs - this.#heardMs > SILENCE_MS) {
-			this.close('silent');
-		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#heardMs >= PING_MS / 2) {
-			this.#socket.ping();
-		}
-	}
 }
 
 /** One call on a link, until its end. */
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -8,7 +8,7 @@
 	type Frame, Tag, pressureFrame, reportsOf,
 } from './frame.js';
 import {hostEntryOf} from './hostentry.js';
-import {Link, LinkEvents} from './link.js';
+import {Link, LinkEvents, PING_MS} from './link.js';
 
 /** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
 const NEWS_PATIENCE_MS = 150;
@@ -31,11 +31,19 @@
 	readonly #links = new Map<string, Link>();
 	/** Hosts whose link broke: dialled so that a daemon that started again hears of the site. */
 	readonly #lost: LostHosts;
+	readonly #timer: NodeJS.Timeout;
 
 	constructor(parts: LinksParts) {
 		super();
 		this.#parts = parts;
 		this.#lost = new LostHosts(parts.random);
+		// One timer for all: each wakes the process up.
+		this.#timer = setInterval(() => {
+			const nowMs = parts.clock.nowMs();
+			for (const link of this.#links.values()) {
+				link.watch(nowMs);
+			}
+		}, PING_MS);
 	}
 
 	to({host, address}: HostEntry): Link {
@@ -66,6 +74,10 @@
 		}
 	}
 
+	close(): void {
+		clearInterval(this.#timer);
+	}
+
 	forget(host: string): void {
 		this.#lost.delete(host);
 		this.#links.get(host)?.close('host gone');
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -190,6 +190,7 @@
 		this.#readiness.close();
 		this.#metrics.close();
 		this.#peers.close();
+		this.#links.close();
 		clearInterval(this.#timer);
 		await this.#feed?.close();
 		await this.#directory.close();
