--- a/proof/rules/answers.ts
+++ b/proof/rules/answers.ts
@@ -8,8 +8,7 @@
 	type RuleCheck, broken, replace, send,
 } from './check.js';
 
-const onResponseStart = Run.prototype.onResponseStart;
-const options = Run.prototype.options;
+const {onResponseStart, options} = Run.prototype;
 
 // A client on one host, and two targets on others that answer as told.
 async function twoBacks(mesh: Mesh, misbehave: Misbehaviour) {
--- a/proof/rules/load.ts
+++ b/proof/rules/load.ts
@@ -3,6 +3,7 @@
 import {Owner} from '../../src/relay/owner.js';
 import {route, siteOf} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
+import {type Misbehaviour} from '../../standins/meshtarget.js';
 import {
 	type RuleCheck, type Undo, broken, replace, send,
 } from './check.js';
@@ -24,16 +25,18 @@
 				id: 'i-front', service: 'front', slots: 4, workMs: 1,
 			});
 			let arrivals = 0;
+			const shed: Misbehaviour = (_request, response) => {
+				arrivals++;
+				response.writeHead(503, {[meshHeaders.notRun]: '1'});
+				response.end();
+			};
+
 			for (const name of ['1', '2', '3']) {
 				// eslint-disable-next-line no-await-in-loop -- hosts are added in turn
 				const {target} = await mesh.add(`back-${name}`, {
 					id: `i-${name}`, service: 'back', slots: 50, workMs: 1,
 				});
-				target.misbehave = (_request, response) => {
-					arrivals++;
-					response.writeHead(503, {[meshHeaders.notRun]: '1'});
-					response.end();
-				};
+				target.misbehave = shed;
 			}
 
 			await mesh.settle();
--- a/proof/rules/routes.ts
+++ b/proof/rules/routes.ts
@@ -10,8 +10,8 @@
 	type RuleCheck, broken, replace, send,
 } from './check.js';
 
-const match = RouteTable.prototype.match;
-const offerSite = Directory.prototype.offerSite;
+const {match} = RouteTable.prototype;
+const {offerSite} = Directory.prototype;
 /** How long a change of the configuration may take here, in ms. */
 const CHANGE_MS = 400;
 const SPLIT_REQUESTS = 120;
