--- a/fakes/loadworld.ts
+++ b/fakes/loadworld.ts
@@ -71,7 +71,7 @@
 		this.name = `${service.name}-${copy}`;
 		this.service = service;
 		this.copy = copy;
-		this.placement = new Placement('a', {crossingMs: 60, fullShare: 0.6}, () => random.next());
+		this.placement = new Placement('a', {crossingMs: 60, crossingShare: 0.15, fullShare: 0.6}, () => random.next());
 		this.shedding = new Shedding(this.name);
 		this.budget = new RetryBudget({ratio: 0.2, slack: 48, windowMs: 10_000});
 		this.budget.share(daemons);
--- a/src/mesh/placement.ts
+++ b/src/mesh/placement.ts
@@ -12,8 +12,10 @@
 
 /** Costs of placing a call elsewhere, as settings. */
 export type PlacementOptions = {
-	/** What crossing to another failure domain adds to a call's cost, in ms. */
+	/** What crossing to another failure domain adds to a call's cost at least, in ms. */
 	readonly crossingMs: number;
+	/** The same as a part of the call's objective: an answer that is early earns nothing more. */
+	readonly crossingShare: number;
 	/** The share of its limit from which a target counts as filling up. */
 	readonly fullShare: number;
 };
@@ -172,7 +174,7 @@
 		}
 
 		if (entry.failureDomain !== this.#failureDomain) {
-			cost += this.#options.crossingMs;
+			cost += Math.max(this.#options.crossingMs, this.#options.crossingShare * objectiveMs);
 		}
 
 		cost += this.#failuresOf(view, nowMs) * FAILURE_COST * objectiveMs;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -25,6 +25,8 @@
 const DRAIN_SHARE = 0.6;
 /** What crossing to another failure domain costs, in ms of waiting: from the price of bytes between them. */
 const CROSSING_MS = 60;
+/** The same as a part of the call's objective: a copy that is slow but in time keeps its own calls. */
+const CROSSING_SHARE = 0.15;
 /** The load from which a call is worth sending to another failure domain. */
 const FULL_SHARE = 0.6;
 /** The part of the grace after which a stopping daemon ends in any case. */
@@ -71,7 +73,7 @@
 		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
-		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, fullShare: FULL_SHARE}, random);
+		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, crossingShare: CROSSING_SHARE, fullShare: FULL_SHARE}, random);
 		this.#budget = new RetryBudget(settings.retry);
 		this.#shedding = new Shedding(settings.host);
 		this.#lifecycle = new Lifecycle(settings.drainMs * DRAIN_SHARE);
--- a/test/mesh/placement.test.ts
+++ b/test/mesh/placement.test.ts
@@ -9,7 +9,7 @@
 		id: `i-${host}`, service: 's', slots: 10, state: 'ready',
 	},
 });
-const placement = () => new Placement('a', {crossingMs: 60, fullShare: 0.6}, () => 0);
+const placement = () => new Placement('a', {crossingMs: 60, crossingShare: 0.15, fullShare: 0.6}, () => 0);
 const choose = (chooser: Placement, entries: HostEntry[], nowMs = 0, tried: string[] = []) => chooser.choose(entries, 'r', 1000, tried, nowMs)?.host;
 const load = (running: number, serviceMs = 20) => ({
 	running, queued: 0, limit: 10, serviceMs,
@@ -22,6 +22,13 @@
 		expect(choose(chooser, [entry('far', 'b'), entry('near')])).toBe('near');
 	});
 
+	it('stays there beside a copy that is slow but well within the objective', () => {
+		const chooser = placement();
+		chooser.onReport('near', 'r', load(5, 200), 0);
+		chooser.onReport('far', 'r', load(5, 90), 0);
+		expect(choose(chooser, [entry('far', 'b'), entry('near')])).toBe('near');
+	});
+
 	it('leaves it before calls would wait', () => {
 		const chooser = placement();
 		chooser.onReport('near', 'r', load(12, 50), 0);
