--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -60,7 +60,8 @@
 
 	/** Dials the hosts that were lost, and takes out the entries of those that stay away. */
 	redial(): void {
-		for (const host of this.#lost.due(this.#parts.clock.nowMs())) {
+		const nowMs = this.#parts.clock.nowMs();
+		for (const host of this.#lost.due(nowMs)) {
 			void this.#parts.directory.collect(host);
 		}
 
@@ -69,6 +70,8 @@
 			if (entry === undefined) {
 				this.#lost.delete(host);
 			} else {
+				// No call has to find out by waiting for it that the host is still away.
+				this.#parts.placement.suspect(host, nowMs);
 				this.to(entry);
 			}
 		}
--- a/src/relay/neighbor.ts
+++ b/src/relay/neighbor.ts
@@ -28,10 +28,13 @@
 /** Follows the target beside this daemon through its life, and tells the other daemons of it. */
 export class Neighbor {
 	readonly #parts: NeighborParts;
+	readonly #startMs: number;
 	#probes = 0;
+	#isMissing = false;
 
 	constructor(parts: NeighborParts) {
 		this.#parts = parts;
+		this.#startMs = parts.clock.nowMs();
 	}
 
 	/** Takes in what the target says of itself. */
@@ -53,6 +56,8 @@
 				void this.#probe();
 			}
 
+			this.#checkMissing();
+
 			return;
 		}
 
@@ -65,6 +70,17 @@
 		}
 	}
 
+	// An entry from before this daemon's start would go on naming a target that is gone.
+	#checkMissing(): void {
+		const {clock, log} = this.#parts;
+		const waitedMs = clock.nowMs() - this.#startMs;
+		if (!this.#isMissing && waitedMs > this.#parts.settings().announceIntervalMs * MISSED_ANNOUNCEMENTS) {
+			this.#isMissing = true;
+			log.warn('target_missing', {waitedMs: Math.round(waitedMs)});
+			this.#publish();
+		}
+	}
+
 	#onFarewell(farewell: Farewell): void {
 		const {clock, log, lifecycle} = this.#parts;
 		const change = lifecycle.leave(farewell, clock.nowMs());
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -1,9 +1,13 @@
 import {Buffer} from 'node:buffer';
-import {type Socket, connect} from 'node:net';
+import {
+	type AddressInfo, type Socket, connect, createServer,
+} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {type HostEntry} from '../../src/mesh/index.js';
+import {HOST_KIND} from '../../src/relay/directory.js';
 import {Mesh, route, siteOf} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
 import {type Misbehaviour, call} from '../../standins/meshtarget.js';
@@ -284,6 +288,60 @@
 	});
 });
 
+describe('a host that went dark', () => {
+	it('keeps one call waiting, and no more until it is back', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'back')]));
+		const dark = createServer();
+		await new Promise<void>(resolve => {
+			dark.listen(0, '127.0.0.1', resolve);
+		});
+		mesh.store.set(HOST_KIND, 'dark', {
+			host: 'dark',
+			failureDomain: 'a',
+			address: `127.0.0.1:${(dark.address() as AddressInfo).port}`,
+			target: {
+				id: 'i-dark', service: 'back', slots: 4, state: 'ready',
+			},
+		});
+		const front = await mesh.add('front', target('i-front', 'front'));
+		await mesh.add('back', target('i-back', 'back'), 'b');
+		await mesh.settle();
+		const slow: number[] = [];
+		const startMs = performance.now();
+		for (let number = 0; performance.now() - startMs < 4000; number++) {
+			const sentMs = performance.now();
+			// eslint-disable-next-line no-await-in-loop -- one call after the other
+			expect(await statusOf(front.settings.listen.requests.port, '/x/', `a${number}`)).toBe(200);
+			if (performance.now() - sentMs > 300) {
+				slow.push(sentMs - startMs);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await sleep(20);
+		}
+
+		dark.close();
+		expect(slow).toHaveLength(1);
+	});
+});
+
+describe('a daemon whose target never speaks', () => {
+	it('takes the target out of the entry that was there before it started', async () => {
+		mesh = new Mesh();
+		const late = await mesh.add('late', target('i-gone', 'back'));
+		await mesh.settle();
+		await late.stop();
+		const named = () => (mesh.store.get(HOST_KIND, 'late').value as HostEntry).target?.id;
+		expect(named()).toBe('i-gone');
+		const mute = Object.assign(late.target, {announce: async () => 0});
+		const {requests, peers, readiness, announcements} = late.settings.listen;
+		mesh.hosts.splice(0, 1, await mesh.start('late', mute, [requests.port, peers.port, readiness.port, announcements.port]));
+		await sleep(3000);
+		expect(named()).toBeUndefined();
+	});
+});
+
 describe('a planned stop', () => {
 	it('cuts nothing, and peers go elsewhere', async () => {
 		mesh = new Mesh();
