Forget a host whose address was given to another

Ruled out: that the new host's entry was missing. Change: greetings name their host; if it is another one, the entry lapses and some three daemons take it out of the store. Tried first: closing the link at once, which made calls on it end unknown (502); they are refused instead. The test failed before (one more hop after 2.8 s, entry still in the store).

--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -12,10 +12,14 @@
 
 /** A peer's word of a newer configuration waits this long for the own watch, in ms, before the peer is asked. */
 const NEWS_PATIENCE_MS = 150;
+/** How many daemons of all take out an entry that all see to be wrong: one may fail. */
+const COLLECTORS = 3;
 /** How many daemons are told of a new configuration; each that didn't know tells as many. */
 const NEWS_FANOUT = 6;
 
 export type LinksParts = {
+	/** The own host. */
+	readonly host: string;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly hosts: HostTable;
@@ -96,7 +100,7 @@
 	}
 
 	hello(): Frame {
-		return [Tag.hello, this.#revision];
+		return [Tag.hello, this.#revision, this.#parts.host];
 	}
 
 	/** What is known of floors, if there is any. */
@@ -150,6 +154,11 @@
 	}
 
 	override onFrame(link: Link, frame: Frame): void {
+		if (frame[0] === Tag.hello && typeof frame[2] === 'string' && frame[2] !== link.host) {
+			this.#onStranger(link, frame[2]);
+			return;
+		}
+
 		this.take(frame, reply => {
 			link.send(reply);
 		});
@@ -167,6 +176,20 @@
 		this.#parts.log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
 	}
 
+	// The address was given to another host: the one that had it is gone.
+	#onStranger(link: Link, stranger: string): void {
+		const {log, hosts, placement, directory, clock, random} = this.#parts;
+		const revision = hosts.revisionOf(link.host);
+		log.event('host_replaced', {host: link.host, by: stranger, revision: revision ?? 0});
+		if (revision !== undefined && random() < COLLECTORS / hosts.size) {
+			void directory.collect(link.host);
+		}
+
+		// Calls already on the link are refused there; closing it would leave them unknown.
+		hosts.lapse(link.host, revision ?? 0, clock.nowMs());
+		placement.suspect(link.host, clock.nowMs());
+	}
+
 	get #revision(): number {
 		return this.#parts.directory.site?.revision ?? 0;
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -85,6 +85,7 @@
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
 		});
 		this.#links = new Links({
+			host: settings.host,
 			clock, log: this.#log, hosts: this.#hosts, placement: this.#placement, shedding: this.#shedding, directory: this.#directory, random,
 		});
 		this.#neighbor = new Neighbor({
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -326,6 +326,32 @@
 	});
 });
 
+describe('a host whose address was given to another', () => {
+	it('is forgotten once the other one answers there', async () => {
+		mesh = new Mesh();
+		mesh.configure(siteOf([route('x', 'ghost-service')]));
+		const front = await mesh.add('front', target('i-front', 'front'));
+		const back = await mesh.add('back', target('i-back', 'back'));
+		mesh.store.set(HOST_KIND, 'ghost', {
+			host: 'ghost',
+			failureDomain: 'a',
+			address: `127.0.0.1:${back.settings.listen.peers.port}`,
+			target: {
+				id: 'i-ghost', service: 'ghost-service', slots: 4, state: 'ready',
+			},
+		});
+		await mesh.settle();
+		const {port} = front.settings.listen.requests;
+		expect(await statusOf(port, '/x/', 'a0')).toBe(503);
+		await sleep(2800);
+		const hops = () => mesh.lines.filter(line => line.includes('event=owner_refused')).length;
+		const before = hops();
+		expect(await statusOf(port, '/x/', 'a1')).toBe(503);
+		expect(hops()).toBe(before);
+		expect(() => mesh.store.get(HOST_KIND, 'ghost')).toThrow();
+	});
+});
+
 describe('a daemon whose target never speaks', () => {
 	it('takes the target out of the entry that was there before it started', async () => {
 		mesh = new Mesh();
