Leave the source map out of the platform's bundle

The inline map was 6.3 of the bundle's 8.9 MB, and every daemon read and kept it at its start, though nothing asks for it there. The other bundles keep their maps.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,4 +1,5 @@
-/** Bundles the daemon for the users' platform into `target/`. */
-import {bundle} from './bundle.mjs';
+/** Bundles the daemon for the users' platform into `target/`, without a source map: each process would hold it in memory. */
+import {build} from 'esbuild';
+import {bundleOptions} from './bundle.mjs';
 
-await bundle('platform/main.ts', 'target/comfreydyke.mjs');
+await build({...bundleOptions('platform/main.ts', 'esm'), sourcemap: false, outfile: 'target/comfreydyke.mjs'});
