One piece of code where the change had two

Read as a whole, the change wrote some things again. Dropped: Exchange.isOver, ExchangeOptions.callerService (the shape has it), a field of the load world that nothing read.

--- a/fakes/loadworld.ts
+++ b/fakes/loadworld.ts
@@ -1,6 +1,6 @@
 import {CLOSED} from '../src/core/index.js';
 import {
-	Attempts, Gate, type GateCall, type HostEntry, HostTable, type LoadReport, Placement, RetryBudget, type Route, ServiceTimes, Shedding, type Standing, comebackMs,
+	Attempts, Gate, type GateCall, type HostEntry, HostTable, type LoadReport, PLACEMENT, Placement, RetryBudget, type Route, ServiceTimes, Shedding, type Standing, comebackMs, usableSlots,
 } from '../src/mesh/index.js';
 import {Random} from './random.js';
 import {Scheduler} from './scheduler.js';
@@ -10,8 +10,6 @@
 /** A target's word that it is full, in ms. */
 const SHED_MS = 1;
 const HOUSEKEEPING_MS = 50;
-/** Which part of a target's slots is used, as the relay does. */
-const SLOT_SHARE = 0.95;
 
 /** A service as the load sees it; one speed for each copy, 1: as told. */
 export type ServiceLoad = {readonly name: string; readonly slots: number; readonly speeds: readonly number[]};
@@ -53,7 +51,7 @@
 export type LoadTally = {asked: number; inTime: number; late: number; refused: number; failed: number};
 
 type Outcome = 'served' | 'refused' | 'failed';
-type Answer = {readonly outcome: Outcome; readonly reason: string; readonly report: LoadReport; readonly reached: readonly string[]; readonly isFailedBelow: boolean};
+type Answer = {readonly outcome: Outcome; readonly reason: string; readonly report: LoadReport; readonly reached: readonly string[]};
 type Waiting = GateCall & {readonly id: string; readonly load: RouteLoad; readonly isRepeat: boolean; readonly answer: (answer: Answer) => void; startedMs: number};
 type Errand = {readonly id: string; readonly load: RouteLoad; readonly host: Host; readonly standing: Standing; readonly isNested: boolean; readonly isRepeat: boolean; readonly endMs: number};
 
@@ -71,11 +69,11 @@
 		this.name = `${service.name}-${copy}`;
 		this.service = service;
 		this.copy = copy;
-		this.placement = new Placement('a', {crossingMs: 60, crossingShare: 0.15, fullShare: 0.6}, () => random.next());
+		this.placement = new Placement('a', PLACEMENT, () => random.next());
 		this.shedding = new Shedding(this.name);
 		this.budget = new RetryBudget({ratio: 0.2, slack: 48, windowMs: 10_000});
 		this.budget.share(daemons);
-		this.gate = new Gate(Math.floor(service.slots * SLOT_SHARE));
+		this.gate = new Gate(usableSlots(service.slots));
 	}
 
 	report(route: string): LoadReport {
@@ -300,7 +298,7 @@
 		const {name} = owner.service;
 		const {name: route} = call.load.route;
 		call.answer({
-			outcome, reason, report: owner.report(route), reached: [name, ...owner.shedding.servicesOf({route, service: name})], isFailedBelow: reason === 'below',
+			outcome, reason, report: owner.report(route), reached: [name, ...owner.shedding.servicesOf({route, service: name})],
 		});
 	}
 
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -12,35 +12,18 @@
 };
 
 /** Sends the growth of each counter and the present gauges to StatsD. */
-export class Metrics {
-	readonly #feed: CounterFeed;
-	readonly #status: () => Status;
-	readonly #timer: NodeJS.Timeout;
-
-	constructor(options: FeedOptions, daemon: string, status: () => Status) {
-		this.#feed = new CounterFeed(options, daemon, () => countersOf(status()));
-		this.#status = status;
-		this.#timer = setInterval(() => {
-			this.#sendGauges();
-		}, options.intervalMs);
-	}
-
-	flush(): void {
-		this.#feed.flush();
-		this.#sendGauges();
-	}
-
-	async close(): Promise<void> {
-		clearInterval(this.#timer);
-		this.#sendGauges();
-		await this.#feed.close();
-	}
-
-	#sendGauges(): void {
-		const status = this.#status();
-		for (const gauge of ['limit', 'running', 'queued', 'inFlight', 'floor', 'ledgerSize'] as const) {
-			this.#feed.gauge(gauge, status[gauge]);
-		}
+export class Metrics extends CounterFeed {
+	constructor(options: FeedOptions, daemon: string, statusOf: () => Status) {
+		super(options, daemon, () => {
+			const status = statusOf();
+			const {limit, running, queued, inFlight, floor, ledgerSize} = status;
+			return {
+				counters: countersOf(status),
+				gauges: {
+					limit, running, queued, inFlight, floor, ledgerSize,
+				},
+			};
+		});
 	}
 }
 
--- a/src/log/counterfeed.ts
+++ b/src/log/counterfeed.ts
@@ -9,25 +9,29 @@
 // A lost metric is not worth an event of its own.
 const ignore = () => undefined;
 
-/** Sends the growth of counters to StatsD. */
+/** What a process measures, as it stands. */
+export type Readings = {readonly counters: Iterable<Counter>; readonly gauges?: Readonly<Record<string, number>>};
+
+/** Sends the growth of counters, and gauges as they are, to StatsD. */
 export class CounterFeed {
 	readonly #client: StatsD;
-	readonly #counters: () => Iterable<Counter>;
+	readonly #read: () => Readings;
 	readonly #sent = new Map<string, number>();
 	readonly #timer: NodeJS.Timeout;
 
-	constructor({host, port, prefix, intervalMs}: FeedOptions, daemon: string, counters: () => Iterable<Counter>) {
+	constructor({host, port, prefix, intervalMs}: FeedOptions, daemon: string, read: () => Readings) {
 		this.#client = new StatsD({
 			host, port, prefix, globalTags: {daemon}, errorHandler: ignore,
 		});
-		this.#counters = counters;
+		this.#read = read;
 		this.#timer = setInterval(() => {
 			this.flush();
 		}, intervalMs);
 	}
 
 	flush(): void {
-		for (const {name, tags, count} of this.#counters()) {
+		const {counters, gauges = {}} = this.#read();
+		for (const {name, tags, count} of counters) {
 			const id = `${name} ${JSON.stringify(tags)}`;
 			const growth = count - (this.#sent.get(id) ?? 0);
 			if (growth > 0) {
@@ -35,10 +39,10 @@
 				this.#client.increment(name, growth, tags);
 			}
 		}
-	}
 
-	gauge(name: string, value: number): void {
-		this.#client.gauge(name, value);
+		for (const [name, value] of Object.entries(gauges)) {
+			this.#client.gauge(name, value);
+		}
 	}
 
 	async close(): Promise<void> {
--- a/src/log/events.ts
+++ b/src/log/events.ts
@@ -23,15 +23,15 @@
 
 	/** Writes one event, unless its kind has used up this second's lines. */
 	event(name: string, fields: LogFields = {}): void {
-		this.#write(name, fields, false);
+		this.#write('info', name, fields);
 	}
 
 	/** As `event`, for what an operator should look at. */
 	warn(name: string, fields: LogFields = {}): void {
-		this.#write(name, fields, true);
+		this.#write('warn', name, fields);
 	}
 
-	#write(name: string, fields: LogFields, isWarning: boolean): void {
+	#write(level: 'info' | 'warn', name: string, fields: LogFields): void {
 		const nowMs = this.#clock.nowMs();
 		let window = this.#windows.get(name);
 		if (window === undefined) {
@@ -53,10 +53,6 @@
 		}
 
 		window.written++;
-		if (isWarning) {
-			this.#logger.warn(name, fields);
-		} else {
-			this.#logger.info(name, fields);
-		}
+		this.#logger[level](name, fields);
 	}
 }
--- a/src/mesh/gate.ts
+++ b/src/mesh/gate.ts
@@ -26,6 +26,8 @@
 /** How many calls may wait for each that runs: a queue longer than that is waited in for nothing. */
 const QUEUE_PER_SLOT = 4;
 const MIN_QUEUE = 64;
+/** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
+const SLOT_SHARE = 0.95;
 
 /**
  * Runs at most `limit` calls at once and lets the rest wait: by the rank of
@@ -201,6 +203,11 @@
 	}
 }
 
+/** How many calls a target with so many slots is given at once. */
+export function usableSlots(slots: number): number {
+	return Math.max(1, Math.floor(slots * SLOT_SHARE));
+}
+
 /** The number of a call's queue; lower ones are served first. */
 function queueOf({standing, isNested}: GateCall): number {
 	return ((RANKS - 1 - rankOf(standing.level)) * 2) + (isNested ? 0 : 1);
--- a/src/mesh/placement.ts
+++ b/src/mesh/placement.ts
@@ -20,6 +20,15 @@
 	readonly fullShare: number;
 };
 
+/** The costs that the daemons place by. */
+export const PLACEMENT: PlacementOptions = {
+	// From the price of bytes between failure domains.
+	crossingMs: 60,
+	// A copy that is slow but in time keeps the calls of its own failure domain.
+	crossingShare: 0.15,
+	fullShare: 0.6,
+};
+
 type View = {
 	report: LoadReport;
 	atMs: number;
--- a/src/relay/announcements.ts
+++ b/src/relay/announcements.ts
@@ -1,21 +1,17 @@
 import {Buffer} from 'node:buffer';
-import {type Server, createServer} from 'node:http';
 import {type EventLog} from '../log/index.js';
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {DecodeError} from './error.js';
-import {listen} from './listen.js';
-import {type Address} from './settings.js';
+import {Page} from './page.js';
 
 /** A target's message is a few hundred bytes; more than this, in bytes, isn't one. */
 const MAX_BODY_BYTES = 65_536;
 
 /** Takes what the target beside this daemon says of itself, and acknowledges it. */
-export class Announcements {
-	readonly #server: Server;
-
+export class Announcements extends Page {
 	/** @param onMessage takes a message in; once it returns, the message counts as acknowledged */
 	constructor(adapter: Adapter, log: EventLog, onMessage: (message: TargetMessage) => void) {
-		this.#server = createServer((request, response) => {
+		super((request, response) => {
 			const chunks: Buffer[] = [];
 			let length = 0;
 			request.on('data', (chunk: Buffer) => {
@@ -46,13 +42,4 @@
 			});
 		});
 	}
-
-	async listen(address: Address): Promise<void> {
-		await listen(this.#server, address);
-	}
-
-	close(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
-	}
 }
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {isDeepStrictEqual} from 'node:util';
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
@@ -205,7 +206,7 @@
 					follower.change(changes);
 					if (changes.events.length > 0) {
 						// eslint-disable-next-line no-await-in-loop -- gathers what comes together
-						await delay(this.#pacedMs(follower.pause));
+						await sleep(this.#pacedMs(follower.pause));
 					}
 				}
 
@@ -222,7 +223,7 @@
 				isBehind = isCompacted;
 				revision = undefined;
 				// eslint-disable-next-line no-await-in-loop -- waits before it asks again
-				await delay(waitMs);
+				await sleep(waitMs);
 				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
 			}
 		}
@@ -333,7 +334,7 @@
 				written = await this.#adopt(entry);
 				if (written === undefined && kind !== 'conflict') {
 					// eslint-disable-next-line no-await-in-loop -- waits before it writes again
-					await delay(backoffMs * (0.5 + this.#parts.random()));
+					await sleep(backoffMs * (0.5 + this.#parts.random()));
 					backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
 				}
 			}
@@ -359,9 +360,3 @@
 		}
 	}
 }
-
-async function delay(waitMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, waitMs);
-	});
-}
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	type AttemptsParts, type ClientLimits, type HostEntry, type Shedding, type Site, Splitter,
+	type AttemptsParts, type ClientLimits, type HostEntry, type Route, type Shedding, type Site, Splitter,
 } from '../mesh/index.js';
 import {CONNECTION_HEADERS} from '../wire/index.js';
 import {
@@ -15,9 +15,8 @@
 import {type ReplyParts} from './reply.js';
 import {listen} from './listen.js';
 import {type Address} from './settings.js';
+import {Sweep} from './sweep.js';
 
-/** How often open requests are checked against their deadlines, in ms: a fifth of the slack that a time-out has, as each check wakes the process up. */
-const SWEEP_MS = 50;
 /** The largest header block taken from a client, in bytes, whatever the configuration says. */
 const MAX_HEADER_BYTES = 65_536;
 /** When to return to a daemon that has no configuration yet, in s. */
@@ -62,7 +61,7 @@
 	readonly #connections = new WeakMap<Socket, Connection>();
 	readonly #forwarded: Set<string>;
 	readonly #sockets = new Set<Socket>();
-	#isArmed = false;
+	readonly #sweep = new Sweep(() => this.#checkTimes());
 	#isStopping = false;
 
 	constructor(options: EntryOptions) {
@@ -187,12 +186,12 @@
 
 		const service = this.#splitter.choose(route) ?? '';
 		const exchange = new Exchange(this.#parts, request, response, {
-			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route.name, route), parent: this.#options.parentOf(attemptId), callerService: this.#options.callerService(),
+			route, service, attemptId, leftMs, shape: this.#shapeOf(request, route), parent: this.#options.parentOf(attemptId),
 		});
 		this.#exchanges.add(exchange);
 		connection.exchanges.add(exchange);
 
-		this.#arm();
+		this.#sweep.arm();
 		const length = headers['content-length'];
 		const hasBody = headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
 		if (exchange.isAdmitted) {
@@ -202,7 +201,7 @@
 		}
 	}
 
-	#shapeOf(request: IncomingMessage, name: string, route: {rank: number; repeatability: CallShape['repeatability']}): CallShape {
+	#shapeOf(request: IncomingMessage, {name, rank, repeatability}: Route): CallShape {
 		const headers: string[] = [];
 		const {rawHeaders} = request;
 		for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
@@ -212,7 +211,7 @@
 		}
 
 		return {
-			route: name, rank: route.rank, repeatability: route.repeatability, method: request.method!, callerService: this.#options.callerService(), headers,
+			route: name, rank, repeatability, method: request.method!, callerService: this.#options.callerService(), headers,
 		};
 	}
 
@@ -256,22 +255,12 @@
 		}
 	}
 
-	#arm(): void {
-		if (this.#isArmed) {
-			return;
+	#checkTimes(): boolean {
+		const nowMs = this.#options.clock.nowMs();
+		for (const exchange of this.#exchanges) {
+			exchange.checkTime(nowMs);
 		}
 
-		this.#isArmed = true;
-		setTimeout(() => {
-			this.#isArmed = false;
-			const nowMs = this.#options.clock.nowMs();
-			for (const exchange of this.#exchanges) {
-				exchange.checkTime(nowMs);
-			}
-
-			if (this.#exchanges.size > 0) {
-				this.#arm();
-			}
-		}, SWEEP_MS);
+		return this.#exchanges.size > 0;
 	}
 }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {
-	Attempts, type LoadReport, type Route, type Standing, comebackMs,
+	Attempts, type LoadReport, type Route, type Standing, type Way, comebackMs,
 } from '../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallShape, type FailureReason, type RefusalReason,
@@ -25,7 +25,6 @@
 	readonly shape: CallShape;
 	/** The run on this host that waits for it. */
 	readonly parent: Call | undefined;
-	readonly callerService: string;
 };
 
 /** One client's request, from its arrival to its one final answer. */
@@ -44,6 +43,7 @@
 	readonly #arrivedMs: number;
 	readonly #parent: Call | undefined;
 	readonly #standing: Standing;
+	readonly #way: Way;
 	#handle: CallHandle | undefined;
 	#mayHaveRun = false;
 	#hasHead = false;
@@ -61,12 +61,13 @@
 		this.#shape = options.shape;
 		this.#parent = options.parent;
 		this.#arrivedMs = parts.clock.nowMs();
-		this.#standing = this.#parent?.standing ?? parts.shedding.standingOf({route: this.route.name, service: this.service}, this.route.rank, this.attemptId, this.#arrivedMs);
+		this.#way = {route: this.route.name, service: this.service};
+		this.#standing = this.#parent?.standing ?? parts.shedding.standingOf(this.#way, this.route.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(parts, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isRepeat: this.#parent?.isRepeat === true, level: this.#standing.level,
 		}, this);
 		if (this.#parent !== undefined) {
-			parts.shedding.onReached({route: this.#parent.shape.route, service: options.callerService}, [this.service, ...parts.shedding.servicesOf({route: this.route.name, service: this.service})]);
+			parts.shedding.onReached({route: this.#parent.shape.route, service: this.#shape.callerService}, [this.service, ...parts.shedding.servicesOf(this.#way)]);
 		}
 
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
@@ -82,10 +83,6 @@
 		return this.#request.socket;
 	}
 
-	get isOver(): boolean {
-		return this.#isOver;
-	}
-
 	/** Reads the body as far as it travels in one piece, then sends the request on. */
 	begin(hasBody: boolean, maxBodyBytes: number): void {
 		if (!hasBody) {
@@ -159,7 +156,7 @@
 		}
 
 		this.#parts.placement.onOutcome(this.#attempts.host, head.status >= 500 && !head.isFailedBelow, nowMs);
-		this.#parts.shedding.onReached({route: this.route.name, service: this.service}, head.reached);
+		this.#parts.shedding.onReached(this.#way, head.reached);
 		if (isWhole && head.status >= 500 && !head.isFailedBelow && this.#mayResend(nowMs)) {
 			this.#mayHaveRun = true;
 			this.#resend('target-error');
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
-import {Packr} from 'msgpackr';
 import {type PressureReport} from '../core/index.js';
 import {type LoadReport} from '../mesh/index.js';
+import {FrameError, pack, unpack} from '../wire/index.js';
 import {type Call, type CallShape} from './call.js';
 
 /** What the first element of a frame says. */
@@ -20,12 +20,6 @@
 	pressure: 11,
 } as const;
 
-/** A frame that can't be read; the link that it came on is dropped. */
-export class FrameError extends Error {
-	override readonly name = 'FrameError';
-}
-
-const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
 /** Shapes kept for a link; past that it forgets them and begins anew. */
 const MAX_SHAPES = 1000;
 
@@ -33,18 +27,12 @@
 export type Frame = readonly [tag: number, ...fields: unknown[]];
 
 export function encodeFrame(frame: Frame): Buffer {
-	return packr.pack(frame);
+	return pack(frame);
 }
 
-/** @throws {FrameError} */
+/** @throws {FrameError} when the bytes are no frame; the link that they came on is dropped */
 export function decodeFrame(bytes: Buffer): Frame {
-	let value: unknown;
-	try {
-		value = packr.unpack(bytes);
-	} catch (error) {
-		throw new FrameError('not msgpack', {cause: error});
-	}
-
+	const value = unpack(bytes);
 	if (!Array.isArray(value) || typeof value[0] !== 'number') {
 		throw new FrameError('not a frame');
 	}
--- a/src/relay/hostentry.ts
+++ b/src/relay/hostentry.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {type HostEntry} from '../mesh/index.js';
-import {DecodeError} from './error.js';
+import {decode} from './decode.js';
 
 const hostEntrySchema = z.object({
 	host: z.string().min(1),
@@ -16,11 +16,5 @@
 
 /** Reads a daemon's entry. @throws {DecodeError} */
 export function hostEntryOf(value: unknown): HostEntry {
-	const parsed = hostEntrySchema.safeParse(value);
-	if (!parsed.success) {
-		const [issue] = parsed.error.issues;
-		throw new DecodeError(`${issue.path.join('.')}: ${issue.message}`);
-	}
-
-	return parsed.data;
+	return decode(hostEntrySchema, value);
 }
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -3,6 +3,7 @@
 export {
 	Adapter, type ConfigurationPlace, type HeaderNames, type TargetMessage,
 } from './adapter.js';
+export {decode} from './decode.js';
 export {DecodeError, StoreError} from './error.js';
 export {
 	type Changes, type Freshness, type Listing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
--- a/src/relay/neighbor.ts
+++ b/src/relay/neighbor.ts
@@ -1,6 +1,8 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
-import {type Announcement, type Farewell, type Lifecycle} from '../mesh/index.js';
+import {
+	type Announcement, type Farewell, type Lifecycle, usableSlots,
+} from '../mesh/index.js';
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {type Directory} from './directory.js';
 import {type Owner} from './owner.js';
@@ -11,8 +13,6 @@
 const MISSED_ANNOUNCEMENTS = 4;
 /** Health checks of a target that ran before its daemon started; its next announcement comes anyway. */
 const MAX_PROBES = 4;
-/** The share of its slots that a target is given: some slow down when they are nearly full, and a new connection may hold a slot. */
-const SLOT_SHARE = 0.95;
 
 export type NeighborParts = {
 	readonly settings: () => RelaySettings;
@@ -37,6 +37,11 @@
 		this.#startMs = parts.clock.nowMs();
 	}
 
+	/** How long a target may be silent, in ms. */
+	get #patienceMs(): number {
+		return this.#parts.settings().announceIntervalMs * MISSED_ANNOUNCEMENTS;
+	}
+
 	/** Takes in what the target says of itself. */
 	take(message: TargetMessage): void {
 		if (message.type === 'farewell') {
@@ -49,20 +54,18 @@
 	/** Asks a target that isn't known yet, and gives up one that has fallen silent. */
 	check(): void {
 		const {clock, log, lifecycle, owner} = this.#parts;
-		const settings = this.#parts.settings();
 		const {current, heardMs} = lifecycle;
 		if (current === undefined) {
-			if (!settings.isFirstStart && this.#probes < MAX_PROBES) {
+			if (!this.#parts.settings().isFirstStart && this.#probes < MAX_PROBES) {
 				void this.#probe();
 			}
 
 			this.#checkMissing();
-
 			return;
 		}
 
 		const silentMs = clock.nowMs() - heardMs;
-		if (silentMs > settings.announceIntervalMs * MISSED_ANNOUNCEMENTS) {
+		if (silentMs > this.#patienceMs) {
 			log.warn('target_silent', {instance: current.id, silentMs: Math.round(silentMs)});
 			lifecycle.forget();
 			owner.onTargetGone();
@@ -74,7 +77,7 @@
 	#checkMissing(): void {
 		const {clock, log} = this.#parts;
 		const waitedMs = clock.nowMs() - this.#startMs;
-		if (!this.#isMissing && waitedMs > this.#parts.settings().announceIntervalMs * MISSED_ANNOUNCEMENTS) {
+		if (!this.#isMissing && waitedMs > this.#patienceMs) {
 			this.#isMissing = true;
 			log.warn('target_missing', {waitedMs: Math.round(waitedMs)});
 			this.#publish();
@@ -117,7 +120,7 @@
 			upstream.drop();
 		}
 
-		owner.limit(Math.max(1, Math.floor(slots * SLOT_SHARE)));
+		owner.limit(usableSlots(slots));
 		this.#publish();
 	}
 
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -7,10 +7,9 @@
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
+import {Sweep} from './sweep.js';
 import {type Upstream} from './upstream.js';
 
-/** How often waiting and running calls are checked against their deadlines, in ms: with each call the floor is set anew anyway. */
-const SWEEP_MS = 50;
 /** How long past its deadline a run may last before its connection is closed, in ms: the target stops at the deadline by itself. */
 const OVERRUN_MS = 150;
 /** How long a run that nobody waits for may still take, in ms: well within the half second in which a target must hear of it. */
@@ -37,7 +36,13 @@
 	readonly #times = new ServiceTimes();
 	readonly #running = new Set<OwnedCall>();
 	readonly #attempts = new Map<string, OwnedCall>();
-	#isArmed = false;
+	readonly #sweep = new Sweep(() => {
+		const nowMs = this.#parts.clock.nowMs();
+		this.#updateFloor(nowMs);
+		this.checkTimes(nowMs);
+		return this.#gate.queued > 0 || this.#running.size > 0;
+	});
+
 	#unreachableUntilMs = 0;
 	#isStopping = false;
 	#isPumping = false;
@@ -121,7 +126,7 @@
 		if (verdict === 'run') {
 			this.#start(owned);
 		} else if (verdict === 'wait') {
-			this.#arm();
+			this.#sweep.arm();
 		} else {
 			this.#refuse(owned, verdict);
 		}
@@ -223,7 +228,7 @@
 
 		this.#running.add(owned);
 		this.#attempts.set(owned.call.attemptId, owned);
-		this.#arm();
+		this.#sweep.arm();
 		owned.start(this.#parts.upstream, nowMs);
 	}
 
@@ -289,19 +294,4 @@
 		});
 		owned.refuse(reason, this.report(call.shape.route));
 	}
-
-	#arm(): void {
-		if (!this.#isArmed) {
-			this.#isArmed = true;
-			setTimeout(() => {
-				this.#isArmed = false;
-				const nowMs = this.#parts.clock.nowMs();
-				this.#updateFloor(nowMs);
-				this.checkTimes(nowMs);
-				if (this.#gate.queued > 0 || this.#running.size > 0) {
-					this.#arm();
-				}
-			}, SWEEP_MS);
-		}
-	}
 }
--- /dev/null
+++ b/src/relay/page.ts
@@ -0,0 +1,21 @@
+import {type RequestListener, type Server, createServer} from 'node:http';
+import {listen} from './listen.js';
+import {type Address} from './settings.js';
+
+/** Answers on one address of its own, beside those for requests and peers. */
+export abstract class Page {
+	readonly #server: Server;
+
+	constructor(onRequest: RequestListener) {
+		this.#server = createServer(onRequest);
+	}
+
+	async listen(address: Address): Promise<void> {
+		await listen(this.#server, address);
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,7 @@
 import {type Clock, SystemClock, TickClock} from '../clock/index.js';
 import {CounterFeed, EventLog, Logger} from '../log/index.js';
 import {
-	type HostEntry, HostTable, Lifecycle, Placement, RetryBudget, Shedding, type Site,
+	type HostEntry, HostTable, Lifecycle, PLACEMENT, Placement, RetryBudget, Shedding, type Site,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {Announcements} from './announcements.js';
@@ -23,12 +23,6 @@
 const HOUSEKEEPING_MS = 500;
 /** The part of the drain bound within which a leaving target is still given work; the rest is for what is under way. */
 const DRAIN_SHARE = 0.6;
-/** What crossing to another failure domain costs, in ms of waiting: from the price of bytes between them. */
-const CROSSING_MS = 60;
-/** The same as a part of the call's objective: a copy that is slow but in time keeps its own calls. */
-const CROSSING_SHARE = 0.15;
-/** The load from which a call is worth sending to another failure domain. */
-const FULL_SHARE = 0.6;
 /** The part of the grace after which a stopping daemon ends in any case. */
 const STOP_SHARE = 0.84;
 const STOP_CHECK_MS = 50;
@@ -73,7 +67,7 @@
 		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
-		this.#placement = new Placement(settings.failureDomain, {crossingMs: CROSSING_MS, crossingShare: CROSSING_SHARE, fullShare: FULL_SHARE}, random);
+		this.#placement = new Placement(settings.failureDomain, PLACEMENT, random);
 		this.#budget = new RetryBudget(settings.retry);
 		this.#shedding = new Shedding(settings.host);
 		this.#lifecycle = new Lifecycle(settings.drainMs * DRAIN_SHARE);
@@ -139,7 +133,7 @@
 		]);
 		this.#directory.start();
 		const {statsd, host} = this.#settings;
-		this.#feed = statsd === undefined ? undefined : new CounterFeed(statsd, host, () => this.#log.registry.counters());
+		this.#feed = statsd === undefined ? undefined : new CounterFeed(statsd, host, () => ({counters: this.#log.registry.counters()}));
 		this.#timer = setInterval(() => {
 			this.#keepHouse();
 		}, HOUSEKEEPING_MS);
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -51,9 +51,7 @@
 	/** The target is another one now: its kept connections are closed. */
 	drop(): void {
 		this.#generation++;
-		for (const {client} of this.#idle.splice(0)) {
-			void client.destroy();
-		}
+		this.#destroyIdle();
 	}
 
 	/** Asks the target once how it is. @returns its id and what it tells of its load, if it is well and stays */
@@ -93,17 +91,13 @@
 	/** The kept connection that was used last, if it hasn't rested for too long. */
 	#rested(): Connection | undefined {
 		const nowMs = this.#nowMs();
-		const connection = this.#idle.pop();
-		if (connection === undefined || this.#restLimit.allows(nowMs - connection.restsSinceMs, nowMs)) {
-			return connection;
-		}
-
+		const last = this.#idle.at(-1);
 		// Those below it in the stack have rested longer.
-		for (const {client} of [connection, ...this.#idle.splice(0)]) {
-			void client.destroy();
+		if (last !== undefined && !this.#restLimit.allows(nowMs - last.restsSinceMs, nowMs)) {
+			this.#destroyIdle();
 		}
 
-		return undefined;
+		return this.#idle.pop();
 	}
 
 	#open(): Connection {
@@ -122,6 +116,10 @@
 
 	#distrust(): void {
 		this.#distrustUntilMs = this.#nowMs() + DISTRUST_MS;
+		this.#destroyIdle();
+	}
+
+	#destroyIdle(): void {
 		for (const {client} of this.#idle.splice(0)) {
 			void client.destroy();
 		}
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -1,3 +1,4 @@
+import {type Buffer} from 'node:buffer';
 import {Packr} from 'msgpackr';
 import {type Frame} from '../core/index.js';
 import {frameFault} from './check.js';
@@ -12,19 +13,27 @@
 
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: true});
 
-export function encodeFrame(frame: Frame): Uint8Array {
-	return packr.pack(frame);
+/** A value as msgpack. */
+export function pack(value: unknown): Buffer {
+	return packr.pack(value);
 }
 
-/** @throws {FrameError} when the bytes are no frame */
-export function decodeFrame(bytes: Uint8Array): Frame {
-	let value: unknown;
+/** @throws {FrameError} when the bytes are no msgpack */
+export function unpack(bytes: Uint8Array): unknown {
 	try {
-		value = packr.unpack(bytes);
+		return packr.unpack(bytes);
 	} catch (error) {
 		throw new FrameError('not msgpack', {cause: error});
 	}
+}
 
+export function encodeFrame(frame: Frame): Uint8Array {
+	return pack(frame);
+}
+
+/** @throws {FrameError} when the bytes are no frame */
+export function decodeFrame(bytes: Uint8Array): Frame {
+	const value = unpack(bytes);
 	const fault = frameFault(value);
 	if (fault !== undefined) {
 		throw new FrameError(fault);
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,5 @@
 export {
-	FrameError, decodeFrame, encodeFrame, MAX_FRAME_BYTES,
+	FrameError, decodeFrame, encodeFrame, MAX_FRAME_BYTES, pack, unpack,
 } from './codec.js';
 export {type HttpMessage, CONNECTION_HEADERS, forwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -58,7 +58,7 @@
 		registry.count('refused', {service: 's', reason: 'full'});
 		const feed = new CounterFeed({
 			host: '127.0.0.1', port: socket.address().port, prefix: 'comfreydyke.', intervalMs: 60_000,
-		}, 'd', () => registry.counters());
+		}, 'd', () => ({counters: registry.counters()}));
 		feed.flush();
 		await feed.close();
 		await came;
--- a/test/mesh/placement.test.ts
+++ b/test/mesh/placement.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {CLOSED} from '../../src/core/index.js';
 import {
-	type HostEntry, HostTable, Placement, RetryBudget, comebackMs,
+	type HostEntry, HostTable, PLACEMENT, Placement, RetryBudget, comebackMs,
 } from '../../src/mesh/index.js';
 
 const entry = (host: string, failureDomain = 'a'): HostEntry => ({
@@ -9,7 +9,7 @@
 		id: `i-${host}`, service: 's', slots: 10, state: 'ready',
 	},
 });
-const placement = () => new Placement('a', {crossingMs: 60, crossingShare: 0.15, fullShare: 0.6}, () => 0);
+const placement = () => new Placement('a', PLACEMENT, () => 0);
 const choose = (chooser: Placement, entries: HostEntry[], nowMs = 0, tried: string[] = []) => chooser.choose(entries, 'r', 1000, tried, nowMs)?.host;
 const load = (running: number, serviceMs = 20) => ({
 	running, queued: 0, limit: 10, serviceMs,
