--- a/proof/rules/check.ts
+++ b/proof/rules/check.ts
@@ -1,5 +1,5 @@
 import {type Mesh} from '../../standins/mesh.js';
-import {meshHeaders} from '../../standins/meshadapter.js';
+import {attemptHeaders} from '../../standins/meshadapter.js';
 import {type MeshAnswer, call} from '../../standins/meshtarget.js';
 
 /** Puts back what was taken out. */
@@ -26,11 +26,7 @@
 /** Sends one client attempt. */
 export async function send(port: number, path: string, id: string, options: {method?: string; deadlineMs?: number; headers?: Record<string, string>; signal?: AbortSignal} = {}): Promise<MeshAnswer> {
 	const {method, deadlineMs = 2000, headers, signal} = options;
-	return call(port, path, {
-		method, signal, headers: {
-			...headers, host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs),
-		},
-	});
+	return call(port, path, {method, signal, headers: {...headers, ...attemptHeaders(id, deadlineMs)}});
 }
 
 /** A violation, if it is one. */
--- a/proof/rules/ends.ts
+++ b/proof/rules/ends.ts
@@ -1,8 +1,9 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Lifecycle} from '../../src/mesh/index.js';
 import {Entry} from '../../src/relay/entry.js';
 import {Links} from '../../src/relay/links.js';
 import {OwnedCall} from '../../src/relay/ownedcall.js';
-import {type Mesh, route, siteOf} from '../../standins/mesh.js';
+import {type Mesh, route} from '../../standins/mesh.js';
 import {
 	type RuleCheck, broken, replace, send,
 } from './check.js';
@@ -15,21 +16,7 @@
 const RECOVER_MS = 2500;
 
 async function frontAndBack(mesh: Mesh, workMs: number) {
-	mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'}), route('y', 'front')]));
-	const front = await mesh.add('front', {
-		id: 'i-front', service: 'front', slots: 4, workMs: 1,
-	});
-	const back = await mesh.add('back', {
-		id: 'i-back', service: 'back', slots: 4, workMs,
-	});
-	await mesh.settle();
-	return {front, back, port: front.settings.listen.requests.port};
-}
-
-async function pause(waitMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, waitMs);
-	});
+	return mesh.pair({routes: [route('x', 'back', {repeatability: 'unsafe'}), route('y', 'front')], back: {workMs}});
 }
 
 export const END_CHECKS: readonly RuleCheck[] = [
@@ -37,17 +24,10 @@
 		rule: 'GONE',
 		async run(mesh) {
 			const {back, port} = await frontAndBack(mesh, 1);
-			let isAtWork = false;
-			back.target.misbehave = (_request, response) => {
-				isAtWork = true;
-				response.on('close', () => {
-					isAtWork = false;
-				});
-			};
-
+			const hung = back.target.hang();
 			await send(port, '/x/', 'a1', {signal: AbortSignal.timeout(100)});
-			await pause(GONE_MS);
-			return broken(isAtWork, 'a target still worked for a client that had left');
+			await sleep(GONE_MS);
+			return broken(hung.begun !== hung.closed, 'a target still worked for a client that had left');
 		},
 		sabotage: {
 			title: 'owners aren\'t told',
@@ -59,7 +39,7 @@
 		async run(mesh) {
 			const {front, port} = await frontAndBack(mesh, 300);
 			const waiting = send(port, '/x/', 'a1', {method: 'POST'});
-			await pause(100);
+			await sleep(100);
 			await front.stop();
 			const {status} = await waiting;
 			return broken(status !== 200, `a planned stop ended a request that ran with ${status}`);
@@ -79,7 +59,7 @@
 			mesh.store.trouble = 'down';
 			mesh.store.wake();
 			await back.target.leave(back.settings.listen.announcements.port);
-			await pause(DRAIN_MS);
+			await sleep(DRAIN_MS);
 			const before = back.target.ran.length;
 			await send(port, '/x/', 'a2');
 			return broken(back.target.ran.length > before, 'a target that left was given work after its bound');
@@ -99,7 +79,7 @@
 			await back.stop();
 			const {requests, peers, readiness, announcements} = back.settings.listen;
 			mesh.hosts.splice(1, 1, await mesh.start('back', back.target, [requests.port, peers.port, readiness.port, announcements.port]));
-			await pause(RECOVER_MS);
+			await sleep(RECOVER_MS);
 			const {status} = await send(requests.port, '/y/', 'a2');
 			return broken(status !== 200, `a daemon that started again without the store answers ${status}`);
 		},
--- a/proof/rules/routes.ts
+++ b/proof/rules/routes.ts
@@ -1,9 +1,10 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {WebSocket} from 'ws';
 import {Lifecycle, RouteTable, Splitter} from '../../src/mesh/index.js';
 import {Directory} from '../../src/relay/directory.js';
 import {Tag, encodeFrame} from '../../src/relay/frame.js';
 import {PEER_PATH} from '../../src/relay/link.js';
-import {type Mesh, route, siteOf} from '../../standins/mesh.js';
+import {route, siteOf} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
 import {MeshTarget} from '../../standins/meshtarget.js';
 import {
@@ -16,32 +17,17 @@
 const CHANGE_MS = 400;
 const SPLIT_REQUESTS = 120;
 
-async function twoServices(mesh: Mesh) {
-	const front = await mesh.add('front', {
-		id: 'i-front', service: 'front', slots: 20, workMs: 1,
-	});
-	const back = await mesh.add('back', {
-		id: 'i-back', service: 'back', slots: 20, workMs: 1,
-	});
-	await mesh.settle();
-	return {front, back, port: front.settings.listen.requests.port};
-}
-
-async function pause(waitMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, waitMs);
-	});
-}
+// Room for all requests of the split at once.
+const ROOMY = {front: {slots: 20}, back: {slots: 20}};
 
 export const ROUTE_CHECKS: readonly RuleCheck[] = [
 	{
 		rule: 'DENIED',
 		async run(mesh) {
-			mesh.configure(siteOf([route('x', 'back')]));
-			const {port} = await twoServices(mesh);
+			const {port} = await mesh.pair(ROOMY);
 			await send(port, '/x/', 'a1');
 			mesh.configure(siteOf([route('x', 'back'), route('y', 'back')], 2));
-			await pause(CHANGE_MS);
+			await sleep(CHANGE_MS);
 			const {status} = await send(port, '/y/', 'a2');
 			return broken(status === 404, 'a route in force was answered 404');
 		},
@@ -61,16 +47,15 @@
 		rule: 'CONFIG',
 		async run(mesh) {
 			const old = siteOf([route('x', 'front')]);
-			mesh.configure(old);
-			const {front, port} = await twoServices(mesh);
+			const {front, port} = await mesh.pair({...ROOMY, routes: old.routes});
 			mesh.configure(siteOf([route('x', 'back')], 2));
-			await pause(CHANGE_MS);
+			await sleep(CHANGE_MS);
 			const socket = new WebSocket(`ws://127.0.0.1:${front.settings.listen.peers.port}${PEER_PATH}`);
 			await new Promise(resolve => {
 				socket.once('open', resolve);
 			});
 			socket.send(encodeFrame([Tag.site, 1, old, []]));
-			await pause(CHANGE_MS);
+			await sleep(CHANGE_MS);
 			socket.terminate();
 			const {headers} = await send(port, '/x/', 'a1');
 			return broken(headers[meshHeaders.signature] !== 'i-back/a1', 'an older configuration came into force again');
@@ -85,8 +70,7 @@
 	{
 		rule: 'ROUTE',
 		async run(mesh) {
-			mesh.configure(siteOf([route('x', 'back')]));
-			const {back, port} = await twoServices(mesh);
+			const {back, port} = await mesh.pair(ROOMY);
 			await send(port, '/x/', 'a1');
 			mesh.store.trouble = 'down';
 			mesh.store.wake();
@@ -111,8 +95,7 @@
 	{
 		rule: 'shares of a split',
 		async run(mesh) {
-			mesh.configure(siteOf([route('x', 'back', {destinations: [{service: 'front', weight: 1}, {service: 'back', weight: 3}]})]));
-			const {back, port} = await twoServices(mesh);
+			const {back, port} = await mesh.pair({...ROOMY, routes: [route('x', 'back', {destinations: [{service: 'front', weight: 1}, {service: 'back', weight: 3}]})]});
 			await Promise.all(Array.from({length: SPLIT_REQUESTS}, async (_, number) => send(port, '/x/', `a${number}`)));
 			const share = back.target.ran.length / SPLIT_REQUESTS;
 			return broken(Math.abs(share - 0.75) > 0.03, `a part of weight 0.75 got ${share.toFixed(2)}`);
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -32,6 +32,18 @@
 	};
 }
 
+/** What differs in a pair of hosts from the usual. */
+export type PairOptions = {readonly routes?: readonly Route[]; readonly front?: Partial<MeshTargetOptions>; readonly back?: Partial<MeshTargetOptions>};
+
+const PAIR = {
+	front: {
+		id: 'i-front', service: 'front', slots: 4, workMs: 5,
+	},
+	back: {
+		id: 'i-back', service: 'back', slots: 4, workMs: 5,
+	},
+};
+
 /** Several hosts in one process, around a store in memory. */
 export class Mesh {
 	readonly store = new MemoryStore();
@@ -58,6 +70,14 @@
 		return host;
 	}
 
+	/** A host for the clients, and one whose target the route `x` leads to unless `routes` say otherwise. */
+	async pair({routes, front = {}, back = {}}: PairOptions = {}): Promise<{front: MeshHost; back: MeshHost; port: number}> {
+		this.configure(siteOf(routes ?? [route('x', 'back')]));
+		const hosts = {front: await this.add('front', {...PAIR.front, ...front}), back: await this.add('back', {...PAIR.back, ...back})};
+		await this.settle();
+		return {...hosts, port: hosts.front.settings.listen.requests.port};
+	}
+
 	/** A daemon beside a target of another process. @returns where its daemon listens */
 	async addBeside(name: string, {id, service, port}: {id: string; service: string; port: number}, failureDomain: string): Promise<RelaySettings['listen']> {
 		const ports = await freePorts(4);
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -15,6 +15,11 @@
 	instance: 'target-instance',
 };
 
+/** The headers of one client attempt. */
+export function attemptHeaders(id: string, deadlineMs = 2000): Record<string, string> {
+	return {host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)};
+}
+
 /** An adapter for tests: values of the product's own types, unchanged. */
 export class MeshAdapter extends Adapter {
 	override readonly headers = meshHeaders;
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -62,6 +62,19 @@
 		return this.#sockets.size;
 	}
 
+	/** From now on it answers nothing. @returns how many requests it has begun, and how many of their connections were closed */
+	hang(): {readonly begun: number; readonly closed: number} {
+		const seen = {begun: 0, closed: 0};
+		this.misbehave = (_request, response) => {
+			seen.begun++;
+			response.on('close', () => {
+				seen.closed++;
+			});
+		};
+
+		return seen;
+	}
+
 	async listen(): Promise<void> {
 		await new Promise<void>(resolve => {
 			this.#server.listen(0, '127.0.0.1', resolve);
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -4,7 +4,7 @@
 } from 'vitest';
 import {traceOf} from '../../src/log/index.js';
 import {Mesh, route, siteOf} from '../../standins/mesh.js';
-import {meshHeaders} from '../../standins/meshadapter.js';
+import {attemptHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
 
 let mesh: Mesh;
@@ -12,23 +12,15 @@
 	await mesh.close();
 });
 
-const attempt = (id: string, deadlineMs = 2000) => ({host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)});
 const traced = (id: string) => traceOf(id, mesh.lines).join('\n');
 
 describe('from its id to its cause', () => {
 	it('a request refused under load: the owner\'s line tells of the full queue', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 1000})]));
-		const front = await mesh.add('front', {
-			id: 'i-front', service: 'front', slots: 4, workMs: 1,
-		});
-		await mesh.add('back', {
-			id: 'i-back', service: 'back', slots: 1, workMs: 400,
-		});
-		await mesh.settle();
+		const {front} = await mesh.pair({routes: [route('x', 'back', {timeoutMs: 1000})], back: {slots: 1, workMs: 400}});
 		// The owner learns how long such calls take, so it refuses well before their time is over.
-		await call(front.settings.listen.requests.port, '/x/', {headers: attempt('first', 1000)});
-		const answers = await Promise.all(Array.from({length: 12}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`, 1000)})));
+		await call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders('first', 1000)});
+		const answers = await Promise.all(Array.from({length: 12}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders(`a${number}`, 1000)})));
 		const refused = answers.findIndex(({status}) => status === 503);
 		expect(refused).toBeGreaterThan(-1);
 		expect(traced(`a${refused}`)).toMatch(/back +owner_refused .*reason=(?:full|expired) .*queued=\d+ limit=1/v);
@@ -37,15 +29,8 @@
 
 	it('a request that ended 502 after its target died: the run broke, then the answer to the client', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
-		const front = await mesh.add('front', {
-			id: 'i-front', service: 'front', slots: 4, workMs: 1,
-		});
-		const back = await mesh.add('back', {
-			id: 'i-back', service: 'back', slots: 4, workMs: 500,
-		});
-		await mesh.settle();
-		const waiting = call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
+		const {front, back} = await mesh.pair({routes: [route('x', 'back', {repeatability: 'unsafe'})], back: {slots: 4, workMs: 500}});
+		const waiting = call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attemptHeaders('a1')});
 		await sleep(100);
 		await back.target.close();
 		const {status} = await waiting;
@@ -63,7 +48,7 @@
 			id: 'i-back', service: 'back', slots: 4, workMs: 1000,
 		});
 		await mesh.settle();
-		const {status} = await call(front.settings.listen.requests.port, '/top/', {headers: attempt('a1')});
+		const {status} = await call(front.settings.listen.requests.port, '/top/', {headers: attemptHeaders('a1')});
 		expect(status).toBe(500);
 		expect(traced('a1')).toMatch(/front +failed +attempt=a1\.0 route=deep service=back reason=timeout .*host=back/v);
 	});
@@ -72,17 +57,10 @@
 describe('the log', () => {
 	it('stays bounded under ten times the load', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 300})]));
-		const front = await mesh.add('front', {
-			id: 'i-front', service: 'front', slots: 4, workMs: 1,
-		});
-		await mesh.add('back', {
-			id: 'i-back', service: 'back', slots: 1, workMs: 100,
-		});
-		await mesh.settle();
+		const {front} = await mesh.pair({routes: [route('x', 'back', {timeoutMs: 300})], back: {slots: 1, workMs: 100}});
 		const linesOf = async (requests: number) => {
 			const before = mesh.lines.length;
-			await Promise.all(Array.from({length: requests}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`${requests}-${number}`, 300)})));
+			await Promise.all(Array.from({length: requests}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders(`${requests}-${number}`, 300)})));
 			await sleep(1000);
 			return mesh.lines.length - before;
 		};
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -9,7 +9,7 @@
 import {type HostEntry} from '../../src/mesh/index.js';
 import {HOST_KIND} from '../../src/relay/directory.js';
 import {Mesh, route, siteOf} from '../../standins/mesh.js';
-import {meshHeaders} from '../../standins/meshadapter.js';
+import {attemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {type Misbehaviour, call} from '../../standins/meshtarget.js';
 
 let mesh: Mesh;
@@ -17,14 +17,13 @@
 	await mesh.close();
 });
 
-const attempt = (id: string, deadlineMs = 2000) => ({host: 'site', [meshHeaders.attemptId]: id, [meshHeaders.deadlineMs]: String(deadlineMs)});
 const statusOf = async (port: number, path: string, id: string, method = 'GET') => {
-	const {status} = await call(port, path, {method, headers: attempt(id)});
+	const {status} = await call(port, path, {method, headers: attemptHeaders(id)});
 	return status;
 };
 
 const signatureOf = async (port: number, path: string, id: string) => {
-	const {headers} = await call(port, path, {headers: attempt(id)});
+	const {headers} = await call(port, path, {headers: attemptHeaders(id)});
 	return headers[meshHeaders.signature];
 };
 
@@ -35,11 +34,8 @@
 describe('a mesh of daemons', () => {
 	it('carries a request to a target of another host and its answer back, whole', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back', {bodyBytes: 700}));
-		await mesh.settle();
-		const {status, headers, body} = await call(front.settings.listen.requests.port, '/x/y?z=1', {headers: attempt('a1')});
+		const {front, back} = await mesh.pair({back: {bodyBytes: 700}});
+		const {status, headers, body} = await call(front.settings.listen.requests.port, '/x/y?z=1', {headers: attemptHeaders('a1')});
 		expect([status, headers[meshHeaders.signature], body.length]).toEqual([200, 'i-back/a1', 700]);
 		const [seen] = back.target.seen;
 		expect([seen.url, seen.headers[meshHeaders.callerService], Number(seen.headers[meshHeaders.deadlineMs]) <= 2000]).toEqual(['/x/y?z=1', 'front', true]);
@@ -47,12 +43,9 @@
 
 	it('streams large bodies both ways', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back', {bodyBytes: 1_500_000}));
-		await mesh.settle();
+		const {front, back} = await mesh.pair({back: {bodyBytes: 1_500_000}});
 		const sent = Buffer.alloc(900_000, 'abcdefg');
-		const {status, body, isWhole} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1'), body: sent});
+		const {status, body, isWhole} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attemptHeaders('a1'), body: sent});
 		expect([status, body.length, isWhole]).toEqual([200, 1_500_000, true]);
 		expect(back.target.bodies[0].equals(sent)).toBe(true);
 	});
@@ -61,7 +54,7 @@
 		mesh = new Mesh();
 		const front = await mesh.add('front', target('i-front', 'front'));
 		const {port} = front.settings.listen.requests;
-		const early = await call(port, '/x/', {headers: attempt('a1')});
+		const early = await call(port, '/x/', {headers: attemptHeaders('a1')});
 		expect([early.status, Number(early.headers['retry-after']) > 0]).toEqual([503, true]);
 		mesh.configure(siteOf([route('x', 'front')]));
 		await mesh.settle();
@@ -71,41 +64,26 @@
 
 	it('gives a target no more than its slots, and serves all', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back', {workMs: 30}));
-		await mesh.settle();
-		const answers = await Promise.all(Array.from({length: 20}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`)})));
+		const {front, back} = await mesh.pair({back: {workMs: 30}});
+		const answers = await Promise.all(Array.from({length: 20}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders(`a${number}`)})));
 		expect(new Set(answers.map(({status}) => status))).toEqual(new Set([200]));
 		expect(back.target.most).toBeLessThanOrEqual(4);
 	});
 
 	it('ends a request at its route\'s time-out, and the target\'s work with it', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {timeoutMs: 200})]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back'));
-		let isClosed = false;
-		back.target.misbehave = (request, response) => {
-			response.on('close', () => {
-				isClosed = true;
-			});
-		};
-
-		await mesh.settle();
+		const {front, back} = await mesh.pair({routes: [route('x', 'back', {timeoutMs: 200})]});
+		const hung = back.target.hang();
 		const startMs = performance.now();
-		const {status} = await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1')});
+		const {status} = await call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders('a1')});
 		expect([status, performance.now() - startMs < 450]).toEqual([504, true]);
 		await sleep(100);
-		expect(isClosed).toBe(true);
+		expect(hung).toEqual({begun: 1, closed: 1});
 	});
 
 	it('lets a short run end when its client leaves, and keeps the connection', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back', {workMs: 40}));
-		await mesh.settle();
+		const {front, back} = await mesh.pair({back: {workMs: 40}});
 		const {port} = front.settings.listen.requests;
 		// The first ones tell how long a run takes.
 		for (let number = 0; number < 25; number++) {
@@ -116,7 +94,7 @@
 		const {connections} = back.target;
 		for (let number = 0; number < 5; number++) {
 			// eslint-disable-next-line no-await-in-loop -- one after the other
-			await call(port, '/x/', {headers: attempt(`b${number}`), signal: AbortSignal.timeout(15)});
+			await call(port, '/x/', {headers: attemptHeaders(`b${number}`), signal: AbortSignal.timeout(15)});
 			// eslint-disable-next-line no-await-in-loop
 			await sleep(60);
 		}
@@ -126,20 +104,11 @@
 
 	it('cancels at the target when the client leaves', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back'));
-		let isClosed = false;
-		back.target.misbehave = (request, response) => {
-			response.on('close', () => {
-				isClosed = true;
-			});
-		};
-
-		await mesh.settle();
-		await call(front.settings.listen.requests.port, '/x/', {headers: attempt('a1'), signal: AbortSignal.timeout(100)});
+		const {front, back} = await mesh.pair();
+		const hung = back.target.hang();
+		await call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders('a1'), signal: AbortSignal.timeout(100)});
 		await sleep(300);
-		expect(isClosed).toBe(true);
+		expect(hung).toEqual({begun: 1, closed: 1});
 	});
 });
 
@@ -167,15 +136,13 @@
 		}
 
 		await mesh.settle();
-		const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt('a1')});
+		const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attemptHeaders('a1')});
 		expect([status, runs]).toEqual([502, 1]);
 	});
 
 	it('that has no length and is reset doesn\'t look whole; one that ends is', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back'));
+		const {front, back} = await mesh.pair({routes: [route('x', 'back', {repeatability: 'unsafe'})]});
 		let isReset = false;
 		back.target.misbehave = ({socket, headers}) => {
 			socket.write(`HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${String(headers[meshHeaders.attemptId])}\r\n${meshHeaders.signature}: s\r\nConnection: close\r\n\r\nhalf`);
@@ -188,9 +155,8 @@
 			}, 20);
 		};
 
-		await mesh.settle();
 		const {port} = front.settings.listen.requests;
-		const whole = await call(port, '/x/', {method: 'POST', headers: attempt('a1')});
+		const whole = await call(port, '/x/', {method: 'POST', headers: attemptHeaders('a1')});
 		expect([whole.status, whole.body.toString(), whole.headers['content-length'], whole.headers.connection]).toEqual([200, 'half whole', undefined, 'close']);
 		isReset = true;
 		expect(await statusOf(port, '/x/', 'a2', 'POST')).toBe(502);
@@ -212,7 +178,7 @@
 		await mesh.settle();
 		for (let number = 0; number < 10; number++) {
 			// eslint-disable-next-line no-await-in-loop -- one after the other on one kept connection
-			const {status, headers} = await call(front.settings.listen.requests.port, '/x/', {headers: attempt(`a${number}`)});
+			const {status, headers} = await call(front.settings.listen.requests.port, '/x/', {headers: attemptHeaders(`a${number}`)});
 			expect([200, 502]).toContain(status);
 			expect([undefined, `i-back/a${number}`]).toContain(headers[meshHeaders.signature]);
 		}
@@ -222,9 +188,7 @@
 describe('a target that forgets connections that rested', () => {
 	it('costs one request, and then no more', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back', {repeatability: 'unsafe'})]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back'));
+		const {front, back} = await mesh.pair({routes: [route('x', 'back', {repeatability: 'unsafe'})]});
 		const answeredMs = new WeakMap<Socket, number>();
 		back.target.misbehave = ({socket, headers}, response) => {
 			if (performance.now() - (answeredMs.get(socket) ?? Number.POSITIVE_INFINITY) > 80) {
@@ -235,7 +199,6 @@
 			}
 		};
 
-		await mesh.settle();
 		const statuses: number[] = [];
 		for (let number = 0; number < 8; number++) {
 			// eslint-disable-next-line no-await-in-loop -- the connection rests in between
@@ -260,7 +223,7 @@
 		};
 
 		await mesh.settle();
-		const answers = await Promise.all(Array.from({length: 4}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attempt(`a${number}`)})));
+		const answers = await Promise.all(Array.from({length: 4}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: attemptHeaders(`a${number}`)})));
 		expect(answers.some(({status}) => status === 200)).toBe(true);
 		for (const {status, headers} of answers) {
 			expect(status === 200 || (status === 503 && Number(headers['retry-after']) > 0)).toBe(true);
@@ -271,10 +234,7 @@
 describe('a target that leaves', () => {
 	it('gets nothing after its drain, from any host, also with the store down', async () => {
 		mesh = new Mesh();
-		mesh.configure(siteOf([route('x', 'back')]));
-		const front = await mesh.add('front', target('i-front', 'front'));
-		const back = await mesh.add('back', target('i-back', 'back'));
-		await mesh.settle();
+		const {front, back} = await mesh.pair();
 		const {requests, announcements} = front.settings.listen;
 		expect(await statusOf(requests.port, '/x/', 'a1')).toBe(200);
 		mesh.store.trouble = 'down';
@@ -282,7 +242,7 @@
 		expect(await back.target.leave(back.settings.listen.announcements.port)).toBe(200);
 		await sleep(1000);
 		const ran = back.target.ran.length;
-		const {status} = await call(requests.port, '/x/', {headers: attempt('a2')});
+		const {status} = await call(requests.port, '/x/', {headers: attemptHeaders('a2')});
 		expect([status, back.target.ran.length]).toEqual([503, ran]);
 		expect(announcements.port).toBeGreaterThan(0);
 	});
@@ -419,7 +379,7 @@
 		await sleep(300);
 		for (const {settings} of [front, back]) {
 			// eslint-disable-next-line no-await-in-loop -- each host in turn
-			const {headers} = await call(settings.listen.requests.port, '/x/', {headers: attempt('a1')});
+			const {headers} = await call(settings.listen.requests.port, '/x/', {headers: attemptHeaders('a1')});
 			expect(headers[meshHeaders.signature]).toBe('i-back/a1');
 		}
 
@@ -450,19 +410,13 @@
 
 		await sleep(200);
 		expect([...text.matchAll(/signature: i-front\/(?<id>p\d)/gv)].map(({groups}) => groups!.id)).toEqual(['p1', 'p2', 'p3']);
-		let closed = 0;
-		front.target.misbehave = (_request, response) => {
-			response.on('close', () => {
-				closed++;
-			});
-		};
-
+		const hung = front.target.hang();
 		send(socket, 'p4');
 		send(socket, 'p5');
 		await sleep(100);
 		socket.destroy();
 		await sleep(200);
-		expect(closed).toBe(2);
+		expect(hung.closed).toBe(2);
 	});
 });
 
