--- a/src/core/configstore.ts
+++ b/src/core/configstore.ts
@@ -1,5 +1,5 @@
-import murmurhash from 'murmurhash';
 import {Catalog} from './catalog.js';
+import {Digest} from './digest.js';
 import {type ConfigObject, type ServiceSpec, type SiteSpec} from './spec.js';
 
 export const SITE_OBJECT_NAME = 'site';
@@ -20,7 +20,7 @@
 export class ConfigStore {
 	readonly #objects = new Map<string, ConfigObject>();
 	#catalog: Catalog | undefined;
-	#digest = 0;
+	readonly #digest = new Digest();
 
 	get catalog(): Catalog | undefined {
 		return this.#catalog;
@@ -28,7 +28,7 @@
 
 	/** A hash that is equal on two daemons exactly when both hold the same generations, except for hash collisions. */
 	get digest(): number {
-		return this.#digest;
+		return this.#digest.value;
 	}
 
 	get objects(): ReadonlyMap<string, ConfigObject> {
@@ -50,10 +50,10 @@
 		}
 
 		if (current !== undefined) {
-			this.#digest ^= hashOf(current);
+			this.#digest.toggle(current.name, current.generation);
 		}
 
-		this.#digest ^= hashOf(object);
+		this.#digest.toggle(object.name, object.generation);
 		this.#objects.set(object.name, object);
 		this.#rebuildCatalog();
 		return 'accepted';
@@ -75,7 +75,3 @@
 		this.#catalog = new Catalog(site, services);
 	}
 }
-
-function hashOf({name, generation}: ConfigObject): number {
-	return murmurhash.v3(`${name}@${generation}`);
-}
--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -204,7 +204,7 @@
 
 	#updateWatch(): void {
 		const {coreContext, membership, gossip} = this.#parts;
-		const isElected = isElectedForDuty('watch', gossip.self, membership.all(), WATCHERS_PER_DOMAIN);
+		const isElected = isElectedForDuty('watch', gossip.self, membership.running(), WATCHERS_PER_DOMAIN);
 		if (isElected !== this.#isWatching) {
 			this.#isWatching = isElected;
 			coreContext.emit({type: 'platform', request: {op: 'watch', on: isElected}});
--- a/src/core/gossip.ts
+++ b/src/core/gossip.ts
@@ -204,7 +204,7 @@
 		}
 
 		this.#areNeighborsStale = false;
-		this.#neighbors = chooseNeighbors(this.#self, this.#parts.membership.all());
+		this.#neighbors = chooseNeighbors(this.#self, this.#parts.membership.running());
 		this.#neighborIds = new Set(this.#neighbors.map(({id}) => id));
 	}
 
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -1,4 +1,5 @@
 import murmurhash from 'murmurhash';
+import {Digest} from './digest.js';
 import {
 	type Member, type MemberStatus, isRunning, isServing, supersedes,
 } from './member.js';
@@ -26,14 +27,14 @@
 	/** When this daemon recorded that a member had left or died, in ms since 1970. */
 	readonly #endedMs = new Map<string, number>();
 	readonly #region: string;
-	#digest = 0;
+	readonly #digest = new Digest();
 
 	constructor(region: string) {
 		this.#region = region;
 	}
 
 	get digest(): number {
-		return this.#digest;
+		return this.#digest.value;
 	}
 
 	get size(): number {
@@ -48,6 +49,11 @@
 		return this.#members.values();
 	}
 
+	/** Returns the members whose processes are assumed to be running. */
+	running(): Member[] {
+		return [...this.#members.values()].filter(member => isRunning(member));
+	}
+
 	/** Stores a record; returns false if the current one is at least as new. */
 	apply(member: Member, nowMs: number): boolean {
 		const current = this.#members.get(member.id);
@@ -56,10 +62,10 @@
 				return false;
 			}
 
-			this.#digest ^= hashOf(current);
+			this.#toggle(current);
 		}
 
-		this.#digest ^= hashOf(member);
+		this.#toggle(member);
 		this.#members.set(member.id, member);
 		if (isRunning(member)) {
 			this.#endedMs.delete(member.id);
@@ -122,13 +128,17 @@
 	removeTombstones(endedBeforeMs: number): void {
 		for (const [id, endedMs] of this.#endedMs) {
 			if (endedMs < endedBeforeMs) {
-				this.#digest ^= hashOf(this.#members.get(id)!);
+				this.#toggle(this.#members.get(id)!);
 				this.#members.delete(id);
 				this.#endedMs.delete(id);
 			}
 		}
 	}
 
+	#toggle({id, incarnation, status}: Member): void {
+		this.#digest.toggle(id, `${incarnation}/${status}`);
+	}
+
 	#updateService(current: Member | undefined, member: Member, nowMs: number): void {
 		const before = current !== undefined && isServing(current) ? current.service : undefined;
 		const after = isServing(member) ? member.service : undefined;
@@ -167,7 +177,3 @@
 		this.#services.set(service, {serving, ring, changedMs: nowMs});
 	}
 }
-
-function hashOf({id, incarnation, status}: Member): number {
-	return murmurhash.v3(`${id}@${incarnation}/${status}`);
-}
--- a/src/core/neighbors.ts
+++ b/src/core/neighbors.ts
@@ -1,17 +1,19 @@
 import murmurhash from 'murmurhash';
-import {type Member, isRunning} from './member.js';
+
+/** What the mesh needs to know of a daemon to choose its links. */
+export type MeshPeer = {readonly id: string; readonly region: string; readonly failureDomain: string};
 
 const NEIGHBORS_IN_DOMAIN = 2;
 const NEIGHBORS_IN_OTHER_DOMAINS = 2;
 const NEIGHBORS_IN_OTHER_REGIONS = 1;
 
 /**
- * Returns the members that a daemon keeps links to. The successor on a ring of
- * all members keeps the whole mesh connected; the others, chosen by rendezvous
- * hashing, keep paths short and spread over failure domains and regions.
+ * Returns the running daemons that a daemon keeps links to. The successor on a
+ * ring of all of them keeps the whole mesh connected; the others, chosen by
+ * rendezvous hashing, keep paths short and spread over failure domains and regions.
  */
-export function chooseNeighbors(self: Member, members: Iterable<Member>): Member[] {
-	const others = [...members].filter(member => member.id !== self.id && isRunning(member));
+export function chooseNeighbors<Peer extends MeshPeer>(self: MeshPeer, running: Iterable<Peer>): Peer[] {
+	const others = [...running].filter(member => member.id !== self.id);
 	const ranked = others
 		.map(member => ({member, weight: murmurhash.v3(`${self.id}>${member.id}`)}))
 		.toSorted((a, b) => a.weight - b.weight || (a.member.id < b.member.id ? -1 : 1))
@@ -28,14 +30,14 @@
 	])];
 }
 
-/** Whether rendezvous hashing elects a daemon as one of the `count` in its failure domain that perform a duty. */
-export function isElectedForDuty(duty: string, self: Member, members: Iterable<Member>, count: number): boolean {
+/** Whether rendezvous hashing elects a daemon as one of the `count` running ones in its failure domain that perform a duty. */
+export function isElectedForDuty(duty: string, self: MeshPeer, running: Iterable<MeshPeer>, count: number): boolean {
 	const weightOf = (id: string) => murmurhash.v3(`${duty}:${id}`);
 	const ownWeight = weightOf(self.id);
 	let lowerCount = 0;
-	for (const member of members) {
+	for (const member of running) {
 		if (member.failureDomain === self.failureDomain && member.region === self.region
-			&& member.id !== self.id && isRunning(member) && weightOf(member.id) < ownWeight) {
+			&& member.id !== self.id && weightOf(member.id) < ownWeight) {
 			lowerCount++;
 		}
 	}
@@ -43,9 +45,9 @@
 	return lowerCount < count;
 }
 
-function findSuccessor(self: Member, others: readonly Member[]): Member | undefined {
+function findSuccessor<Peer extends MeshPeer>(self: MeshPeer, others: readonly Peer[]): Peer | undefined {
 	const ownHash = murmurhash.v3(self.id);
-	let next: Member | undefined;
+	let next: Peer | undefined;
 	let nextDistance = Number.POSITIVE_INFINITY;
 	for (const member of others) {
 		const distance = (murmurhash.v3(member.id) - ownHash + 0x1_00_00_00_00) % 0x1_00_00_00_00;
--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -1,3 +1,4 @@
+import {Digest} from '../core/index.js';
 import {type TargetState} from './target.js';
 
 /** The part of a target's state that its daemon publishes to the other daemons. */
@@ -18,13 +19,30 @@
 	readonly target?: PublishedTarget;
 };
 
-type HeldEntry = {entry: HostEntry; revision: number; deletedAtMs?: number};
+/** One version of a host's entry, as daemons tell it to each other. */
+export type HostRecord = {
+	readonly host: string;
+	/** The store's revision of the entry, plus a fraction for a version that its daemon has told the others without writing it. */
+	readonly revision: number;
+	/** Absent if the entry was deleted. */
+	readonly entry?: HostEntry;
+};
+
+type HeldEntry = {entry: HostEntry; isOwn: boolean; deletedAtMs?: number};
 
-/** The newest known entry of each daemon. Entries deleted from the store stay in use for a grace period. */
+/**
+ * The newest known entry of each daemon. Entries deleted from the store stay in
+ * use for a grace period. Only a version of a higher revision replaces another,
+ * and a digest of all revisions shows two daemons whether they know the same.
+ */
 export class HostTable {
 	readonly #graceMs: number;
 	readonly #hosts = new Map<string, HeldEntry>();
 	readonly #services = new Map<string, HostEntry[]>();
+	/** The newest known revision of each host's entry, that of its deletion included. */
+	readonly #revisions = new Map<string, number>();
+	readonly #digest = new Digest();
+	#ownHost: string | undefined;
 
 	/** @param graceMs how long an entry that was deleted from the store stays in use, in ms */
 	constructor(graceMs: number) {
@@ -39,13 +57,23 @@
 		return [...this.#hosts.values()].map(({entry}) => entry);
 	}
 
+	/** A hash that is equal on two daemons that know the same versions. */
+	get digest(): number {
+		return this.#digest.value;
+	}
+
 	get(host: string): HostEntry | undefined {
 		return this.#hosts.get(host)?.entry;
 	}
 
-	/** The store revision of the entry held here. */
+	/** The newest known revision of the host's entry. */
 	revisionOf(host: string): number | undefined {
-		return this.#hosts.get(host)?.revision;
+		return this.#revisions.get(host);
+	}
+
+	/** The newest known revision of each host's entry. */
+	get revisions(): ReadonlyMap<string, number> {
+		return this.#revisions;
 	}
 
 	/** The entries whose target runs the service. */
@@ -55,37 +83,54 @@
 
 	/** Sets this daemon's own entry, which no entry from elsewhere replaces. */
 	putOwn(entry: HostEntry): void {
-		this.#hosts.set(entry.host, {entry, revision: Number.POSITIVE_INFINITY});
+		this.#hosts.set(entry.host, {entry, isOwn: true});
 		this.#indexServices();
 	}
 
+	/** Sets the revision of this daemon's own entry, which may not be known here yet. */
+	setOwnRevision(host: string, revision: number): void {
+		this.#ownHost = host;
+		this.#setRevision(host, revision);
+	}
+
 	/** @returns whether the entry is newer than the one held here and replaced it */
 	put(entry: HostEntry, revision: number): boolean {
-		const held = this.#hosts.get(entry.host);
-		if (held !== undefined && held.revision >= revision) {
+		if ((this.#revisions.get(entry.host) ?? 0) >= revision) {
 			return false;
 		}
 
-		this.#hosts.set(entry.host, {entry, revision});
+		this.#setRevision(entry.host, revision);
+		this.#hosts.set(entry.host, {entry, isOwn: false});
 		this.#indexServices();
 		return true;
 	}
 
-	/** Starts the grace period of an entry that is no longer in the store. */
-	markDeleted(host: string, revision: number, nowMs: number): void {
+	/**
+	 * Starts the grace period of an entry that is no longer in the store.
+	 * @returns whether the deletion was not known here
+	 */
+	markDeleted(host: string, revision: number, nowMs: number): boolean {
+		const knownRevision = this.#revisions.get(host) ?? 0;
 		const held = this.#hosts.get(host);
-		if (held !== undefined && held.revision <= revision) {
+		if (knownRevision > revision || held?.isOwn === true) {
+			return false;
+		}
+
+		const isNew = knownRevision < revision || (held !== undefined && held.deletedAtMs === undefined);
+		this.#setRevision(host, revision);
+		if (held !== undefined) {
 			held.deletedAtMs ??= nowMs;
 		}
+
+		return isNew;
 	}
 
-	/** Marks the entries that are missing from the store's complete list as deleted. */
-	reconcile(present: ReadonlySet<string>, revision: number, nowMs: number): void {
-		for (const host of this.#hosts.keys()) {
-			if (!present.has(host)) {
-				this.markDeleted(host, revision, nowMs);
-			}
-		}
+	/**
+	 * Marks the entries that are missing from the store's complete list as deleted.
+	 * @returns the hosts whose deletion was not known here
+	 */
+	reconcile(present: ReadonlySet<string>, revision: number, nowMs: number): string[] {
+		return [...this.#hosts].filter(([host, {deletedAtMs}]) => deletedAtMs === undefined && !present.has(host) && this.markDeleted(host, revision, nowMs)).map(([host]) => host);
 	}
 
 	/** Removes the deleted entries that weren't renewed within the grace period. @returns the removed hosts */
@@ -102,6 +147,28 @@
 		return removed;
 	}
 
+	/** The versions that a peer lacks that knows the given revisions. */
+	newerThan(revisions: ReadonlyMap<string, number>): HostRecord[] {
+		return [...this.#revisions].filter(([host, revision]) => revision > (revisions.get(host) ?? 0)).flatMap(([host, revision]) => {
+			const held = this.#hosts.get(host);
+			if (held === undefined && host === this.#ownHost) {
+				return [];
+			}
+
+			return held === undefined || held.deletedAtMs !== undefined ? [{host, revision}] : [{host, revision, entry: held.entry}];
+		});
+	}
+
+	#setRevision(host: string, revision: number): void {
+		const known = this.#revisions.get(host);
+		if (known !== undefined) {
+			this.#digest.toggle(host, known);
+		}
+
+		this.#digest.toggle(host, revision);
+		this.#revisions.set(host, revision);
+	}
+
 	#indexServices(): void {
 		this.#services.clear();
 		for (const {entry} of this.#hosts.values()) {
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -7,7 +7,12 @@
 export {TrafficSplitter} from './trafficsplitter.js';
 export {type Announcement, type Deregistration, type TargetState} from './target.js';
 export {type LifecycleChange, TargetLifecycle} from './targetlifecycle.js';
-export {type HostEntry, type PublishedTarget, HostTable} from './host.js';
+export {
+	type HostEntry, type HostRecord, type PublishedTarget, HostTable,
+} from './host.js';
+export {type FreshnessLeaseOptions, FreshnessLease} from './freshnesslease.js';
+export {meshPeerOf} from './meshpeer.js';
+export {type StoreWatchers, electStoreWatchers} from './storewatchers.js';
 export {
 	type LoadReport, type LoadBalancerOptions, LOAD_BALANCING, LoadBalancer,
 } from './loadbalancer.js';
--- a/src/relay/decode.ts
+++ b/src/relay/decode.ts
@@ -1,4 +1,4 @@
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {DecodeError} from './error.js';
 
 /** Validates a value against a schema. @throws {DecodeError} that names the first invalid field and the reason */
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -1,55 +1,38 @@
-import {setTimeout as sleep} from 'node:timers/promises';
-import {isDeepStrictEqual} from 'node:util';
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
-import {type HostEntry, type HostTable, Site} from '../mesh/index.js';
+import {
+	FreshnessLease, type HostEntry, type HostRecord, type HostTable, Site, type StoreWatchers,
+} from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {StoreError} from './error.js';
 import {decodeHostEntry} from './hostentry.js';
-import {
-	type StoreChanges, type Freshness, type ObjectStore, type StoredObject,
-} from './store.js';
-
-/** The kind of the daemons' entries in the store. */
-export const HOST_KIND = 'comfreydyke-hosts';
-/**
- * A delay in ms that grows with the number of hosts, between a minimum and a
- * maximum. Without the growth, the calls of all daemons to the store would
- * grow with the square of the number of hosts.
- */
-type ScaledDelay = {readonly perHostMs: number; readonly minMs: number; readonly maxMs: number};
-/**
- * Limits how long one watch for configurations waits. After an outage one of
- * all daemons' watches ends soon, and its daemon tells the others. The maximum
- * is the longest wait that the store allows.
- */
-const SITE_WATCH_TIMEOUT: ScaledDelay = {perHostMs: 1000, minMs: 4000, maxMs: 30_000};
-/** Limits how long one watch for hosts waits; a change of a known host shows sooner on its link. */
-const HOST_WATCH_TIMEOUT: ScaledDelay = {perHostMs: 500, minMs: 6000, maxMs: 15_000};
-/** The shortest wait of a watch, in ms; waits are random above it, so that watches that began together end at different times. */
-const MIN_WATCH_MS = 2000;
-/** The pause before the next watch for configurations, so that changes in quick succession cost one call to the store. */
-const SITE_WATCH_PAUSE: ScaledDelay = {perHostMs: 1, minMs: 20, maxMs: 250};
-/** The pause before the next watch for hosts; it is longer because learning of a host late costs little. */
-const HOST_WATCH_PAUSE: ScaledDelay = {perHostMs: 5, minMs: 200, maxMs: 2000};
-/** The back-off after the first failed call to the store, in ms; it doubles up to `MAX_BACKOFF_MS`. */
-const INITIAL_BACKOFF_MS = 150;
-const MAX_BACKOFF_MS = 1000;
-
-type WatchedKind = {
-	readonly kind: string;
-	readonly freshness: Freshness;
-	readonly watchTimeout: ScaledDelay;
-	readonly watchPause: ScaledDelay;
-	readonly onListing: (objects: readonly StoredObject[], revision: number) => void;
-	readonly onChanges: (changes: StoreChanges) => void;
-};
+import {HOST_KIND, OwnEntry} from './ownentry.js';
+import {StoreWatch} from './storewatch.js';
+import {type ObjectStore, type StoreEvent, type StoredObject} from './store.js';
+
+/** The share of the time in which a configuration must be in force for which a confirmation by the store is trusted. */
+const LEASE_SHARE = 0.55;
+/** The share of that time over which the daemons' own questions are spread once no confirmation comes. */
+const JITTER_SHARE = 0.25;
+/** The mean number of confirmations by the watchers of a site within a lease. */
+const CONFIRMATIONS_PER_LEASE = 2.2;
+/** How long a watch for hosts waits on average, in ms; a change is told by the daemon that makes it. */
+const HOST_WATCH_MS = 10_000;
+/** The pause of a watch for configurations after changes, in ms. */
+const SITE_WATCH_PAUSE_MS = 20;
+/** The pause of a watch for hosts after changes, for each known host, and its upper limit, in ms: a large fleet has more changes. */
+const HOST_WATCH_PAUSE_PER_HOST_MS = 20;
+const MAX_HOST_WATCH_PAUSE_MS = 1000;
 
 /** Receives the changes that the directory finds. */
 export abstract class DirectoryEvents {
 	abstract onSite(site: Site): void;
 	abstract onHost(entry: HostEntry): void;
 	abstract onHostRemoved(host: string): void;
+	/** Called when the store has confirmed the configuration, so that peers hear of it. */
+	abstract onConfirmed(): void;
+	/** Called with versions of entries that didn't come from a peer, so that peers hear of them. */
+	abstract onRecords(records: readonly HostRecord[]): void;
 }
 
 export type DirectoryParts = {
@@ -59,24 +42,43 @@
 	readonly hosts: HostTable;
 	readonly events: DirectoryEvents;
 	readonly host: string;
+	/** How long after its acceptance a configuration must be in force everywhere, in ms. */
+	readonly configMs: number;
 	readonly random: () => number;
+	/** Elects the daemons that watch the store for the others. */
+	readonly electWatchers: () => StoreWatchers;
 };
 
 /** Mirrors the store in memory: the configuration and the entries of the other daemons. Writes this daemon's own entry. */
 export class Directory {
 	readonly #parts: DirectoryParts;
 	readonly #store: ObjectStore;
+	readonly #lease: FreshnessLease;
+	readonly #ownEntry: OwnEntry;
+	readonly #watches: readonly StoreWatch[];
+	#watchers: StoreWatchers = {isElected: false, count: 1};
+	#leaseTimer: NodeJS.Timeout | undefined;
 	#site: Site | undefined;
 	#siteValue: unknown;
-	#ownEntry: HostEntry | undefined;
-	#ownRevision = 0;
-	#isWriting = false;
 	#isClosed = false;
 	#isStoreUp = true;
 
 	constructor(parts: DirectoryParts) {
+		const {adapter, clock, log, random, configMs} = parts;
 		this.#parts = parts;
-		this.#store = parts.adapter.store;
+		this.#store = adapter.store;
+		this.#lease = new FreshnessLease({leaseMs: configMs * LEASE_SHARE, jitterMs: configMs * JITTER_SHARE}, random, clock.nowMs());
+		this.#ownEntry = new OwnEntry({
+			store: this.#store,
+			log,
+			random,
+			startedMs: Date.now(),
+			onVersion(entry, revision) {
+				parts.hosts.setOwnRevision(parts.host, revision);
+				parts.events.onRecords([{host: parts.host, revision, entry}]);
+			},
+		});
+		this.#watches = [this.#createSiteWatch(), this.#createHostWatch()];
 	}
 
 	/** The configuration as the store sent it, undecoded, for peers that don't have it. */
@@ -88,62 +90,24 @@
 		return this.#site;
 	}
 
+	/** How old the store's last confirmation of the configuration is, in ms. */
+	get confirmationAgeMs(): number {
+		return this.#lease.ageMs(this.#parts.clock.nowMs());
+	}
+
 	start(): void {
-		const {configuration} = this.#parts.adapter;
-		void this.#watchKind({
-			kind: configuration.kind,
-			freshness: 'fresh',
-			watchTimeout: SITE_WATCH_TIMEOUT,
-			watchPause: SITE_WATCH_PAUSE,
-			onListing: objects => {
-				for (const object of objects) {
-					this.#applySite(object);
-				}
-			},
-			onChanges: ({events}) => {
-				for (const {object, isDeleted} of events) {
-					if (!isDeleted) {
-						this.#applySite(object);
-					}
-				}
-			},
-		});
-		void this.#watchKind({
-			kind: HOST_KIND,
-			freshness: 'stale',
-			watchTimeout: HOST_WATCH_TIMEOUT,
-			watchPause: HOST_WATCH_PAUSE,
-			onListing: (objects, revision) => {
-				this.#parts.hosts.reconcile(new Set(objects.map(({name}) => name)), revision, this.#parts.clock.nowMs());
-				if (!objects.some(({name}) => name === this.#parts.host)) {
-					this.#onOwnEntryLost();
-				}
-
-				for (const object of objects) {
-					this.#applyHost(object);
-				}
-			},
-			onChanges: ({events}) => {
-				for (const {object, isDeleted} of events) {
-					if (isDeleted) {
-						this.#onDeleted(object);
-					} else {
-						this.#applyHost(object);
-					}
-				}
-			},
-		});
+		for (const watch of this.#watches) {
+			void watch.run();
+		}
+
+		this.#scheduleLeaseEnd();
 	}
 
-	/** Writes this daemon's entry to the store, as soon as the store can be reached. */
+	/** Publishes this daemon's own entry to the store and to its peers. */
 	publish(entry: HostEntry): void {
-		if (isDeepStrictEqual(entry, this.#ownEntry)) {
-			return;
+		if (this.#ownEntry.publish(entry)) {
+			this.#parts.hosts.putOwn(entry);
 		}
-
-		this.#ownEntry = entry;
-		this.#parts.hosts.putOwn(entry);
-		void this.#writeOwnEntry();
 	}
 
 	/** Applies a configuration from a peer if it is newer than the one in force. */
@@ -152,31 +116,62 @@
 		this.#applySite({name: configuration.name, revision, value});
 	}
 
-	/** Adds a host that a peer knows, for when this daemon can't reach the store. Revision 1 lets any later entry of the store replace it. */
-	offerHost(entry: HostEntry): void {
-		if (this.#parts.hosts.put(entry, 1)) {
-			this.#parts.events.onHost(entry);
+	/** Takes in a peer's confirmation of a configuration. @returns whether it is so new that other peers should hear of it */
+	confirm(siteRevision: number, ageMs: number): boolean {
+		const isNew = siteRevision === (this.#site?.revision ?? 0) && this.#lease.confirm(this.#parts.clock.nowMs() - ageMs);
+		if (isNew) {
+			this.#scheduleLeaseEnd();
 		}
+
+		return isNew;
+	}
+
+	/** Applies versions of entries from a peer. @returns those that are new here */
+	offerRecords(records: readonly HostRecord[]): HostRecord[] {
+		return records.filter(({host, revision, entry}) => {
+			if (host === this.#parts.host) {
+				this.#observeOwn(entry, revision);
+				return false;
+			}
+
+			return entry === undefined
+				? this.#parts.hosts.markDeleted(host, revision, this.#parts.clock.nowMs())
+				: this.#putHost(entry, revision);
+		});
 	}
 
 	/** Removes the entry of a host that is gone for good from the store, unless it has been written in the meantime. */
 	async removeEntry(host: string): Promise<void> {
-		const {hosts, log} = this.#parts;
+		const {hosts, log, clock, events} = this.#parts;
 		const revision = hosts.revisionOf(host);
 		if (revision === undefined || this.#isClosed) {
 			return;
 		}
 
 		try {
-			await this.#store.remove(HOST_KIND, host, revision);
+			// The store knows nothing of the versions between its revisions.
+			await this.#store.remove(HOST_KIND, host, Math.floor(revision));
 			log.event('host_collected', {host, revision});
+			if (hosts.markDeleted(host, revision, clock.nowMs())) {
+				events.onRecords([{host, revision}]);
+			}
 		} catch (error) {
 			log.event('host_uncollected', {host, revision, reason: (error as Error).message});
 		}
 	}
 
-	/** Removes the hosts whose entries were deleted from the store and not written again within the grace period. */
-	removeDeletedHosts(): void {
+	/** Elects the watchers anew, and removes the hosts whose entries were deleted from the store and not written again within the grace period. */
+	check(): void {
+		const watchers = this.#parts.electWatchers();
+		if (watchers.isElected !== this.#watchers.isElected) {
+			this.#parts.log.event(watchers.isElected ? 'watching' : 'not_watching', {watchers: watchers.count, hosts: this.#parts.hosts.size});
+		}
+
+		this.#watchers = watchers;
+		for (const watch of this.#watches) {
+			watch.check();
+		}
+
 		for (const host of this.#parts.hosts.removeDeleted(this.#parts.clock.nowMs())) {
 			this.#parts.log.event('host_gone', {host});
 			this.#parts.events.onHostRemoved(host);
@@ -185,77 +180,126 @@
 
 	async close(): Promise<void> {
 		this.#isClosed = true;
+		clearTimeout(this.#leaseTimer);
+		this.#ownEntry.close();
+		for (const watch of this.#watches) {
+			watch.close();
+		}
+
 		await this.#store.close();
 	}
 
-	async #watchKind(watched: WatchedKind): Promise<void> {
-		let revision: number | undefined;
-		let backoffMs = INITIAL_BACKOFF_MS;
-		// A stale answer can be older than the history that the store still has, so the next call asks for a fresh one.
-		let needsFreshAnswer = false;
-		while (!this.#isClosed) {
-			const freshness = needsFreshAnswer ? 'fresh' : watched.freshness;
-			try {
-				if (revision === undefined) {
-					// eslint-disable-next-line no-await-in-loop -- each call needs the result of the one before
-					const listing = await this.#store.list(watched.kind, freshness);
-					revision = listing.revision;
-					watched.onListing(listing.objects, listing.revision);
-				} else {
-					// eslint-disable-next-line no-await-in-loop -- each call needs the result of the one before
-					const changes = await this.#store.watch(watched.kind, revision, {waitMs: this.#chooseWatchTimeoutMs(watched.watchTimeout), freshness});
-					needsFreshAnswer = false;
-					backoffMs = INITIAL_BACKOFF_MS;
-					revision = Math.max(revision, changes.revision);
-					watched.onChanges(changes);
-					if (changes.events.length > 0) {
-						// eslint-disable-next-line no-await-in-loop -- lets changes in quick succession arrive in one answer
-						await sleep(this.#scaleToFleetMs(watched.watchPause));
-					}
-				}
-
-				this.#recordStoreState(true, watched.kind);
-			} catch (error) {
-				const isCompacted = error instanceof StoreError && error.kind === 'compacted';
-				if (isCompacted) {
-					this.#parts.log.event('store_history_gone', {kind: watched.kind, revision: revision ?? 0});
-				} else {
-					this.#recordStoreState(false, watched.kind, error as Error);
-				}
-
-				const waitMs = isCompacted && !needsFreshAnswer ? 0 : backoffMs * (0.5 + this.#parts.random());
-				needsFreshAnswer = isCompacted;
-				revision = undefined;
-				// eslint-disable-next-line no-await-in-loop -- backs off before it asks again
-				await sleep(waitMs);
-				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+	#createSiteWatch(): StoreWatch {
+		const {adapter: {configuration}, configMs, random} = this.#parts;
+		const applyAll = (objects: readonly StoredObject[]) => {
+			for (const object of objects) {
+				this.#applySite(object);
 			}
+
+			this.#onConfirmed();
+		};
+
+		return new StoreWatch({
+			...this.#watchParts(configuration.kind),
+			freshness: 'fresh',
+			isNeeded: () => this.#watchers.isElected || this.#site === undefined,
+			chooseTimeoutMs: () => this.#watchers.count * configMs * LEASE_SHARE / CONFIRMATIONS_PER_LEASE * (0.5 + random()),
+			choosePauseMs: () => SITE_WATCH_PAUSE_MS,
+			onListing: applyAll,
+			onChanges({events}) {
+				applyAll(events.filter(({isDeleted}) => !isDeleted).map(({object}) => object));
+			},
+		});
+	}
+
+	#createHostWatch(): StoreWatch {
+		return new StoreWatch({
+			...this.#watchParts(HOST_KIND),
+			freshness: 'stale',
+			isNeeded: () => this.#watchers.isElected || this.#parts.hosts.size <= 1,
+			chooseTimeoutMs: () => HOST_WATCH_MS * (0.5 + this.#parts.random()),
+			choosePauseMs: () => Math.min(HOST_WATCH_PAUSE_PER_HOST_MS * this.#parts.hosts.size, MAX_HOST_WATCH_PAUSE_MS),
+			onListing: (objects, revision) => {
+				this.#applyHosts(objects, revision);
+			},
+			onChanges: ({events}) => {
+				this.#applyHostEvents(events);
+			},
+		});
+	}
+
+	#watchParts(kind: string) {
+		const {log, random} = this.#parts;
+		return {
+			store: this.#store,
+			log,
+			random,
+			kind,
+			onOutcome: (error: Error | undefined) => {
+				this.#recordOutcome(kind, error);
+			},
+		};
+	}
+
+	#scheduleLeaseEnd(): void {
+		clearTimeout(this.#leaseTimer);
+		if (!this.#isClosed) {
+			this.#leaseTimer = setTimeout(() => {
+				void this.#onLeaseEnd();
+			}, Math.max(0, this.#lease.dueMs - this.#parts.clock.nowMs()));
 		}
 	}
 
-	#chooseWatchTimeoutMs(delay: ScaledDelay): number {
-		return MIN_WATCH_MS + ((this.#scaleToFleetMs(delay) - MIN_WATCH_MS) * this.#parts.random());
+	/** Asks the store itself, because no watcher was heard of for the time of the lease. */
+	async #onLeaseEnd(): Promise<void> {
+		const {clock, log, hosts, adapter: {configuration}} = this.#parts;
+		if (clock.nowMs() < this.#lease.dueMs) {
+			this.#scheduleLeaseEnd();
+			return;
+		}
+
+		log.event('lease_ended', {ageMs: Math.round(Math.min(this.confirmationAgeMs, Number.MAX_SAFE_INTEGER)), siteRevision: this.#site?.revision ?? 0});
+		try {
+			const {objects} = await this.#store.list(configuration.kind, 'fresh');
+			for (const object of objects) {
+				this.#applySite(object);
+			}
+
+			this.#recordOutcome(configuration.kind, undefined);
+			this.#onConfirmed();
+			const listing = await this.#store.list(HOST_KIND, 'stale');
+			this.#applyHosts(listing.objects, listing.revision);
+		} catch (error) {
+			this.#recordOutcome(configuration.kind, error as Error);
+			this.#lease.onFailure(hosts.size, clock.nowMs());
+		}
+
+		this.#scheduleLeaseEnd();
 	}
 
-	#scaleToFleetMs({perHostMs, minMs, maxMs}: ScaledDelay): number {
-		return Math.min(maxMs, Math.max(minMs, perHostMs * this.#parts.hosts.size));
+	#onConfirmed(): void {
+		if (this.#lease.confirm(this.#parts.clock.nowMs())) {
+			this.#scheduleLeaseEnd();
+			this.#parts.events.onConfirmed();
+		}
 	}
 
-	#recordStoreState(isUp: boolean, kind: string, error?: Error): void {
+	#recordOutcome(kind: string, error: Error | undefined): void {
+		const {log} = this.#parts;
 		if (error !== undefined) {
-			this.#parts.log.registry.count('store_errors', {kind: error instanceof StoreError ? error.kind : 'unexpected'});
+			log.registry.count('store_errors', {kind: error instanceof StoreError ? error.kind : 'unexpected'});
 		}
 
+		const isUp = error === undefined;
 		if (this.#isClosed || isUp === this.#isStoreUp) {
 			return;
 		}
 
 		this.#isStoreUp = isUp;
 		if (isUp) {
-			this.#parts.log.event('store_regained', {kind});
-			void this.#writeOwnEntry();
+			log.event('store_regained', {kind});
 		} else {
-			this.#parts.log.warn('store_lost', {kind, reason: error?.message ?? '', siteRevision: this.#site?.revision ?? 0});
+			log.warn('store_lost', {kind, reason: error.message, siteRevision: this.#site?.revision ?? 0});
 		}
 	}
 
@@ -276,91 +320,75 @@
 		}
 	}
 
-	#applyHost(object: StoredObject): void {
-		if (object.name === this.#parts.host) {
-			this.#ownRevision = Math.max(this.#ownRevision, object.revision);
-			if (this.#ownEntry !== undefined && !isDeepStrictEqual(object.value, this.#ownEntry)) {
-				void this.#writeOwnEntry();
+	#applyHosts(objects: readonly StoredObject[], revision: number): void {
+		const {hosts, host: ownHost, clock} = this.#parts;
+		const names = new Set(objects.map(({name}) => name));
+		const deleted = hosts.reconcile(names, revision, clock.nowMs()).map(host => ({host, revision}));
+		if (!names.has(ownHost)) {
+			this.#ownEntry.onLost(revision);
+		}
+
+		this.#tell([...deleted, ...objects.flatMap(object => this.#applyHost(object))]);
+	}
+
+	#applyHostEvents(events: readonly StoreEvent[]): void {
+		this.#tell(events.flatMap(({object, isDeleted}) => {
+			if (!isDeleted) {
+				return this.#applyHost(object);
 			}
 
-			return;
-		}
+			const record = {host: object.name, revision: object.revision};
+			return this.offerRecords([record]);
+		}));
+	}
 
+	/** @returns the version, if it is new here */
+	#applyHost(object: StoredObject): HostRecord[] {
+		const {host: ownHost, log} = this.#parts;
 		try {
 			const entry = decodeHostEntry(object.value);
-			if (entry.host === object.name && this.#parts.hosts.put(entry, object.revision)) {
-				this.#parts.log.event('host_learned', {
-					host: entry.host, instance: entry.target?.id ?? '', service: entry.target?.service ?? '', state: entry.target?.state ?? 'none', revision: object.revision,
-				});
-				this.#parts.events.onHost(entry);
+			if (entry.host === ownHost && object.name === ownHost) {
+				this.#observeOwn(entry, object.revision);
+				return [];
 			}
-		} catch (error) {
-			this.#parts.log.warn('host_rejected', {name: object.name, reason: (error as Error).message});
-		}
-	}
 
-	#onDeleted(object: StoredObject): void {
-		if (object.name === this.#parts.host) {
-			this.#onOwnEntryLost();
-		} else {
-			this.#parts.hosts.markDeleted(object.name, object.revision, this.#parts.clock.nowMs());
+			return entry.host === object.name && this.#putHost(entry, object.revision) ? [{host: entry.host, revision: object.revision, entry}] : [];
+		} catch (error) {
+			log.warn('host_rejected', {name: object.name, reason: (error as Error).message});
+			return [];
 		}
 	}
 
-	#onOwnEntryLost(): void {
-		if (this.#ownRevision > 0) {
-			this.#parts.log.warn('own_entry_lapsed', {revision: this.#ownRevision});
+	#putHost(entry: HostEntry, revision: number): boolean {
+		const {hosts, log, events} = this.#parts;
+		const isNew = hosts.put(entry, revision);
+		if (isNew) {
+			log.event('host_learned', {
+				host: entry.host, instance: entry.target?.id ?? '', service: entry.target?.service ?? '', state: entry.target?.state ?? 'none', revision,
+			});
+			events.onHost(entry);
 		}
 
-		this.#ownRevision = 0;
-		void this.#writeOwnEntry();
+		return isNew;
 	}
 
-	async #writeOwnEntry(): Promise<void> {
-		if (this.#isWriting || this.#isClosed) {
+	#observeOwn(entry: HostEntry | undefined, revision: number): void {
+		if (entry === undefined) {
+			this.#ownEntry.onLost(revision);
 			return;
 		}
 
-		this.#isWriting = true;
-		let backoffMs = INITIAL_BACKOFF_MS;
-		let written: HostEntry | undefined;
-		while (!this.#isClosed && this.#ownEntry !== undefined && written !== this.#ownEntry) {
-			const entry = this.#ownEntry;
-			try {
-				// eslint-disable-next-line no-await-in-loop -- one write at a time keeps the writes in order
-				const stored = await this.#store.put(HOST_KIND, entry.host, entry, this.#ownRevision);
-				this.#ownRevision = stored.revision;
-				written = entry;
-			} catch (error) {
-				const kind = error instanceof StoreError ? error.kind : 'unavailable';
-				this.#parts.log.event('own_entry_unwritten', {reason: (error as Error).message, kind});
-				// eslint-disable-next-line no-await-in-loop -- a write whose answer was lost may have succeeded
-				written = await this.#readOwnRevision(entry);
-				if (written === undefined && kind !== 'conflict') {
-					// eslint-disable-next-line no-await-in-loop -- backs off before it writes again
-					await sleep(backoffMs * (0.5 + this.#parts.random()));
-					backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
-				}
-			}
+		const {hosts, host} = this.#parts;
+		if (revision > (hosts.revisionOf(host) ?? 0)) {
+			hosts.setOwnRevision(host, revision);
 		}
 
-		this.#isWriting = false;
+		this.#ownEntry.observe(entry, revision);
 	}
 
-	/** Reads the revision of this daemon's own entry from the store. @returns the entry, if the store already holds exactly it */
-	async #readOwnRevision(entry: HostEntry): Promise<HostEntry | undefined> {
-		try {
-			const stored = await this.#store.get(HOST_KIND, entry.host);
-			this.#ownRevision = stored.revision;
-			return isDeepStrictEqual(stored.value, entry) ? entry : undefined;
-		} catch (error) {
-			if (error instanceof StoreError && error.kind === 'missing') {
-				this.#ownRevision = 0;
-			} else {
-				this.#parts.log.event('own_entry_unread', {reason: (error as Error).message});
-			}
-
-			return undefined;
+	#tell(records: readonly HostRecord[]): void {
+		if (records.length > 0) {
+			this.#parts.events.onRecords(records);
 		}
 	}
 }
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -1,8 +1,10 @@
 import {type Buffer} from 'node:buffer';
 import {type FloorReport} from '../core/index.js';
-import {type LoadReport} from '../mesh/index.js';
+import {type EventLog} from '../log/index.js';
+import {type HostRecord, type LoadReport} from '../mesh/index.js';
 import {FrameError, pack, unpack} from '../wire/index.js';
 import {type Call, type CallTemplate} from './call.js';
+import {decodeHostEntry} from './hostentry.js';
 
 /** The frame types: the number in the first element of a frame. The comments list the fields that follow it. */
 export const FrameTag = {
@@ -22,7 +24,7 @@
 	credit: 6,
 	/** Call id. */
 	cancel: 7,
-	/** Revision, configuration, host entries. */
+	/** Revision, configuration, ms since the store confirmed it (null if it hasn't). */
 	site: 8,
 	/** Host whose daemon is stopping and soon refuses new calls. */
 	leaving: 9,
@@ -30,6 +32,14 @@
 	siteRequest: 10,
 	/** List of floor reports. */
 	floors: 11,
+	/** No fields; makes the link part of the mesh. */
+	subscribe: 12,
+	/** Revision of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions. */
+	news: 13,
+	/** Versions of entries, each as host, revision and entry (null if it was deleted). */
+	records: 14,
+	/** Revisions of entries, each as host and revision; whether the receiver should send its own. */
+	versions: 15,
 } as const;
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
@@ -38,6 +48,11 @@
 /** A frame as it is encoded in msgpack: a tag, then the fields in a fixed order. */
 export type Frame = readonly [tag: number, ...fields: unknown[]];
 
+/** A link, seen from either side, as far as frames outside calls are concerned. */
+export abstract class FrameChannel {
+	abstract send(frame: Frame): void;
+}
+
 export function encodeFrame(frame: Frame): Buffer {
 	return pack(frame);
 }
@@ -162,3 +177,55 @@
 		running, queued, limit, serviceMs,
 	};
 }
+
+/** The news of a peer: revision of its configuration, ms since the store confirmed it, digest of its hosts' versions. */
+export type News = {readonly siteRevision: number; readonly ageMs: number | undefined; readonly digest: number};
+
+/** @throws {FrameError} when a field has the wrong type */
+export function readNews([, siteRevision, ageMs, digest]: Frame): News {
+	if (typeof siteRevision !== 'number' || typeof digest !== 'number' || (ageMs !== null && typeof ageMs !== 'number')) {
+		throw new FrameError('news: expected numbers for revision, age and digest');
+	}
+
+	return {siteRevision, ageMs: ageMs ?? undefined, digest};
+}
+
+/** Encodes versions of entries, each as a list of host, revision and entry, which is null if it was deleted. */
+export function buildRecordsFrame(records: readonly HostRecord[]): Frame {
+	return [FrameTag.records, records.map(({host, revision, entry}) => [host, revision, entry ?? null])];
+}
+
+/** Reads versions of entries; invalid ones are logged and left out. @throws {FrameError} when the list is missing */
+export function readRecords([, packed]: Frame, log: EventLog): HostRecord[] {
+	if (!Array.isArray(packed)) {
+		throw new FrameError('records: expected a list');
+	}
+
+	return (packed as unknown[][]).flatMap(([host, revision, value]) => {
+		try {
+			const entry = value === null ? undefined : decodeHostEntry(value);
+			if (typeof host !== 'string' || typeof revision !== 'number' || (entry !== undefined && entry.host !== host)) {
+				throw new FrameError('records: expected host, revision and entry');
+			}
+
+			return [entry === undefined ? {host, revision} : {host, revision, entry}];
+		} catch (error) {
+			log.warn('host_rejected', {name: String(host), reason: (error as Error).message});
+			return [];
+		}
+	});
+}
+
+/** Encodes the revisions of entries. */
+export function buildVersionsFrame(revisions: ReadonlyMap<string, number>, wantsReply: boolean): Frame {
+	return [FrameTag.versions, [...revisions], wantsReply];
+}
+
+/** @throws {FrameError} when the list is missing */
+export function readVersions([, packed, wantsReply]: Frame): {revisions: ReadonlyMap<string, number>; wantsReply: boolean} {
+	if (!Array.isArray(packed)) {
+		throw new FrameError('versions: expected a list');
+	}
+
+	return {revisions: new Map(packed as Array<[string, number]>), wantsReply: wantsReply === true};
+}
--- /dev/null
+++ b/src/relay/gossip.ts
@@ -0,0 +1,320 @@
+import {chooseNeighbors} from '../core/index.js';
+import {type EventLog} from '../log/index.js';
+import {
+	type HostEntry, type HostRecord, type HostTable, type StoreWatchers, electStoreWatchers, meshPeerOf,
+} from '../mesh/index.js';
+import {type Directory} from './directory.js';
+import {
+	type Frame, type FrameChannel, FrameTag, buildRecordsFrame, buildVersionsFrame, readNews, readRecords, readVersions,
+} from './frame.js';
+
+/** How long versions are collected before they are passed on, in ms, so that a mass restart costs few frames. */
+const RECORD_DELAY_MS = 40;
+/** How long a peer may take to send the configuration that it offered before another is asked, in ms. */
+const SITE_REQUEST_TIMEOUT_MS = 300;
+/** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
+const SITE_REQUEST_DELAY_MS = 150;
+/** Consecutive news with a different digest from one peer before the versions are compared: versions may be on their way. */
+const MISMATCH_LIMIT = 2;
+/** The shortest time between two comparisons of versions that this daemon begins, in ms. */
+const COMPARISON_INTERVAL_MS = 1500;
+
+export type GossipParts = {
+	readonly host: string;
+	readonly failureDomain: string;
+	readonly log: EventLog;
+	readonly nowMs: () => number;
+	readonly hosts: HostTable;
+	readonly directory: Directory;
+	readonly isUnreachable: (host: string) => boolean;
+};
+
+type SiteOffer = {readonly channel: FrameChannel; readonly revision: number};
+
+/**
+ * Spreads over a sparse mesh what the few daemons that watch the store learn:
+ * the revision of the configuration with the time of its confirmation, and
+ * versions of entries. Both are flooded once. A daemon that lacks the
+ * configuration requests it from the peer that told of it; digests reveal
+ * entries that a flood has missed.
+ */
+export class Gossip {
+	readonly #parts: GossipParts;
+	/** The links of the mesh, opened by either side, with the number of consecutive news whose digest differed. */
+	readonly #channels = new Map<FrameChannel, number>();
+	#neighbors: readonly HostEntry[] = [];
+	/** The neighbors that this daemon would have if all known hosts were reachable. */
+	#preferredNeighbors: ReadonlySet<string> = new Set();
+	#watchers: StoreWatchers = {isElected: false, count: 1};
+	#areNeighborsStale = true;
+	#pendingRecords = new Map<string, {record: HostRecord; from: FrameChannel | undefined}>();
+	#recordTimer: NodeJS.Timeout | undefined;
+	#siteOffers: SiteOffer[] = [];
+	#siteTimer: NodeJS.Timeout | undefined;
+	#comparedMs = Number.NEGATIVE_INFINITY;
+
+	constructor(parts: GossipParts) {
+		this.#parts = parts;
+	}
+
+	/** The hosts that this daemon keeps links to. */
+	get neighbors(): readonly HostEntry[] {
+		this.#refresh();
+		return this.#neighbors;
+	}
+
+	/** Whether the host is a neighbor whenever it is reachable. */
+	isPreferredNeighbor(host: string): boolean {
+		this.#refresh();
+		return this.#preferredNeighbors.has(host);
+	}
+
+	/** The daemons that watch the store. */
+	get watchers(): StoreWatchers {
+		this.#refresh();
+		return this.#watchers;
+	}
+
+	/** Has the neighbors chosen anew, because a host has come or gone. */
+	onHostsChanged(): void {
+		this.#areNeighborsStale = true;
+	}
+
+	/** Makes a link that has opened part of the mesh. */
+	addChannel(channel: FrameChannel): void {
+		if (!this.#channels.has(channel)) {
+			// The first difference on a new link is no version on its way.
+			this.#channels.set(channel, MISMATCH_LIMIT - 1);
+			channel.send(this.#buildNewsFrame());
+		}
+	}
+
+	removeChannel(channel: FrameChannel): void {
+		this.#channels.delete(channel);
+	}
+
+	/** Builds the first frame on a link. */
+	buildHelloFrame(): Frame {
+		return [FrameTag.hello, this.#siteRevision, this.#parts.host];
+	}
+
+	/** Tells the mesh the configuration's revision and how recently the store confirmed it. */
+	floodNews(except?: FrameChannel): void {
+		const frame = this.#buildNewsFrame();
+		for (const channel of this.#channels.keys()) {
+			if (channel !== except) {
+				channel.send(frame);
+			}
+		}
+	}
+
+	/** Tells the mesh versions of entries. */
+	floodRecords(records: readonly HostRecord[], from?: FrameChannel): void {
+		for (const record of records) {
+			this.#pendingRecords.set(record.host, {record, from});
+		}
+
+		if (records.length > 0) {
+			this.#recordTimer ??= setTimeout(() => {
+				this.#sendPendingRecords();
+			}, RECORD_DELAY_MS);
+		}
+	}
+
+	/** Handles a frame of the mesh. @returns whether it is one */
+	handleFrame(frame: Frame, channel: FrameChannel): boolean {
+		switch (frame[0]) {
+			case FrameTag.hello: {
+				this.#onHello(frame[1] as number, channel);
+				return true;
+			}
+
+			case FrameTag.subscribe: {
+				this.addChannel(channel);
+				return true;
+			}
+
+			case FrameTag.news: {
+				this.#onNews(frame, channel);
+				return true;
+			}
+
+			case FrameTag.siteRequest: {
+				this.#sendSite(channel);
+				return true;
+			}
+
+			case FrameTag.site: {
+				this.#onSite(frame, channel);
+				return true;
+			}
+
+			case FrameTag.records: {
+				this.floodRecords(this.#parts.directory.offerRecords(readRecords(frame, this.#parts.log)), channel);
+				return true;
+			}
+
+			case FrameTag.versions: {
+				this.#onVersions(frame, channel);
+				return true;
+			}
+
+			default: {
+				return false;
+			}
+		}
+	}
+
+	close(): void {
+		clearTimeout(this.#recordTimer);
+		clearTimeout(this.#siteTimer);
+	}
+
+	get #siteRevision(): number {
+		return this.#parts.directory.site?.revision ?? 0;
+	}
+
+	#refresh(): void {
+		if (!this.#areNeighborsStale) {
+			return;
+		}
+
+		this.#areNeighborsStale = false;
+		const {host, failureDomain, hosts, isUnreachable} = this.#parts;
+		const self = {host, failureDomain};
+		const others = hosts.entries.filter(entry => entry.host !== host);
+		const reachable = others.filter(entry => !isUnreachable(entry.host));
+		const choose = (entries: readonly HostEntry[]) => new Set(chooseNeighbors(meshPeerOf(self), entries.map(entry => meshPeerOf(entry))).map(({id}) => id));
+		const chosen = choose(reachable);
+		this.#neighbors = reachable.filter(entry => chosen.has(entry.host));
+		this.#preferredNeighbors = reachable.length === others.length ? chosen : choose(others);
+		this.#watchers = electStoreWatchers(self, reachable);
+	}
+
+	#buildNewsFrame(): Frame {
+		const {directory, hosts} = this.#parts;
+		const ageMs = directory.confirmationAgeMs;
+		return [FrameTag.news, this.#siteRevision, Number.isFinite(ageMs) ? Math.round(ageMs) : null, hosts.digest];
+	}
+
+	#onNews(frame: Frame, channel: FrameChannel): void {
+		const {siteRevision, ageMs, digest} = readNews(frame);
+		if (siteRevision > this.#siteRevision) {
+			this.#requestSite({channel, revision: siteRevision});
+		} else if (siteRevision < this.#siteRevision) {
+			channel.send(this.#buildNewsFrame());
+		}
+
+		if (ageMs !== undefined && this.#parts.directory.confirm(siteRevision, ageMs)) {
+			this.floodNews(channel);
+		}
+
+		this.#compareDigest(digest, channel);
+	}
+
+	#compareDigest(digest: number, channel: FrameChannel): void {
+		const {hosts, nowMs} = this.#parts;
+		const mismatches = this.#channels.get(channel);
+		if (mismatches === undefined || digest === hosts.digest) {
+			if (mismatches !== undefined) {
+				this.#channels.set(channel, 0);
+			}
+
+			return;
+		}
+
+		const isLimitReached = mismatches + 1 >= MISMATCH_LIMIT && nowMs() - this.#comparedMs >= COMPARISON_INTERVAL_MS;
+		this.#channels.set(channel, isLimitReached ? 0 : mismatches + 1);
+		if (isLimitReached) {
+			this.#comparedMs = nowMs();
+			channel.send(buildVersionsFrame(hosts.revisions, true));
+		}
+	}
+
+	#onVersions(frame: Frame, channel: FrameChannel): void {
+		const {hosts} = this.#parts;
+		const {revisions, wantsReply} = readVersions(frame);
+		const records = hosts.newerThan(revisions);
+		if (records.length > 0) {
+			channel.send(buildRecordsFrame(records));
+		}
+
+		if (wantsReply) {
+			channel.send(buildVersionsFrame(hosts.revisions, false));
+		}
+	}
+
+	#sendPendingRecords(): void {
+		this.#recordTimer = undefined;
+		const pending = [...this.#pendingRecords.values()];
+		this.#pendingRecords = new Map();
+		const whole = buildRecordsFrame(pending.map(({record}) => record));
+		for (const channel of this.#channels.keys()) {
+			const others = pending.filter(({from}) => from !== channel);
+			if (others.length > 0) {
+				channel.send(others.length === pending.length ? whole : buildRecordsFrame(others.map(({record}) => record)));
+			}
+		}
+	}
+
+	#onHello(revision: number, channel: FrameChannel): void {
+		if (revision <= this.#siteRevision) {
+			return;
+		}
+
+		setTimeout(() => {
+			if (revision > this.#siteRevision) {
+				this.#requestSite({channel, revision});
+			}
+		}, this.#siteRevision === 0 ? 0 : SITE_REQUEST_DELAY_MS);
+	}
+
+	// Only one peer is asked at a time, as a configuration may be large.
+	#requestSite(offer: SiteOffer): void {
+		this.#siteOffers.push(offer);
+		if (this.#siteTimer === undefined) {
+			this.#askNextOffer();
+		}
+	}
+
+	#askNextOffer(): void {
+		this.#siteTimer = undefined;
+		this.#siteOffers = this.#siteOffers.filter(({revision}) => revision > this.#siteRevision);
+		const offer = this.#siteOffers.shift();
+		if (offer === undefined) {
+			return;
+		}
+
+		offer.channel.send([FrameTag.siteRequest]);
+		this.#siteTimer = setTimeout(() => {
+			this.#askNextOffer();
+		}, SITE_REQUEST_TIMEOUT_MS);
+	}
+
+	#sendSite(channel: FrameChannel): void {
+		const {directory} = this.#parts;
+		if (directory.site !== undefined) {
+			const ageMs = directory.confirmationAgeMs;
+			channel.send([FrameTag.site, directory.site.revision, directory.siteValue, Number.isFinite(ageMs) ? Math.round(ageMs) : null]);
+		}
+	}
+
+	#onSite([, revision, value, ageMs]: Frame, channel: FrameChannel): void {
+		const {directory, hosts, log} = this.#parts;
+		log.event('site_from_peer', {revision: revision as number});
+		directory.offerSite(revision as number, value);
+		if (typeof ageMs === 'number') {
+			directory.confirm(revision as number, ageMs);
+		}
+
+		if (this.#siteTimer !== undefined) {
+			clearTimeout(this.#siteTimer);
+			this.#askNextOffer();
+		}
+
+		// A daemon that can't reach the store learns the hosts together with the configuration.
+		if (hosts.size <= 1) {
+			channel.send(buildVersionsFrame(hosts.revisions, false));
+		}
+	}
+}
--- a/src/relay/hostentry.ts
+++ b/src/relay/hostentry.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type HostEntry} from '../mesh/index.js';
 import {decode} from './decode.js';
 
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -5,7 +5,7 @@
 	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {
-	type Frame, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport,
+	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport,
 } from './frame.js';
 
 /** The URL path on which a daemon accepts links from its peers. */
@@ -18,6 +18,9 @@
 const SILENCE_TIMEOUT_MS = 1200;
 /** The idle timeout of a link without calls, in ms; reopening a link costs a round trip. */
 const IDLE_TIMEOUT_MS = 20_000;
+/** How long a link of the mesh may be silent while no calls are in flight before it is pinged, and before it counts as dead, in ms. */
+const QUIET_PING_MS = 1000;
+const QUIET_TIMEOUT_MS = 2400;
 /** Limits the bytes buffered in a link's socket; above it the link refuses new calls. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
@@ -32,7 +35,7 @@
 }
 
 /** One WebSocket connection to the daemon beside a target; it multiplexes the calls that this daemon sends there. */
-export class Link {
+export class Link extends FrameChannel {
 	readonly host: string;
 	readonly address: string;
 	readonly #events: LinkEvents;
@@ -45,9 +48,11 @@
 	#nextId = 1;
 	#lastHeardMs: number;
 	#lastCallMs: number;
+	#isKept = false;
 	#isClosed = false;
 
 	constructor(host: string, address: string, events: LinkEvents, nowMs: () => number) {
+		super();
 		this.host = host;
 		this.address = address;
 		this.#events = events;
@@ -78,7 +83,24 @@
 		return this.#calls.size;
 	}
 
+	get isOpen(): boolean {
+		return this.#socket.readyState === WebSocket.OPEN;
+	}
+
+	/** Whether the link is part of the mesh: it stays open and is watched while it carries no calls. */
+	get isKept(): boolean {
+		return this.#isKept;
+	}
+
+	set isKept(isKept: boolean) {
+		this.#isKept = isKept;
+	}
+
 	call(call: Call, sink: CallSink): CallHandle {
+		if (this.#calls.size === 0) {
+			this.#lastHeardMs = this.#nowMs();
+		}
+
 		this.#lastCallMs = this.#nowMs();
 		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#lastCallMs);
 		if (this.#isClosed || this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) {
@@ -96,15 +118,17 @@
 		return linkCall;
 	}
 
-	send(frame: Frame): void {
-		if (this.#socket.readyState === WebSocket.OPEN) {
+	override send(frame: Frame): void {
+		if (this.isOpen) {
 			this.#socket.send(encodeFrame(frame));
 		}
 	}
 
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
 	checkLiveness(nowMs: number): void {
-		if (this.#calls.size === 0) {
+		if (this.#calls.size === 0 && this.#isKept) {
+			this.#checkQuiet(nowMs);
+		} else if (this.#calls.size === 0) {
 			this.#lastHeardMs = nowMs;
 			if (nowMs - this.#lastCallMs > IDLE_TIMEOUT_MS) {
 				this.close('idle');
@@ -144,6 +168,15 @@
 		}
 	}
 
+	#checkQuiet(nowMs: number): void {
+		const silentMs = nowMs - this.#lastHeardMs;
+		if (silentMs > QUIET_TIMEOUT_MS) {
+			this.close('silent');
+		} else if (silentMs >= QUIET_PING_MS && this.isOpen) {
+			this.#socket.ping();
+		}
+	}
+
 	#onOpen(): void {
 		this.#lastHeardMs = this.#nowMs();
 		this.#events.onOpen(this);
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -5,21 +5,21 @@
 } from '../mesh/index.js';
 import {type Directory} from './directory.js';
 import {
-	type Frame, FrameTag, buildFloorReportFrame, readFloorReports,
+	type Frame, type FrameChannel, FrameTag, buildFloorReportFrame, readFloorReports,
 } from './frame.js';
-import {decodeHostEntry} from './hostentry.js';
+import {Gossip} from './gossip.js';
 import {Link, LinkEvents, PING_INTERVAL_MS} from './link.js';
 
-/** The delay in ms before a peer is asked for its newer configuration, because this daemon's own watch mostly delivers it first. */
-const SITE_REQUEST_DELAY_MS = 150;
 /** How many daemons, on average, remove an entry that all daemons find to be wrong; more than one, because one may fail. */
 const ENTRY_REMOVERS = 3;
-/** How many daemons are told of a new configuration; each to which it is new tells as many in turn. */
-const SITE_FANOUT = 6;
+
+/** How soon the links of the mesh are chosen anew after a host has come or gone, in ms. */
+const NEIGHBOR_DELAY_MS = 50;
 
 export type LinksParts = {
 	/** The name of this daemon's host. */
 	readonly host: string;
+	readonly failureDomain: string;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly hosts: HostTable;
@@ -29,18 +29,30 @@
 	readonly random: () => number;
 };
 
-/** Manages the links to other daemons, and the frames besides calls that daemons exchange: configurations, floors and planned stops. */
+/** Manages the links to other daemons, and the frames besides calls that daemons exchange: gossip, floors and planned stops. */
 export class Links extends LinkEvents {
 	readonly #parts: LinksParts;
 	readonly #links = new Map<string, Link>();
 	/** Hosts whose link broke; this daemon reconnects to them so that a restarted daemon receives the configuration. */
 	readonly #unreachable: UnreachableHosts;
+	readonly #gossip: Gossip;
 	readonly #timer: NodeJS.Timeout;
+	#neighborTimer: NodeJS.Timeout | undefined;
+	#isClosed = false;
 
 	constructor(parts: LinksParts) {
 		super();
 		this.#parts = parts;
 		this.#unreachable = new UnreachableHosts(parts.random);
+		this.#gossip = new Gossip({
+			host: parts.host,
+			failureDomain: parts.failureDomain,
+			log: parts.log,
+			nowMs: () => parts.clock.nowMs(),
+			hosts: parts.hosts,
+			directory: parts.directory,
+			isUnreachable: host => this.#unreachable.has(host),
+		});
 		// All links share one timer because each timer wakes the process up.
 		this.#timer = setInterval(() => {
 			const nowMs = parts.clock.nowMs();
@@ -50,6 +62,11 @@
 		}, PING_INTERVAL_MS);
 	}
 
+	/** Spreads what daemons learn from the store. */
+	get gossip(): Gossip {
+		return this.#gossip;
+	}
+
 	linkTo({host, address}: HostEntry): Link {
 		const existing = this.#links.get(host);
 		if (existing?.address === address) {
@@ -62,6 +79,29 @@
 		return link;
 	}
 
+	/** Keeps links open to the neighbors in the mesh. */
+	keepNeighbors(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		const {neighbors} = this.#gossip;
+		const names = new Set(neighbors.map(({host}) => host));
+		for (const link of this.#links.values()) {
+			link.isKept &&= names.has(link.host);
+		}
+
+		for (const entry of neighbors) {
+			const link = this.linkTo(entry);
+			if (!link.isKept) {
+				link.isKept = true;
+				if (link.isOpen) {
+					this.#subscribe(link);
+				}
+			}
+		}
+	}
+
 	/** Reconnects to unreachable hosts, and removes the store entries of those that stay unreachable. */
 	redial(): void {
 		const nowMs = this.#parts.clock.nowMs();
@@ -70,37 +110,28 @@
 		}
 
 		for (const host of this.#unreachable.hosts) {
-			const entry = this.#parts.hosts.get(host);
-			if (entry === undefined) {
-				this.#unreachable.delete(host);
-			} else {
-				// Spares calls from waiting for a host that may still be unreachable.
-				this.#parts.loadBalancer.markUnreachable(host, nowMs);
-				this.linkTo(entry);
-			}
+			this.#redialHost(host, nowMs);
 		}
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		clearInterval(this.#timer);
+		clearTimeout(this.#neighborTimer);
+		this.#gossip.close();
 	}
 
-	removeHost(host: string): void {
+	/** Stops avoiding a host, as news of it shows that it is running. */
+	onHostNews(host: string): void {
+		this.#onHostsChanged();
 		this.#unreachable.delete(host);
-		this.#links.get(host)?.close('host gone');
-	}
-
-	/** Tells some random peers the revision of this daemon's configuration; they tell others if it is new to them. */
-	advertiseSite(): void {
-		const links = [...this.#links.values()];
-		for (let sentCount = 0; sentCount < SITE_FANOUT && links.length > 0; sentCount++) {
-			const [link] = links.splice(Math.floor(this.#parts.random() * links.length), 1);
-			link.send(this.buildHelloFrame());
-		}
+		this.#parts.loadBalancer.clearMarks(host);
 	}
 
-	buildHelloFrame(): Frame {
-		return [FrameTag.hello, this.#siteRevision, this.#parts.host];
+	removeHost(host: string): void {
+		this.#onHostsChanged();
+		this.#unreachable.delete(host);
+		this.#links.get(host)?.close('host gone');
 	}
 
 	/** Builds a frame with the floors that this daemon knows, if there are any. */
@@ -110,24 +141,9 @@
 	}
 
 	/** Handles a frame that belongs to no call, from either side of a link. */
-	handleFrame(frame: Frame, reply: (frame: Frame) => void): void {
+	handleFrame(frame: Frame, channel: FrameChannel): void {
 		const {log, loadBalancer, loadShedder, clock} = this.#parts;
 		switch (frame[0]) {
-			case FrameTag.hello: {
-				this.#onHello(frame[1] as number, reply);
-				break;
-			}
-
-			case FrameTag.siteRequest: {
-				this.#sendSite(reply);
-				break;
-			}
-
-			case FrameTag.site: {
-				this.#onSite(frame);
-				break;
-			}
-
 			case FrameTag.floors: {
 				loadShedder.recordFloorReports(readFloorReports(frame), clock.nowMs());
 				break;
@@ -140,14 +156,21 @@
 			}
 
 			default: {
-				log.registry.count('bad_input', {address: 'peers'});
+				if (!this.#gossip.handleFrame(frame, channel)) {
+					log.registry.count('bad_input', {address: 'peers'});
+				}
 			}
 		}
 	}
 
 	override onOpen(link: Link): void {
-		link.send(this.buildHelloFrame());
+		link.send(this.#gossip.buildHelloFrame());
+		if (link.isKept) {
+			this.#subscribe(link);
+		}
+
 		if (this.#unreachable.delete(link.host)) {
+			this.#onHostsChanged();
 			this.#parts.log.event('host_back', {host: link.host});
 			this.#parts.loadBalancer.clearMarks(link.host);
 		}
@@ -159,18 +182,18 @@
 			return;
 		}
 
-		this.handleFrame(frame, reply => {
-			link.send(reply);
-		});
+		this.handleFrame(frame, link);
 	}
 
 	override onClosed(link: Link, reason: string): void {
+		this.#gossip.removeChannel(link);
 		if (this.#links.get(link.host) === link) {
 			this.#links.delete(link.host);
 		}
 
 		if (reason !== 'idle' && this.#parts.hosts.get(link.host) !== undefined) {
 			this.#unreachable.add(link.host, this.#parts.clock.nowMs());
+			this.#onHostsChanged();
 		}
 
 		this.#parts.log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
@@ -190,40 +213,31 @@
 		loadBalancer.markUnreachable(link.host, clock.nowMs());
 	}
 
-	get #siteRevision(): number {
-		return this.#parts.directory.site?.revision ?? 0;
+	#onHostsChanged(): void {
+		this.#gossip.onHostsChanged();
+		this.#neighborTimer ??= setTimeout(() => {
+			this.#neighborTimer = undefined;
+			this.keepNeighbors();
+		}, NEIGHBOR_DELAY_MS);
 	}
 
-	#sendSite(reply: (frame: Frame) => void): void {
-		const {directory, hosts} = this.#parts;
-		if (directory.site !== undefined) {
-			reply([FrameTag.site, directory.site.revision, directory.siteValue, hosts.entries]);
-		}
+	#subscribe(link: Link): void {
+		link.send([FrameTag.subscribe]);
+		this.#gossip.addChannel(link);
 	}
 
-	// This daemon's own watch mostly delivers a newer configuration first; the peer is asked only if it doesn't.
-	#onHello(revision: number, reply: (frame: Frame) => void): void {
-		if (revision <= this.#siteRevision) {
+	#redialHost(host: string, nowMs: number): void {
+		const {hosts, loadBalancer} = this.#parts;
+		const entry = hosts.get(host);
+		if (entry === undefined) {
+			this.#unreachable.delete(host);
 			return;
 		}
 
-		setTimeout(() => {
-			if (revision > this.#siteRevision) {
-				reply([FrameTag.siteRequest]);
-			}
-		}, this.#siteRevision === 0 ? 0 : SITE_REQUEST_DELAY_MS);
-	}
-
-	#onSite([, revision, value, entries]: Frame): void {
-		const {directory, log} = this.#parts;
-		log.event('site_from_peer', {revision: revision as number});
-		directory.offerSite(revision as number, value);
-		for (const entry of Array.isArray(entries) ? entries : []) {
-			try {
-				directory.offerHost(decodeHostEntry(entry));
-			} catch (error) {
-				log.warn('host_rejected', {reason: (error as Error).message});
-			}
+		// Spares calls from waiting for a host that may still be unreachable.
+		loadBalancer.markUnreachable(host, nowMs);
+		if (this.#unreachable.isDialDue(host, this.#gossip.isPreferredNeighbor(host), hosts.size, nowMs)) {
+			this.linkTo(entry);
 		}
 	}
 }
--- /dev/null
+++ b/src/relay/ownentry.ts
@@ -0,0 +1,197 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {isDeepStrictEqual} from 'node:util';
+import {type EventLog} from '../log/index.js';
+import {type HostEntry} from '../mesh/index.js';
+import {StoreError} from './error.js';
+import {type ObjectStore} from './store.js';
+import {INITIAL_BACKOFF_MS, MAX_BACKOFF_MS} from './storewatch.js';
+
+/** The kind of the daemons' entries in the store. */
+export const HOST_KIND = 'comfreydyke-hosts';
+/** The smallest step between two revisions that a daemon tells its peers for entries that it hasn't written to the store. */
+const REVISION_STEP = 1e-6;
+/** The start time of a daemon, in seconds, modulo this number becomes the fraction of its entry's first revision. */
+const START_RANGE_S = 1e6;
+
+export type OwnEntryOptions = {
+	readonly store: ObjectStore;
+	readonly log: EventLog;
+	readonly random: () => number;
+	/** When this daemon started, in ms since 1970. */
+	readonly startedMs: number;
+	/** Called when peers should hear of a new version of the entry. */
+	readonly onVersion: (entry: HostEntry, revision: number) => void;
+};
+
+/**
+ * This daemon's own entry: keeps the store's copy equal to it, and numbers its
+ * versions. The store's revisions are whole numbers. Between two of them lie
+ * those of versions that peers hear of without a write: at a restart, and while
+ * the store can't be reached.
+ */
+export class OwnEntry {
+	readonly #options: OwnEntryOptions;
+	#entry: HostEntry | undefined;
+	/** The revision of the last version that peers may know. */
+	#revision = 0;
+	/** The store's revision of its copy; 0 if it has none. */
+	#storeRevision = 0;
+	/** The store's copy, as far as is known here. */
+	#stored: HostEntry | undefined;
+	#isWriting = false;
+	#isClosed = false;
+
+	constructor(options: OwnEntryOptions) {
+		this.#options = options;
+	}
+
+	/** @returns whether the entry has changed */
+	publish(entry: HostEntry): boolean {
+		if (isDeepStrictEqual(entry, this.#entry)) {
+			return false;
+		}
+
+		this.#entry = entry;
+		if (isDeepStrictEqual(entry, this.#stored)) {
+			this.announce();
+		} else {
+			void this.write();
+		}
+
+		return true;
+	}
+
+	/** Takes in a version of the entry that the store or a peer holds: one of this daemon's earlier life, or this one. */
+	observe(entry: HostEntry | undefined, revision: number): void {
+		if (Number.isInteger(revision) && revision > this.#storeRevision) {
+			this.#storeRevision = revision;
+			this.#stored = entry;
+		}
+
+		const isNewer = revision > this.#revision;
+		this.#revision = Math.max(this.#revision, revision);
+		if (this.#entry === undefined) {
+			return;
+		}
+
+		const isSame = isDeepStrictEqual(entry, this.#entry);
+		if (!isSame) {
+			void this.write();
+		}
+
+		if (isNewer && !(isSame && Number.isInteger(revision))) {
+			this.announce();
+		}
+	}
+
+	/** Notes that the store holds no copy any more, as of this revision, and writes one. */
+	onLost(revision: number): void {
+		if (revision < this.#storeRevision) {
+			return;
+		}
+
+		if (this.#storeRevision > 0) {
+			this.#options.log.warn('own_entry_lapsed', {revision: this.#storeRevision});
+		}
+
+		this.#revision = Math.max(this.#revision, revision);
+		this.#storeRevision = 0;
+		this.#stored = undefined;
+		void this.write();
+	}
+
+	/** Tells peers of the entry under a revision that is new to them, without a write. */
+	announce(): void {
+		if (this.#entry === undefined) {
+			return;
+		}
+
+		const whole = Math.floor(this.#revision);
+		const ofStart = whole + (Math.floor(this.#options.startedMs / 1000) % START_RANGE_S / START_RANGE_S);
+		this.#revision = Math.min(Math.max(ofStart, this.#revision + REVISION_STEP), whole + 1 - REVISION_STEP);
+		this.#options.onVersion(this.#entry, this.#revision);
+	}
+
+	/** Writes the entry to the store, as soon as the store can be reached. */
+	async write(): Promise<void> {
+		if (this.#isWriting || this.#isClosed) {
+			return;
+		}
+
+		this.#isWriting = true;
+		let backoffMs = INITIAL_BACKOFF_MS;
+		let written: HostEntry | undefined;
+		let announced: HostEntry | undefined;
+		while (!this.#isClosed && this.#entry !== undefined && written !== this.#entry) {
+			const entry = this.#entry;
+			// eslint-disable-next-line no-await-in-loop -- one write at a time keeps the writes in order
+			const outcome = await this.#tryWrite(entry);
+			if (outcome === 'written') {
+				written = entry;
+			} else if (outcome === 'unavailable') {
+				if (announced !== entry) {
+					announced = entry;
+					this.announce();
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- backs off before it writes again
+				await sleep(backoffMs * (0.5 + this.#options.random()));
+				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+			}
+		}
+
+		this.#isWriting = false;
+	}
+
+	close(): void {
+		this.#isClosed = true;
+	}
+
+	async #tryWrite(entry: HostEntry): Promise<'written' | 'conflict' | 'unavailable'> {
+		const {store, log} = this.#options;
+		try {
+			const stored = await store.put(HOST_KIND, entry.host, entry, this.#storeRevision);
+			this.#onWritten(entry, stored.revision);
+			return 'written';
+		} catch (error) {
+			const kind = error instanceof StoreError ? error.kind : 'unavailable';
+			log.event('own_entry_unwritten', {reason: (error as Error).message, kind});
+			// A write whose answer was lost may have succeeded.
+			const isStored = await this.#readStored(entry);
+			return isStored ? 'written' : (kind === 'conflict' ? 'conflict' : 'unavailable');
+		}
+	}
+
+	/** Reads the store's copy. @returns whether it equals the entry */
+	async #readStored(entry: HostEntry): Promise<boolean> {
+		const {store, log} = this.#options;
+		try {
+			const stored = await store.get(HOST_KIND, entry.host);
+			this.#storeRevision = stored.revision;
+			this.#stored = undefined;
+			const isSame = isDeepStrictEqual(stored.value, entry);
+			if (isSame) {
+				this.#onWritten(entry, stored.revision);
+			}
+
+			return isSame;
+		} catch (error) {
+			if (error instanceof StoreError && error.kind === 'missing') {
+				this.#storeRevision = 0;
+			} else {
+				log.event('own_entry_unread', {reason: (error as Error).message});
+			}
+
+			return false;
+		}
+	}
+
+	#onWritten(entry: HostEntry, revision: number): void {
+		this.#storeRevision = revision;
+		this.#stored = entry;
+		if (revision > this.#revision) {
+			this.#revision = revision;
+			this.#options.onVersion(entry, revision);
+		}
+	}
+}
--- a/src/relay/peerserver.ts
+++ b/src/relay/peerserver.ts
@@ -9,7 +9,7 @@
 	type AnswerHead, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from './call.js';
 import {
-	type Frame, TemplateReader, TemplateWriter, FrameTag, readCallFrame, decodeFrame, encodeFrame, packLoadReport,
+	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, readCallFrame, decodeFrame, encodeFrame, packLoadReport,
 } from './frame.js';
 import {PEER_PATH} from './link.js';
 import {type TargetOwner} from './targetowner.js';
@@ -30,7 +30,8 @@
 	/** Builds a frame with the floors that this daemon knows, if there are any. */
 	readonly buildFloorFrame: () => Frame | undefined;
 	/** Handles a frame that belongs to no call. */
-	readonly onFrame: (frame: Frame, reply: (frame: Frame) => void) => void;
+	readonly onFrame: (frame: Frame, channel: FrameChannel) => void;
+	readonly onClosed: (channel: FrameChannel) => void;
 };
 
 /** Accepts links from other daemons, and passes their calls to the owner of this host's target. */
@@ -60,6 +61,7 @@
 			this.#webSocketServer.handleUpgrade(request, socket, head, webSocket => {
 				const link = new PeerLink(webSocket, parts, reason => {
 					this.#links.delete(link);
+					parts.onClosed(link);
 					log.event('peer_link_closed', {from: request.socket.remoteAddress ?? '', reason});
 				});
 				this.#links.add(link);
@@ -91,7 +93,7 @@
 }
 
 /** The accepting side of one link. */
-class PeerLink {
+class PeerLink extends FrameChannel {
 	readonly #socket: WebSocket;
 	readonly #parts: PeerServerParts;
 	readonly #callTemplates = new TemplateReader<CallTemplate>();
@@ -100,6 +102,7 @@
 	#floorsSentMs = 0;
 
 	constructor(socket: WebSocket, parts: PeerServerParts, onClosed: (reason: string) => void) {
+		super();
 		this.#socket = socket;
 		this.#parts = parts;
 		let reason = 'closed';
@@ -125,7 +128,7 @@
 		});
 	}
 
-	send(frame: Frame): void {
+	override send(frame: Frame): void {
 		if (this.#socket.readyState === this.#socket.OPEN) {
 			this.#socket.send(encodeFrame(frame));
 		}
@@ -190,9 +193,7 @@
 			}
 
 			default: {
-				this.#parts.onFrame(frame, reply => {
-					this.send(reply);
-				});
+				this.#parts.onFrame(frame, this);
 			}
 		}
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,7 @@
 import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
 import {StatsdReporter, EventLog, Logger} from '../log/index.js';
 import {
-	type HostEntry, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site,
+	type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './announcementendpoint.js';
@@ -76,10 +76,11 @@
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
 		});
 		this.#directory = new Directory({
-			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, random,
+			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
 		this.#links = new Links({
 			host: settings.host,
+			failureDomain: settings.failureDomain,
 			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, random,
 		});
 		this.#targetMonitor = new TargetMonitor({
@@ -109,10 +110,13 @@
 			owner: this.#targetOwner,
 			log: this.#log,
 			clock,
-			buildHelloFrame: () => this.#links.buildHelloFrame(),
+			buildHelloFrame: () => this.#links.gossip.buildHelloFrame(),
 			buildFloorFrame: () => this.#links.buildFloorFrame(),
-			onFrame: (frame, reply) => {
-				this.#links.handleFrame(frame, reply);
+			onFrame: (frame, channel) => {
+				this.#links.handleFrame(frame, channel);
+			},
+			onClosed: channel => {
+				this.#links.gossip.removeChannel(channel);
 			},
 		});
 		this.#announcementEndpoint = new AnnouncementEndpoint(adapter, this.#log, message => {
@@ -199,8 +203,9 @@
 	}
 
 	#runMaintenance(): void {
-		this.#directory.removeDeletedHosts();
+		this.#directory.check();
 		this.#retryBudget.setDaemonCount(this.#hosts.size);
+		this.#links.keepNeighbors();
 		this.#links.redial();
 		this.#targetMonitor.check();
 	}
@@ -209,15 +214,21 @@
 		return {
 			onSite: (site: Site) => {
 				this.#requestServer.applyLimits(site.spec.limits);
-				this.#links.advertiseSite();
+				this.#links.gossip.floodNews();
 			},
 			onHost: (entry: HostEntry) => {
-				this.#loadBalancer.clearMarks(entry.host);
+				this.#links.onHostNews(entry.host);
 			},
 			onHostRemoved: (host: string) => {
 				this.#loadBalancer.forget(host);
 				this.#links.removeHost(host);
 			},
+			onConfirmed: () => {
+				this.#links.gossip.floodNews();
+			},
+			onRecords: (records: readonly HostRecord[]) => {
+				this.#links.gossip.floodRecords(records);
+			},
 		};
 	}
 }
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -30,6 +30,8 @@
 	readonly seeds: readonly Address[];
 	/** How often a target announces itself, in ms. */
 	readonly announceIntervalMs: number;
+	/** How long after its acceptance a configuration must be in force everywhere, in ms. */
+	readonly configMs: number;
 	/** How long a target may still be given calls after its deregistration was acknowledged, in ms. */
 	readonly drainMs: number;
 	/** The time between the stop signal and the kill of the process, in ms. */
--- a/src/relay/targetclient.ts
+++ b/src/relay/targetclient.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
 import {
-	Client, type Dispatcher, buildConnector, request,
+	Client, type Dispatcher, buildConnector,
 } from 'undici';
 import {IdleConnectionLimit} from '../mesh/index.js';
 import {HOP_BY_HOP_HEADERS} from '../wire/index.js';
@@ -56,11 +56,16 @@
 
 	/** Sends one health check to the target. @returns its id and its load header, if it answers 200 with both */
 	async probe(path: string): Promise<{id: string; load: string} | undefined> {
-		const response = await request(this.#origin + path, {signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
-		await response.body.dump();
-		const id = response.headers[this.#names.instance];
-		const load = response.headers[this.#names.load];
-		return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load} : undefined;
+		const client = new Client(this.#origin);
+		try {
+			const response = await client.request({method: 'GET', path, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
+			await response.body.dump();
+			const id = response.headers[this.#names.instance];
+			const load = response.headers[this.#names.load];
+			return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load} : undefined;
+		} finally {
+			void client.destroy();
+		}
 	}
 
 	run(call: Call, sink: RunSink): Run {
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -144,6 +144,7 @@
 		seeds: [],
 		isFirstStart: true,
 		announceIntervalMs: ANNOUNCE_INTERVAL_MS,
+		configMs: 2000,
 		drainMs: 1000,
 		graceMs: 6000,
 		lameDuckMs: 300,
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -62,13 +62,21 @@
 	override onHostRemoved(): void {
 		this.seen++;
 	}
+
+	override onConfirmed(): void {
+		this.seen++;
+	}
+
+	override onRecords(): void {
+		this.seen++;
+	}
 }
 
 const hosts = new HostTable(2000);
 const createDirectory = (store: ObjectStore) => {
 	const clock = new SystemClock();
 	return new Directory({
-		adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts, events: new EventCounter(), host: 'h', random: Math.random,
+		adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts, events: new EventCounter(), host: 'h', configMs: 2000, random: Math.random, electWatchers: () => ({isElected: true, count: 1}),
 	});
 };
 
