--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -11,11 +11,11 @@
 import {type ObjectStore, type StoreEvent, type StoredObject} from './store.js';
 
 /** The share of the time in which a configuration must be in force for which a confirmation by the store is trusted. */
-const LEASE_SHARE = 0.55;
+const LEASE_SHARE = 0.6;
 /** The share of that time over which the daemons' own questions are spread once no confirmation comes. */
 const JITTER_SHARE = 0.25;
 /** The mean number of confirmations by the watchers of a site within a lease. */
-const CONFIRMATIONS_PER_LEASE = 2.2;
+const CONFIRMATIONS_PER_LEASE = 2;
 /** How long a watch for hosts waits on average, in ms; a change is told by the daemon that makes it. */
 const HOST_WATCH_MS = 10_000;
 /** The pause of a watch for configurations after changes, in ms. */
@@ -44,6 +44,8 @@
 	readonly host: string;
 	/** How long after its acceptance a configuration must be in force everywhere, in ms. */
 	readonly configMs: number;
+	/** How long after its start a daemon doesn't watch for others, in ms: it may not know yet who else does. */
+	readonly settlingMs: number;
 	readonly random: () => number;
 	/** Elects the daemons that watch the store for the others. */
 	readonly electWatchers: () => StoreWatchers;
@@ -56,6 +58,7 @@
 	readonly #lease: FreshnessLease;
 	readonly #ownEntry: OwnEntry;
 	readonly #watches: readonly StoreWatch[];
+	readonly #startedMs: number;
 	#watchers: StoreWatchers = {isElected: false, count: 1};
 	#leaseTimer: NodeJS.Timeout | undefined;
 	#site: Site | undefined;
@@ -67,6 +70,7 @@
 		const {adapter, clock, log, random, configMs} = parts;
 		this.#parts = parts;
 		this.#store = adapter.store;
+		this.#startedMs = clock.nowMs();
 		this.#lease = new FreshnessLease({leaseMs: configMs * LEASE_SHARE, jitterMs: configMs * JITTER_SHARE}, random, clock.nowMs());
 		this.#ownEntry = new OwnEntry({
 			store: this.#store,
@@ -96,6 +100,7 @@
 	}
 
 	start(): void {
+		this.check();
 		for (const watch of this.#watches) {
 			void watch.run();
 		}
@@ -162,7 +167,9 @@
 
 	/** Elects the watchers anew, and removes the hosts whose entries were deleted from the store and not written again within the grace period. */
 	check(): void {
-		const watchers = this.#parts.electWatchers();
+		const elected = this.#parts.electWatchers();
+		const isSettled = this.#parts.clock.nowMs() - this.#startedMs >= this.#parts.settlingMs;
+		const watchers = {...elected, isElected: elected.isElected && isSettled};
 		if (watchers.isElected !== this.#watchers.isElected) {
 			this.#parts.log.event(watchers.isElected ? 'watching' : 'not_watching', {watchers: watchers.count, hosts: this.#parts.hosts.size});
 		}
@@ -202,7 +209,7 @@
 		return new StoreWatch({
 			...this.#watchParts(configuration.kind),
 			freshness: 'fresh',
-			isNeeded: () => this.#watchers.isElected || this.#site === undefined,
+			isNeeded: hasListed => this.#watchers.isElected || (!hasListed && this.#site === undefined),
 			chooseTimeoutMs: () => this.#watchers.count * configMs * LEASE_SHARE / CONFIRMATIONS_PER_LEASE * (0.5 + random()),
 			choosePauseMs: () => SITE_WATCH_PAUSE_MS,
 			onListing: applyAll,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -76,7 +76,7 @@
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
 		});
 		this.#directory = new Directory({
-			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, random, electWatchers: () => this.#links.gossip.watchers,
+			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
 		this.#links = new Links({
 			host: settings.host,
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -32,6 +32,8 @@
 	readonly announceIntervalMs: number;
 	/** How long after its acceptance a configuration must be in force everywhere, in ms. */
 	readonly configMs: number;
+	/** How long after its start a daemon waits before it watches the store for others, in ms: until hosts that start together know each other. */
+	readonly settlingMs: number;
 	/** How long a target may still be given calls after its deregistration was acknowledged, in ms. */
 	readonly drainMs: number;
 	/** The time between the stop signal and the kill of the process, in ms. */
--- a/src/relay/storewatch.ts
+++ b/src/relay/storewatch.ts
@@ -15,8 +15,8 @@
 	readonly random: () => number;
 	readonly kind: string;
 	readonly freshness: Freshness;
-	/** Whether this daemon calls the store now: it watches for others, or has nothing yet. */
-	readonly isNeeded: () => boolean;
+	/** Whether this daemon calls the store now: it watches for others, or lacks what the first listing brings. */
+	readonly isNeeded: (hasListed: boolean) => boolean;
 	/** Chooses how long the next watch waits, in ms. */
 	readonly chooseTimeoutMs: () => number;
 	/** Chooses the pause after changes, in ms, so that changes in quick succession cost one call to the store. */
@@ -44,13 +44,13 @@
 	async run(): Promise<void> {
 		while (!this.#isClosed) {
 			// eslint-disable-next-line no-await-in-loop -- each call needs the result of the one before
-			await (this.#options.isNeeded() ? this.#callStore() : this.#waitUntilNeeded());
+			await (this.#isNeeded ? this.#callStore() : this.#waitUntilNeeded());
 		}
 	}
 
 	/** Resumes the calls to the store if they are needed again. */
 	check(): void {
-		if (this.#resume !== undefined && this.#options.isNeeded()) {
+		if (this.#resume !== undefined && this.#isNeeded) {
 			this.#resume();
 		}
 	}
@@ -107,6 +107,10 @@
 		}
 	}
 
+	get #isNeeded(): boolean {
+		return this.#options.isNeeded(this.#revision !== undefined);
+	}
+
 	get #freshness(): Freshness {
 		return this.#needsFreshAnswer ? 'fresh' : this.#options.freshness;
 	}
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -145,6 +145,7 @@
 		isFirstStart: true,
 		announceIntervalMs: ANNOUNCE_INTERVAL_MS,
 		configMs: 2000,
+		settlingMs: 0,
 		drainMs: 1000,
 		graceMs: 6000,
 		lameDuckMs: 300,
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -76,7 +76,7 @@
 const createDirectory = (store: ObjectStore) => {
 	const clock = new SystemClock();
 	return new Directory({
-		adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts, events: new EventCounter(), host: 'h', configMs: 2000, random: Math.random, electWatchers: () => ({isElected: true, count: 1}),
+		adapter: new MeshAdapter(store), clock, log: new EventLog(new Logger('d', 'info', () => undefined), clock), hosts, events: new EventCounter(), host: 'h', configMs: 2000, settlingMs: 0, random: Math.random, electWatchers: () => ({isElected: true, count: 1}),
 	});
 };
 
