--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -195,13 +195,18 @@
 	return [FrameTag.records, records.map(({host, revision, entry}) => [host, revision, entry ?? null])];
 }
 
-/** Reads versions of entries; invalid ones are logged and left out. @throws {FrameError} when the list is missing */
-export function readRecords([, packed]: Frame, log: EventLog): HostRecord[] {
+/**
+ * Reads the versions of entries that are newer than the known revisions;
+ * invalid ones are logged and left out. @throws {FrameError} when the list is missing
+ */
+export function readRecords([, packed]: Frame, revisions: ReadonlyMap<string, number>, log: EventLog): HostRecord[] {
 	if (!Array.isArray(packed)) {
 		throw new FrameError('records: expected a list');
 	}
 
-	return (packed as unknown[][]).flatMap(([host, revision, value]) => {
+	// Each version arrives over several links, and only its first copy is decoded.
+	const unknown = (packed as unknown[][]).filter(([host, revision]) => !((revision as number) <= (revisions.get(host as string) ?? 0)));
+	return unknown.flatMap(([host, revision, value]) => {
 		try {
 			const entry = value === null ? undefined : decodeHostEntry(value);
 			if (typeof host !== 'string' || typeof revision !== 'number' || (entry !== undefined && entry.host !== host)) {
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -150,7 +150,8 @@
 			}
 
 			case FrameTag.records: {
-				this.floodRecords(this.#parts.directory.offerRecords(readRecords(frame, this.#parts.log)), channel);
+				const {directory, hosts, log} = this.#parts;
+				this.floodRecords(directory.offerRecords(readRecords(frame, hosts.revisions, log)), channel);
 				return true;
 			}
 
--- /dev/null
+++ b/test/relay/gossip.test.ts
@@ -0,0 +1,123 @@
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {DirectoryMesh} from '../../fakes/directorymesh.js';
+import {MemoryStore} from '../../fakes/memorystore.js';
+import {createRoute, createSiteSpec} from '../../standins/mesh.js';
+
+/** The time within which a configuration must be in force everywhere, in ms. */
+const CONFIG_MS = 3000;
+const SIZE = 200;
+
+let store: MemoryStore;
+const configure = (version: number) => {
+	store.set('site', 'main', createSiteSpec([createRoute('x', 's')], version));
+};
+
+const startMesh = async (size = SIZE) => {
+	configure(1);
+	const mesh = new DirectoryMesh(store, size);
+	await vi.advanceTimersByTimeAsync(12_000);
+	return mesh;
+};
+
+beforeEach(() => {
+	vi.useFakeTimers();
+	store = new MemoryStore();
+});
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+describe('200 daemons of which a few watch the store', () => {
+	it('all know the configuration and each other after they started at once', async () => {
+		const mesh = await startMesh();
+		expect([mesh.countVersions(), new Set(mesh.members.map(({hosts}) => hosts.size)), new Set(mesh.members.map(({hosts}) => hosts.digest)).size]).toEqual([{1: SIZE}, new Set([SIZE]), 1]);
+		expect(mesh.watchers).toHaveLength(5);
+	});
+
+	it('have a new configuration in force within a fraction of a second, for a call by each watcher', async () => {
+		const mesh = await startMesh();
+		const before = mesh.calls.fresh;
+		configure(2);
+		await vi.advanceTimersByTimeAsync(300);
+		expect(mesh.countVersions()).toEqual({2: SIZE});
+		expect(mesh.calls.fresh - before).toBeLessThanOrEqual(10);
+	});
+
+	it('make as many calls in a quiet minute as 30 daemons', async () => {
+		const callsOf = async (size: number) => {
+			store = new MemoryStore();
+			const mesh = await startMesh(size);
+			const before = mesh.calls.fresh;
+			await vi.advanceTimersByTimeAsync(60_000);
+			return mesh.calls.fresh - before;
+		};
+
+		const [few, many] = [await callsOf(30), await callsOf(SIZE)];
+		expect(many).toBeLessThan(few * 1.5);
+	});
+
+	it.each([
+		['are killed', (mesh: DirectoryMesh) => {
+			mesh.kill(mesh.watchers);
+		}],
+		['are refused by the store', (mesh: DirectoryMesh) => {
+			mesh.setAccess(mesh.watchers, 'refused');
+		}],
+		['hear nothing more of the store', (mesh: DirectoryMesh) => {
+			mesh.setAccess(mesh.watchers, 'silent');
+		}],
+	])('have a new configuration in force in time if all watchers %s just before it', async (_name, loseWatchers) => {
+		const mesh = await startMesh();
+		loseWatchers(mesh);
+		configure(2);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect(Object.keys(mesh.countVersions())).toEqual(['2']);
+	});
+
+	it('have it in force in time on the side of a cut that reaches the store, and on the other soon after the cut heals', async () => {
+		const mesh = await startMesh();
+		const cutOff = mesh.members.filter((_member, index) => index % 2 === 0);
+		const others = mesh.members.filter(member => !cutOff.includes(member));
+		for (const member of cutOff) {
+			member.side = 1;
+		}
+
+		mesh.setAccess(cutOff, 'silent');
+		configure(2);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect([mesh.countVersions(others), mesh.countVersions(cutOff)]).toEqual([{2: SIZE / 2}, {1: SIZE / 2}]);
+		for (const member of cutOff) {
+			member.side = 0;
+		}
+
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect(mesh.countVersions()).toEqual({2: SIZE});
+	});
+
+	it('never return to an older configuration that a peer still has', async () => {
+		const mesh = await startMesh();
+		configure(2);
+		await vi.advanceTimersByTimeAsync(10);
+		const [first, second] = mesh.members;
+		configure(3);
+		await vi.advanceTimersByTimeAsync(1000);
+		first.directory.offerSite(2, second.directory.siteValue);
+		expect(first.siteVersion).toBe(3);
+	});
+
+	it('learn of a changed entry while the store is down, and of a deleted one', async () => {
+		const mesh = await startMesh();
+		mesh.setAccess(mesh.members, 'refused');
+		const [changed] = mesh.members;
+		changed.directory.publish({...changed.entry, target: undefined});
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(new Set(mesh.members.map(({hosts}) => hosts.get(changed.name)?.target))).toEqual(new Set([undefined]));
+		mesh.kill([changed]);
+		mesh.setAccess(mesh.members, 'open');
+		void mesh.members[1].directory.removeEntry(changed.name);
+		await vi.advanceTimersByTimeAsync(4000);
+		expect(new Set(mesh.members.slice(1).map(({hosts}) => hosts.get(changed.name)))).toEqual(new Set([undefined]));
+	});
+});
