Floors of services with many upstreams: all are passed on, and few fresh ones suffice

Cause, found by reading and shown by tests that failed first: a message carried the first 64 reports only, so that of 150 upstreams the others, often the sender's own, were never passed on; and the mean counted reports that had decayed as low floors, so that with more upstreams than are heard of in 300 ms the floor sank though all were full.

Change: 16 reports a message, the own one first and the others in turn; a report counts by its freshness, and the mean decays with the freshest. Result in virtual time, 150 upstreams each heard of once in 1.5 s: the floor stays above 390 of 400.

--- a/src/core/floortable.ts
+++ b/src/core/floortable.ts
@@ -10,8 +10,8 @@
 const REPORT_INTERVAL_MS = 5;
 /** Time for which a computed mean floor is reused, in ms. */
 const CACHE_MS = 5;
-/** Largest number of reports in one message, which bounds its size. */
-const MAX_REPORTS = 64;
+/** Largest number of reports in one message, which bounds its size; with more, successive messages take turns. */
+const MAX_REPORTS = 16;
 
 /** The floor of an upstream, as answers and heartbeats report it. */
 export type FloorReport = {
@@ -28,12 +28,15 @@
 /**
  * Holds the reported floors of services, by the upstream that set each. Only the
  * newest report of an upstream counts, whoever passed it on, so that reports
- * that travel in circles can't reinforce each other. A floor that no report
- * confirms decays, so that recovery doesn't depend on traffic that is refused.
+ * that travel in circles can't reinforce each other. The fresher a report, the
+ * more it counts: of many upstreams, only a part is heard of in a while. A floor
+ * that no report confirms decays, so that recovery doesn't depend on traffic
+ * that is refused.
  */
 export class FloorTable {
 	readonly #services = new Map<string, ServiceFloor>();
 	readonly #lastReportMs = new Map<string, number>();
+	#nextReport = 0;
 
 	record({service, upstream, floor, ageMs}: FloorReport, nowMs: number): void {
 		const reportedMs = nowMs - ageMs;
@@ -96,32 +99,55 @@
 		return this.reports(nowMs);
 	}
 
-	/** Returns the reports that still count in full, as many as fit into one message. */
-	reports(nowMs: number): FloorReport[] {
-		const reports: FloorReport[] = [];
+	/**
+	 * Returns the reports that still count in full, as many as fit into one message.
+	 * @param first an upstream whose report is always included
+	 */
+	reports(nowMs: number, first?: string): FloorReport[] {
+		const fresh: FloorReport[] = [];
 		for (const [service, {upstreams}] of this.#services) {
 			for (const [upstream, {floor, reportedMs}] of upstreams) {
 				const ageMs = nowMs - reportedMs;
-				if (ageMs < FRESH_MS && reports.length < MAX_REPORTS) {
-					reports.push({
+				if (ageMs < FRESH_MS) {
+					fresh.push({
 						service, upstream, floor, ageMs,
 					});
 				}
 			}
 		}
 
+		if (fresh.length <= MAX_REPORTS) {
+			return fresh;
+		}
+
+		const reports = fresh.filter(({upstream}) => upstream === first);
+		for (let turn = 0; turn < fresh.length && reports.length < MAX_REPORTS; turn++) {
+			const report = fresh[this.#nextReport++ % fresh.length];
+			if (report.upstream !== first) {
+				reports.push(report);
+			}
+		}
+
 		return reports;
 	}
 
 	#computeMean(service: string, upstreams: Map<string, FloorEntry>, nowMs: number): number {
 		let sum = 0;
+		let weightSum = 0;
+		let highestWeight = 0;
 		for (const [upstream, {floor, reportedMs}] of upstreams) {
 			const ageMs = nowMs - reportedMs;
 			if (ageMs > FORGET_MS) {
 				upstreams.delete(upstream);
-			} else {
-				sum += ageMs < FRESH_MS ? floor : floor * Math.exp((FRESH_MS - ageMs) / DECAY_MS);
+				continue;
 			}
+
+			const freshness = ageMs < FRESH_MS ? 1 : Math.exp((FRESH_MS - ageMs) / DECAY_MS);
+			// A floor of zero is reported only once, and so counts until it is removed.
+			const weight = floor > 0 ? freshness : 1;
+			sum += floor * weight;
+			weightSum += weight;
+			highestWeight = Math.max(highestWeight, freshness);
 		}
 
 		if (upstreams.size === 0) {
@@ -129,7 +155,7 @@
 			return 0;
 		}
 
-		const mean = sum / upstreams.size;
+		const mean = sum / weightSum * highestWeight;
 		return mean < MIN_FLOOR ? 0 : mean;
 	}
 }
--- a/src/mesh/loadshedder.ts
+++ b/src/mesh/loadshedder.ts
@@ -105,7 +105,7 @@
 
 	/** The fresh floor reports, to be passed on to the daemons that call here. */
 	reports(nowMs: number): FloorReport[] {
-		return this.#floors.reports(nowMs);
+		return this.#floors.reports(nowMs, this.#host);
 	}
 }
 
