--- a/src/mesh/admissionqueue.ts
+++ b/src/mesh/admissionqueue.ts
@@ -92,10 +92,12 @@
 		return evicted === undefined ? {verdict: 'wait'} : {verdict: 'wait', evicted};
 	}
 
-	/** Frees the slot of a call that ran for `serviceMs`. */
-	release(serviceMs: number): void {
+	/** Frees the slot of a call that ran for `serviceMs`, or that never ran if that is undefined. */
+	release(serviceMs: number | undefined): void {
 		this.#running = Math.max(0, this.#running - 1);
-		this.#meanServiceMs += (serviceMs - this.#meanServiceMs) * 0.05;
+		if (serviceMs !== undefined) {
+			this.#meanServiceMs += (serviceMs - this.#meanServiceMs) * 0.05;
+		}
 	}
 
 	/**
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -46,6 +46,8 @@
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
 	#mayHaveRun = false;
+	/** The status of an answer whose body is streamed. */
+	#streamedStatus = 0;
 	#isHeadSent = false;
 	#isOver = false;
 
@@ -181,10 +183,9 @@
 		if (isWhole) {
 			this.#finish();
 			this.#responseWriter.end(body);
-			const {registry} = this.#context.log;
-			registry.count('answers', {service: this.service, status: head.status});
-			registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
+			this.#countAnswer(head.status, nowMs);
 		} else {
+			this.#streamedStatus = head.status;
 			this.onChunk(body, false);
 		}
 	}
@@ -198,6 +199,7 @@
 			this.#releaseHost();
 			this.#finish();
 			this.#responseWriter.end(bytes);
+			this.#countAnswer(this.#streamedStatus, this.#context.clock.nowMs());
 		} else {
 			this.#responseWriter.write(bytes, () => {
 				this.#callHandle?.grantCredit(bytes.length);
@@ -313,6 +315,12 @@
 		}
 	}
 
+	#countAnswer(status: number, nowMs: number): void {
+		const {registry} = this.#context.log;
+		registry.count('answers', {service: this.service, status});
+		registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
+	}
+
 	#releaseHost(): void {
 		if (this.#attempts.count > 0) {
 			this.#context.loadBalancer.onEnded(this.#attempts.host);
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -16,6 +16,9 @@
 /** How soon the links of the mesh are chosen anew after a host has come or gone, in ms. */
 const NEIGHBOR_DELAY_MS = 50;
 
+/** Why a link is closed whose host has another address now, and is as reachable as before. */
+const MOVED = 'moved';
+
 export type LinksParts = {
 	/** The name of this daemon's host. */
 	readonly host: string;
@@ -73,7 +76,7 @@
 			return existing;
 		}
 
-		existing?.close('moved');
+		existing?.close(MOVED);
 		const link = new Link(host, address, this, () => this.#parts.clock.nowMs());
 		this.#links.set(host, link);
 		return link;
@@ -191,7 +194,7 @@
 			this.#links.delete(link.host);
 		}
 
-		if (reason !== 'idle' && this.#parts.hosts.get(link.host) !== undefined) {
+		if (reason !== 'idle' && reason !== MOVED && this.#parts.hosts.get(link.host) !== undefined) {
 			this.#unreachable.add(link.host, this.#parts.clock.nowMs());
 			this.#onHostsChanged();
 		}
--- a/src/relay/requestbody.ts
+++ b/src/relay/requestbody.ts
@@ -40,7 +40,10 @@
 		this.#request.on('data', (chunk: Buffer) => {
 			length += chunk.length;
 			if (length > maxBytes) {
-				events.onTooLarge();
+				// Only the chunk that crosses the limit is reported; the rest is read and dropped.
+				if (length - chunk.length <= maxBytes) {
+					events.onTooLarge();
+				}
 			} else if (this.#isStreaming) {
 				this.#forward(chunk, events);
 			} else {
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -222,7 +222,7 @@
 	#start(owned: OwnedCall): void {
 		const nowMs = this.#options.clock.nowMs();
 		if (!this.#options.lifecycle.mayServe(owned.call.instance, nowMs)) {
-			this.#queue.release(0);
+			this.#queue.release(undefined);
 			this.#refuse(owned, 'not-here');
 			return;
 		}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -50,6 +50,18 @@
 		expect(objects.map(({name}) => name)).toEqual(['a', 'b', 'c', 'd', 'e']);
 	});
 
+	it('lists the objects behind a page of which it can read none', async () => {
+		standin.pageSize = 2;
+		for (const name of ['a', 'b', 'c']) {
+			standin.put(KIND, name, {name});
+		}
+
+		standin.corrupt(KIND, 'a');
+		standin.corrupt(KIND, 'b');
+		const {objects} = await store.list(KIND, 'fresh');
+		expect(objects.map(({name}) => name)).toEqual(['c']);
+	});
+
 	it('reports changes after a revision, and that the history was compacted', async () => {
 		const {revision} = await store.list(KIND, 'fresh');
 		const waiting = store.watch(KIND, revision, {waitMs: 2000, freshness: 'fresh'});
--- a/test/platform/storestandin.ts
+++ b/test/platform/storestandin.ts
@@ -73,6 +73,11 @@
 		return object;
 	}
 
+	/** Makes an object unreadable for clients, as another writer's may be. */
+	corrupt(kind: string, name: string): void {
+		Object.assign(this.#objects.get(`${kind}/${name}`)!.metadata, {revision: null});
+	}
+
 	#serve(request: IncomingMessage, response: ServerResponse, text: string): void {
 		this.requestCount++;
 		const url = new URL(request.url!, 'http://store');
