--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -4,9 +4,9 @@
 	FreshnessLease, type HostEntry, type HostRecord, type HostTable, Site, type StoreWatchers,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
-import {StoreError} from './error.js';
 import {decodeHostEntry} from './hostentry.js';
 import {HOST_KIND, OwnEntry} from './ownentry.js';
+import {StoreHealth} from './storehealth.js';
 import {StoreWatch} from './storewatch.js';
 import {type ObjectStore, type StoreEvent, type StoredObject} from './store.js';
 
@@ -57,6 +57,7 @@
 	readonly #store: ObjectStore;
 	readonly #lease: FreshnessLease;
 	readonly #ownEntry: OwnEntry;
+	readonly #storeHealth: StoreHealth;
 	readonly #watches: readonly StoreWatch[];
 	readonly #startedMs: number;
 	#watchers: StoreWatchers = {isElected: false, count: 1};
@@ -64,13 +65,13 @@
 	#site: Site | undefined;
 	#siteValue: unknown;
 	#isClosed = false;
-	#isStoreUp = true;
 
 	constructor(parts: DirectoryParts) {
 		const {adapter, clock, log, random, configMs} = parts;
 		this.#parts = parts;
 		this.#store = adapter.store;
 		this.#startedMs = clock.nowMs();
+		this.#storeHealth = new StoreHealth(log);
 		this.#lease = new FreshnessLease({leaseMs: configMs * LEASE_SHARE, jitterMs: configMs * JITTER_SHARE}, random, clock.nowMs());
 		this.#ownEntry = new OwnEntry({
 			store: this.#store,
@@ -188,6 +189,7 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		clearTimeout(this.#leaseTimer);
+		this.#storeHealth.close();
 		this.#ownEntry.close();
 		for (const watch of this.#watches) {
 			watch.close();
@@ -292,22 +294,7 @@
 	}
 
 	#recordOutcome(kind: string, error: Error | undefined): void {
-		const {log} = this.#parts;
-		if (error !== undefined) {
-			log.registry.count('store_errors', {kind: error instanceof StoreError ? error.kind : 'unexpected'});
-		}
-
-		const isUp = error === undefined;
-		if (this.#isClosed || isUp === this.#isStoreUp) {
-			return;
-		}
-
-		this.#isStoreUp = isUp;
-		if (isUp) {
-			log.event('store_regained', {kind});
-		} else {
-			log.warn('store_lost', {kind, reason: error.message, siteRevision: this.#site?.revision ?? 0});
-		}
+		this.#storeHealth.record(kind, this.#site?.revision ?? 0, error);
 	}
 
 	#applySite(object: StoredObject): void {
