Slow upstreams of a large fleet: each is found by its own daemon, and all hear of it

Cause, from a replay in virtual time: a daemon sends one target some calls in a minute, so (a) targets that it had not called looked fastest, as 30 ms was assumed for them, and calls went from one unknown, slow or remote target to the next; (b) each of 196 daemons had to find each slow target itself; (c) all that know the same fastest target chose it while its load was unknown.

Change: an unknown target is expected to take what the others of its route take; the daemon beside a target compares its runs with what they usually take, less the time for their own calls (TargetSpeed), logs target_slow and target_recovered, and tells the mesh; the cost of a target whose load is not known varies more. The histogram run has the work by route.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -2,7 +2,7 @@
 import {EventLog, Logger} from '../src/log/index.js';
 import {HostTable, type HostEntry, type HostRecord} from '../src/mesh/index.js';
 import {Directory, DirectoryEvents} from '../src/relay/directory.js';
-import {type Frame, FrameChannel} from '../src/relay/frame.js';
+import {type Frame, FrameChannel, type TargetSlowness} from '../src/relay/frame.js';
 import {Gossip} from '../src/relay/gossip.js';
 import {ObjectStore, type StoredObject} from '../src/relay/index.js';
 import {MeshAdapter} from '../standins/meshadapter.js';
@@ -58,6 +58,8 @@
 	readonly directory: Directory;
 	readonly gossip: Gossip;
 	readonly unreachable = new Set<string>();
+	/** What it heard of slow targets. */
+	readonly slowness: TargetSlowness[] = [];
 	/** The side of a network cut that it is on. */
 	side = 0;
 	isUp = true;
@@ -85,7 +87,7 @@
 			electWatchers: () => this.gossip.watchers,
 		});
 		this.gossip = new Gossip({
-			host: name, failureDomain, log, nowMs: () => clock.nowMs(), hosts: this.hosts, directory: this.directory, isUnreachable: host => this.unreachable.has(host),
+			host: name, failureDomain, log, nowMs: () => clock.nowMs(), hosts: this.hosts, directory: this.directory, isUnreachable: host => this.unreachable.has(host), onSlowness: slowness => this.slowness.push(slowness),
 		});
 	}
 
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -22,6 +22,8 @@
 export {type RetryBudgetOptions, RetryBudget} from './retrybudget.js';
 export {UnreachableHosts} from './unreachablehosts.js';
 export {IdleConnectionLimit} from './idleconnectionlimit.js';
+export {BusyTime} from './busytime.js';
+export {TargetSpeed} from './targetspeed.js';
 export {ServiceTimes} from './servicetimes.js';
 export {type RetryCause, chooseRetryAfterMs} from './retryafter.js';
 export {
--- a/src/mesh/loadbalancer.ts
+++ b/src/mesh/loadbalancer.ts
@@ -18,6 +18,8 @@
 	readonly crossDomainCostShare: number;
 	/** Share of its limit in use above which load adds to the cost of a target. */
 	readonly busyShare: number;
+	/** Maximum random addition to the cost of a target whose load isn't known at present, as a share of it: all daemons know the same fast targets, and would fill them up. */
+	readonly unknownLoadJitter: number;
 };
 
 /** The settings that the daemons use. */
@@ -27,6 +29,7 @@
 	// An instance that is slow but meets the objective keeps the calls of its own failure domain.
 	crossDomainCostShare: 0.15,
 	busyShare: 0.6,
+	unknownLoadJitter: 0.3,
 };
 
 type HostState = {
@@ -43,8 +46,13 @@
 	unreachableUntilMs: number;
 	unreachableCount: number;
 	drainingUntilMs: number;
+	/** By what factor the host's daemon finds its target slower than usual, and when that was heard. */
+	slowness: number;
+	slownessHeardMs: number;
 };
 
+/** How long a target counts as slow after its daemon said so, in ms; then it gets calls again, which show whether it still is. */
+const SLOWNESS_TTL_MS = 2500;
 /** How long a load report counts, in ms: a few heartbeats of a busy queue. */
 const REPORT_TTL_MS = 2000;
 /** Weight of one outcome in the moving mean of failures. */
@@ -65,9 +73,11 @@
 const DRAINING_COST = 10;
 /** Cost of an unreachable host, in units of the call's objective. */
 const UNREACHABLE_COST = 100;
-/** Expected time of a call at a target that has reported none for its route, in ms. */
+/** Expected time of a call of a route that no target has reported, in ms. */
 const DEFAULT_SERVICE_MS = 30;
-/** Maximum random addition to a cost, as a share of it: daemons with the same load reports don't all choose the same target. */
+/** Weight of one report in the mean time of a route over all targets. */
+const ROUTE_MEAN_WEIGHT = 0.1;
+/** Maximum random addition to the cost of a target whose load is known, as a share of it: daemons with the same load reports don't all choose the same target. */
 const COST_JITTER = 0.1;
 
 /**
@@ -82,6 +92,8 @@
 	readonly #options: LoadBalancerOptions;
 	readonly #random: () => number;
 	readonly #hosts = new Map<string, HostState>();
+	/** Moving mean of the time that each route takes at the targets that have reported it, in ms. */
+	readonly #routeMeansMs = new Map<string, number>();
 
 	constructor(failureDomain: string, options: LoadBalancerOptions, random: () => number) {
 		this.#failureDomain = failureDomain;
@@ -98,7 +110,7 @@
 				continue;
 			}
 
-			const cost = this.#cost(entry, route, objectiveMs, nowMs) * (1 + (COST_JITTER * this.#random()));
+			const cost = this.#cost(entry, route, objectiveMs, nowMs) * (1 + (this.#jitterOf(entry.host, nowMs) * this.#random()));
 			if (cost < bestCost) {
 				best = entry;
 				bestCost = cost;
@@ -125,6 +137,8 @@
 		state.inFlightAtReport = state.inFlight;
 		if (report.serviceMs > 0) {
 			state.serviceMs.set(route, report.serviceMs);
+			const meanMs = this.#routeMeansMs.get(route) ?? report.serviceMs;
+			this.#routeMeansMs.set(route, meanMs + ((report.serviceMs - meanMs) * ROUTE_MEAN_WEIGHT));
 		}
 	}
 
@@ -151,6 +165,18 @@
 		this.#hostState(host).drainingUntilMs = nowMs + DRAINING_MS;
 	}
 
+	/** Notes what the host's daemon says of its target: by what factor it is slower than usual, or 1 if it is no longer slow. */
+	onSlowness(host: string, slowness: number, nowMs: number): void {
+		const state = this.#hostState(host);
+		if (slowness === 1 || nowMs - state.slownessHeardMs >= SLOWNESS_TTL_MS) {
+			// The times reported before tell nothing of the present ones.
+			state.serviceMs.clear();
+		}
+
+		state.slowness = slowness;
+		state.slownessHeardMs = nowMs;
+	}
+
 	/** Stops avoiding a host, as news from it shows that it is usable again. */
 	clearMarks(host: string): void {
 		const state = this.#hostState(host);
@@ -176,9 +202,14 @@
 		this.#hosts.delete(host);
 	}
 
+	#jitterOf(host: string, nowMs: number): number {
+		const isKnown = nowMs - this.#hostState(host).reportedAtMs < REPORT_TTL_MS;
+		return isKnown ? COST_JITTER : this.#options.unknownLoadJitter;
+	}
+
 	#cost(entry: HostEntry, route: string, objectiveMs: number, nowMs: number): number {
 		const state = this.#hostState(entry.host);
-		const serviceMs = state.serviceMs.get(route) ?? DEFAULT_SERVICE_MS;
+		const serviceMs = this.#expectedMs(state, route, nowMs);
 		const load = this.loadOf(entry, nowMs);
 		let cost = serviceMs * (1 + (LOAD_SLOPE * Math.max(0, load - this.#options.busyShare)));
 		if (load > 1) {
@@ -201,6 +232,13 @@
 		return cost;
 	}
 
+	#expectedMs(state: HostState, route: string, nowMs: number): number {
+		const isSlow = state.slowness > 1 && nowMs - state.slownessHeardMs < SLOWNESS_TTL_MS;
+		const meanMs = this.#routeMeansMs.get(route) ?? DEFAULT_SERVICE_MS;
+		const reportedMs = state.serviceMs.get(route) ?? meanMs;
+		return isSlow ? Math.max(reportedMs, meanMs * state.slowness) : reportedMs;
+	}
+
 	#failureShareOf(state: HostState, nowMs: number): number {
 		return state.failureShare * (0.5 ** ((nowMs - state.failureShareAtMs) / FAILURE_HALF_LIFE_MS));
 	}
@@ -221,6 +259,8 @@
 				unreachableUntilMs: 0,
 				unreachableCount: 0,
 				drainingUntilMs: 0,
+				slowness: 1,
+				slownessHeardMs: Number.NEGATIVE_INFINITY,
 			};
 			this.#hosts.set(host, state);
 		}
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -69,6 +69,7 @@
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
 		if (this.#parentCall !== undefined) {
+			context.onNestedCall(this.#parentCall.attemptId, 'begun');
 			context.loadShedder.recordReached(
 				{route: this.#parentCall.template.route, service: this.#template.callerService},
 				[this.service, ...context.loadShedder.reachedServices(this.#routedService)],
@@ -368,6 +369,10 @@
 
 	#finish(): void {
 		this.#isOver = true;
+		if (this.#parentCall !== undefined) {
+			this.#context.onNestedCall(this.#parentCall.attemptId, 'ended');
+		}
+
 		this.#context.onEnded(this);
 	}
 
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -40,6 +40,8 @@
 	records: 14,
 	/** Revisions of entries, each as host and revision; whether the receiver should send its own. */
 	versions: 15,
+	/** Host, by what factor its target is slower than usual, when its daemon measured that in ms since 1970. */
+	slowness: 16,
 } as const;
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
@@ -234,3 +236,19 @@
 
 	return {revisions: new Map(packed as Array<[string, number]>), wantsReply: wantsReply === true};
 }
+
+/** By what factor a host's target is slower than usual (1 if it isn't), and when its daemon measured that, in ms since 1970. */
+export type TargetSlowness = {readonly host: string; readonly slowness: number; readonly measuredMs: number};
+
+export function buildSlownessFrame({host, slowness, measuredMs}: TargetSlowness): Frame {
+	return [FrameTag.slowness, host, Math.round(slowness * 10) / 10, Math.round(measuredMs)];
+}
+
+/** @throws {FrameError} when a field has the wrong type */
+export function readSlowness([, host, slowness, measuredMs]: Frame): TargetSlowness {
+	if (typeof host !== 'string' || typeof slowness !== 'number' || typeof measuredMs !== 'number') {
+		throw new FrameError('slowness: expected a host, a factor and a time');
+	}
+
+	return {host, slowness, measuredMs};
+}
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -5,7 +5,7 @@
 } from '../mesh/index.js';
 import {type Directory} from './directory.js';
 import {
-	type Frame, type FrameChannel, FrameTag, buildRecordsFrame, buildVersionsFrame, readNews, readRecords, readVersions,
+	type Frame, type FrameChannel, FrameTag, type TargetSlowness, buildRecordsFrame, buildSlownessFrame, buildVersionsFrame, readNews, readRecords, readSlowness, readVersions,
 } from './frame.js';
 
 /** How long versions are collected before they are passed on, in ms, so that a mass restart costs few frames. */
@@ -27,6 +27,8 @@
 	readonly hosts: HostTable;
 	readonly directory: Directory;
 	readonly isUnreachable: (host: string) => boolean;
+	/** Called when a target is found to be slow, still slow or slow no longer by its own daemon. */
+	readonly onSlowness: (slowness: TargetSlowness) => void;
 };
 
 type SiteOffer = {readonly channel: FrameChannel; readonly revision: number};
@@ -49,6 +51,7 @@
 	#areNeighborsStale = true;
 	#pendingRecords = new Map<string, {record: HostRecord; from: FrameChannel | undefined}>();
 	#recordTimer: NodeJS.Timeout | undefined;
+	readonly #slowness = new Map<string, TargetSlowness>();
 	#siteOffers: SiteOffer[] = [];
 	#siteTimer: NodeJS.Timeout | undefined;
 	#comparedMs = Number.NEGATIVE_INFINITY;
@@ -121,6 +124,28 @@
 		}
 	}
 
+	/** Tells the mesh, and this daemon's load balancer, how slow a target is, unless a newer message of it came before. */
+	floodSlowness(slowness: TargetSlowness, except?: FrameChannel): void {
+		const {host, measuredMs} = slowness;
+		const known = this.#slowness.get(host);
+		if (known !== undefined && known.measuredMs >= measuredMs) {
+			return;
+		}
+
+		this.#slowness.set(host, slowness);
+		if ((known?.slowness ?? 1) === 1 || slowness.slowness === 1) {
+			this.#parts.log.event('slowness_heard', {host, slowness: slowness.slowness.toFixed(1)});
+		}
+
+		this.#parts.onSlowness(slowness);
+		const frame = buildSlownessFrame(slowness);
+		for (const channel of this.#channels.keys()) {
+			if (channel !== except) {
+				channel.send(frame);
+			}
+		}
+	}
+
 	/** Handles a frame of the mesh. @returns whether it is one */
 	handleFrame(frame: Frame, channel: FrameChannel): boolean {
 		switch (frame[0]) {
@@ -155,6 +180,11 @@
 				return true;
 			}
 
+			case FrameTag.slowness: {
+				this.floodSlowness(readSlowness(frame), channel);
+				return true;
+			}
+
 			case FrameTag.versions: {
 				this.#onVersions(frame, channel);
 				return true;
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -55,6 +55,9 @@
 			hosts: parts.hosts,
 			directory: parts.directory,
 			isUnreachable: host => this.#unreachable.has(host),
+			onSlowness({host, slowness}) {
+				parts.loadBalancer.onSlowness(host, slowness, parts.clock.nowMs());
+			},
 		});
 		// All links share one timer because each timer wakes the process up.
 		this.#timer = setInterval(() => {
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -1,5 +1,7 @@
 import {type Buffer} from 'node:buffer';
-import {type QueuedCall, type LoadReport, type Priority} from '../mesh/index.js';
+import {
+	BusyTime, type QueuedCall, type LoadReport, type Priority,
+} from '../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
@@ -33,6 +35,8 @@
 	#sink: CallSink | undefined;
 	readonly #owner: CallOwner;
 	readonly #arrivedMs: number;
+	readonly #nestedTime = new BusyTime();
+	#isStreamed = false;
 	#pendingChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
 	#isOver = false;
 
@@ -74,6 +78,16 @@
 	/** Returns how long the call has waited at this owner, in ms. */
 	readonly waitedMs = (nowMs: number): number => nowMs - this.#arrivedMs;
 
+	/** Counts the nested calls that the run waits for. */
+	onNestedCall(change: 'begun' | 'ended', nowMs: number): void {
+		this.#nestedTime.add(change === 'begun' ? 1 : -1, nowMs);
+	}
+
+	/** Returns how long the target itself worked on the call, in ms; undefined if the time depends on the receiver of a streamed body. */
+	workMs(nowMs: number): number | undefined {
+		return this.#isStreamed || this.call.hasMoreBody ? undefined : nowMs - this.startedMs - this.#nestedTime.totalMs(nowMs);
+	}
+
 	refuse(reason: RefusalReason, report: LoadReport): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
@@ -107,6 +121,8 @@
 	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
 		if (isWhole) {
 			this.#end(true);
+		} else {
+			this.#isStreamed = true;
 		}
 
 		this.#sink?.onAnswer({...head, reached: this.#owner.listReachedServices(this.call), isFailedBelow: this.hasNestedFailure}, body, isWhole, this.#getLoadReport());
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -74,6 +74,9 @@
 		this.#targetClient = new TargetClient(settings.target, adapter.headers, nowMs);
 		this.#targetOwner = new TargetOwner({
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
+			onSlowness: slowness => {
+				this.#links.gossip.floodSlowness({host: settings.host, slowness, measuredMs: clock.nowMs()});
+			},
 		});
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
@@ -98,6 +101,9 @@
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
 			callerService: () => this.#lifecycle.current?.service ?? this.#settings.service,
+			onNestedCall: (attemptId, change) => {
+				this.#targetOwner.onNestedCall(attemptId, change);
+			},
 			onNestedFailure: attemptId => {
 				this.#targetOwner.onNestedFailure(attemptId);
 			},
--- a/src/relay/requestserver.ts
+++ b/src/relay/requestserver.ts
@@ -32,6 +32,8 @@
 	readonly random: () => number;
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	readonly onEnded: (exchange: Exchange) => void;
+	/** Called with the attempt id of the parent call when a nested call begins or ends. */
+	readonly onNestedCall: (attemptId: string, change: 'begun' | 'ended') => void;
 	/** Called with the attempt id of the parent call when a nested call fails. */
 	readonly onNestedFailure: (attemptId: string) => void;
 };
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	AdmissionQueue, type TargetLifecycle, type LoadReport, ServiceTimes, type LoadShedder,
+	AdmissionQueue, type TargetLifecycle, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
 } from '../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -23,6 +23,8 @@
 	readonly lifecycle: TargetLifecycle;
 	readonly targetClient: TargetClient;
 	readonly loadShedder: LoadShedder;
+	/** Called when peers should hear by what factor the target is slower than usual; 1 if it no longer is. */
+	readonly onSlowness: (slowness: number) => void;
 };
 
 /**
@@ -35,6 +37,7 @@
 	readonly #options: TargetOwnerOptions;
 	readonly #queue = new AdmissionQueue<OwnedCall>(1);
 	readonly #serviceTimes = new ServiceTimes();
+	readonly #targetSpeed = new TargetSpeed();
 	readonly #running = new Set<OwnedCall>();
 	readonly #runningByAttempt = new Map<string, OwnedCall>();
 	readonly #periodicCheck = new PeriodicCheck(() => {
@@ -66,6 +69,11 @@
 		return this.#runningByAttempt.get(attemptId)?.call;
 	}
 
+	/** Records that the run with this attempt id begins or ends to wait for a nested call. */
+	onNestedCall(attemptId: string, change: 'begun' | 'ended'): void {
+		this.#runningByAttempt.get(attemptId)?.onNestedCall(change, this.#options.clock.nowMs());
+	}
+
 	/** Records that a nested call of the run with this attempt id failed. */
 	onNestedFailure(attemptId: string): void {
 		const owned = this.#runningByAttempt.get(attemptId);
@@ -167,15 +175,40 @@
 		}
 
 		this.#runningByAttempt.delete(owned.call.attemptId);
-		const spentMs = this.#options.clock.nowMs() - owned.startedMs;
+		const nowMs = this.#options.clock.nowMs();
+		const spentMs = nowMs - owned.startedMs;
 		if (isServed) {
 			this.#serviceTimes.record(owned.call.template.route, spentMs);
+			this.#recordWork(owned, nowMs);
 		}
 
 		this.#queue.release(spentMs);
 		this.#startQueued();
 	}
 
+	#recordWork(owned: OwnedCall, nowMs: number): void {
+		const {log, lifecycle, onSlowness} = this.#options;
+		const {route} = owned.call.template;
+		const workMs = owned.workMs(nowMs);
+		const sinceMs = this.#targetSpeed.slowSinceMs;
+		if (workMs === undefined) {
+			return;
+		}
+
+		log.registry.observe('run', {route}, workMs);
+		if (!this.#targetSpeed.record(route, workMs, nowMs)) {
+			return;
+		}
+
+		const {slowness, slowSinceMs} = this.#targetSpeed;
+		onSlowness(slowness);
+		if (sinceMs === undefined) {
+			log.warn('target_slow', {instance: lifecycle.current?.id ?? '', slowness: slowness.toFixed(1), route, workMs: Math.round(workMs), running: this.#queue.running});
+		} else if (slowSinceMs === undefined) {
+			log.event('target_recovered', {instance: lifecycle.current?.id ?? '', slowForMs: Math.round(nowMs - sinceMs)});
+		}
+	}
+
 	override onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
 		this.#options.log.event('run_failed', {
 			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
--- a/test/relay/gossip.test.ts
+++ b/test/relay/gossip.test.ts
@@ -96,6 +96,16 @@
 		expect(mesh.countVersions()).toEqual({2: SIZE});
 	});
 
+	it('all hear once of a slow target, and ignore older messages of it', async () => {
+		const mesh = await startMesh();
+		const [slow, other] = mesh.members;
+		slow.gossip.floodSlowness({host: slow.name, slowness: 5, measuredMs: 2000});
+		await vi.advanceTimersByTimeAsync(100);
+		other.gossip.floodSlowness({host: slow.name, slowness: 1, measuredMs: 1000});
+		await vi.advanceTimersByTimeAsync(100);
+		expect(new Set(mesh.members.map(({slowness}) => JSON.stringify(slowness.map(heard => heard.slowness))))).toEqual(new Set(['[5]']));
+	});
+
 	it('never return to an older configuration that a peer still has', async () => {
 		const mesh = await startMesh();
 		configure(2);
