--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -133,7 +133,8 @@
 		}
 
 		this.#slowness.set(host, slowness);
-		if ((known?.slowness ?? 1) === 1 || slowness.slowness === 1) {
+		const hasChanged = (known?.slowness ?? 1) === 1 || slowness.slowness === 1;
+		if (hasChanged && host !== this.#parts.host) {
 			this.#parts.log.event('slowness_heard', {host, slowness: slowness.slowness.toFixed(1)});
 		}
 
