Each resend gets a fencing token of its own

Cause, found by reading: the token's tie used the next call's id without taking it, so two resends of a key that began at one daemon before either sent a call had equal tokens, and a fence of one did not hold off the other. Test that failed first: one token for two resends. Tokens have a counter of their own now.

--- a/src/core/ingress.ts
+++ b/src/core/ingress.ts
@@ -33,6 +33,7 @@
 	readonly #retryAfter: RetryAfterPolicy;
 	#resender!: Resender;
 	#nextCallId = 1;
+	#nextTokenId = 1;
 	#maxRetries = 0;
 
 	constructor(parts: IngressParts) {
@@ -284,7 +285,7 @@
 
 	#createToken(attempt: number): FencingToken {
 		const {self, incarnation} = this.#parts;
-		return {attempt, tie: `${self}/${incarnation}/${this.#nextCallId}`};
+		return {attempt, tie: `${self}/${incarnation}/${this.#nextTokenId++}`};
 	}
 
 	// The first attempt at a key goes to its home upstream, so that all duplicates reach the same ledger.
--- a/test/core/site.test.ts
+++ b/test/core/site.test.ts
@@ -69,6 +69,25 @@
 		expect(runs).toHaveLength(1);
 	});
 
+	it('gives two resends of a key that begin at the same daemon at once different fencing tokens, and runs one of them', () => {
+		const {runs, witness} = countRuns();
+		const world = createWorld(witness);
+		const key = createTimedKey(world.site.nowMs, 1);
+		const tokens = new Set<string>();
+		world.site.network.onSend = (_from, frame) => {
+			if (frame.type === 'fence') {
+				tokens.add(frame.ballot.tie);
+			}
+		};
+
+		for (let resend = 0; resend < 2; resend++) {
+			world.send('back-0', createRequest(key, 'front', 'write'), {key, attempt: 2}, () => undefined);
+		}
+
+		world.site.run(3000);
+		expect([tokens.size, runs.length]).toEqual([2, 1]);
+	});
+
 	it('runs a resend whose first attempt never arrived', () => {
 		const {runs, witness} = countRuns();
 		const world = createWorld(witness);
