--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -156,6 +156,10 @@
 		} catch (error) {
 			const kind = error instanceof StoreError ? error.kind : 'unavailable';
 			log.event('own_entry_unwritten', {reason: (error as Error).message, kind});
+			if (kind === 'refused') {
+				return 'unavailable';
+			}
+
 			// A write whose answer was lost may have succeeded.
 			const isStored = await this.#readStored(entry);
 			return isStored ? 'written' : (kind === 'conflict' ? 'conflict' : 'unavailable');
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -84,6 +84,7 @@
 	});
 
 	it('fails with an error that names the invalid field', () => {
+		expect(() => decodeSettings('{"host":')).toThrow(DecodeError);
 		expect(() => decodeSettings(JSON.stringify({...settings, target: 'nowhere'}))).toThrow('target: expected IP:PORT');
 	});
 });
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -88,7 +88,7 @@
 	});
 
 	it.each([
-		['refuse', 'unavailable'],
+		['refuse', 'refused'],
 		['lose-answer', 'unavailable'],
 		['garble', 'malformed'],
 		['silent', 'unavailable'],
--- /dev/null
+++ b/test/relay/ownentry.test.ts
@@ -0,0 +1,122 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {MemoryStore} from '../../fakes/memorystore.js';
+import {SystemClock} from '../../src/clock/index.js';
+import {EventLog, Logger} from '../../src/log/index.js';
+import {ObjectStore, StoreError, type StoredObject} from '../../src/relay/index.js';
+import {HOST_KIND, OwnEntry} from '../../src/relay/ownentry.js';
+
+const entry = {host: 'h', failureDomain: 'a', address: '127.0.0.1:1'};
+/** 2026-01-01 and some seconds, so that the fraction of a first revision is not 0. */
+const STARTED_MS = 1_767_225_634_000;
+
+/** Fails writes as told, and counts the reads. */
+class FaultyStore extends ObjectStore {
+	fault: 'none' | 'refused' | 'answer-lost' = 'none';
+	reads = 0;
+	writes = 0;
+	readonly #view: ObjectStore;
+
+	constructor(view: ObjectStore) {
+		super();
+		this.#view = view;
+	}
+
+	override async list(...args: Parameters<ObjectStore['list']>) {
+		return this.#view.list(...args);
+	}
+
+	override async get(kind: string, name: string): Promise<StoredObject> {
+		this.reads++;
+		return this.#view.get(kind, name);
+	}
+
+	override async watch(...args: Parameters<ObjectStore['watch']>) {
+		return this.#view.watch(...args);
+	}
+
+	override async put(...args: Parameters<ObjectStore['put']>): Promise<StoredObject> {
+		this.writes++;
+		if (this.fault === 'refused') {
+			throw new StoreError('refused', 'status 503');
+		}
+
+		const stored = await this.#view.put(...args);
+		if (this.fault === 'answer-lost') {
+			throw new StoreError('unavailable', 'the connection was reset');
+		}
+
+		return stored;
+	}
+
+	override async remove(...args: Parameters<ObjectStore['remove']>) {
+		return this.#view.remove(...args);
+	}
+
+	override async close() {
+		return this.#view.close();
+	}
+}
+
+let memory: MemoryStore;
+let store: FaultyStore;
+let ownEntry: OwnEntry;
+let revisions: number[];
+
+beforeEach(() => {
+	memory = new MemoryStore();
+	store = new FaultyStore(memory.createView());
+	revisions = [];
+	ownEntry = new OwnEntry({
+		store,
+		log: new EventLog(new Logger('h', 'info', () => undefined), new SystemClock()),
+		random: Math.random,
+		startedMs: STARTED_MS,
+		onVersion(_entry, revision) {
+			revisions.push(revision);
+		},
+	});
+});
+afterEach(() => {
+	ownEntry.close();
+});
+
+describe('a daemon\'s own entry', () => {
+	it('is told to peers under the store\'s revision once it is written', async () => {
+		ownEntry.publish(entry);
+		await sleep(20);
+		expect([revisions, memory.get(HOST_KIND, 'h').value]).toEqual([[memory.get(HOST_KIND, 'h').revision], entry]);
+	});
+
+	it('is told to peers under a revision between two of the store while the store refuses it, without a read', async () => {
+		store.fault = 'refused';
+		ownEntry.observe(undefined, 7);
+		ownEntry.publish(entry);
+		await sleep(20);
+		expect([revisions.length, revisions[0] > 7 && revisions[0] < 8, store.reads]).toEqual([1, true, 0]);
+	});
+
+	it('is read after a write whose answer was lost, and not written twice', async () => {
+		store.fault = 'answer-lost';
+		ownEntry.publish(entry);
+		await sleep(20);
+		expect([revisions, store.writes, store.reads]).toEqual([[memory.get(HOST_KIND, 'h').revision], 1, 1]);
+	});
+
+	it('is not written again after a restart, but told to peers under a new revision', async () => {
+		const {revision} = memory.set(HOST_KIND, 'h', entry);
+		ownEntry.observe(entry, revision);
+		ownEntry.publish(entry);
+		await sleep(20);
+		expect([store.writes, revisions.length, Math.floor(revisions[0])]).toEqual([0, 1, revision]);
+	});
+
+	it('replaces the version of an earlier life that a peer tells of', async () => {
+		ownEntry.publish(entry);
+		await sleep(20);
+		ownEntry.observe({...entry, address: '127.0.0.1:2'}, revisions[0] + 0.5);
+		expect(revisions.at(-1)).toBeGreaterThan(revisions[0] + 0.5);
+	});
+});
