--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -23,6 +23,14 @@
 
 /** One end of a link in a mesh; frames arrive if both daemons run and no cut lies between them. */
 class FakeChannel extends FrameChannel {
+	static connect(from: MeshMember, to: MeshMember): [FakeChannel, FakeChannel] {
+		const forth = new FakeChannel(from, to);
+		const back = new FakeChannel(to, from);
+		forth.#reverse = back;
+		back.#reverse = forth;
+		return [forth, back];
+	}
+
 	readonly #from: MeshMember;
 	readonly #to: MeshMember;
 	#reverse: FakeChannel | undefined;
@@ -33,14 +41,6 @@
 		this.#to = to;
 	}
 
-	static connect(from: MeshMember, to: MeshMember): [FakeChannel, FakeChannel] {
-		const forth = new FakeChannel(from, to);
-		const back = new FakeChannel(to, from);
-		forth.#reverse = back;
-		back.#reverse = forth;
-		return [forth, back];
-	}
-
 	override send(frame: Frame): void {
 		this.#from.deliver(() => {
 			if (this.#from.reaches(this.#to)) {
@@ -87,7 +87,16 @@
 			electWatchers: () => this.gossip.watchers,
 		});
 		this.gossip = new Gossip({
-			host: name, failureDomain, log, nowMs: () => clock.nowMs(), hosts: this.hosts, directory: this.directory, isUnreachable: host => this.unreachable.has(host), onSlowness: slowness => this.slowness.push(slowness),
+			host: name,
+			failureDomain,
+			log,
+			nowMs: () => clock.nowMs(),
+			hosts: this.hosts,
+			directory: this.directory,
+			isUnreachable: host => this.unreachable.has(host),
+			onSlowness: slowness => {
+				this.slowness.push(slowness);
+			},
 		});
 	}
 
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -186,6 +186,26 @@
 		this.#startQueued();
 	}
 
+	override onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
+		this.#options.log.event('run_failed', {
+			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
+		});
+	}
+
+	override onUnreachable(owned: OwnedCall): void {
+		this.#unreachableUntilMs = this.#options.clock.nowMs() + UNREACHABLE_PAUSE_MS;
+		this.#options.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
+		this.#refuseQueued('unreachable');
+	}
+
+	override onMisdirected(owned: OwnedCall): void {
+		this.#options.log.warn('target_replaced', {attempt: owned.call.attemptId, expected: owned.call.instance});
+		if (this.#options.lifecycle.current?.id === owned.call.instance) {
+			this.#options.lifecycle.forget();
+			this.#refuseQueued('not-here');
+		}
+	}
+
 	#recordWork(owned: OwnedCall, nowMs: number): void {
 		const {log, lifecycle, onSlowness} = this.#options;
 		const {route} = owned.call.template;
@@ -203,32 +223,14 @@
 		const {slowness, slowSinceMs} = this.#targetSpeed;
 		onSlowness(slowness);
 		if (sinceMs === undefined) {
-			log.warn('target_slow', {instance: lifecycle.current?.id ?? '', slowness: slowness.toFixed(1), route, workMs: Math.round(workMs), running: this.#queue.running});
+			log.warn('target_slow', {
+				instance: lifecycle.current?.id ?? '', slowness: slowness.toFixed(1), route, workMs: Math.round(workMs), running: this.#queue.running,
+			});
 		} else if (slowSinceMs === undefined) {
 			log.event('target_recovered', {instance: lifecycle.current?.id ?? '', slowForMs: Math.round(nowMs - sinceMs)});
 		}
 	}
 
-	override onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
-		this.#options.log.event('run_failed', {
-			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
-		});
-	}
-
-	override onUnreachable(owned: OwnedCall): void {
-		this.#unreachableUntilMs = this.#options.clock.nowMs() + UNREACHABLE_PAUSE_MS;
-		this.#options.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
-		this.#refuseQueued('unreachable');
-	}
-
-	override onMisdirected(owned: OwnedCall): void {
-		this.#options.log.warn('target_replaced', {attempt: owned.call.attemptId, expected: owned.call.instance});
-		if (this.#options.lifecycle.current?.id === owned.call.instance) {
-			this.#options.lifecycle.forget();
-			this.#refuseQueued('not-here');
-		}
-	}
-
 	// Aborting a run costs a connection, so a run that will end soon continues while no call waits for its slot.
 	#mayFinish({call, startedMs, serviceMs}: OwnedCall, nowMs: number): boolean {
 		const leftMs = startedMs + (serviceMs * 2) - nowMs;
