--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -40,7 +40,7 @@
 	records: 14,
 	/** Revisions of entries, each as host and revision; whether the receiver should send its own. */
 	versions: 15,
-	/** Host, by what factor its target is slower than usual, when its daemon measured that in ms since 1970. */
+	/** Slow targets, each as host, by what factor it is slower than usual, and when its daemon measured that in ms since 1970. */
 	slowness: 16,
 } as const;
 
@@ -240,15 +240,22 @@
 /** By what factor a host's target is slower than usual (1 if it isn't), and when its daemon measured that, in ms since 1970. */
 export type TargetSlowness = {readonly host: string; readonly slowness: number; readonly measuredMs: number};
 
-export function buildSlownessFrame({host, slowness, measuredMs}: TargetSlowness): Frame {
-	return [FrameTag.slowness, host, Math.round(slowness * 10) / 10, Math.round(measuredMs)];
+/** Encodes the slowness of targets, each as a list of host, factor and time. */
+export function buildSlownessFrame(targets: readonly TargetSlowness[]): Frame {
+	return [FrameTag.slowness, targets.map(({host, slowness, measuredMs}) => [host, Math.round(slowness * 10) / 10, Math.round(measuredMs)])];
 }
 
-/** @throws {FrameError} when a field has the wrong type */
-export function readSlowness([, host, slowness, measuredMs]: Frame): TargetSlowness {
-	if (typeof host !== 'string' || typeof slowness !== 'number' || typeof measuredMs !== 'number') {
-		throw new FrameError('slowness: expected a host, a factor and a time');
+/** @throws {FrameError} when the list is missing or a field has the wrong type */
+export function readSlowness([, packed]: Frame): TargetSlowness[] {
+	if (!Array.isArray(packed)) {
+		throw new FrameError('slowness: expected a list');
 	}
 
-	return {host, slowness, measuredMs};
+	return (packed as unknown[][]).map(([host, slowness, measuredMs]) => {
+		if (typeof host !== 'string' || typeof slowness !== 'number' || typeof measuredMs !== 'number') {
+			throw new FrameError('slowness: expected a host, a factor and a time');
+		}
+
+		return {host, slowness, measuredMs};
+	});
 }
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -8,8 +8,8 @@
 	type Frame, type FrameChannel, FrameTag, type TargetSlowness, buildRecordsFrame, buildSlownessFrame, buildVersionsFrame, readNews, readRecords, readSlowness, readVersions,
 } from './frame.js';
 
-/** How long versions are collected before they are passed on, in ms, so that a mass restart costs few frames. */
-const RECORD_DELAY_MS = 40;
+/** How long versions and slow targets are collected before they are passed on, in ms, so that many at once cost few frames. */
+const FLOOD_DELAY_MS = 40;
 /** How long a peer may take to send the configuration that it offered before another is asked, in ms. */
 const SITE_REQUEST_TIMEOUT_MS = 300;
 /** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
@@ -50,8 +50,9 @@
 	#watchers: StoreWatchers = {isElected: false, count: 1};
 	#areNeighborsStale = true;
 	#pendingRecords = new Map<string, {record: HostRecord; from: FrameChannel | undefined}>();
-	#recordTimer: NodeJS.Timeout | undefined;
+	#pendingTimer: NodeJS.Timeout | undefined;
 	readonly #slowness = new Map<string, TargetSlowness>();
+	readonly #pendingSlowness = new Map<string, {slowness: TargetSlowness; from: FrameChannel | undefined}>();
 	#siteOffers: SiteOffer[] = [];
 	#siteTimer: NodeJS.Timeout | undefined;
 	#comparedMs = Number.NEGATIVE_INFINITY;
@@ -118,14 +119,12 @@
 		}
 
 		if (records.length > 0) {
-			this.#recordTimer ??= setTimeout(() => {
-				this.#sendPendingRecords();
-			}, RECORD_DELAY_MS);
+			this.#schedulePending();
 		}
 	}
 
 	/** Tells the mesh, and this daemon's load balancer, how slow a target is, unless a newer message of it came before. */
-	floodSlowness(slowness: TargetSlowness, except?: FrameChannel): void {
+	floodSlowness(slowness: TargetSlowness, from?: FrameChannel): void {
 		const {host, measuredMs} = slowness;
 		const known = this.#slowness.get(host);
 		if (known !== undefined && known.measuredMs >= measuredMs) {
@@ -139,12 +138,8 @@
 		}
 
 		this.#parts.onSlowness(slowness);
-		const frame = buildSlownessFrame(slowness);
-		for (const channel of this.#channels.keys()) {
-			if (channel !== except) {
-				channel.send(frame);
-			}
-		}
+		this.#pendingSlowness.set(host, {slowness, from});
+		this.#schedulePending();
 	}
 
 	/** Handles a frame of the mesh. @returns whether it is one */
@@ -182,7 +177,10 @@
 			}
 
 			case FrameTag.slowness: {
-				this.floodSlowness(readSlowness(frame), channel);
+				for (const slowness of readSlowness(frame)) {
+					this.floodSlowness(slowness, channel);
+				}
+
 				return true;
 			}
 
@@ -198,7 +196,7 @@
 	}
 
 	close(): void {
-		clearTimeout(this.#recordTimer);
+		clearTimeout(this.#pendingTimer);
 		clearTimeout(this.#siteTimer);
 	}
 
@@ -276,8 +274,30 @@
 		}
 	}
 
+	#schedulePending(): void {
+		this.#pendingTimer ??= setTimeout(() => {
+			this.#pendingTimer = undefined;
+			this.#sendPendingRecords();
+			this.#sendPendingSlowness();
+		}, FLOOD_DELAY_MS);
+	}
+
+	#sendPendingSlowness(): void {
+		const pending = [...this.#pendingSlowness.values()];
+		this.#pendingSlowness.clear();
+		for (const channel of this.#channels.keys()) {
+			const others = pending.filter(({from}) => from !== channel).map(({slowness}) => slowness);
+			if (others.length > 0) {
+				channel.send(buildSlownessFrame(others));
+			}
+		}
+	}
+
 	#sendPendingRecords(): void {
-		this.#recordTimer = undefined;
+		if (this.#pendingRecords.size === 0) {
+			return;
+		}
+
 		const pending = [...this.#pendingRecords.values()];
 		this.#pendingRecords = new Map();
 		const whole = buildRecordsFrame(pending.map(({record}) => record));
