Entries are offered by revision over the mesh; fewer pings

Change: a flood carries revisions, and a daemon requests the versions that it lacks from one peer; links are pinged after 600 ms of silence (dead after 1,200 as before).

--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -42,6 +42,10 @@
 	versions: 15,
 	/** Slow targets, each as host, by what factor it is slower than usual, and when its daemon measured that in ms since 1970. */
 	slowness: 16,
+	/** New revisions of entries, each as host and revision. */
+	offers: 17,
+	/** Hosts; asks for a `records` frame with their entries. */
+	recordRequest: 18,
 } as const;
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
@@ -228,6 +232,20 @@
 	return [FrameTag.versions, [...revisions], wantsReply];
 }
 
+/** Encodes new revisions of entries, which a peer may request. */
+export function buildOffersFrame(revisions: ReadonlyArray<[string, number]>): Frame {
+	return [FrameTag.offers, revisions];
+}
+
+/** @throws {FrameError} when the list is missing */
+export function readOffers([, packed]: Frame): ReadonlyArray<[string, number]> {
+	if (!Array.isArray(packed)) {
+		throw new FrameError('offers: expected a list');
+	}
+
+	return packed as Array<[string, number]>;
+}
+
 /** @throws {FrameError} when the list is missing */
 export function readVersions([, packed, wantsReply]: Frame): {revisions: ReadonlyMap<string, number>; wantsReply: boolean} {
 	if (!Array.isArray(packed)) {
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -5,13 +5,15 @@
 } from '../mesh/index.js';
 import {type Directory} from './directory.js';
 import {
-	type Frame, type FrameChannel, FrameTag, type TargetSlowness, buildRecordsFrame, buildSlownessFrame, buildVersionsFrame, readNews, readRecords, readSlowness, readVersions,
+	type Frame, type FrameChannel, FrameTag, type TargetSlowness, buildOffersFrame, buildRecordsFrame, buildSlownessFrame, buildVersionsFrame, readNews, readOffers, readRecords, readSlowness, readVersions,
 } from './frame.js';
+import {SiteRequester} from './siterequester.js';
 
 /** How long versions and slow targets are collected before they are passed on, in ms, so that many at once cost few frames. */
 const FLOOD_DELAY_MS = 40;
-/** How long a peer may take to send the configuration that it offered before another is asked, in ms. */
-const SITE_REQUEST_TIMEOUT_MS = 300;
+/** How long a peer may take to send a version that it offered before another is asked, in ms. */
+const RECORD_REQUEST_TIMEOUT_MS = 300;
+const NO_REVISIONS: ReadonlyMap<string, number> = new Map();
 /** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
 /** Consecutive news with a different digest from one peer before the versions are compared: versions may be on their way. */
@@ -31,14 +33,12 @@
 	readonly onSlowness: (slowness: TargetSlowness) => void;
 };
 
-type SiteOffer = {readonly channel: FrameChannel; readonly revision: number};
-
 /**
  * Spreads over a sparse mesh what the few daemons that watch the store learn:
- * the revision of the configuration with the time of its confirmation, and
- * versions of entries. Both are flooded once. A daemon that lacks the
- * configuration requests it from the peer that told of it; digests reveal
- * entries that a flood has missed.
+ * the revision of the configuration with the time of its confirmation, and the
+ * revisions of entries. Both are flooded once. A daemon that lacks a version
+ * requests it from the peer that told of it; digests reveal entries that a
+ * flood has missed.
  */
 export class Gossip {
 	readonly #parts: GossipParts;
@@ -49,12 +49,12 @@
 	#preferredNeighbors: ReadonlySet<string> = new Set();
 	#watchers: StoreWatchers = {isElected: false, count: 1};
 	#areNeighborsStale = true;
-	#pendingRecords = new Map<string, {record: HostRecord; from: FrameChannel | undefined}>();
+	readonly #pendingRecords = new Map<string, {revision: number; from: FrameChannel | undefined}>();
+	readonly #askedRecords = new Map<string, {revision: number; atMs: number}>();
 	#pendingTimer: NodeJS.Timeout | undefined;
 	readonly #slowness = new Map<string, TargetSlowness>();
 	readonly #pendingSlowness = new Map<string, {slowness: TargetSlowness; from: FrameChannel | undefined}>();
-	#siteOffers: SiteOffer[] = [];
-	#siteTimer: NodeJS.Timeout | undefined;
+	readonly #siteRequester = new SiteRequester(() => this.#siteRevision);
 	#comparedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: GossipParts) {
@@ -115,7 +115,7 @@
 	/** Tells the mesh versions of entries. */
 	floodRecords(records: readonly HostRecord[], from?: FrameChannel): void {
 		for (const record of records) {
-			this.#pendingRecords.set(record.host, {record, from});
+			this.#pendingRecords.set(record.host, {revision: record.revision, from});
 		}
 
 		if (records.length > 0) {
@@ -184,6 +184,16 @@
 				return true;
 			}
 
+			case FrameTag.offers: {
+				this.#onOffers(frame, channel);
+				return true;
+			}
+
+			case FrameTag.recordRequest: {
+				this.#sendRecords(frame[1], channel);
+				return true;
+			}
+
 			case FrameTag.versions: {
 				this.#onVersions(frame, channel);
 				return true;
@@ -197,7 +207,7 @@
 
 	close(): void {
 		clearTimeout(this.#pendingTimer);
-		clearTimeout(this.#siteTimer);
+		this.#siteRequester.close();
 	}
 
 	get #siteRevision(): number {
@@ -230,7 +240,7 @@
 	#onNews(frame: Frame, channel: FrameChannel): void {
 		const {siteRevision, ageMs, digest} = readNews(frame);
 		if (siteRevision > this.#siteRevision) {
-			this.#requestSite({channel, revision: siteRevision});
+			this.#siteRequester.request({channel, revision: siteRevision});
 		} else if (siteRevision < this.#siteRevision) {
 			channel.send(this.#buildNewsFrame());
 		}
@@ -277,7 +287,7 @@
 	#schedulePending(): void {
 		this.#pendingTimer ??= setTimeout(() => {
 			this.#pendingTimer = undefined;
-			this.#sendPendingRecords();
+			this.#offerPendingRecords();
 			this.#sendPendingSlowness();
 		}, FLOOD_DELAY_MS);
 	}
@@ -293,54 +303,53 @@
 		}
 	}
 
-	#sendPendingRecords(): void {
-		if (this.#pendingRecords.size === 0) {
-			return;
-		}
-
-		const pending = [...this.#pendingRecords.values()];
-		this.#pendingRecords = new Map();
-		const whole = buildRecordsFrame(pending.map(({record}) => record));
+	// Only the revisions are flooded: each version would otherwise arrive whole over every link of the mesh.
+	#offerPendingRecords(): void {
+		const pending = [...this.#pendingRecords];
+		this.#pendingRecords.clear();
 		for (const channel of this.#channels.keys()) {
-			const others = pending.filter(({from}) => from !== channel);
-			if (others.length > 0) {
-				channel.send(others.length === pending.length ? whole : buildRecordsFrame(others.map(({record}) => record)));
+			const offered = pending.filter(([, {from}]) => from !== channel).map(([host, {revision}]): [string, number] => [host, revision]);
+			if (offered.length > 0) {
+				channel.send(buildOffersFrame(offered));
 			}
 		}
 	}
 
-	#onHello(revision: number, channel: FrameChannel): void {
-		if (revision <= this.#siteRevision) {
-			return;
+	// Requests the versions that are new here, each from one peer at a time.
+	#onOffers(frame: Frame, channel: FrameChannel): void {
+		const {hosts, host: ownHost, nowMs} = this.#parts;
+		const wanted = [...readOffers(frame)].filter(([host, revision]) => {
+			const asked = this.#askedRecords.get(host);
+			const isAsked = asked !== undefined && asked.revision >= revision && nowMs() - asked.atMs < RECORD_REQUEST_TIMEOUT_MS;
+			return host !== ownHost && revision > (hosts.revisionOf(host) ?? 0) && !isAsked;
+		});
+		for (const [host, revision] of wanted) {
+			this.#askedRecords.set(host, {revision, atMs: nowMs()});
 		}
 
-		setTimeout(() => {
-			if (revision > this.#siteRevision) {
-				this.#requestSite({channel, revision});
-			}
-		}, this.#siteRevision === 0 ? 0 : SITE_REQUEST_DELAY_MS);
+		if (wanted.length > 0) {
+			channel.send([FrameTag.recordRequest, wanted.map(([host]) => host)]);
+		}
 	}
 
-	// Only one peer is asked at a time, as a configuration may be large.
-	#requestSite(offer: SiteOffer): void {
-		this.#siteOffers.push(offer);
-		if (this.#siteTimer === undefined) {
-			this.#askNextOffer();
+	#sendRecords(hosts: unknown, channel: FrameChannel): void {
+		const names = new Set(Array.isArray(hosts) ? hosts : []);
+		const records = this.#parts.hosts.newerThan(NO_REVISIONS).filter(({host}) => names.has(host));
+		if (records.length > 0) {
+			channel.send(buildRecordsFrame(records));
 		}
 	}
 
-	#askNextOffer(): void {
-		this.#siteTimer = undefined;
-		this.#siteOffers = this.#siteOffers.filter(({revision}) => revision > this.#siteRevision);
-		const offer = this.#siteOffers.shift();
-		if (offer === undefined) {
+	#onHello(revision: number, channel: FrameChannel): void {
+		if (revision <= this.#siteRevision) {
 			return;
 		}
 
-		offer.channel.send([FrameTag.siteRequest]);
-		this.#siteTimer = setTimeout(() => {
-			this.#askNextOffer();
-		}, SITE_REQUEST_TIMEOUT_MS);
+		setTimeout(() => {
+			if (revision > this.#siteRevision) {
+				this.#siteRequester.request({channel, revision});
+			}
+		}, this.#siteRevision === 0 ? 0 : SITE_REQUEST_DELAY_MS);
 	}
 
 	#sendSite(channel: FrameChannel): void {
@@ -359,10 +368,7 @@
 			directory.confirm(revision as number, ageMs);
 		}
 
-		if (this.#siteTimer !== undefined) {
-			clearTimeout(this.#siteTimer);
-			this.#askNextOffer();
-		}
+		this.#siteRequester.onArrived();
 
 		// A daemon that can't reach the store learns the hosts together with the configuration.
 		if (hosts.size <= 1) {
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -12,8 +12,10 @@
 export const PEER_PATH = '/peer';
 /** Limits how long a link may take to open, in ms: half of the time that two missed pongs cost. */
 const OPEN_TIMEOUT_MS = 500;
-/** The interval in ms between pings on a link with calls in flight. */
-export const PING_INTERVAL_MS = 400;
+/** The interval in ms at which links are checked for silence. */
+export const LIVENESS_INTERVAL_MS = 400;
+/** The silence in ms after which a link with calls in flight is pinged: most calls end within it, and a ping wakes both daemons twice. */
+const PING_SILENCE_MS = 600;
 /** Limits the silence of a link with calls in flight, in ms; after that it counts as dead. */
 const SILENCE_TIMEOUT_MS = 1200;
 /** The idle timeout of a link without calls, in ms; reopening a link costs a round trip. */
@@ -135,7 +137,7 @@
 			}
 		} else if (nowMs - this.#lastHeardMs > SILENCE_TIMEOUT_MS) {
 			this.close('silent');
-		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#lastHeardMs >= PING_INTERVAL_MS / 2) {
+		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
 			this.#socket.ping();
 		}
 	}
--- a/src/relay/links.ts
+++ b/src/relay/links.ts
@@ -8,7 +8,7 @@
 	type Frame, type FrameChannel, FrameTag, buildFloorReportFrame, readFloorReports,
 } from './frame.js';
 import {Gossip} from './gossip.js';
-import {Link, LinkEvents, PING_INTERVAL_MS} from './link.js';
+import {Link, LinkEvents, LIVENESS_INTERVAL_MS} from './link.js';
 
 /** How many daemons, on average, remove an entry that all daemons find to be wrong; more than one, because one may fail. */
 const ENTRY_REMOVERS = 3;
@@ -65,7 +65,7 @@
 			for (const link of this.#links.values()) {
 				link.checkLiveness(nowMs);
 			}
-		}, PING_INTERVAL_MS);
+		}, LIVENESS_INTERVAL_MS);
 	}
 
 	/** Spreads what daemons learn from the store. */
