--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -77,7 +77,7 @@
 			store: this.#store,
 			log,
 			random,
-			startedMs: Date.now(),
+			startedMs: this.#startedMs,
 			onVersion(entry, revision) {
 				parts.hosts.setOwnRevision(parts.host, revision);
 				parts.events.onRecords([{host: parts.host, revision, entry}]);
