A target that takes another's place isn't measured by its predecessor

Found by reading the change once more: TargetSpeed.reset was never called, so a slower replacement counted as slow, and, as the usual time isn't learned meanwhile, for good. Test that failed first (one target_slow).

--- a/src/relay/targetmonitor.ts
+++ b/src/relay/targetmonitor.ts
@@ -118,6 +118,7 @@
 
 		if (change === 'joined') {
 			targetClient.discardConnections();
+			owner.onTargetJoined();
 		}
 
 		owner.setConcurrencyLimit(usableSlots(slots));
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -69,6 +69,11 @@
 		return this.#runningByAttempt.get(attemptId)?.call;
 	}
 
+	/** Forgets what was usual for the target before, as another one has taken its place. */
+	onTargetJoined(): void {
+		this.#targetSpeed.reset();
+	}
+
 	/** Records that the run with this attempt id begins or ends to wait for a nested call. */
 	onNestedCall(attemptId: string, change: 'begun' | 'ended'): void {
 		this.#runningByAttempt.get(attemptId)?.onNestedCall(change, this.#options.clock.nowMs());
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -83,6 +83,27 @@
 	});
 });
 
+describe('a target that takes the place of a faster one', () => {
+	it('isn\'t taken for a slow one', async () => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair({back: {slots: 4, workMs: 10}});
+		let id = 0;
+		const sendAll = async (count: number) => {
+			for (let number = 0; number < count; number++) {
+				// eslint-disable-next-line no-await-in-loop -- one after the other
+				await call(port, '/x/', {headers: createAttemptHeaders(`a${id++}`)});
+			}
+		};
+
+		await sendAll(15);
+		Object.assign(back.target.options, {id: 'i-next', workMs: 100});
+		await back.target.announce(back.settings.listen.announcements.port);
+		await mesh.settle();
+		await sendAll(15);
+		expect(mesh.logLines.filter(line => line.includes('event=target_slow'))).toEqual([]);
+	});
+});
+
 describe('the log', () => {
 	it('doesn\'t grow in proportion to the load: ten times the requests give less than three times the lines', async () => {
 		mesh = new Mesh();
