--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -5,7 +5,8 @@
 import {
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
-import {RunSink, type Run, type TargetClient} from './targetclient.js';
+import {RunSink, type Run} from './run.js';
+import {type TargetClient} from './targetclient.js';
 
 /** What a call reports to, and asks of, its owner. */
 export abstract class CallOwner {
--- /dev/null
+++ b/src/relay/run.ts
@@ -0,0 +1,244 @@
+import {Buffer} from 'node:buffer';
+import {Readable} from 'node:stream';
+import {type Dispatcher} from 'undici';
+import {HOP_BY_HOP_HEADERS} from '../wire/index.js';
+import {type HeaderNames} from './adapter.js';
+import {
+	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
+} from './call.js';
+
+/** Receives the events of one run at the target. */
+export abstract class RunSink {
+	abstract onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void;
+	abstract onChunk(bytes: Buffer, isLast: boolean): void;
+	/** Called when the call has not run and never will. */
+	abstract onNotRun(reason: RefusalReason): void;
+	abstract onFailed(reason: FailureReason): void;
+	/** Called when the target's connection has accepted this many bytes of the streamed request body. */
+	abstract onBodyTaken(bytes: number): void;
+}
+
+/** What a run needs from the connection that it uses. */
+export type RunConnection = {
+	readonly wasReset: () => boolean;
+	/** Called when the connection ended before any part of the answer arrived. */
+	readonly onLost: () => void;
+	/** @param isReusable whether the connection may carry another request */
+	readonly release: (isReusable: boolean) => void;
+};
+
+/** One call running at the target. */
+export class Run implements Dispatcher.DispatchHandler {
+	readonly #call: Call;
+	readonly #names: HeaderNames;
+	readonly #sink: RunSink;
+	readonly #connection: RunConnection;
+	readonly #bodyStream: Readable | undefined;
+	#controller: Dispatcher.DispatchController | undefined;
+	#head: AnswerHead | undefined;
+	#fault: FailureReason | undefined;
+	#notRunReason: RefusalReason | undefined;
+	#chunks: Buffer[] = [];
+	#bufferedBytes = 0;
+	#unreportedBytes = 0;
+	#isStreaming = false;
+	#isOver = false;
+	#creditBytes = BODY_WINDOW_BYTES;
+
+	constructor(call: Call, names: HeaderNames, sink: RunSink, connection: RunConnection) {
+		this.#call = call;
+		this.#names = names;
+		this.#sink = sink;
+		this.#connection = connection;
+		if (call.hasMoreBody) {
+			this.#bodyStream = new Readable({
+				read: () => {
+					this.#reportTakenBytes();
+				},
+			});
+			this.#bodyStream.push(call.body);
+		}
+	}
+
+	options(): Dispatcher.DispatchOptions {
+		const {template, attemptId, path, instance, leftMs, body} = this.#call;
+		const headers = [
+			...template.headers,
+			this.#names.attemptId,
+			attemptId,
+			this.#names.deadlineMs,
+			String(Math.max(1, Math.floor(leftMs))),
+			this.#names.callerService,
+			template.callerService,
+			this.#names.expectedInstance,
+			instance,
+		];
+		return {
+			path, method: template.method, headers, body: this.#bodyStream ?? (body.length > 0 ? body : null),
+		};
+	}
+
+	/** Sends another chunk of a streamed request body. */
+	write(bytes: Buffer, isLast: boolean): void {
+		if (this.#bodyStream === undefined || this.#isOver) {
+			return;
+		}
+
+		if (bytes.length > 0) {
+			this.#unreportedBytes += bytes.length;
+			this.#bodyStream.push(bytes);
+		}
+
+		if (isLast) {
+			this.#bodyStream.push(null);
+		}
+	}
+
+	/** Adds flow-control credit: the receiver can accept this many more bytes of the answer. */
+	grantCredit(bytes: number): void {
+		this.#creditBytes += bytes;
+		if (this.#creditBytes > 0) {
+			this.#controller?.resume();
+		}
+	}
+
+	/** Aborts the run; the target sees its connection close. */
+	cancel(): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.#controller?.abort(new Error('cancelled'));
+			this.#bodyStream?.destroy();
+			this.#connection.release(false);
+		}
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isOver) {
+			controller.abort(new Error('cancelled'));
+		}
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		if (status < 200) {
+			return;
+		}
+
+		const signature = headers[this.#names.signature];
+		const echoedAttemptId = headers[this.#names.attemptId];
+		if (echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId) {
+			this.#fault = 'garbled';
+		} else if (headers[this.#names.notRun] !== undefined || status === 421) {
+			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
+		} else if (status < 300 && (signature === undefined || echoedAttemptId === undefined || headers['content-encoding'] !== undefined)) {
+			this.#fault = 'garbled';
+		}
+
+		const length = headers['content-length'];
+		this.#head = {
+			status,
+			headers: this.#forwardedHeaders(headers),
+			signature: signature as string | undefined,
+			lengthBytes: length === undefined ? undefined : Number(length),
+			isUnframed: length === undefined && headers['transfer-encoding'] === undefined && status !== 204 && status !== 304,
+			reached: [],
+			isFailedBelow: false,
+		};
+		if (this.#fault !== undefined) {
+			this.#fail(this.#fault);
+		}
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isStreaming) {
+			this.#creditBytes -= chunk.length;
+			this.#sink.onChunk(chunk, false);
+		} else {
+			this.#chunks.push(chunk);
+			this.#bufferedBytes += chunk.length;
+			if (this.#bufferedBytes > MAX_INLINE_BODY_BYTES && this.#notRunReason === undefined) {
+				this.#isStreaming = true;
+				this.#creditBytes -= this.#bufferedBytes;
+				this.#sink.onHead(this.#head!, Buffer.concat(this.#chunks), false);
+				this.#chunks = [];
+			}
+		}
+
+		if (this.#creditBytes <= 0) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (this.#connection.wasReset()) {
+			this.#fail('broken');
+			return;
+		}
+
+		this.#isOver = true;
+		this.#bodyStream?.destroy();
+		this.#connection.release(true);
+		if (this.#notRunReason !== undefined) {
+			this.#sink.onNotRun(this.#notRunReason);
+		} else if (this.#isStreaming) {
+			this.#sink.onChunk(Buffer.alloc(0), true);
+		} else {
+			this.#sink.onHead(this.#head!, this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks), true);
+		}
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, _error: Error): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		this.#bodyStream?.destroy();
+		this.#connection.release(false);
+		if (this.#controller === undefined) {
+			this.#sink.onNotRun('unreachable');
+		} else {
+			if (this.#head === undefined) {
+				this.#connection.onLost();
+			}
+
+			this.#sink.onFailed('broken');
+		}
+	}
+
+	// The target's connection has accepted all chunks that were pushed so far.
+	#reportTakenBytes(): void {
+		if (this.#unreportedBytes > 0) {
+			const bytes = this.#unreportedBytes;
+			this.#unreportedBytes = 0;
+			this.#sink.onBodyTaken(bytes);
+		}
+	}
+
+	#fail(reason: FailureReason): void {
+		this.#isOver = true;
+		this.#controller?.abort(new Error(reason));
+		this.#bodyStream?.destroy();
+		this.#connection.release(false);
+		this.#sink.onFailed(reason);
+	}
+
+	#forwardedHeaders(headers: Record<string, string | string[] | undefined>): string[] {
+		const forwarded: string[] = [];
+		for (const [name, value] of Object.entries(headers)) {
+			if (value === undefined || HOP_BY_HOP_HEADERS.has(name) || name === 'content-length' || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
+				continue;
+			}
+
+			for (const item of Array.isArray(value) ? value : [value]) {
+				forwarded.push(name, item);
+			}
+		}
+
+		return forwarded;
+	}
+}
