A target's rate limit and its leaving are read from its answers and logged

The owner now logs what its target says of itself when that changes, and counts the runs that it begins by kind. Nothing is decided by it yet.

--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -13,6 +13,10 @@
 	readonly callerService: string;
 	/** Carries the target's id in answers to health checks. */
 	readonly instance: string;
+	/** Carries the requests per second that the target accepts from all hosts together. */
+	readonly rateLimit: string;
+	/** Is `1` in the answers of a target that is about to leave. */
+	readonly leaving: string;
 };
 
 /** A message from a target to the daemon beside it. */
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -1,10 +1,11 @@
 import {type Buffer} from 'node:buffer';
 import {
-	BusyTime, type QueuedCall, type LoadReport, type Priority,
+	BusyTime, type QueuedCall, type LoadReport, type Priority, type TargetSignals,
 } from '../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
+import {type DecodeError} from './error.js';
 import {RunSink, type Run} from './run.js';
 import {type TargetClient} from './targetclient.js';
 
@@ -19,6 +20,9 @@
 	abstract onRunFailed(owned: OwnedCall, reason: FailureReason): void;
 	abstract onUnreachable(owned: OwnedCall): void;
 	abstract onMisdirected(owned: OwnedCall): void;
+	/** Called with what the target says of itself in its answer to the call. */
+	abstract onSignals(owned: OwnedCall, signals: TargetSignals): void;
+	abstract onInvalidSignals(owned: OwnedCall, error: DecodeError): void;
 }
 
 /** One call at the owner of its target, from its arrival to its end. */
@@ -154,6 +158,14 @@
 		this.#sink?.onFailed(reason, this.#getLoadReport());
 	}
 
+	onSignals(signals: TargetSignals): void {
+		this.#owner.onSignals(this, signals);
+	}
+
+	onInvalidSignals(error: DecodeError): void {
+		this.#owner.onInvalidSignals(this, error);
+	}
+
 	onBodyTaken(bytes: number): void {
 		this.#sink?.onCredit(bytes);
 	}
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -1,11 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
+import {type TargetSignals} from '../mesh/index.js';
 import {HOP_BY_HOP_HEADERS} from '../wire/index.js';
 import {type HeaderNames} from './adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
 } from './call.js';
+import {type DecodeError} from './error.js';
+import {readTargetSignals} from './targetsignals.js';
 
 /** Receives the events of one run at the target. */
 export abstract class RunSink {
@@ -16,6 +19,9 @@
 	abstract onFailed(reason: FailureReason): void;
 	/** Called when the target's connection has accepted this many bytes of the streamed request body. */
 	abstract onBodyTaken(bytes: number): void;
+	/** Called with what the target says of itself, before its answer is passed on. */
+	abstract onSignals(signals: TargetSignals): void;
+	abstract onInvalidSignals(error: DecodeError): void;
 }
 
 /** What a run needs from the connection that it uses. */
@@ -134,6 +140,11 @@
 			this.#fault = 'garbled';
 		}
 
+		// An answer that doesn't show that this target made it says nothing of the target.
+		if (this.#fault === undefined && (signature !== undefined || this.#notRunReason === 'shed-by-target')) {
+			this.#reportSignals(headers);
+		}
+
 		const length = headers['content-length'];
 		this.#head = {
 			status,
@@ -219,6 +230,14 @@
 		}
 	}
 
+	#reportSignals(headers: Record<string, string | string[] | undefined>): void {
+		try {
+			this.#sink.onSignals(readTargetSignals(headers, this.#names));
+		} catch (error) {
+			this.#sink.onInvalidSignals(error as DecodeError);
+		}
+	}
+
 	#fail(reason: FailureReason): void {
 		this.#isOver = true;
 		this.#controller?.abort(new Error(reason));
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -1,11 +1,12 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	AdmissionQueue, type TargetLifecycle, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
+	AdmissionQueue, NO_SIGNALS, type TargetLifecycle, type TargetSignals, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
 } from '../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
+import {type DecodeError} from './error.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
 import {PeriodicCheck} from './periodiccheck.js';
 import {type TargetClient} from './targetclient.js';
@@ -47,6 +48,8 @@
 		return this.#queue.queued > 0 || this.#running.size > 0;
 	});
 
+	/** What the target said of itself last. */
+	#signals = NO_SIGNALS;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
 	#isStartingQueued = false;
@@ -72,6 +75,7 @@
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
 		this.#targetSpeed.reset();
+		this.#signals = NO_SIGNALS;
 	}
 
 	/** Records that the run with this attempt id begins or ends to wait for a nested call. */
@@ -211,6 +215,23 @@
 		}
 	}
 
+	override onSignals({call: {instance}}: OwnedCall, signals: TargetSignals): void {
+		const {log, lifecycle} = this.#options;
+		const {rateLimitPerS, isLeaving} = this.#signals;
+		if (lifecycle.current?.id !== instance || (signals.rateLimitPerS === rateLimitPerS && signals.isLeaving === isLeaving)) {
+			return;
+		}
+
+		this.#signals = signals;
+		log.event('target_signals', {
+			instance, rateLimitPerS: signals.rateLimitPerS ?? 'none', isLeaving: signals.isLeaving, running: this.#queue.running, queued: this.#queue.queued,
+		});
+	}
+
+	override onInvalidSignals({call: {instance, attemptId}}: OwnedCall, error: DecodeError): void {
+		this.#options.log.warn('target_signals_rejected', {instance, attempt: attemptId, reason: error.message});
+	}
+
 	#recordWork(owned: OwnedCall, nowMs: number): void {
 		const {log, lifecycle, onSlowness} = this.#options;
 		const {route} = owned.call.template;
@@ -270,6 +291,8 @@
 		this.#running.add(owned);
 		this.#runningByAttempt.set(owned.call.attemptId, owned);
 		this.#periodicCheck.schedule();
+		const {isNested, isRepeat} = owned.call;
+		this.#options.log.registry.count('runs', {kind: isRepeat ? 'repeat' : (isNested ? 'nested' : 'root')});
 		owned.start(this.#options.targetClient, nowMs);
 	}
 
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -13,6 +13,8 @@
 	notRun: 'not-run',
 	callerService: 'caller-service',
 	instance: 'target-instance',
+	rateLimit: 'target-rate-limit',
+	leaving: 'target-leaving',
 };
 
 /** Creates the headers of one attempt of a client. */
