--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -30,6 +30,10 @@
 	readonly ranAttemptIds: string[] = [];
 	readonly receivedRequests: IncomingMessage[] = [];
 	readonly receivedBodies: Buffer[] = [];
+	/** When each request arrived, in ms since 1970. */
+	readonly receivedTimesMs: number[] = [];
+	/** Headers that the target adds to its answers. */
+	extraHeaders: Readonly<Record<string, string>> = {};
 	runningCount = 0;
 	maxRunningCount = 0;
 	/** Connections opened to the target since its start, the closed ones included. */
@@ -107,7 +111,7 @@
 	/** Sends an answer that carries the instance's signature. */
 	answer(response: ServerResponse, attemptId: string, status = 200, body = Buffer.alloc(this.options.bodyBytes ?? 10, 'x')): void {
 		response.writeHead(status, {
-			[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
+			...this.extraHeaders, [meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
 		});
 		response.end(body);
 	}
@@ -128,6 +132,7 @@
 
 		this.receivedRequests.push(request);
 		this.receivedBodies.push(body);
+		this.receivedTimesMs.push(Date.now());
 		if (this.behaviourOverride !== undefined) {
 			this.behaviourOverride(request, response, body);
 			return;
