The owner of a target keeps to the rate limit that the target names

Callers saw nothing; a target that asked for 9.9 requests a second got 40, one that asked for 19 got 43, for as long as they asked.

Cause: the limit came in the target's answers and was passed on as any other header. The owner, through which every call to its target goes, admitted by slots alone. Class: a word of the target about itself that was treated as payload.

Now the owner takes calls from its queue by a token bucket at the named rate, without a share for each daemon to agree on. It reports a concurrency that fits the rate, so that load goes to other targets, and refuses at once what would wait for more than half a second, so that it is placed elsewhere. An owner that has restarted knows nothing before its target's first answer; each call therefore carries the limit that its sender has passed on.

--- a/fakes/loadsimulation.ts
+++ b/fakes/loadsimulation.ts
@@ -1,6 +1,6 @@
 import {MAX_FLOOR} from '../src/core/index.js';
 import {
-	Attempts, AdmissionQueue, type QueuedCall, type HostEntry, HostTable, type LoadBalancerOptions, type LoadReport, LOAD_BALANCING, LoadBalancer, RetryBudget, type Route, ServiceTimes, TargetSpeed, LoadShedder, type Priority, chooseRetryAfterMs, usableSlots,
+	Attempts, AdmissionQueue, type QueuedCall, type HostEntry, HostTable, type LoadBalancerOptions, type LoadReport, LOAD_BALANCING, LoadBalancer, RetryBudget, type Route, ServiceTimes, TargetSpeed, LoadShedder, type Priority, TargetSignalTable, chooseRetryAfterMs, usableSlots,
 } from '../src/mesh/index.js';
 import {Random} from './random.js';
 import {Scheduler} from './scheduler.js';
@@ -31,6 +31,8 @@
 	/** All instances of a service shed a share of their calls without running them. */
 	| {readonly kind: 'shed'; readonly service: string; readonly share: number}
 	/** Multiplies the service time of one instance, or of each instance whose number `every` divides. */
+	/** One instance names a rate limit, in requests per second. */
+	| {readonly kind: 'limit'; readonly service: string; readonly copy: number; readonly perS: number}
 	| {readonly kind: 'slow'; readonly service: string; readonly copy?: number; readonly every?: number; readonly factor: number}
 );
 /** Switches parts of the overload control off, so that tests can measure what each part contributes. */
@@ -95,7 +97,7 @@
 
 	report(route: string): LoadReport {
 		return {
-			running: this.admissionQueue.running, queued: this.admissionQueue.queued, limit: this.admissionQueue.limit, serviceMs: this.serviceTimes.knownMs(route),
+			running: this.admissionQueue.running, queued: this.admissionQueue.queued, limit: this.admissionQueue.concurrency, serviceMs: this.serviceTimes.knownMs(route),
 		};
 	}
 }
@@ -105,6 +107,8 @@
 	readonly tallies = new Map<string, RouteTally>();
 	/** Counts by service the calls that reached a target, and how many of them may repeat an earlier run. */
 	readonly arrivals = new Map<string, {all: number; again: number}>();
+	/** Counts by instance the calls that reached it while it named a rate limit. */
+	readonly limitedArrivals = new Map<string, number>();
 	/** The calls that left their failure domain. */
 	crossings = 0;
 	readonly #options: LoadSimulationOptions;
@@ -202,7 +206,7 @@
 		const {load: {route}, host, priority} = outgoing;
 		const {service} = route.destinations[0];
 		const attempts = new Attempts({
-			hosts: this.#hostTable, loadBalancer: host.loadBalancer, retryBudget: host.retryBudget, onBudget: () => undefined,
+			hosts: this.#hostTable, loadBalancer: host.loadBalancer, retryBudget: host.retryBudget, targetSignals: new TargetSignalTable(), onTargetSignals: () => undefined, onBudget: () => undefined,
 		}, {
 			attemptId: outgoing.id, route, service, isForRetriedRun: outgoing.isForRetriedRun, level: this.#options.overrides?.spendsRetriesByPriority === false ? MAX_FLOOR : priority.level,
 		}, {deadlineMs: outgoing.endMs, objectiveEndMs: this.#nowMs + route.objectiveMs});
@@ -266,6 +270,10 @@
 		count.all++;
 		count.again += mayBeDuplicate ? 1 : 0;
 		this.arrivals.set(name, count);
+		if (Number.isFinite(owner.admissionQueue.ratePerS)) {
+			this.limitedArrivals.set(owner.name, (this.limitedArrivals.get(owner.name) ?? 0) + 1);
+		}
+
 		const shed = this.#activeFault('shed');
 		if (shed?.service === name && this.#random.chance(shed.share)) {
 			this.#scheduler.schedule(SHED_MS, () => {
@@ -313,6 +321,10 @@
 
 		owner.admissionQueue.release(spentMs);
 		this.#answer(owner, call, outcome, reason);
+		this.#startQueued(owner);
+	}
+
+	#startQueued(owner: Host): void {
 		for (let next = owner.admissionQueue.dequeue(this.#nowMs); next !== undefined; next = owner.admissionQueue.dequeue(this.#nowMs)) {
 			if (next.expired) {
 				this.#answer(owner, next.call, 'refused', 'expired');
@@ -349,13 +361,21 @@
 		}, this.#nowMs);
 	}
 
+	#updateRateLimit({service, copy, admissionQueue}: Host): void {
+		const limits = this.#options.faults.filter((fault): fault is Extract<LoadFault, {kind: 'limit'}> => fault.kind === 'limit' && this.#isActive(fault));
+		admissionQueue.setRateLimit(limits.find(fault => fault.service === service.name && fault.copy === copy)?.perS, this.#nowMs);
+	}
+
 	#scheduleHousekeeping(): void {
 		this.#scheduler.schedule(HOUSEKEEPING_MS, () => {
 			for (const owner of this.#hosts) {
 				this.#updateFloor(owner);
+				this.#updateRateLimit(owner);
 				for (const call of owner.admissionQueue.removeExpired(this.#nowMs)) {
 					this.#answer(owner, call, 'refused', 'expired');
 				}
+
+				this.#startQueued(owner);
 			}
 
 			this.#scheduleHousekeeping();
--- a/src/mesh/admissionqueue.ts
+++ b/src/mesh/admissionqueue.ts
@@ -1,5 +1,6 @@
 import {RANK_COUNT, rankOf} from '../core/index.js';
 import {type Priority} from './loadshedder.js';
+import {RateLimiter} from './ratelimiter.js';
 
 /** Why a call isn't run here: the queue is full or too long for its deadline, the deadline has passed or can no longer be met, or a call of a higher rank took its place. */
 export type AdmissionRefusal = 'full' | 'expired' | 'evicted';
@@ -29,14 +30,18 @@
 const MIN_QUEUE_LENGTH = 64;
 /** Share of its slots that a target is given: some targets slow down when nearly full, and a new connection may occupy a slot. */
 const SLOT_SHARE = 0.95;
+/** The longest that a call waits for its token at a rate-limited target, in ms: another target, or a later retry, serves it sooner. */
+const MAX_TOKEN_WAIT_MS = 500;
 
 /**
- * Enforces a concurrency limit of `limit` calls and queues the rest: by the rank of
- * their root request, nested calls before new ones, and then the oldest first.
+ * Enforces a concurrency limit of `limit` calls, and the rate limit that the target
+ * names, and queues the rest: by the rank of their root request, nested calls before
+ * new ones, and then the oldest first.
  * Handles the load pattern in which demand of several ranks exceeds the target's capacity.
  */
 export class AdmissionQueue<Call extends QueuedCall> {
 	readonly #queues: Call[][] = [];
+	readonly #rateLimiter = new RateLimiter();
 	#limit: number;
 	#running = 0;
 	#queued = 0;
@@ -55,6 +60,21 @@
 		this.#limit = Math.max(1, limit);
 	}
 
+	/** The rate limit in force, in calls per second; infinite without one. */
+	get ratePerS(): number {
+		return this.#rateLimiter.ratePerS;
+	}
+
+	/** The number of calls that the target can run at once, as both limits allow. */
+	get concurrency(): number {
+		return Math.min(this.#limit, this.#rateLimiter.ratePerS * this.#meanServiceMs / 1000);
+	}
+
+	/** Sets the rate limit in calls per second, or removes it. */
+	setRateLimit(limitPerS: number | undefined, nowMs: number): void {
+		this.#rateLimiter.setLimit(limitPerS, nowMs);
+	}
+
 	get running(): number {
 		return this.#running;
 	}
@@ -69,13 +89,15 @@
 			return {verdict: 'expired'};
 		}
 
-		if (this.#running < this.#limit && this.#queued === 0) {
+		if (this.#running < this.#limit && this.#queued === 0 && this.#rateLimiter.tryTake(nowMs)) {
 			this.#running++;
 			return {verdict: 'run'};
 		}
 
 		const queueIndex = queueIndexOf(call);
-		if (nowMs + this.#expectedWaitMs(queueIndex) + call.serviceMs > call.deadlineMs) {
+		const tokenWaitMs = this.#rateLimiter.waitMs(this.#callsAhead(queueIndex) + 1, nowMs);
+		const waitMs = Math.max(this.#slotWaitMs(queueIndex), tokenWaitMs);
+		if (tokenWaitMs > MAX_TOKEN_WAIT_MS || nowMs + waitMs + call.serviceMs > call.deadlineMs) {
 			return {verdict: 'full'};
 		}
 
@@ -116,7 +138,7 @@
 			}
 
 			const expired = nowMs + call.serviceMs > call.deadlineMs;
-			if (!expired && this.#running >= this.#limit) {
+			if (!expired && (this.#running >= this.#limit || !this.#rateLimiter.tryTake(nowMs))) {
 				return undefined;
 			}
 
@@ -180,14 +202,20 @@
 		return all;
 	}
 
-	/** The expected wait of a call that is added to a queue now, in ms. */
-	#expectedWaitMs(queueIndex: number): number {
-		let callsAhead = Math.max(0, this.#running - this.#limit) + 1;
+	/** The expected wait for a slot of a call that is added to a queue now, in ms. */
+	#slotWaitMs(queueIndex: number): number {
+		const callsAhead = Math.max(0, this.#running - this.#limit) + 1 + this.#callsAhead(queueIndex);
+		return callsAhead * this.#meanServiceMs / this.#limit;
+	}
+
+	/** The number of waiting calls that are served before one that is added to a queue now. */
+	#callsAhead(queueIndex: number): number {
+		let count = 0;
 		for (let index = 0; index <= queueIndex; index++) {
-			callsAhead += this.#queues[index]?.length ?? 0;
+			count += this.#queues[index]?.length ?? 0;
 		}
 
-		return callsAhead * this.#meanServiceMs / this.#limit;
+		return count;
 	}
 
 	#queueAt(queueIndex: number): Call[] {
--- a/src/mesh/attempts.ts
+++ b/src/mesh/attempts.ts
@@ -2,6 +2,8 @@
 import {type LoadBalancer} from './loadbalancer.js';
 import {type RetryBudget} from './retrybudget.js';
 import {type Route} from './route.js';
+import {type TargetSignals} from './targetsignals.js';
+import {type TargetSignalTable} from './targetsignaltable.js';
 
 /** Number of hosts that may refuse a request before the request itself is refused. */
 const MAX_REFUSALS = 4;
@@ -11,6 +13,9 @@
 	readonly hosts: HostTable;
 	readonly loadBalancer: LoadBalancer;
 	readonly retryBudget: RetryBudget;
+	readonly targetSignals: TargetSignalTable;
+	/** Called when a target says something else of itself than before. */
+	readonly onTargetSignals: (host: string, signals: TargetSignals) => void;
 	/** Called each time a retry asks for budget, with whether the budget granted it. */
 	readonly onBudget: (request: RequestToPlace, isGranted: boolean) => void;
 };
@@ -42,6 +47,7 @@
 	readonly #request: RequestToPlace;
 	readonly #timeLimits: TimeLimits;
 	readonly #triedHosts: string[] = [];
+	#entry: HostEntry | undefined;
 	/** Sends that reached a target or may have reached one. */
 	#sends = 0;
 	#refusals = 0;
@@ -57,6 +63,11 @@
 		return this.#triedHosts.at(-1) ?? '';
 	}
 
+	/** The rate limit that the target of that host is known to have named, in requests per second. */
+	get rateLimitPerS(): number | undefined {
+		return this.#entry && this.#parts.targetSignals.rateLimitOf(this.#entry);
+	}
+
 	get count(): number {
 		return this.#triedHosts.length;
 	}
@@ -80,12 +91,20 @@
 			}
 
 			this.#triedHosts.push(entry.host);
+			this.#entry = entry;
 			loadBalancer.onSent(entry.host);
 		}
 
 		return entry;
 	}
 
+	/** Records what the target of the last host said of itself in its answer. */
+	recordSignals(signals: TargetSignals | undefined): void {
+		if (signals !== undefined && this.#entry !== undefined && this.#parts.targetSignals.record(this.#entry, signals)) {
+			this.#parts.onTargetSignals(this.#entry.host, signals);
+		}
+	}
+
 	/**
 	 * Records that a host refused the request without running it.
 	 * @returns whether the request may go to another host; a retry is then already charged to the budget
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -5,6 +5,8 @@
 	type ClientLimits, type ServiceSpec, type SiteSpec, Site,
 } from './site.js';
 export {NO_SIGNALS, type TargetSignals} from './targetsignals.js';
+export {TargetSignalTable} from './targetsignaltable.js';
+export {RateLimiter} from './ratelimiter.js';
 export {TrafficSplitter} from './trafficsplitter.js';
 export {type Announcement, type Deregistration, type TargetState} from './target.js';
 export {type LifecycleChange, TargetLifecycle} from './targetlifecycle.js';
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -1,5 +1,7 @@
 import {type Buffer} from 'node:buffer';
-import {type LoadReport, type Repeatability, type Priority} from '../mesh/index.js';
+import {
+	type LoadReport, type Repeatability, type Priority, type TargetSignals,
+} from '../mesh/index.js';
 
 /** The fields that calls of the same route, method and client share; sent once over each link. */
 export type CallTemplate = {
@@ -30,6 +32,8 @@
 	readonly body: Buffer;
 	/** Whether the call, or the running call that waits for it, is a retry. */
 	readonly isRepeat: boolean;
+	/** The rate limit that the target is known to have named, in requests per second: its daemon may have restarted since. */
+	readonly rateLimitPerS: number | undefined;
 	/** Whether more of the body follows in chunks after `body`. */
 	readonly hasMoreBody: boolean;
 };
@@ -48,6 +52,8 @@
 	readonly reached: readonly string[];
 	/** Whether a nested call of the run failed: the target isn't at fault, and another target would fail as well. */
 	readonly isFailedBelow: boolean;
+	/** What the target says of itself; undefined if the answer doesn't tell. */
+	readonly signals: TargetSignals | undefined;
 };
 
 /** Why a call was not run: no target accepted any part of it. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -161,6 +161,7 @@
 			this.#releaseHost();
 		}
 
+		this.#attempts.recordSignals(head.signals);
 		this.#context.loadBalancer.onOutcome(this.#attempts.host, head.status >= 500 && !head.isFailedBelow, nowMs);
 		this.#context.loadShedder.recordReached(this.#routedService, head.reached);
 		if (isWhole && head.status >= 500 && !head.isFailedBelow && this.#mayResend(nowMs)) {
@@ -287,6 +288,7 @@
 			instance: entry.target!.id,
 			leftMs: this.deadlineMs - nowMs,
 			priority: this.#priority,
+			rateLimitPerS: this.#attempts.rateLimitPerS,
 			isNested: this.#parentCall !== undefined,
 			body: this.#body.firstChunk,
 			hasMoreBody: this.#body.isStreaming,
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -127,15 +127,15 @@
 	const [number, value] = templates.write(key, template);
 	const body = call.body.length > 0 ? call.body : null;
 	const {level, floor} = call.priority;
-	return [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor];
+	return [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor, call.rateLimitPerS ?? null];
 }
 
 /** @throws {FrameError} when a field is missing or has the wrong type */
 export function readCallFrame(frame: Frame, templates: TemplateReader<CallTemplate>, empty: Buffer): Call {
-	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor] = frame.slice(2);
-	const areNumbers = [leftMs, flags, level, floor].every(field => typeof field === 'number');
+	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor, rateLimitPerS] = frame.slice(2);
+	const areNumbers = [leftMs, flags, level, floor, rateLimitPerS ?? 0].every(field => typeof field === 'number');
 	if (!areNumbers || typeof instance !== 'string' || typeof path !== 'string' || typeof attemptId !== 'string') {
-		throw new FrameError('call: expected strings for instance, path and attempt id, and numbers for remaining time, flags, level and floor');
+		throw new FrameError('call: expected strings for instance, path and attempt id, and numbers for remaining time, flags, level, floor and rate limit');
 	}
 
 	return {
@@ -149,6 +149,7 @@
 		path,
 		body: (body as Buffer | null) ?? empty,
 		priority: {level: level as number, floor: floor as number},
+		rateLimitPerS: (rateLimitPerS as number | null) ?? undefined,
 	};
 }
 
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {WebSocket} from 'ws';
 import {MAX_FRAME_BYTES} from '../wire/index.js';
+import {type TargetSignals} from '../mesh/index.js';
 import {
 	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
@@ -26,7 +27,7 @@
 /** Limits the bytes buffered in a link's socket; above it the link refuses new calls. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
-type AnswerTemplate = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean};
+type AnswerTemplate = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean; readonly signals: TargetSignals | undefined};
 
 /** Receives the events of a link that belong to none of its calls. */
 export abstract class LinkEvents {
--- a/src/relay/peerserver.ts
+++ b/src/relay/peerserver.ts
@@ -153,12 +153,12 @@
 
 	sendAnswer(id: number, head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
 		const {
-			status, headers, isUnframed, reached, isFailedBelow,
+			status, headers, isUnframed, reached, isFailedBelow, signals,
 		} = head;
 		const template = {
-			status, headers, isUnframed, reached, isFailedBelow,
+			status, headers, isUnframed, reached, isFailedBelow, signals,
 		};
-		const [number, value] = this.#answerTemplates.write(`${status}\n${headers.join('\n')}\n${reached.join(' ')}\n${isFailedBelow}\n${isUnframed}`, template);
+		const [number, value] = this.#answerTemplates.write(`${status}\n${headers.join('\n')}\n${reached.join(' ')}\n${isFailedBelow}\n${isUnframed}\n${signals?.rateLimitPerS}\n${signals?.isLeaving}`, template);
 		this.send([FrameTag.answer, id, number, value, head.signature ?? null, isWhole ? null : (head.lengthBytes ?? null), body.length > 0 ? body : null, isWhole, packLoadReport(report)]);
 	}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,7 @@
 import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
 import {StatsdReporter, EventLog, Logger} from '../log/index.js';
 import {
-	type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site,
+	type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './announcementendpoint.js';
@@ -44,6 +44,7 @@
 	readonly #hosts = new HostTable(MISSING_ENTRY_GRACE_MS);
 	readonly #loadBalancer: LoadBalancer;
 	readonly #retryBudget: RetryBudget;
+	readonly #targetSignals = new TargetSignalTable();
 	readonly #loadShedder: LoadShedder;
 	readonly #lifecycle: TargetLifecycle;
 	readonly #targetClient: TargetClient;
@@ -96,6 +97,7 @@
 			hosts: this.#hosts,
 			loadBalancer: this.#loadBalancer,
 			retryBudget: this.#retryBudget,
+			targetSignals: this.#targetSignals,
 			loadShedder: this.#loadShedder,
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
@@ -227,6 +229,7 @@
 			},
 			onHostRemoved: (host: string) => {
 				this.#loadBalancer.forget(host);
+				this.#targetSignals.forget(host);
 				this.#links.removeHost(host);
 			},
 			onConfirmed: () => {
--- a/src/relay/requestserver.ts
+++ b/src/relay/requestserver.ts
@@ -38,7 +38,7 @@
 	readonly onNestedFailure: (attemptId: string) => void;
 };
 
-export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onBeforeHead' | 'tryCloseAfter' | 'onEnded'> & {
+export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that currently runs on this host. */
 	readonly callerService: () => string;
@@ -83,6 +83,9 @@
 					});
 				}
 			},
+			onTargetSignals(host, {rateLimitPerS, isLeaving}) {
+				options.log.event('peer_signals', {host, rateLimitPerS: rateLimitPerS ?? 'none', isLeaving});
+			},
 			tryCloseAfter: response => this.#tryCloseAfter(response),
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -141,10 +141,7 @@
 		}
 
 		// An answer that doesn't show that this target made it says nothing of the target.
-		if (this.#fault === undefined && (signature !== undefined || this.#notRunReason === 'shed-by-target')) {
-			this.#reportSignals(headers);
-		}
-
+		const isGenuine = this.#fault === undefined && (signature !== undefined || this.#notRunReason === 'shed-by-target');
 		const length = headers['content-length'];
 		this.#head = {
 			status,
@@ -154,6 +151,7 @@
 			isUnframed: length === undefined && headers['transfer-encoding'] === undefined && status !== 204 && status !== 304,
 			reached: [],
 			isFailedBelow: false,
+			signals: isGenuine ? this.#readSignals(headers) : undefined,
 		};
 		if (this.#fault !== undefined) {
 			this.#fail(this.#fault);
@@ -230,11 +228,14 @@
 		}
 	}
 
-	#reportSignals(headers: Record<string, string | string[] | undefined>): void {
+	#readSignals(headers: Record<string, string | string[] | undefined>): TargetSignals | undefined {
 		try {
-			this.#sink.onSignals(readTargetSignals(headers, this.#names));
+			const signals = readTargetSignals(headers, this.#names);
+			this.#sink.onSignals(signals);
+			return signals;
 		} catch (error) {
 			this.#sink.onInvalidSignals(error as DecodeError);
+			return undefined;
 		}
 	}
 
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -45,11 +45,12 @@
 		const nowMs = this.#options.clock.nowMs();
 		this.#updateFloor(nowMs);
 		this.checkTimes(nowMs);
+		this.#startQueued();
 		return this.#queue.queued > 0 || this.#running.size > 0;
 	});
 
-	/** What the target said of itself last. */
-	#signals = NO_SIGNALS;
+	/** What the target said of itself last; undefined until it has answered a call. */
+	#signals: TargetSignals | undefined;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
 	#isStartingQueued = false;
@@ -75,7 +76,8 @@
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
 		this.#targetSpeed.reset();
-		this.#signals = NO_SIGNALS;
+		this.#signals = undefined;
+		this.#queue.setRateLimit(undefined, this.#options.clock.nowMs());
 	}
 
 	/** Records that the run with this attempt id begins or ends to wait for a nested call. */
@@ -134,6 +136,7 @@
 			return owned;
 		}
 
+		this.#adoptRateLimit(call, nowMs);
 		this.#options.loadShedder.onArrival(call.priority, owned.serviceMs);
 		const {verdict, evicted} = this.#queue.admit(owned, nowMs);
 		this.#updateFloor(nowMs);
@@ -161,7 +164,7 @@
 
 	override getLoadReport(route: string): LoadReport {
 		return {
-			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.limit, serviceMs: this.#serviceTimes.knownMs(route),
+			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.concurrency, serviceMs: this.#serviceTimes.knownMs(route),
 		};
 	}
 
@@ -217,12 +220,22 @@
 
 	override onSignals({call: {instance}}: OwnedCall, signals: TargetSignals): void {
 		const {log, lifecycle} = this.#options;
-		const {rateLimitPerS, isLeaving} = this.#signals;
-		if (lifecycle.current?.id !== instance || (signals.rateLimitPerS === rateLimitPerS && signals.isLeaving === isLeaving)) {
+		if (lifecycle.current?.id !== instance) {
 			return;
 		}
 
+		const {rateLimitPerS, isLeaving} = this.#signals ?? NO_SIGNALS;
+		const isFirst = this.#signals === undefined;
+		const hasChanged = signals.rateLimitPerS !== rateLimitPerS || signals.isLeaving !== isLeaving;
 		this.#signals = signals;
+		if (isFirst || hasChanged) {
+			this.#queue.setRateLimit(signals.rateLimitPerS, this.#options.clock.nowMs());
+		}
+
+		if (!hasChanged) {
+			return;
+		}
+
 		log.event('target_signals', {
 			instance, rateLimitPerS: signals.rateLimitPerS ?? 'none', isLeaving: signals.isLeaving, running: this.#queue.running, queued: this.#queue.queued,
 		});
@@ -268,6 +281,14 @@
 		this.onRunEnded(owned, false);
 	}
 
+	// A daemon that has restarted learns the limit with the calls of those that had passed it on: the target's own word comes only with an answer.
+	#adoptRateLimit({rateLimitPerS, instance}: Call, nowMs: number): void {
+		if (this.#signals === undefined && rateLimitPerS !== undefined && rateLimitPerS < this.#queue.ratePerS) {
+			this.#queue.setRateLimit(rateLimitPerS, nowMs);
+			this.#options.log.event('rate_limit_from_peer', {instance, rateLimitPerS});
+		}
+	}
+
 	#findRefusal(call: Call, nowMs: number): RefusalReason | undefined {
 		if (this.#isStopping) {
 			return 'stopping';
@@ -327,6 +348,7 @@
 		if (service !== undefined) {
 			const previousFloor = this.#options.loadShedder.floor;
 			this.#options.loadShedder.updateFloor(service, {
+				// The rate limit is left out: a floor sheds requests of the whole service, while its other targets may have room.
 				limit: this.#queue.limit,
 				queuedWorkMs: level => this.#queue.queuedWorkMs(level),
 				isSaturated: this.#queue.running >= this.#queue.limit,
@@ -351,6 +373,7 @@
 			running: this.#queue.running,
 			queued: this.#queue.queued,
 			limit: this.#queue.limit,
+			ratePerS: Number.isFinite(this.#queue.ratePerS) ? this.#queue.ratePerS : 'none',
 			level: call.priority.level,
 			floor: this.#options.loadShedder.floor,
 			waitedMs: Math.round(waitedMs(this.#options.clock.nowMs())),
--- a/test/mesh/load.test.ts
+++ b/test/mesh/load.test.ts
@@ -97,3 +97,29 @@
 		expect(inTimeShareOf(balanced, 'status')).toBeGreaterThan(inTimeShareOf(random, 'status') + 0.05);
 	});
 });
+
+describe('two of four copies that name a low rate limit', () => {
+	const limits: LoadFault[] = [{copy: 0, perS: 10}, {copy: 2, perS: 20}].map(limit => ({
+		...troubleWindow, kind: 'limit', service: 'web', ...limit,
+	}));
+
+	it('get no more calls than that, and the others serve the rest in time', () => {
+		const world = runWorld(limits);
+		const seconds = (troubleWindow.untilMs - troubleWindow.fromMs) / 1000;
+		expect(world.limitedArrivals.get('web-0')).toBeLessThanOrEqual((10 * seconds) + 2);
+		expect(world.limitedArrivals.get('web-2')).toBeLessThanOrEqual((20 * seconds) + 4);
+		expect(inTimeShareOf(world, 'status')).toBeGreaterThan(inTimeShareOf(runWorld([]), 'status') - 0.01);
+	});
+});
+
+describe('a service whose copies all name a rate limit below the demand', () => {
+	const limits: LoadFault[] = [0, 1, 2].map(copy => ({
+		...troubleWindow, kind: 'limit', service: 'submit', copy, perS: 35,
+	}));
+
+	it('spends its calls on the requests of the highest rank', () => {
+		const world = runWorld(limits);
+		expect(inTimeShareOf(world, 'grant')).toBeGreaterThan(0.9);
+		expect(inTimeShareOf(world, 'grant')).toBeGreaterThan(inTimeShareOf(world, 'status') + 0.2);
+	});
+});
