A target that names no limit isn't taken for one that names null

msgpack carries undefined as nil, so a first daemon believed of every target whose answer had come over a link that it had named the limit null, and logged peer_signals for it. Signals have an encoding of their own now. Found by a test of leaving targets.

--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -1,7 +1,9 @@
 import {type Buffer} from 'node:buffer';
 import {type FloorReport} from '../core/index.js';
 import {type EventLog} from '../log/index.js';
-import {type HostRecord, type LoadReport} from '../mesh/index.js';
+import {
+	type HostRecord, type LoadReport, NO_SIGNALS, type TargetSignals,
+} from '../mesh/index.js';
 import {FrameError, pack, unpack} from '../wire/index.js';
 import {type Call, type CallTemplate} from './call.js';
 import {decodeHostEntry} from './hostentry.js';
@@ -185,6 +187,25 @@
 	};
 }
 
+/** Encodes what a target said of itself: null if the answer doesn't tell, an empty list if it needs nothing, else its rate limit and whether it leaves. */
+export function packSignals(signals: TargetSignals | undefined): ReadonlyArray<number | boolean | null> | null {
+	if (signals === undefined) {
+		return null;
+	}
+
+	const {rateLimitPerS, isLeaving} = signals;
+	return rateLimitPerS === undefined && !isLeaving ? [] : [rateLimitPerS ?? null, isLeaving];
+}
+
+export function readSignals(packed: unknown): TargetSignals | undefined {
+	if (!Array.isArray(packed)) {
+		return undefined;
+	}
+
+	const [rateLimitPerS, isLeaving] = packed as unknown[];
+	return packed.length === 0 ? NO_SIGNALS : {rateLimitPerS: typeof rateLimitPerS === 'number' ? rateLimitPerS : undefined, isLeaving: isLeaving === true};
+}
+
 /** The news of a peer: revision of its configuration, ms since the store confirmed it, digest of its hosts' versions. */
 export type News = {readonly siteRevision: number; readonly ageMs: number | undefined; readonly digest: number};
 
--- a/src/relay/link.ts
+++ b/src/relay/link.ts
@@ -1,12 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {WebSocket} from 'ws';
 import {MAX_FRAME_BYTES} from '../wire/index.js';
-import {type TargetSignals} from '../mesh/index.js';
 import {
 	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from './call.js';
 import {
-	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport,
+	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
 
 /** The URL path on which a daemon accepts links from its peers. */
@@ -27,7 +26,7 @@
 /** Limits the bytes buffered in a link's socket; above it the link refuses new calls. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
-type AnswerTemplate = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean; readonly signals: TargetSignals | undefined};
+type AnswerTemplate = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean; readonly signals: unknown};
 
 /** Receives the events of a link that belong to none of its calls. */
 export abstract class LinkEvents {
@@ -259,7 +258,9 @@
 			this.#calls.delete(linkCall.id);
 		}
 
-		const head = {...template, signature: (signature as string | null) ?? undefined, lengthBytes: (lengthBytes as number | null) ?? undefined};
+		const head = {
+			...template, signals: readSignals(template.signals), signature: (signature as string | null) ?? undefined, lengthBytes: (lengthBytes as number | null) ?? undefined,
+		};
 		linkCall.sink.onAnswer(head, (body as Buffer | null) ?? Buffer.alloc(0), isWhole === true, readLoadReport(report)!);
 	}
 }
--- a/src/relay/peerserver.ts
+++ b/src/relay/peerserver.ts
@@ -9,7 +9,7 @@
 	type AnswerHead, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from './call.js';
 import {
-	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, readCallFrame, decodeFrame, encodeFrame, packLoadReport,
+	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, readCallFrame, decodeFrame, encodeFrame, packLoadReport, packSignals,
 } from './frame.js';
 import {PEER_PATH} from './link.js';
 import {type TargetOwner} from './targetowner.js';
@@ -156,7 +156,7 @@
 			status, headers, isUnframed, reached, isFailedBelow, signals,
 		} = head;
 		const template = {
-			status, headers, isUnframed, reached, isFailedBelow, signals,
+			status, headers, isUnframed, reached, isFailedBelow, signals: packSignals(signals),
 		};
 		const [number, value] = this.#answerTemplates.write(`${status}\n${headers.join('\n')}\n${reached.join(' ')}\n${isFailedBelow}\n${isUnframed}\n${signals?.rateLimitPerS}\n${signals?.isLeaving}`, template);
 		this.send([FrameTag.answer, id, number, value, head.signature ?? null, isWhole ? null : (head.lengthBytes ?? null), body.length > 0 ? body : null, isWhole, packLoadReport(report)]);
--- a/test/relay/targetsignals.test.ts
+++ b/test/relay/targetsignals.test.ts
@@ -1,6 +1,9 @@
 import {describe, expect, it} from 'vitest';
+import {NO_SIGNALS} from '../../src/mesh/index.js';
+import {packSignals, readSignals} from '../../src/relay/frame.js';
 import {readTargetSignals} from '../../src/relay/targetsignals.js';
 import {DecodeError} from '../../src/relay/index.js';
+import {pack, unpack} from '../../src/wire/index.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
 
 const read = (limit?: string | string[], leaving?: string) => readTargetSignals({[meshHeaders.rateLimit]: limit, [meshHeaders.leaving]: leaving}, meshHeaders);
@@ -20,3 +23,11 @@
 		expect(() => read('many')).toThrow(/target-rate-limit: expected .*"many"/v);
 	});
 });
+
+describe('the signals of an answer that came over a link', () => {
+	it('are the ones that were sent, and a target that needs nothing names no limit', () => {
+		for (const signals of [undefined, NO_SIGNALS, {rateLimitPerS: undefined, isLeaving: true}, {rateLimitPerS: 0, isLeaving: false}]) {
+			expect(readSignals(unpack(pack(packSignals(signals))))).toEqual(signals);
+		}
+	});
+});
