A target that says in its answers that it leaves is drained from then on

A target that never announced its leaving kept getting requests until it was gone.

The owner drains its target from the first answer that says so. Each first daemon that has passed such an answer on keeps to it by itself, whatever happens to the owner: after the drain time it sends that start of the target nothing. Entries carry when the target's start began, so that another start under the same id is used again; a daemon that has restarted keeps the start that its entry names while it knows only the id, and writes nothing to the store for it.

--- a/src/mesh/attempts.ts
+++ b/src/mesh/attempts.ts
@@ -79,9 +79,11 @@
 
 	/** Chooses the next host and counts the request as in flight there. */
 	chooseNextHost(nowMs: number): HostEntry | undefined {
-		const {hosts, loadBalancer, retryBudget} = this.#parts;
+		const {
+			hosts, loadBalancer, retryBudget, targetSignals,
+		} = this.#parts;
 		const {route, service, isForRetriedRun} = this.#request;
-		const entry = loadBalancer.choose(hosts.serving(service), route.name, route.objectiveMs, this.#triedHosts, nowMs);
+		const entry = loadBalancer.choose(targetSignals.withoutLeft(hosts.serving(service), nowMs), route.name, route.objectiveMs, this.#triedHosts, nowMs);
 		if (entry !== undefined) {
 			if (this.#triedHosts.length === 0) {
 				retryBudget.recordFirstSend(service, nowMs);
@@ -99,8 +101,8 @@
 	}
 
 	/** Records what the target of the last host said of itself in its answer. */
-	recordSignals(signals: TargetSignals | undefined): void {
-		if (signals !== undefined && this.#entry !== undefined && this.#parts.targetSignals.record(this.#entry, signals)) {
+	recordSignals(signals: TargetSignals | undefined, nowMs: number): void {
+		if (signals !== undefined && this.#entry !== undefined && this.#parts.targetSignals.record(this.#entry, signals, nowMs)) {
 			this.#parts.onTargetSignals(this.#entry.host, signals);
 		}
 	}
@@ -137,8 +139,8 @@
 	}
 
 	#hasCapacityElsewhere(isForLoad: boolean, nowMs: number): boolean {
-		const {hosts, loadBalancer} = this.#parts;
-		return hosts.serving(this.#request.service).some(entry => !this.#triedHosts.includes(entry.host)
+		const {hosts, loadBalancer, targetSignals} = this.#parts;
+		return targetSignals.withoutLeft(hosts.serving(this.#request.service), nowMs).some(entry => !this.#triedHosts.includes(entry.host)
 			&& !loadBalancer.isMarkedUnreachable(entry.host, nowMs) && (!isForLoad || loadBalancer.loadOf(entry, nowMs) < 1));
 	}
 }
--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -4,6 +4,8 @@
 /** The part of a target's state that its daemon publishes to the other daemons. */
 export type PublishedTarget = {
 	readonly id: string;
+	/** When this start of the target began, in ms since 1970; absent until the target has announced itself. */
+	readonly bornMs?: number;
 	readonly service: string;
 	readonly slots: number;
 	readonly state: TargetState;
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -9,7 +9,7 @@
 export {RateLimiter} from './ratelimiter.js';
 export {TrafficSplitter} from './trafficsplitter.js';
 export {type Announcement, type Deregistration, type TargetState} from './target.js';
-export {type LifecycleChange, TargetLifecycle} from './targetlifecycle.js';
+export {type LifecycleChange, TargetLifecycle, UNKNOWN_START_MS} from './targetlifecycle.js';
 export {
 	type HostEntry, type HostRecord, type PublishedTarget, HostTable,
 } from './host.js';
--- a/src/mesh/targetlifecycle.ts
+++ b/src/mesh/targetlifecycle.ts
@@ -3,6 +3,9 @@
 /** The effect of an announcement or deregistration; `stale` means that it was outdated and ignored. */
 export type LifecycleChange = 'none' | 'joined' | 'updated' | 'draining' | 'left' | 'stale';
 
+/** The start of a target whose id is known from a health check only. */
+export const UNKNOWN_START_MS = 0;
+
 /**
  * Tracks the state of the local target, from the target's own announcements
  * alone. A daemon that has just started sends its target no calls before the
@@ -44,7 +47,7 @@
 
 		this.#lastHeardMs = nowMs;
 		this.#current = next;
-		if (held?.id !== next.id || held.bornMs !== next.bornMs) {
+		if (held?.id !== next.id || (held.bornMs !== next.bornMs && held.bornMs !== UNKNOWN_START_MS)) {
 			this.#drainingSinceMs = next.state === 'draining' ? nowMs : undefined;
 			return 'joined';
 		}
@@ -54,7 +57,17 @@
 			return 'draining';
 		}
 
-		return held.service === next.service && held.slots === next.slots ? 'none' : 'updated';
+		return held.service === next.service && held.slots === next.slots && held.bornMs === next.bornMs ? 'none' : 'updated';
+	}
+
+	/** Begins the drain of the target because it said in an answer that it leaves. @returns whether that is new */
+	startDrain(id: string, nowMs: number): boolean {
+		if (this.#current?.id !== id || this.#drainingSinceMs !== undefined) {
+			return false;
+		}
+
+		this.#drainingSinceMs = nowMs;
+		return true;
 	}
 
 	/** Applies a deregistration; the target then drains, so it may serve for the drain time. */
@@ -66,7 +79,7 @@
 
 		this.#endedId = deregistration.id;
 		// Without a known start, every start under this id that began before now counts as ended.
-		const isKnown = held !== undefined && held.bornMs > 0;
+		const isKnown = held !== undefined && held.bornMs !== UNKNOWN_START_MS;
 		this.#endedBornMs = deregistration.bornMs ?? (isKnown ? held.bornMs : nowMs);
 		this.#drainingSinceMs ??= nowMs;
 		return held === undefined ? 'none' : 'left';
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -161,7 +161,7 @@
 			this.#releaseHost();
 		}
 
-		this.#attempts.recordSignals(head.signals);
+		this.#attempts.recordSignals(head.signals, nowMs);
 		this.#context.loadBalancer.onOutcome(this.#attempts.host, head.status >= 500 && !head.isFailedBelow, nowMs);
 		this.#context.loadShedder.recordReached(this.#routedService, head.reached);
 		if (isWhole && head.status >= 500 && !head.isFailedBelow && this.#mayResend(nowMs)) {
--- a/src/relay/hostentry.ts
+++ b/src/relay/hostentry.ts
@@ -8,6 +8,7 @@
 	address: z.string().regex(/^[\d.]+:\d+$/v),
 	target: z.object({
 		id: z.string().min(1),
+		bornMs: z.number().optional(),
 		service: z.string().min(1),
 		slots: z.int().min(1),
 		state: z.enum(['ready', 'draining']),
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -46,7 +46,8 @@
 	}
 
 	/** @returns whether the entry has changed */
-	publish(entry: HostEntry): boolean {
+	publish(published: HostEntry): boolean {
+		const entry = withKnownStart(published, this.#stored);
 		if (isDeepStrictEqual(entry, this.#entry)) {
 			return false;
 		}
@@ -74,6 +75,7 @@
 			return;
 		}
 
+		this.#entry = withKnownStart(this.#entry, entry);
 		const isSame = isDeepStrictEqual(entry, this.#entry);
 		if (!isSame) {
 			void this.write();
@@ -199,3 +201,10 @@
 		}
 	}
 }
+
+// A daemon that has restarted learns the id of its target before its start; the entry from before names both.
+function withKnownStart(entry: HostEntry, previous: HostEntry | undefined): HostEntry {
+	const {target} = entry;
+	const bornMs = previous?.target?.bornMs;
+	return target === undefined || target.bornMs !== undefined || bornMs === undefined || previous?.target?.id !== target.id ? entry : {...entry, target: {...target, bornMs}};
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -44,7 +44,7 @@
 	readonly #hosts = new HostTable(MISSING_ENTRY_GRACE_MS);
 	readonly #loadBalancer: LoadBalancer;
 	readonly #retryBudget: RetryBudget;
-	readonly #targetSignals = new TargetSignalTable();
+	readonly #targetSignals: TargetSignalTable;
 	readonly #loadShedder: LoadShedder;
 	readonly #lifecycle: TargetLifecycle;
 	readonly #targetClient: TargetClient;
@@ -72,12 +72,16 @@
 		this.#retryBudget = new RetryBudget(settings.retry);
 		this.#loadShedder = new LoadShedder(settings.host);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
+		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter.headers, nowMs);
 		this.#targetOwner = new TargetOwner({
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
 			onSlowness: slowness => {
 				this.#links.gossip.floodSlowness({host: settings.host, slowness, measuredMs: clock.nowMs()});
 			},
+			onLeaving: instance => {
+				this.#targetMonitor.handleLeaving(instance);
+			},
 		});
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
--- a/src/relay/targetmonitor.ts
+++ b/src/relay/targetmonitor.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	type Announcement, type Deregistration, type TargetLifecycle, usableSlots,
+	type Announcement, type Deregistration, type TargetLifecycle, UNKNOWN_START_MS, usableSlots,
 } from '../mesh/index.js';
 import {type Adapter, type TargetMessage} from './adapter.js';
 import {type Directory} from './directory.js';
@@ -51,6 +51,15 @@
 		}
 	}
 
+	/** Begins the drain of a target that said in an answer that it leaves. */
+	handleLeaving(instance: string): void {
+		const {clock, log, lifecycle} = this.#parts;
+		if (lifecycle.startDrain(instance, clock.nowMs())) {
+			log.event('target_leaving', {instance});
+			this.#publish();
+		}
+	}
+
 	/** Probes a target that isn't known yet, and drops one that has been silent for too long. */
 	check(): void {
 		const {clock, log, lifecycle, owner} = this.#parts;
@@ -134,7 +143,11 @@
 			: {
 				...entry,
 				target: {
-					id: current.id, service: current.service, slots: current.slots, state: isDraining ? 'draining' : 'ready',
+					id: current.id,
+					...(current.bornMs !== UNKNOWN_START_MS && {bornMs: current.bornMs}),
+					service: current.service,
+					slots: current.slots,
+					state: isDraining ? 'draining' : 'ready',
 				},
 			});
 	}
@@ -156,9 +169,8 @@
 			const slots = answer === undefined ? undefined : adapter.parseSlots(answer.load);
 			log.event('target_probed', {instance: answer?.id ?? '', slots: slots ?? 0});
 			if (answer !== undefined && slots !== undefined && lifecycle.current === undefined) {
-				// With `bornMs` 0 it is older than any announcement that the target will send.
 				this.#onAnnouncement({
-					id: answer.id, bornMs: 0, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
+					id: answer.id, bornMs: UNKNOWN_START_MS, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
 				});
 			}
 		} catch (error) {
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -26,6 +26,8 @@
 	readonly loadShedder: LoadShedder;
 	/** Called when peers should hear by what factor the target is slower than usual; 1 if it no longer is. */
 	readonly onSlowness: (slowness: number) => void;
+	/** Called when the target says in an answer that it leaves. */
+	readonly onLeaving: (instance: string) => void;
 };
 
 /**
@@ -219,7 +221,7 @@
 	}
 
 	override onSignals({call: {instance}}: OwnedCall, signals: TargetSignals): void {
-		const {log, lifecycle} = this.#options;
+		const {log, lifecycle, onLeaving} = this.#options;
 		if (lifecycle.current?.id !== instance) {
 			return;
 		}
@@ -239,6 +241,9 @@
 		log.event('target_signals', {
 			instance, rateLimitPerS: signals.rateLimitPerS ?? 'none', isLeaving: signals.isLeaving, running: this.#queue.running, queued: this.#queue.queued,
 		});
+		if (signals.isLeaving) {
+			onLeaving(instance);
+		}
 	}
 
 	override onInvalidSignals({call: {instance, attemptId}}: OwnedCall, error: DecodeError): void {
--- a/test/mesh/targetlifecycle.test.ts
+++ b/test/mesh/targetlifecycle.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {type Announcement, TargetLifecycle} from '../../src/mesh/index.js';
+import {type Announcement, TargetLifecycle, UNKNOWN_START_MS} from '../../src/mesh/index.js';
 
 const DRAIN_MS = 1000;
 const announcement = (more: Partial<Announcement> = {}): Announcement => ({
@@ -62,3 +62,21 @@
 		expect(lifecycle.mayServe('i', 1100)).toBe(false);
 	});
 });
+
+describe('a target that said in an answer that it leaves', () => {
+	it('drains from then on, although it announces itself as ready', () => {
+		const lifecycle = createJoined();
+		expect([lifecycle.startDrain('i', 100), lifecycle.startDrain('i', 900), lifecycle.startDrain('another', 100)]).toEqual([true, false, false]);
+		lifecycle.announce(announcement({seq: 2}), 500);
+		expect(lifecycle.mayServe('i', 100 + DRAIN_MS - 1)).toBe(true);
+		expect(lifecycle.mayServe('i', 100 + DRAIN_MS)).toBe(false);
+	});
+
+	it('still drains when its start becomes known, after a health check had named only its id', () => {
+		const lifecycle = new TargetLifecycle(DRAIN_MS);
+		lifecycle.announce(announcement({bornMs: UNKNOWN_START_MS, seq: 0}), 0);
+		lifecycle.startDrain('i', 100);
+		expect(lifecycle.announce(announcement(), 200)).toBe('updated');
+		expect(lifecycle.mayServe('i', 100 + DRAIN_MS)).toBe(false);
+	});
+});
--- a/test/relay/ownentry.test.ts
+++ b/test/relay/ownentry.test.ts
@@ -113,6 +113,18 @@
 		expect([store.writes, revisions.length, Math.floor(revisions[0])]).toEqual([0, 1, revision]);
 	});
 
+	it('is not written again after a restart while only the id of the target is known, nor when its start is', async () => {
+		const target = {
+			id: 'i', service: 's', slots: 4, state: 'ready',
+		} as const;
+		const {revision} = memory.set(HOST_KIND, 'h', {...entry, target: {...target, bornMs: 5}});
+		ownEntry.observe({...entry, target: {...target, bornMs: 5}}, revision);
+		ownEntry.publish({...entry, target});
+		ownEntry.publish({...entry, target: {...target, bornMs: 5}});
+		await sleep(20);
+		expect(store.writes).toBe(0);
+	});
+
 	it('replaces the version of an earlier life that a peer tells of', async () => {
 		ownEntry.publish(entry);
 		await sleep(20);
