A store that comes back from an older copy brings back neither configuration nor hosts, and gets the lost ones again

What callers saw in a drill: the operator's next configuration never came into force, because its revision had been given out before (404 for its routes on all daemons); entries that the copy didn't hold stayed lost; and peers missed what a daemon published afterwards.

Cause: order rested on the store's revisions, which go back. Now it rests on those who write: a configuration is newer by the operator's version, and a daemon numbers its entry's versions above the highest that peers have heard of. The era that the store's answers name only says when to look again: a watch lists anew, the mesh carries the era, and each daemon reads its own entry again within a second, at a random time, and writes it if it is gone. The era isn't part of every version, as the issue proposed: all that the copy holds would be newer then.

The configuration in force and its revision keep a class of their own.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -1,7 +1,8 @@
 import {Clock} from '../src/clock/index.js';
 import {EventLog, Logger} from '../src/log/index.js';
 import {HostTable, type HostEntry, type HostRecord} from '../src/mesh/index.js';
-import {Directory, DirectoryEvents} from '../src/relay/directory.js';
+import {Directory} from '../src/relay/directory.js';
+import {DirectoryEvents} from '../src/relay/directoryevents.js';
 import {type Frame, FrameChannel, type TargetSlowness} from '../src/relay/frame.js';
 import {Gossip} from '../src/relay/gossip.js';
 import {ObjectStore, type StoredObject} from '../src/relay/index.js';
@@ -136,6 +137,10 @@
 		this.gossip.floodNews();
 	}
 
+	override onStoreReturned(): void {
+		this.gossip.floodNews();
+	}
+
 	override onRecords(records: readonly HostRecord[]): void {
 		this.gossip.floodRecords(records);
 	}
--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -2,6 +2,8 @@
 	type StoreChanges, type StoreListing, ObjectStore, StoreError, type StoredObject, type WatchOptions,
 } from '../src/relay/index.js';
 
+/** The contents of a store at one moment. */
+export type StoreCopy = {readonly objects: ReadonlyMap<string, StoredObject>; readonly history: readonly HistoryRecord[]; readonly revision: number};
 type HistoryRecord = {readonly kind: string; readonly object: StoredObject; readonly isDeleted: boolean};
 
 /** The fault that a store has at present. */
@@ -11,6 +13,8 @@
 export class MemoryStore {
 	fault: StoreFault = 'none';
 	callCount = 0;
+	/** Rises each time that the store comes back from an older copy. */
+	era = 1;
 	readonly #objects = new Map<string, StoredObject>();
 	#history: HistoryRecord[] = [];
 	readonly #watchWakers = new Set<() => void>();
@@ -24,7 +28,7 @@
 	list(kind: string): StoreListing {
 		const prefix = `${kind}/`;
 		const objects = [...this.#objects].filter(([key]) => key.startsWith(prefix)).map(([, object]) => object);
-		return {objects, revision: this.#revision};
+		return {objects, revision: this.#revision, era: this.era};
 	}
 
 	get(kind: string, name: string): StoredObject {
@@ -37,12 +41,12 @@
 	}
 
 	changesSince(kind: string, revision: number): StoreChanges {
-		if (revision < this.#compactedTo) {
+		if (revision < this.#compactedTo || revision > this.#revision) {
 			throw new StoreError('compacted', `revision ${revision}`);
 		}
 
 		const events = this.#history.filter(record => record.kind === kind && record.object.revision > revision);
-		return {events, revision: this.#revision};
+		return {events, revision: this.#revision, era: this.era};
 	}
 
 	/** Writes an object without a check of its revision. */
@@ -76,6 +80,23 @@
 		this.wakeWatches();
 	}
 
+	copy(): StoreCopy {
+		return {objects: new Map(this.#objects), history: [...this.#history], revision: this.#revision};
+	}
+
+	/** Comes back from an older copy: what was written since is lost, and its revisions are given out again. */
+	restore({objects, history, revision}: StoreCopy): void {
+		this.#objects.clear();
+		for (const [key, object] of objects) {
+			this.#objects.set(key, object);
+		}
+
+		this.#history = [...history];
+		this.#revision = revision;
+		this.era++;
+		this.wakeWatches();
+	}
+
 	/** Ends the waits of all watches. */
 	wakeWatches(): void {
 		for (const wake of this.#watchWakers) {
--- a/proof/rules/routes.ts
+++ b/proof/rules/routes.ts
@@ -1,6 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {WebSocket} from 'ws';
-import {TargetLifecycle, RouteTable, TrafficSplitter} from '../../src/mesh/index.js';
+import {
+	TargetLifecycle, RouteTable, type SiteSpec, TrafficSplitter,
+} from '../../src/mesh/index.js';
 import {Directory} from '../../src/relay/directory.js';
 import {FrameTag, encodeFrame} from '../../src/relay/frame.js';
 import {PEER_PATH} from '../../src/relay/link.js';
@@ -62,8 +64,9 @@
 		},
 		sabotage: {
 			title: 'a configuration from a peer always counts as the newest',
-			apply: () => replaceMethod(Directory.prototype, 'offerSite', function (this: Directory, revision, value) {
-				offerSite.call(this, revision + 1_000_000, value);
+			apply: () => replaceMethod(Directory.prototype, 'offerSite', function (this: Directory, value, revision) {
+				const spec = value as SiteSpec;
+				offerSite.call(this, {...spec, version: spec.version + 1_000_000}, revision);
 			}),
 		},
 	},
--- a/src/mesh/site.ts
+++ b/src/mesh/site.ts
@@ -21,12 +21,17 @@
 
 /** The active configuration, indexed for routing. */
 export class Site {
-	/** Store revision of this configuration; a higher one is newer. */
+	/** The store's revision of this configuration. It tells nothing of the order: a store that comes back from an older copy gives it out again. */
 	readonly revision: number;
 	readonly spec: SiteSpec;
 	readonly routeTable: RouteTable;
 	readonly services: ReadonlyMap<string, ServiceSpec>;
 
+	/** The operator's version; a higher one is newer. */
+	get version(): number {
+		return this.spec.version;
+	}
+
 	constructor(revision: number, spec: SiteSpec) {
 		this.revision = revision;
 		this.spec = spec;
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -34,6 +34,8 @@
 	abstract readonly store: ObjectStore;
 	/** The URL path of the readiness check. */
 	abstract readonly readinessPath: string;
+	/** Reads the operator's version of a stored configuration, without the rest of it. @throws {DecodeError} */
+	abstract decodeSiteVersion(value: unknown): number;
 	/** @throws {DecodeError} when the stored configuration is invalid */
 	abstract decodeSite(value: unknown): SiteSpec;
 	/** @throws {DecodeError} when the request is no valid announcement or deregistration */
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -1,14 +1,19 @@
 import {type Clock} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {
-	FreshnessLease, type HostEntry, type HostRecord, type HostTable, Site, type StoreWatchers,
+	FreshnessLease, type HostEntry, type HostRecord, type HostTable, type Site, type StoreWatchers,
 } from '../mesh/index.js';
+import {ActiveSite} from './activesite.js';
 import {type Adapter} from './adapter.js';
+import {type DirectoryEvents} from './directoryevents.js';
 import {decodeHostEntry} from './hostentry.js';
 import {HOST_KIND, OwnEntry} from './ownentry.js';
+import {StoreEraTracker} from './storeera.js';
 import {StoreHealth} from './storehealth.js';
 import {StoreWatch} from './storewatch.js';
-import {type ObjectStore, type StoreEvent, type StoredObject} from './store.js';
+import {
+	type ObjectStore, type StoreEra, type StoreEvent, type StoredObject,
+} from './store.js';
 
 /** The share of the time in which a configuration must be in force for which a confirmation by the store is trusted. */
 const LEASE_SHARE = 0.6;
@@ -24,17 +29,6 @@
 const HOST_WATCH_PAUSE_PER_HOST_MS = 20;
 const MAX_HOST_WATCH_PAUSE_MS = 1000;
 
-/** Receives the changes that the directory finds. */
-export abstract class DirectoryEvents {
-	abstract onSite(site: Site): void;
-	abstract onHost(entry: HostEntry): void;
-	abstract onHostRemoved(host: string): void;
-	/** Called when the store has confirmed the configuration, so that peers hear of it. */
-	abstract onConfirmed(): void;
-	/** Called with versions of entries that didn't come from a peer, so that peers hear of them. */
-	abstract onRecords(records: readonly HostRecord[]): void;
-}
-
 export type DirectoryParts = {
 	readonly adapter: Adapter;
 	readonly clock: Clock;
@@ -58,12 +52,12 @@
 	readonly #lease: FreshnessLease;
 	readonly #ownEntry: OwnEntry;
 	readonly #storeHealth: StoreHealth;
+	readonly #storeEra: StoreEraTracker;
+	readonly #active: ActiveSite;
 	readonly #watches: readonly StoreWatch[];
 	readonly #startedMs: number;
 	#watchers: StoreWatchers = {isElected: false, count: 1};
 	#leaseTimer: NodeJS.Timeout | undefined;
-	#site: Site | undefined;
-	#siteValue: unknown;
 	#isClosed = false;
 
 	constructor(parts: DirectoryParts) {
@@ -83,16 +77,27 @@
 				parts.events.onRecords([{host: parts.host, revision, entry}]);
 			},
 		});
+		this.#active = new ActiveSite(adapter, log, site => {
+			parts.events.onSite(site);
+		});
+		this.#storeEra = new StoreEraTracker(log, () => {
+			this.#ownEntry.onStoreReturned();
+		});
 		this.#watches = [this.#createSiteWatch(), this.#createHostWatch()];
 	}
 
 	/** The configuration as the store sent it, undecoded, for peers that don't have it. */
 	get siteValue(): unknown {
-		return this.#siteValue;
+		return this.#active.value;
 	}
 
 	get site(): Site | undefined {
-		return this.#site;
+		return this.#active.site;
+	}
+
+	/** The newest era of the store that is known. */
+	get storeEra(): StoreEra | undefined {
+		return this.#storeEra.era;
 	}
 
 	/** How old the store's last confirmation of the configuration is, in ms. */
@@ -117,14 +122,19 @@
 	}
 
 	/** Applies a configuration from a peer if it is newer than the one in force. */
-	offerSite(revision: number, value: unknown): void {
+	offerSite(value: unknown, revision: number): void {
 		const {configuration} = this.#parts.adapter;
-		this.#applySite({name: configuration.name, revision, value});
+		this.#active.offer({name: configuration.name, revision, value});
+	}
+
+	/** Takes in the era of the store that a peer names. @returns whether other peers should hear of it */
+	offerEra(era: StoreEra): boolean {
+		return this.#storeEra.record(era, 'peer');
 	}
 
 	/** Takes in a peer's confirmation of a configuration. @returns whether it is so new that other peers should hear of it */
-	confirm(siteRevision: number, ageMs: number): boolean {
-		const isNew = siteRevision === (this.#site?.revision ?? 0) && this.#lease.confirm(this.#parts.clock.nowMs() - ageMs);
+	confirm(siteVersion: number, ageMs: number): boolean {
+		const isNew = siteVersion === (this.site?.version ?? 0) && this.#lease.confirm(this.#parts.clock.nowMs() - ageMs);
 		if (isNew) {
 			this.#scheduleLeaseEnd();
 		}
@@ -202,7 +212,7 @@
 		const {adapter: {configuration}, configMs, random} = this.#parts;
 		const applyAll = (objects: readonly StoredObject[]) => {
 			for (const object of objects) {
-				this.#applySite(object);
+				this.#active.offer(object);
 			}
 
 			this.#onConfirmed();
@@ -211,7 +221,7 @@
 		return new StoreWatch({
 			...this.#watchParts(configuration.kind),
 			freshness: 'fresh',
-			isNeeded: hasListed => this.#watchers.isElected || (!hasListed && this.#site === undefined),
+			isNeeded: hasListed => this.#watchers.isElected || (!hasListed && this.site === undefined),
 			chooseTimeoutMs: () => this.#watchers.count * configMs * LEASE_SHARE / CONFIRMATIONS_PER_LEASE * (0.5 + random()),
 			choosePauseMs: () => SITE_WATCH_PAUSE_MS,
 			onListing: applyAll,
@@ -244,6 +254,9 @@
 			log,
 			random,
 			kind,
+			onEra: (era: StoreEra) => {
+				this.#recordEra(era);
+			},
 			onOutcome: (error: Error | undefined) => {
 				this.#recordOutcome(kind, error);
 			},
@@ -267,11 +280,12 @@
 			return;
 		}
 
-		log.event('lease_ended', {ageMs: Math.round(Math.min(this.confirmationAgeMs, Number.MAX_SAFE_INTEGER)), siteRevision: this.#site?.revision ?? 0});
+		log.event('lease_ended', {ageMs: Math.round(Math.min(this.confirmationAgeMs, Number.MAX_SAFE_INTEGER)), siteRevision: this.site?.revision ?? 0});
 		try {
-			const {objects} = await this.#store.list(configuration.kind, 'fresh');
+			const {objects, era} = await this.#store.list(configuration.kind, 'fresh');
+			this.#recordEra(era);
 			for (const object of objects) {
-				this.#applySite(object);
+				this.#active.offer(object);
 			}
 
 			this.#recordOutcome(configuration.kind, undefined);
@@ -293,25 +307,14 @@
 		}
 	}
 
-	#recordOutcome(kind: string, error: Error | undefined): void {
-		this.#storeHealth.record(kind, this.#site?.revision ?? 0, error);
-	}
-
-	#applySite(object: StoredObject): void {
-		const {adapter, log, events} = this.#parts;
-		if (object.name !== adapter.configuration.name || object.revision <= (this.#site?.revision ?? 0)) {
-			return;
+	#recordEra(era: StoreEra): void {
+		if (this.#storeEra.record(era, 'store')) {
+			this.#parts.events.onStoreReturned();
 		}
+	}
 
-		try {
-			const site = new Site(object.revision, adapter.decodeSite(object.value));
-			this.#site = site;
-			this.#siteValue = object.value;
-			log.event('site_in_force', {revision: site.revision, version: site.spec.version, routes: site.spec.routes.length});
-			events.onSite(site);
-		} catch (error) {
-			log.warn('site_rejected', {revision: object.revision, reason: (error as Error).message});
-		}
+	#recordOutcome(kind: string, error: Error | undefined): void {
+		this.#storeHealth.record(kind, this.site?.revision ?? 0, error);
 	}
 
 	#applyHosts(objects: readonly StoredObject[], revision: number): void {
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -10,7 +10,7 @@
 
 /** The frame types: the number in the first element of a frame. The comments list the fields that follow it. */
 export const FrameTag = {
-	/** Revision of the sender's configuration, host of the sender. */
+	/** Version of the sender's configuration, host of the sender. */
 	hello: 0,
 	/** The fields in `buildCallFrame`. */
 	call: 1,
@@ -26,7 +26,7 @@
 	credit: 6,
 	/** Call id. */
 	cancel: 7,
-	/** Revision, configuration, ms since the store confirmed it (null if it hasn't). */
+	/** Version, configuration, ms since the store confirmed it (null if it hasn't), its revision in the store. */
 	site: 8,
 	/** Host whose daemon is stopping and soon refuses new calls. */
 	leaving: 9,
@@ -36,7 +36,7 @@
 	floors: 11,
 	/** No fields; makes the link part of the mesh. */
 	subscribe: 12,
-	/** Revision of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions. */
+	/** Version of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions, era of the store (null if unknown). */
 	news: 13,
 	/** Versions of entries, each as host, revision and entry (null if it was deleted). */
 	records: 14,
@@ -206,16 +206,19 @@
 	return packed.length === 0 ? NO_SIGNALS : {rateLimitPerS: typeof rateLimitPerS === 'number' ? rateLimitPerS : undefined, isLeaving: isLeaving === true};
 }
 
-/** The news of a peer: revision of its configuration, ms since the store confirmed it, digest of its hosts' versions. */
-export type News = {readonly siteRevision: number; readonly ageMs: number | undefined; readonly digest: number};
+/** The news of a peer: version of its configuration, ms since the store confirmed it, digest of its hosts' versions, era of the store. */
+export type News = {readonly siteVersion: number; readonly ageMs: number | undefined; readonly digest: number; readonly storeEra: number | undefined};
 
 /** @throws {FrameError} when a field has the wrong type */
-export function readNews([, siteRevision, ageMs, digest]: Frame): News {
-	if (typeof siteRevision !== 'number' || typeof digest !== 'number' || (ageMs !== null && typeof ageMs !== 'number')) {
-		throw new FrameError('news: expected numbers for revision, age and digest');
+export function readNews([, siteVersion, ageMs, digest, storeEra]: Frame): News {
+	const areOptional = [ageMs, storeEra].every(field => field === null || typeof field === 'number');
+	if (typeof siteVersion !== 'number' || typeof digest !== 'number' || !areOptional) {
+		throw new FrameError('news: expected numbers for version, age, digest and era');
 	}
 
-	return {siteRevision, ageMs: ageMs ?? undefined, digest};
+	return {
+		siteVersion, ageMs: (ageMs as number | null) ?? undefined, digest, storeEra: (storeEra as number | null) ?? undefined,
+	};
 }
 
 /** Encodes versions of entries, each as a list of host, revision and entry, which is null if it was deleted. */
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -54,7 +54,7 @@
 	#pendingTimer: NodeJS.Timeout | undefined;
 	readonly #slowness = new Map<string, TargetSlowness>();
 	readonly #pendingSlowness = new Map<string, {slowness: TargetSlowness; from: FrameChannel | undefined}>();
-	readonly #siteRequester = new SiteRequester(() => this.#siteRevision);
+	readonly #siteRequester = new SiteRequester(() => this.#siteVersion);
 	#comparedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: GossipParts) {
@@ -99,10 +99,10 @@
 
 	/** Builds the first frame on a link. */
 	buildHelloFrame(): Frame {
-		return [FrameTag.hello, this.#siteRevision, this.#parts.host];
+		return [FrameTag.hello, this.#siteVersion, this.#parts.host];
 	}
 
-	/** Tells the mesh the configuration's revision and how recently the store confirmed it. */
+	/** Tells the mesh the configuration's version, how recently the store confirmed it, and the store's era. */
 	floodNews(except?: FrameChannel): void {
 		const frame = this.#buildNewsFrame();
 		for (const channel of this.#channels.keys()) {
@@ -210,8 +210,8 @@
 		this.#siteRequester.close();
 	}
 
-	get #siteRevision(): number {
-		return this.#parts.directory.site?.revision ?? 0;
+	get #siteVersion(): number {
+		return this.#parts.directory.site?.version ?? 0;
 	}
 
 	#refresh(): void {
@@ -234,18 +234,23 @@
 	#buildNewsFrame(): Frame {
 		const {directory, hosts} = this.#parts;
 		const ageMs = directory.confirmationAgeMs;
-		return [FrameTag.news, this.#siteRevision, Number.isFinite(ageMs) ? Math.round(ageMs) : null, hosts.digest];
+		return [FrameTag.news, this.#siteVersion, Number.isFinite(ageMs) ? Math.round(ageMs) : null, hosts.digest, directory.storeEra ?? null];
 	}
 
 	#onNews(frame: Frame, channel: FrameChannel): void {
-		const {siteRevision, ageMs, digest} = readNews(frame);
-		if (siteRevision > this.#siteRevision) {
-			this.#siteRequester.request({channel, revision: siteRevision});
-		} else if (siteRevision < this.#siteRevision) {
+		const {directory} = this.#parts;
+		const {
+			siteVersion, ageMs, digest, storeEra,
+		} = readNews(frame);
+		if (siteVersion > this.#siteVersion) {
+			this.#siteRequester.request({channel, version: siteVersion});
+		} else if (siteVersion < this.#siteVersion) {
 			channel.send(this.#buildNewsFrame());
 		}
 
-		if (ageMs !== undefined && this.#parts.directory.confirm(siteRevision, ageMs)) {
+		const hasReturned = storeEra !== undefined && directory.offerEra(storeEra);
+		const isConfirmed = ageMs !== undefined && directory.confirm(siteVersion, ageMs);
+		if (hasReturned || isConfirmed) {
 			this.floodNews(channel);
 		}
 
@@ -340,32 +345,32 @@
 		}
 	}
 
-	#onHello(revision: number, channel: FrameChannel): void {
-		if (revision <= this.#siteRevision) {
+	#onHello(version: number, channel: FrameChannel): void {
+		if (version <= this.#siteVersion) {
 			return;
 		}
 
 		setTimeout(() => {
-			if (revision > this.#siteRevision) {
-				this.#siteRequester.request({channel, revision});
+			if (version > this.#siteVersion) {
+				this.#siteRequester.request({channel, version});
 			}
-		}, this.#siteRevision === 0 ? 0 : SITE_REQUEST_DELAY_MS);
+		}, this.#siteVersion === 0 ? 0 : SITE_REQUEST_DELAY_MS);
 	}
 
 	#sendSite(channel: FrameChannel): void {
 		const {directory} = this.#parts;
 		if (directory.site !== undefined) {
 			const ageMs = directory.confirmationAgeMs;
-			channel.send([FrameTag.site, directory.site.revision, directory.siteValue, Number.isFinite(ageMs) ? Math.round(ageMs) : null]);
+			channel.send([FrameTag.site, directory.site.version, directory.siteValue, Number.isFinite(ageMs) ? Math.round(ageMs) : null, directory.site.revision]);
 		}
 	}
 
-	#onSite([, revision, value, ageMs]: Frame, channel: FrameChannel): void {
+	#onSite([, version, value, ageMs, revision]: Frame, channel: FrameChannel): void {
 		const {directory, hosts, log} = this.#parts;
-		log.event('site_from_peer', {revision: revision as number});
-		directory.offerSite(revision as number, value);
+		log.event('site_from_peer', {revision: revision as number, version: version as number});
+		directory.offerSite(value, revision as number);
 		if (typeof ageMs === 'number') {
-			directory.confirm(revision as number, ageMs);
+			directory.confirm(version as number, ageMs);
 		}
 
 		this.#siteRequester.onArrived();
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -10,6 +10,8 @@
 export const HOST_KIND = 'comfreydyke-hosts';
 /** The smallest step between two revisions that a daemon tells its peers for entries that it hasn't written to the store. */
 const REVISION_STEP = 1e-6;
+/** The time over which the daemons spread the check of their entries after the store has come back from an older copy, in ms. */
+const RECHECK_SPREAD_MS = 1000;
 /** The start time of a daemon, in seconds, modulo this number becomes the fraction of its entry's first revision. */
 const START_RANGE_S = 1e6;
 
@@ -38,6 +40,8 @@
 	#storeRevision = 0;
 	/** The store's copy, as far as is known here. */
 	#stored: HostEntry | undefined;
+	/** The entry that peers were told last. */
+	#told: HostEntry | undefined;
 	#isWriting = false;
 	#isClosed = false;
 
@@ -102,6 +106,17 @@
 		void this.write();
 	}
 
+	/** Checks that the store still holds the entry, because it has come back from an older copy. */
+	onStoreReturned(): void {
+		setTimeout(() => {
+			if (this.#isWriting) {
+				this.onStoreReturned();
+			} else {
+				void this.#recheck();
+			}
+		}, this.#options.random() * RECHECK_SPREAD_MS);
+	}
+
 	/** Tells peers of the entry under a revision that is new to them, without a write. */
 	announce(): void {
 		if (this.#entry === undefined) {
@@ -111,7 +126,7 @@
 		const whole = Math.floor(this.#revision);
 		const ofStart = whole + (Math.floor(this.#options.startedMs / 1000) % START_RANGE_S / START_RANGE_S);
 		this.#revision = Math.min(Math.max(ofStart, this.#revision + REVISION_STEP), whole + 1 - REVISION_STEP);
-		this.#options.onVersion(this.#entry, this.#revision);
+		this.#tell(this.#entry);
 	}
 
 	/** Writes the entry to the store, as soon as the store can be reached. */
@@ -192,14 +207,35 @@
 		}
 	}
 
+	async #recheck(): Promise<void> {
+		const entry = this.#entry;
+		if (entry === undefined || this.#isClosed) {
+			return;
+		}
+
+		const isStored = await this.#readStored(entry);
+		if (!isStored) {
+			this.#options.log.warn('own_entry_lapsed', {revision: this.#storeRevision});
+			await this.write();
+		}
+	}
+
 	#onWritten(entry: HostEntry, revision: number): void {
 		this.#storeRevision = revision;
 		this.#stored = entry;
 		if (revision > this.#revision) {
 			this.#revision = revision;
-			this.#options.onVersion(entry, revision);
+			this.#tell(entry);
+		} else if (entry !== this.#told) {
+			// The store gives out revisions again that peers have seen.
+			this.announce();
 		}
 	}
+
+	#tell(entry: HostEntry): void {
+		this.#told = entry;
+		this.#options.onVersion(entry, this.#revision);
+	}
 }
 
 // A daemon that has restarted learns the id of its target before its start; the entry from before names both.
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,7 +6,8 @@
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './announcementendpoint.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
-import {Directory, type DirectoryEvents} from './directory.js';
+import {Directory} from './directory.js';
+import {type DirectoryEvents} from './directoryevents.js';
 import {RequestServer} from './requestserver.js';
 import {FrameTag} from './frame.js';
 import {Links} from './links.js';
@@ -239,6 +240,9 @@
 			onConfirmed: () => {
 				this.#links.gossip.floodNews();
 			},
+			onStoreReturned: () => {
+				this.#links.gossip.floodNews();
+			},
 			onRecords: (records: readonly HostRecord[]) => {
 				this.#links.gossip.floodRecords(records);
 			},
--- a/src/relay/siterequester.ts
+++ b/src/relay/siterequester.ts
@@ -3,18 +3,18 @@
 /** How long a peer may take to send the configuration that it offered before another is asked, in ms. */
 const SITE_REQUEST_TIMEOUT_MS = 300;
 
-/** A peer that has a newer configuration, and its revision. */
-export type SiteOffer = {readonly channel: FrameChannel; readonly revision: number};
+/** A peer that has a newer configuration, and its version. */
+export type SiteOffer = {readonly channel: FrameChannel; readonly version: number};
 
 /** Requests a newer configuration from the peers that offer it: from one at a time, as a configuration may be large. */
 export class SiteRequester {
-	readonly #siteRevision: () => number;
+	readonly #siteVersion: () => number;
 	#offers: SiteOffer[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
-	/** @param siteRevision returns the revision of the configuration in force */
-	constructor(siteRevision: () => number) {
-		this.#siteRevision = siteRevision;
+	/** @param siteVersion returns the version of the configuration in force */
+	constructor(siteVersion: () => number) {
+		this.#siteVersion = siteVersion;
 	}
 
 	request(offer: SiteOffer): void {
@@ -38,7 +38,7 @@
 
 	#askNext(): void {
 		this.#timer = undefined;
-		this.#offers = this.#offers.filter(({revision}) => revision > this.#siteRevision());
+		this.#offers = this.#offers.filter(({version}) => version > this.#siteVersion());
 		const offer = this.#offers.shift();
 		if (offer === undefined) {
 			return;
--- a/src/relay/storewatch.ts
+++ b/src/relay/storewatch.ts
@@ -2,7 +2,7 @@
 import {type EventLog} from '../log/index.js';
 import {StoreError} from './error.js';
 import {
-	type StoreChanges, type Freshness, type ObjectStore, type StoredObject,
+	type StoreChanges, type StoreEra, type Freshness, type ObjectStore, type StoredObject,
 } from './store.js';
 
 /** The back-off after the first failed call to the store, in ms; it doubles up to `MAX_BACKOFF_MS`. */
@@ -23,6 +23,8 @@
 	readonly choosePauseMs: () => number;
 	readonly onListing: (objects: readonly StoredObject[], revision: number) => void;
 	readonly onChanges: (changes: StoreChanges) => void;
+	/** Receives the era of each answer. */
+	readonly onEra: (era: StoreEra) => void;
 	/** Receives the error of each call that failed, and undefined after each that succeeded. */
 	readonly onOutcome: (error: Error | undefined) => void;
 };
@@ -31,6 +33,8 @@
 export class StoreWatch {
 	readonly #options: StoreWatchOptions;
 	#revision: number | undefined;
+	/** The era of the last listing. */
+	#era: StoreEra = 0;
 	/** A stale answer can be older than the history that the store still has, so the next call asks for a fresh one. */
 	#needsFreshAnswer = false;
 	#backoffMs = INITIAL_BACKOFF_MS;
@@ -89,17 +93,28 @@
 	}
 
 	async #list(): Promise<void> {
-		const {store, kind, onListing} = this.#options;
-		const {objects, revision} = await store.list(kind, this.#freshness);
+		const {store, kind, onListing, onEra} = this.#options;
+		const {objects, revision, era} = await store.list(kind, this.#freshness);
 		this.#revision = revision;
+		this.#era = era;
+		onEra(era);
 		onListing(objects, revision);
 	}
 
 	async #watch(from: number): Promise<void> {
-		const {store, kind, chooseTimeoutMs, choosePauseMs, onChanges} = this.#options;
+		const {
+			store, kind, chooseTimeoutMs, choosePauseMs, onChanges, onEra,
+		} = this.#options;
 		const changes = await store.watch(kind, from, {waitMs: chooseTimeoutMs(), freshness: this.#freshness});
 		this.#needsFreshAnswer = false;
 		this.#backoffMs = INITIAL_BACKOFF_MS;
+		onEra(changes.era);
+		if (changes.era !== this.#era) {
+			// Revisions up to `from` were given out again, so the changes that they now stand for are missing here.
+			this.#revision = undefined;
+			return;
+		}
+
 		this.#revision = Math.max(from, changes.revision);
 		onChanges(changes);
 		if (changes.events.length > 0) {
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -34,6 +34,10 @@
 		this.store = store;
 	}
 
+	override decodeSiteVersion(value: unknown): number {
+		return (value as SiteSpec).version;
+	}
+
 	override decodeSite(value: unknown): SiteSpec {
 		return value as SiteSpec;
 	}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -104,3 +104,35 @@
 		expect(await store.get(KIND, 'a')).toMatchObject({value: {x: 1}});
 	});
 });
+
+describe('the era of the platform\'s store', () => {
+	it('comes with each listing and each change', async () => {
+		standin.era = '7';
+		standin.put(KIND, 'a', 1);
+		const {era, revision} = await store.list(KIND, 'fresh');
+		const watch = await store.watch(KIND, revision - 1, {waitMs: 100, freshness: 'fresh'});
+		expect([era, watch.era]).toEqual([7, 7]);
+	});
+
+	it('is 0 if the store names none, and anything but a whole number is malformed', async () => {
+		const {era} = await store.list(KIND, 'fresh');
+		expect(era).toBe(0);
+		standin.era = 'second';
+		expect(await errorKindOf(store.list(KIND, 'fresh'))).toBe('malformed');
+	});
+
+	it('must be the same on all pages of a list', async () => {
+		standin.pageSize = 1;
+		standin.era = '7';
+		standin.put(KIND, 'a', 1);
+		standin.put(KIND, 'b', 1);
+		const listing = errorKindOf(store.list(KIND, 'fresh'));
+		await standin.answered();
+		standin.era = '8';
+		expect(await listing).toBe('compacted');
+	});
+
+	it('makes a watch fail whose revision the store doesn\'t have', async () => {
+		expect(await errorKindOf(store.watch(KIND, 1000, {waitMs: 100, freshness: 'fresh'}))).toBe('compacted');
+	});
+});
--- a/test/platform/storestandin.ts
+++ b/test/platform/storestandin.ts
@@ -12,6 +12,8 @@
 /** A stand-in for the platform's store that speaks the store's HTTP protocol and keeps its objects in memory. */
 export class StoreStandin {
 	fault: StoreFault = 'none';
+	/** The number of its returns from an older copy, as its answers name it; undefined if they don't. */
+	era: string | undefined;
 	/** The maximum number of items in one page of a list. */
 	pageSize = 500;
 	requestCount = 0;
@@ -26,6 +28,10 @@
 
 	constructor() {
 		this.#server = createServer((request, response) => {
+			if (this.era !== undefined) {
+				response.setHeader('store-era', this.era);
+			}
+
 			let text = '';
 			request.on('data', chunk => {
 				text += String(chunk);
@@ -51,6 +57,15 @@
 		this.#server.closeAllConnections();
 	}
 
+	/** Resolves when the next answer is sent. */
+	async answered(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.once('request', (_request, response: ServerResponse) => {
+				response.once('finish', resolve);
+			});
+		});
+	}
+
 	/** Drops the history of events and ends waiting watches with status 410. */
 	compact(): void {
 		this.#compactedTo = this.#revision;
@@ -159,7 +174,7 @@
 	#watch(kind: string, query: URLSearchParams, response: ServerResponse): {status: number; body?: unknown} | undefined {
 		const from = Number(query.get('watch'));
 		const pendingEvents = () => this.#events.filter(event => event.kind === kind && event.object.metadata.revision > from).map(({object, deleted}) => ({object, deleted}));
-		if (from < this.#compactedTo) {
+		if (from < this.#compactedTo || from > this.#revision) {
 			return {status: 410};
 		}
 
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -5,7 +5,8 @@
 import {SystemClock} from '../../src/clock/index.js';
 import {EventLog, Logger} from '../../src/log/index.js';
 import {HostTable} from '../../src/mesh/index.js';
-import {Directory, DirectoryEvents} from '../../src/relay/directory.js';
+import {Directory} from '../../src/relay/directory.js';
+import {DirectoryEvents} from '../../src/relay/directoryevents.js';
 import {
 	type StoreChanges, type Freshness, type StoreListing, ObjectStore, StoreError, type StoredObject, type WatchOptions,
 } from '../../src/relay/index.js';
@@ -18,7 +19,7 @@
 
 	override async list(_kind: string, freshness: Freshness): Promise<StoreListing> {
 		this.calls++;
-		return {objects: [], revision: freshness === 'fresh' ? 10 : 3};
+		return {objects: [], revision: freshness === 'fresh' ? 10 : 3, era: 1};
 	}
 
 	override async watch(_kind: string, revision: number, {waitMs}: WatchOptions): Promise<StoreChanges> {
@@ -28,7 +29,7 @@
 		}
 
 		await sleep(waitMs, undefined, {ref: false});
-		return {events: [], revision};
+		return {events: [], revision, era: 1};
 	}
 
 	override async get(): Promise<StoredObject> {
@@ -67,6 +68,10 @@
 		this.seen++;
 	}
 
+	override onStoreReturned(): void {
+		this.seen++;
+	}
+
 	override onRecords(): void {
 		this.seen++;
 	}
--- a/test/relay/gossip.test.ts
+++ b/test/relay/gossip.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {DirectoryMesh} from '../../fakes/directorymesh.js';
 import {MemoryStore} from '../../fakes/memorystore.js';
+import {HOST_KIND} from '../../src/relay/ownentry.js';
 import {createRoute, createSiteSpec} from '../../standins/mesh.js';
 
 /** The time within which a configuration must be in force everywhere, in ms. */
@@ -110,10 +111,11 @@
 		const mesh = await startMesh();
 		configure(2);
 		await vi.advanceTimersByTimeAsync(10);
-		const [first, second] = mesh.members;
+		const [first] = mesh.members;
+		const older = store.get('site', 'main');
 		configure(3);
 		await vi.advanceTimersByTimeAsync(1000);
-		first.directory.offerSite(2, second.directory.siteValue);
+		first.directory.offerSite(older.value, older.revision + 100);
 		expect(first.siteVersion).toBe(3);
 	});
 
@@ -130,4 +132,43 @@
 		await vi.advanceTimersByTimeAsync(4000);
 		expect(new Set(mesh.members.slice(1).map(({hosts}) => hosts.get(changed.name)))).toEqual(new Set([undefined]));
 	});
+
+	it('write their lost entries again within 2 s after the store comes back from an older copy, and believe no deleted entry of it', async () => {
+		configure(1);
+		const mesh = new DirectoryMesh(store, SIZE - 5);
+		await vi.advanceTimersByTimeAsync(10_000);
+		const gone = mesh.add('gone');
+		await vi.advanceTimersByTimeAsync(2000);
+		const copy = store.copy();
+		mesh.kill([gone]);
+		store.delete(HOST_KIND, gone.name);
+		for (const number of [1, 2, 3, 4]) {
+			mesh.add(`late${number}`);
+		}
+
+		await vi.advanceTimersByTimeAsync(4000);
+		const cutOff = mesh.members.find(member => !mesh.watchers.includes(member))!;
+		mesh.setAccess([cutOff], 'silent');
+		const {fresh} = mesh.calls;
+		store.restore(copy);
+		await vi.advanceTimersByTimeAsync(2000);
+		const stored = new Set(store.list(HOST_KIND).objects.map(({name}) => name));
+		expect([1, 2, 3, 4].filter(number => !stored.has(`late${number}`))).toEqual([]);
+		expect(mesh.calls.fresh - fresh).toBeLessThan(2 * SIZE);
+		expect(cutOff.directory.storeEra).toBe(store.era);
+		expect(mesh.members.filter(({isUp, hosts}) => isUp && hosts.get(gone.name) !== undefined)).toEqual([]);
+	});
+
+	it('keep the configuration in force when the store comes back with an older one, and take the next one in time', async () => {
+		const mesh = await startMesh();
+		const copy = store.copy();
+		configure(2);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		store.restore(copy);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect(mesh.countVersions()).toEqual({2: SIZE});
+		configure(3);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect(mesh.countVersions()).toEqual({3: SIZE});
+	});
 });
