apply removes, and diff shows, what a configuration no longer contains

An operator who took a service out of the file saw 'nothing to change', and daemons went on serving it: both commands looked only at the names in the file. Removals are written last, after the services that called them have changed.

Evidence: test/cli.test.ts; on the code before, diff finds nothing to change.

--- a/src/cli/sitecommands.ts
+++ b/src/cli/sitecommands.ts
@@ -15,7 +15,8 @@
 const DEFAULT_PLATFORM = 'http://127.0.0.1:7000';
 
 type PlatformOptions = {platform: string};
-type Spec = SiteSpec | ServiceSpec;
+/** The spec of a configuration object; undefined if the object is to be removed. */
+type Spec = SiteSpec | ServiceSpec | undefined;
 
 /** Adds the commands that configure and inspect a running site. */
 export function registerOperateCommands(cli: CAC): void {
@@ -36,8 +37,8 @@
 }
 
 async function apply(source: string, {platform}: PlatformOptions): Promise<void> {
-	const wanted = toConfigObjects(await readConfiguration(source));
 	const writer = createWriter(platform);
+	const wanted = withRemovals(toConfigObjects(await readConfiguration(source)), await writer.listNames());
 	const bases = await Promise.all([...wanted].map(async ([name, spec]) => ({name, spec, base: await writer.read(name)})));
 	let changeCount = 0;
 	for (const {name, spec, base} of bases) {
@@ -52,15 +53,15 @@
 }
 
 async function diff(source: string, {platform}: PlatformOptions): Promise<void> {
-	const wanted = toConfigObjects(await readConfiguration(source));
 	const writer = createWriter(platform);
+	const wanted = withRemovals(toConfigObjects(await readConfiguration(source)), await writer.listNames());
 	let changeCount = 0;
 	for (const [name, spec] of wanted) {
 		// eslint-disable-next-line no-await-in-loop
 		const {object} = await writer.read(name);
 		if (!isDeepStrictEqual(object?.spec, spec)) {
 			changeCount++;
-			console.log(`--- ${name}, generation ${object?.generation ?? 0}\n${diffLines(formatJson(object?.spec ?? {}), formatJson(spec))}`);
+			console.log(`--- ${name}, generation ${object?.generation ?? 0}\n${diffLines(formatJson(object?.spec ?? {}), formatJson(spec ?? {}))}`);
 		}
 	}
 
@@ -113,6 +114,12 @@
 	return parseConfiguration(merged);
 }
 
+// The removals come last, so that no service is removed before those that call it have changed.
+function withRemovals(wanted: ReadonlyMap<string, Spec>, storedNames: readonly string[]): Map<string, Spec> {
+	const removed = storedNames.filter(name => !wanted.has(name));
+	return new Map([...wanted, ...removed.map((name): [string, Spec] => [name, undefined])]);
+}
+
 function toConfigObjects({site, services}: Configuration): Map<string, Spec> {
 	return new Map<string, Spec>([
 		[SITE_OBJECT_NAME, site],
--- a/src/platform/configwriter.ts
+++ b/src/platform/configwriter.ts
@@ -49,6 +49,15 @@
 		return parseStored(await this.#client.get(CONFIG_PREFIX + name));
 	}
 
+	/**
+	 * Lists the names of the objects that have a spec.
+	 * @throws {PlatformError}
+	 */
+	async listNames(): Promise<string[]> {
+		const {objects} = await this.#client.list(CONFIG_PREFIX);
+		return objects.map(stored => parseStored(stored).object!).filter(({spec}) => spec !== undefined).map(({name}) => name);
+	}
+
 	/**
 	 * Writes an object unless its spec is already the same. An undefined spec removes the object.
 	 * @param base the object and version as read before; the write fails if they have changed since
