Two files of a directory that define the same service are an error

The later file won without a word. The error names the field and both files.

Evidence: test/cli.test.ts; on the code before, diff resolves.

--- a/src/cli/sitecommands.ts
+++ b/src/cli/sitecommands.ts
@@ -3,7 +3,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {type CAC} from 'cac';
 import {request} from 'undici';
-import {type Configuration, parseConfiguration} from '../config/index.js';
+import {type Configuration, ConfigError, parseConfiguration} from '../config/index.js';
 import {
 	SITE_OBJECT_NAME, type Explanation, type ServiceSpec, type SiteSpec, type DaemonStatus, serviceObjectName,
 } from '../core/index.js';
@@ -107,7 +107,18 @@
 	const files = names.filter(file => file.endsWith('.json')).toSorted();
 	const parts = await Promise.all(files.map(async file => readJson(path.join(source, file)) as Promise<Partial<Configuration>>));
 	let merged: Partial<Configuration> = {};
-	for (const part of parts) {
+	const definedIn = new Map<string, string>();
+	for (const [index, part] of parts.entries()) {
+		const names = [...(part.site === undefined ? [] : ['site']), ...Object.keys(part.services ?? {}).map(name => `services.${name}`)];
+		for (const name of names) {
+			const earlier = definedIn.get(name);
+			if (earlier !== undefined) {
+				throw new ConfigError([{path: name, reason: `defined in both ${earlier} and ${files[index]}`}]);
+			}
+
+			definedIn.set(name, files[index]);
+		}
+
 		merged = {...merged, ...part, services: {...merged.services, ...part.services}};
 	}
 
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -8,7 +8,7 @@
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {registerOperateCommands} from '../src/cli/sitecommands.js';
-import {type Configuration} from '../src/config/index.js';
+import {type Configuration, ConfigError} from '../src/config/index.js';
 import {serviceObjectName} from '../src/core/index.js';
 import {ConfigWriter, PlatformClient} from '../src/platform/index.js';
 import {PlatformStandIn} from '../standins/platform.js';
@@ -73,3 +73,16 @@
 		expect(lines).toEqual(['nothing to change']);
 	});
 });
+
+describe('two files of a directory that define the same service', () => {
+	it('are rejected with the names of both', async () => {
+		const {removed, rest} = withoutOne();
+		await write('a.json', rest);
+		const services = {[removed]: configuration.services[removed]};
+		await write('b.json', {services});
+		await write('c.json', {services});
+		const failure = run('diff', folder);
+		await expect(failure).rejects.toThrow(ConfigError);
+		await expect(failure).rejects.toThrow(new RegExp(String.raw`${removed}.*b\.json.*c\.json`, 'v'));
+	});
+});
