The questionnaire takes the numbers that the answers file allows, and no others

A clock error of 0 ms, which the file allows, was refused at the prompt; a number above the file's bounds was taken, and all answers were lost at the end. The bounds stand once, in the schema's module, and each question uses its own.

Evidence: test/config.test.ts, which failed before. The message that another test expected now names the bounds, so the test expects that, as strictly.

--- a/src/cli/questionnaire.ts
+++ b/src/cli/questionnaire.ts
@@ -1,7 +1,7 @@
 import {createInterface} from 'node:readline';
 import {type Readable, type Writable} from 'node:stream';
 import {
-	type Answers, ConfigError, REQUEST_KINDS, IMPORTANCE_LEVELS, parseAnswers,
+	ANSWER_RANGES, type Answers, ConfigError, REQUEST_KINDS, IMPORTANCE_LEVELS, parseAnswers,
 } from '../config/index.js';
 import {UsageError} from './error.js';
 
@@ -33,11 +33,14 @@
 type Validator = (text: string) => string | undefined;
 
 const validateName: Validator = text => (/^[a-z][\w\-]*$/iv.test(text) ? undefined : 'must begin with a letter and contain only letters, digits, "_" and "-"');
-const validateCount: Validator = text => (/^\d+$/v.test(text) && Number(text) > 0 ? undefined : 'must be an integer above 0');
 const validateYesNo: Validator = text => (/^(y|yes|n|no)$/iv.test(text) ? undefined : 'must be yes or no');
+type Range = {readonly min: number; readonly max: number};
+const createRangeValidator = ({min, max}: Range): Validator => text => (/^\d+$/v.test(text) && Number(text) >= min && Number(text) <= max ? undefined : `must be an integer from ${min} to ${max}`);
 const createChoiceValidator = (words: readonly string[]): Validator => text => (words.includes(text) ? undefined : `must be one of ${words.join(', ')}`);
 const validateNames: Validator = text => text.split(/[\s,]+/v).filter(Boolean).map(word => validateName(word)).find(Boolean);
 
+const RESEND_RANGE_S: Range = {min: ANSWER_RANGES.resendForMs.min / 1000, max: ANSWER_RANGES.resendForMs.max / 1000};
+
 /** Asks questions on a terminal. Repeats a question until the answer is valid; an empty line selects the default, if there is one. */
 class Prompter {
 	readonly #lines: AsyncIterator<string>;
@@ -67,8 +70,8 @@
 		}
 	}
 
-	async askCount(question: string, defaultCount: number): Promise<number> {
-		return Number(await this.ask(question, validateCount, String(defaultCount)));
+	async askNumber(question: string, range: Range, defaultNumber: number): Promise<number> {
+		return Number(await this.ask(question, createRangeValidator(range), String(defaultNumber)));
 	}
 
 	async askYesNo(question: string, defaultYes: boolean): Promise<boolean> {
@@ -83,8 +86,8 @@
 export async function askAnswers(input: Readable, output: Writable): Promise<Answers> {
 	const prompter = new Prompter(input, output);
 	const site = await prompter.ask('Name of the site', validateName);
-	const resendForMs = 1000 * await prompter.askCount('How long after its first attempt may a caller resend a request, in seconds', 120);
-	const clockErrorMs = await prompter.askCount('Largest expected difference between two clocks, in ms', 1000);
+	const resendForMs = 1000 * await prompter.askNumber('How long after its first attempt may a caller resend a request, in seconds', RESEND_RANGE_S, 120);
+	const clockErrorMs = await prompter.askNumber('Largest expected difference between two clocks, in ms', ANSWER_RANGES.clockErrorMs, 1000);
 	const services: Answers['services'] = [];
 	do {
 		// eslint-disable-next-line no-await-in-loop
@@ -101,9 +104,9 @@
 
 async function askService(prompter: Prompter): Promise<Answers['services'][number]> {
 	const name = await prompter.ask('Name of the service', validateName);
-	const upstreams = await prompter.askCount(`How many targets does ${name} have`, 3);
-	const slots = await prompter.askCount('How many requests does one target run concurrently', 50);
-	const connections = await prompter.askCount('How many connections does one target accept', 200);
+	const upstreams = await prompter.askNumber(`How many targets does ${name} have`, ANSWER_RANGES.upstreams, 3);
+	const slots = await prompter.askNumber('How many requests does one target run concurrently', ANSWER_RANGES.slots, 50);
+	const connections = await prompter.askNumber('How many connections does one target accept', ANSWER_RANGES.connections, 200);
 	const requests: Answers['services'][number]['requests'] = [];
 	do {
 		// eslint-disable-next-line no-await-in-loop
@@ -121,7 +124,7 @@
 	const kind = await prompter.ask(`Kind of the request (${REQUEST_KINDS.join(', ')})`, createChoiceValidator(REQUEST_KINDS));
 	const method = await prompter.ask('HTTP method, or * for any', createChoiceValidator(['*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']), 'GET');
 	const path = await prompter.ask('Path prefix', text => (text.startsWith('/') ? undefined : 'must begin with /'), `/${name}`);
-	const waitMs = await prompter.askCount('How long does a caller wait for the response, in ms', 3000);
+	const waitMs = await prompter.askNumber('How long does a caller wait for the response, in ms', ANSWER_RANGES.waitMs, 3000);
 	const calls = await prompter.ask('Services that the target calls directly while it handles the request (names, or empty)', validateNames, '');
 	const matters = await prompter.ask(`Importance during overload (${IMPORTANCE_LEVELS.join(', ')}; usual: by its kind)`, createChoiceValidator([...IMPORTANCE_LEVELS, 'usual']), 'usual');
 	const repeatable = await prompter.ask('Is it idempotent: does running it twice do no harm (yes, no; usual: by its kind)', createChoiceValidator(['yes', 'no', 'usual']), 'usual');
--- a/src/config/answers.ts
+++ b/src/config/answers.ts
@@ -8,12 +8,24 @@
 /** How important it is that a request is still served during overload, lowest first. */
 export const IMPORTANCE_LEVELS = ['low', 'normal', 'high'] as const;
 
+/** The numbers that each question allows. */
+export const ANSWER_RANGES = {
+	waitMs: {min: 10, max: 3_600_000},
+	upstreams: {min: 1, max: 10_000},
+	slots: {min: 1, max: 100_000},
+	connections: {min: 1, max: 100_000},
+	resendForMs: {min: 1000, max: 3_600_000},
+	clockErrorMs: {min: 0, max: 60_000},
+} as const;
+
+const integerIn = ({min, max}: {readonly min: number; readonly max: number}) => z.int().min(min).max(max);
+
 const requestSchema = z.strictObject({
 	name,
 	kind: z.enum(REQUEST_KINDS).describe('The kind of request; sets the defaults of "matters" and "repeatable"'),
 	method: z.enum(['*', 'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']).describe('The HTTP method; * matches any'),
 	path: z.string().startsWith('/').max(256).describe('The path prefix'),
-	waitMs: z.int().min(10).max(3_600_000).describe('How long a caller waits for the response, in ms'),
+	waitMs: integerIn(ANSWER_RANGES.waitMs).describe('How long a caller waits for the response, in ms'),
 	calls: z.array(name).max(64).default([]).describe('The services that the target calls directly while it handles this request'),
 	matters: z.enum(IMPORTANCE_LEVELS).optional().describe('How important it is that the request is served during overload; defaults to the value of its kind'),
 	repeatable: z.boolean().optional().describe('Whether the request is idempotent, so that running it twice does no harm; defaults to the value of its kind'),
@@ -21,9 +33,9 @@
 
 const serviceSchema = z.strictObject({
 	name,
-	upstreams: z.int().min(1).max(10_000).describe('The number of targets that provide the service'),
-	slots: z.int().min(1).max(100_000).describe('The number of requests that one target runs concurrently'),
-	connections: z.int().min(1).max(100_000).describe('The number of connections that one target accepts'),
+	upstreams: integerIn(ANSWER_RANGES.upstreams).describe('The number of targets that provide the service'),
+	slots: integerIn(ANSWER_RANGES.slots).describe('The number of requests that one target runs concurrently'),
+	connections: integerIn(ANSWER_RANGES.connections).describe('The number of connections that one target accepts'),
 	requests: z.array(requestSchema).min(1).max(256),
 });
 
@@ -32,8 +44,8 @@
 	$schema: z.string().optional(),
 	site: name.describe('The name of the site'),
 	callers: z.strictObject({
-		resendForMs: z.int().min(1000).max(3_600_000).describe('How long after its first attempt a caller may resend a request, in ms'),
-		clockErrorMs: z.int().min(0).max(60_000).describe('The largest expected difference between two clocks, in ms'),
+		resendForMs: integerIn(ANSWER_RANGES.resendForMs).describe('How long after its first attempt a caller may resend a request, in ms'),
+		clockErrorMs: integerIn(ANSWER_RANGES.clockErrorMs).describe('The largest expected difference between two clocks, in ms'),
 	}),
 	services: z.array(serviceSchema).min(1).max(1000),
 });
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -1,5 +1,5 @@
 export {
-	type Answers, REQUEST_KINDS, IMPORTANCE_LEVELS, answersSchema,
+	ANSWER_RANGES, type Answers, REQUEST_KINDS, IMPORTANCE_LEVELS, answersSchema,
 } from './answers.js';
 export {
 	ConfigError, type ConfigFault, findClosestMatch, parseConfiguration, parseSettings, parseWithSchema,
--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -76,7 +76,17 @@
 		}));
 		expect(answers.site).toBe('shop');
 		expect(answers.services[0].requests[0]).toMatchObject({kind: 'submission', path: '/submit'});
-		expect(output).toContain('must be an integer above 0');
+		expect(output).toContain('must be an integer from 1 to 10000');
+	});
+
+	it('takes every number that the answers file allows, and asks again for any other', async () => {
+		const lines = ['shop', '', '60001', '0', 'orders', '10001', '2', '10', '40', 'submit', 'submission', 'POST', '', '9', '10', '', '', '', 'no', 'no'];
+		const answers = await askAnswers(Readable.from([lines.join('\n') + '\n']), new Writable({
+			write(_chunk, _, done) {
+				done();
+			},
+		}));
+		expect([answers.callers.clockErrorMs, answers.services[0].upstreams, answers.services[0].requests[0].waitMs]).toEqual([0, 2, 10]);
 	});
 
 	it('fails when the input ends early instead of waiting or returning partial answers', async () => {
