Answers with a fault that shows only at the end aren't lost

The questionnaire threw all answers away if they didn't match the schema together (a path of 300 characters, say). They are written, and the error names the file to correct.

Evidence: test/cli.test.ts; on the code before, no file is written.

--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -1,5 +1,6 @@
 import {writeFile} from 'node:fs/promises';
 import process from 'node:process';
+import {type Readable, type Writable} from 'node:stream';
 import {type CAC} from 'cac';
 import {z} from 'zod';
 import {
@@ -7,7 +8,7 @@
 } from '../config/index.js';
 import {UsageError} from './error.js';
 import {readJson, formatJson} from './file.js';
-import {askAnswers, createExampleAnswers} from './questionnaire.js';
+import {InvalidAnswersError, askAnswers, createExampleAnswers} from './questionnaire.js';
 
 const FILE_KINDS = {
 	answers: {schema: answersSchema, parse: parseAnswers},
@@ -66,11 +67,24 @@
 		return;
 	}
 
-	const answers = await askAnswers(process.stdin, process.stdout);
-	await writeFile(out, formatJson(answers));
+	await writeAnswers(process.stdin, process.stdout, out);
 	console.log(`wrote ${out}; next: comfreydyke generate ${out}`);
 }
 
+/** Asks the questions and writes the answers to a file, those with faults as well. @throws {UsageError} */
+export async function writeAnswers(input: Readable, output: Writable, out: string): Promise<void> {
+	try {
+		await writeFile(out, formatJson(await askAnswers(input, output)));
+	} catch (error) {
+		if (!(error instanceof InvalidAnswersError)) {
+			throw error;
+		}
+
+		await writeFile(out, formatJson(error.answers));
+		throw new UsageError(`${error.message}\nthe answers are in ${out}; correct them there`);
+	}
+}
+
 function printSchema(kind: string): void {
 	if (!Object.hasOwn(FILE_KINDS, kind)) {
 		throw new UsageError(`unknown schema kind "${kind}"; must be one of ${Object.keys(FILE_KINDS).join(', ')}`);
--- a/src/cli/questionnaire.ts
+++ b/src/cli/questionnaire.ts
@@ -41,6 +41,16 @@
 
 const RESEND_RANGE_S: Range = {min: ANSWER_RANGES.resendForMs.min / 1000, max: ANSWER_RANGES.resendForMs.max / 1000};
 
+/** The answers together don't match the schema. */
+export class InvalidAnswersError extends UsageError {
+	readonly answers: Answers;
+
+	constructor(message: string, answers: Answers) {
+		super(message);
+		this.answers = answers;
+	}
+}
+
 /** Asks questions on a terminal. Repeats a question until the answer is valid; an empty line selects the default, if there is one. */
 class Prompter {
 	readonly #lines: AsyncIterator<string>;
@@ -81,7 +91,8 @@
 
 /**
  * Asks all questions and returns the answers.
- * @throws {UsageError} if the input ends early or the answers don't match the schema
+ * @throws {UsageError} if the input ends early
+ * @throws {InvalidAnswersError} if the answers don't match the schema
  */
 export async function askAnswers(input: Readable, output: Writable): Promise<Answers> {
 	const prompter = new Prompter(input, output);
@@ -95,10 +106,11 @@
 		// eslint-disable-next-line no-await-in-loop
 	} while (await prompter.askYesNo('Add another service', false));
 
+	const answers: Answers = {site, callers: {resendForMs, clockErrorMs}, services};
 	try {
-		return parseAnswers({site, callers: {resendForMs, clockErrorMs}, services});
+		return parseAnswers(answers);
 	} catch (error) {
-		throw error instanceof ConfigError ? new UsageError(error.message) : error;
+		throw error instanceof ConfigError ? new InvalidAnswersError(error.message, answers) : error;
 	}
 }
 
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -3,10 +3,12 @@
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {Readable, Writable} from 'node:stream';
 import {cac} from 'cac';
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {writeAnswers} from '../src/cli/config.js';
 import {registerOperateCommands} from '../src/cli/sitecommands.js';
 import {type Configuration, ConfigError} from '../src/config/index.js';
 import {serviceObjectName} from '../src/core/index.js';
@@ -86,3 +88,18 @@
 		await expect(failure).rejects.toThrow(new RegExp(String.raw`${removed}.*b\.json.*c\.json`, 'v'));
 	});
 });
+
+describe('answers that don\'t match the schema only at the end', () => {
+	it('are written to the file all the same, and the error says where', async () => {
+		const longPath = `/${'x'.repeat(300)}`;
+		const answers = ['shop', '', '', 'orders', '2', '10', '40', 'submit', 'submission', 'POST', longPath, '', '', '', '', 'no', 'no'];
+		const file = path.join(folder, 'answers.json');
+		const sink = new Writable({
+			write(_chunk, _, done) {
+				done();
+			},
+		});
+		await expect(writeAnswers(Readable.from([answers.join('\n') + '\n']), sink, file)).rejects.toThrow(`the answers are in ${file}`);
+		expect(JSON.parse(await readFile(file, 'utf8'))).toMatchObject({site: 'shop', services: [{requests: [{path: longPath}]}]});
+	});
+});
