The end of one cut in the proofs' network heals no other

Overlapping cuts were never tried: the first to end healed all of them. Each cut now ends by itself, and what a link held back is delivered when the last cut of it has healed.

Evidence: test/core/network.test.ts, which can't be run on the code before, as a cut there has no end of its own.

--- a/fakes/network.ts
+++ b/fakes/network.ts
@@ -52,7 +52,8 @@
 	readonly #delayMs: (from: string, to: string) => number;
 	readonly #endpoints = new Map<string, Endpoint>();
 	readonly #connections = new Map<string, Connection>();
-	readonly #cuts = new Set<string>();
+	/** The cuts between two hosts; several may overlap. */
+	readonly #cuts = new Set<{readonly a: string; readonly b: string}>();
 
 	constructor(scheduler: Scheduler, random: Random, delayMs: (from: string, to: string) => number) {
 		this.#scheduler = scheduler;
@@ -140,19 +141,19 @@
 		}
 	}
 
-	/** Partitions two hosts from each other; their connections stay open. */
-	cut(a: string, b: string): void {
-		this.#cuts.add(linkOf(a, b));
-		this.#cuts.add(linkOf(b, a));
+	/** Partitions two hosts from each other; their connections stay open. @returns a function that heals this cut, and no other */
+	cut(a: string, b: string): () => void {
+		const cut = {a, b};
+		this.#cuts.add(cut);
+		return () => {
+			this.#cuts.delete(cut);
+			this.#deliverHeld();
+		};
 	}
 
 	healCuts(): void {
 		this.#cuts.clear();
-		for (const connection of this.#connections.values()) {
-			for (const deliver of connection.held.splice(0)) {
-				deliver();
-			}
-		}
+		this.#deliverHeld();
 	}
 
 	/** Resets all connections of a host whose process has ended. */
@@ -164,6 +165,16 @@
 		}
 	}
 
+	#deliverHeld(): void {
+		for (const connection of this.#connections.values()) {
+			if (!this.#isCut(connection.from, connection.to)) {
+				for (const deliver of connection.held.splice(0)) {
+					deliver();
+				}
+			}
+		}
+	}
+
 	#deliver(connection: Connection, direction: 'forth' | 'back', frame: Frame): void {
 		const {from, to} = connection;
 		const delayMs = this.#delay(from, to);
@@ -221,7 +232,7 @@
 	}
 
 	#isCut(a: string, b: string): boolean {
-		return this.#cuts.has(linkOf(a, b));
+		return [...this.#cuts].some(cut => (cut.a === a && cut.b === b) || (cut.a === b && cut.b === a));
 	}
 
 	#delay(from: string, to: string): number {
--- a/proof/casesimulation.ts
+++ b/proof/casesimulation.ts
@@ -194,10 +194,7 @@
 			}
 
 			case 'cut': {
-				site.network.cut(host, this.hostAt(fault.other));
-				scheduleEnd(() => {
-					site.network.healCuts();
-				});
+				scheduleEnd(site.network.cut(host, this.hostAt(fault.other)));
 				break;
 			}
 
