--- a/bench/policy/deployment.ts
+++ b/bench/policy/deployment.ts
@@ -49,7 +49,6 @@
 	readonly roots: readonly RootKind[];
 	/** The service at the end of the call chains, which the slowdown scenarios slow. */
 	readonly deepestService: string;
-	readonly recoveryBoundMs: number;
 };
 
 const createOperationPlan = (name: string, kind: string, waitMs: number, groups: OperationPlan['callGroups'] = []): OperationPlan => ({
@@ -104,7 +103,6 @@
 			},
 		],
 		deepestService: 'eligibility',
-		recoveryBoundMs: 2000,
 	};
 }
 
@@ -145,7 +143,6 @@
 			},
 		],
 		deepestService: 'reelhouse',
-		recoveryBoundMs: 1000,
 	};
 }
 
