--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -213,9 +213,13 @@
 			return;
 		}
 
+		const revision = this.#storeRevision;
 		const isStored = await this.#readStored(entry);
+		if (this.#storeRevision === 0) {
+			this.#options.log.warn('own_entry_lapsed', {revision});
+		}
+
 		if (!isStored) {
-			this.#options.log.warn('own_entry_lapsed', {revision: this.#storeRevision});
 			await this.write();
 		}
 	}
--- a/src/relay/storewatch.ts
+++ b/src/relay/storewatch.ts
@@ -112,6 +112,7 @@
 		if (changes.era !== this.#era) {
 			// Revisions up to `from` were given out again, so the changes that they now stand for are missing here.
 			this.#revision = undefined;
+			this.#needsFreshAnswer = true;
 			return;
 		}
 
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -15,10 +15,13 @@
 /** A store whose stale answers are older than the history that it still has. */
 class LaggingStore extends ObjectStore {
 	calls = 0;
+	staleLists = 0;
+	maxWaitMs = Number.POSITIVE_INFINITY;
 	readonly removed: Array<[string, number]> = [];
 
 	override async list(_kind: string, freshness: Freshness): Promise<StoreListing> {
 		this.calls++;
+		this.staleLists += freshness === 'stale' ? 1 : 0;
 		return {objects: [], revision: freshness === 'fresh' ? 10 : 3, era: 1};
 	}
 
@@ -28,7 +31,7 @@
 			throw new StoreError('compacted', 'history is gone');
 		}
 
-		await sleep(waitMs, undefined, {ref: false});
+		await sleep(Math.min(waitMs, this.maxWaitMs), undefined, {ref: false});
 		return {events: [], revision, era: 1};
 	}
 
@@ -49,6 +52,19 @@
 	}
 }
 
+/** A store that has come back from an older copy, and whose stale answers are from before. */
+class ReturnedStore extends LaggingStore {
+	override async list(kind: string, freshness: Freshness): Promise<StoreListing> {
+		const listing = await super.list(kind, freshness);
+		return {...listing, revision: 10, era: freshness === 'fresh' ? 2 : 1};
+	}
+
+	override async watch(...args: Parameters<ObjectStore['watch']>): Promise<StoreChanges> {
+		const changes = await super.watch(...args);
+		return {...changes, era: 2};
+	}
+}
+
 class EventCounter extends DirectoryEvents {
 	seen = 0;
 
@@ -100,6 +116,15 @@
 		expect(store.calls).toBe(6);
 	});
 
+	it('asks for a fresh list after the store came back from an older copy, instead of looping on stale lists', async () => {
+		const store = new ReturnedStore();
+		store.maxWaitMs = 10;
+		directory = createDirectory(store);
+		directory.start();
+		await sleep(300);
+		expect(store.staleLists).toBe(1);
+	});
+
 	it('removes the entry of a host that is gone only at the revision that it knows, and no entry that it doesn\'t know', async () => {
 		const store = new LaggingStore();
 		directory = createDirectory(store);
