--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -137,7 +137,7 @@
 		this.gossip.floodNews();
 	}
 
-	override onStoreReturned(): void {
+	override onStoreRestored(): void {
 		this.gossip.floodNews();
 	}
 
--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -13,8 +13,8 @@
 export class MemoryStore {
 	fault: StoreFault = 'none';
 	callCount = 0;
-	/** Rises each time that the store comes back from an older copy. */
-	era = 1;
+	/** Rises each time that the store is restored from an older copy. */
+	epoch = 1;
 	readonly #objects = new Map<string, StoredObject>();
 	#history: HistoryRecord[] = [];
 	readonly #watchWakers = new Set<() => void>();
@@ -28,7 +28,7 @@
 	list(kind: string): StoreListing {
 		const prefix = `${kind}/`;
 		const objects = [...this.#objects].filter(([key]) => key.startsWith(prefix)).map(([, object]) => object);
-		return {objects, revision: this.#revision, era: this.era};
+		return {objects, revision: this.#revision, epoch: this.epoch};
 	}
 
 	get(kind: string, name: string): StoredObject {
@@ -46,7 +46,7 @@
 		}
 
 		const events = this.#history.filter(record => record.kind === kind && record.object.revision > revision);
-		return {events, revision: this.#revision, era: this.era};
+		return {events, revision: this.#revision, epoch: this.epoch};
 	}
 
 	/** Writes an object without a check of its revision. */
@@ -84,7 +84,7 @@
 		return {objects: new Map(this.#objects), history: [...this.#history], revision: this.#revision};
 	}
 
-	/** Comes back from an older copy: what was written since is lost, and its revisions are given out again. */
+	/** Restores an older copy: what was written since is lost, and its revisions are given out again. */
 	restore({objects, history, revision}: StoreCopy): void {
 		this.#objects.clear();
 		for (const [key, object] of objects) {
@@ -93,7 +93,7 @@
 
 		this.#history = [...history];
 		this.#revision = revision;
-		this.era++;
+		this.epoch++;
 		this.wakeWatches();
 	}
 
--- a/proof/rules/storereturn.ts
+++ b/proof/rules/storerestore.ts
@@ -17,8 +17,8 @@
 	mesh.configure(createSiteSpec(routes.map(name => createRoute(name, 'back')), version));
 };
 
-/** Checks what must hold after the store has come back from an older copy. */
-export const STORE_RETURN_CHECKS: readonly RuleCheck[] = [
+/** Checks what must hold after the store was restored from an older copy. */
+export const STORE_RESTORE_CHECKS: readonly RuleCheck[] = [
 	{
 		rule: 'CONFIG, from an older copy',
 		async run(mesh) {
@@ -58,7 +58,7 @@
 		},
 		sabotage: {
 			title: 'daemons don\'t check their entries after the store\'s return',
-			apply: () => replaceMethod(OwnEntry.prototype, 'onStoreReturned', () => undefined),
+			apply: () => replaceMethod(OwnEntry.prototype, 'onStoreRestored', () => undefined),
 		},
 	},
 ];
--- a/src/mesh/ratelimiter.ts
+++ b/src/mesh/ratelimiter.ts
@@ -5,7 +5,7 @@
 
 /**
  * Limits the rate of the calls that a target is given, as a token bucket.
- * Handles the load pattern in which a target in need names a rate far below
+ * Handles the load pattern in which an overloaded target names a rate far below
  * what its slots would allow.
  */
 export class RateLimiter {
--- a/src/mesh/site.ts
+++ b/src/mesh/site.ts
@@ -21,7 +21,7 @@
 
 /** The active configuration, indexed for routing. */
 export class Site {
-	/** The store's revision of this configuration. It tells nothing of the order: a store that comes back from an older copy gives it out again. */
+	/** The store's revision of this configuration. It tells nothing of the order: a store that is restored from an older copy gives it out again. */
 	readonly revision: number;
 	readonly spec: SiteSpec;
 	readonly routeTable: RouteTable;
--- a/src/mesh/targetsignals.ts
+++ b/src/mesh/targetsignals.ts
@@ -6,5 +6,5 @@
 	readonly isLeaving: boolean;
 };
 
-/** The signals of a target that needs nothing. */
+/** The signals of a target that names no limit and doesn't leave. */
 export const NO_SIGNALS: TargetSignals = {rateLimitPerS: undefined, isLeaving: false};
--- a/src/relay/activesite.ts
+++ b/src/relay/activesite.ts
@@ -34,7 +34,7 @@
 		}
 
 		try {
-			// The operator's versions grow; the store's revisions go back when it comes back from an older copy.
+			// The operator's versions grow; the store's revisions go back when it is restored from an older copy.
 			if (this.#site !== undefined && this.#adapter.decodeSiteVersion(value) <= this.#site.version) {
 				return;
 			}
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -8,11 +8,11 @@
 import {type DirectoryEvents} from './directoryevents.js';
 import {decodeHostEntry} from './hostentry.js';
 import {HOST_KIND, OwnEntry} from './ownentry.js';
-import {StoreEraTracker} from './storeera.js';
+import {StoreEpochTracker} from './storeepoch.js';
 import {StoreHealth} from './storehealth.js';
 import {StoreWatch} from './storewatch.js';
 import {
-	type ObjectStore, type StoreEra, type StoreEvent, type StoredObject,
+	type ObjectStore, type StoreEpoch, type StoreEvent, type StoredObject,
 } from './store.js';
 
 /** The share of the time in which a configuration must be in force for which a confirmation by the store is trusted. */
@@ -52,7 +52,7 @@
 	readonly #lease: FreshnessLease;
 	readonly #ownEntry: OwnEntry;
 	readonly #storeHealth: StoreHealth;
-	readonly #storeEra: StoreEraTracker;
+	readonly #storeEpoch: StoreEpochTracker;
 	readonly #active: ActiveSite;
 	readonly #watches: readonly StoreWatch[];
 	readonly #startedMs: number;
@@ -80,8 +80,8 @@
 		this.#active = new ActiveSite(adapter, log, site => {
 			parts.events.onSite(site);
 		});
-		this.#storeEra = new StoreEraTracker(log, () => {
-			this.#ownEntry.onStoreReturned();
+		this.#storeEpoch = new StoreEpochTracker(log, () => {
+			this.#ownEntry.onStoreRestored();
 		});
 		this.#watches = [this.#createSiteWatch(), this.#createHostWatch()];
 	}
@@ -95,9 +95,9 @@
 		return this.#active.site;
 	}
 
-	/** The newest era of the store that is known. */
-	get storeEra(): StoreEra | undefined {
-		return this.#storeEra.era;
+	/** The newest epoch of the store that is known. */
+	get storeEpoch(): StoreEpoch | undefined {
+		return this.#storeEpoch.epoch;
 	}
 
 	/** How old the store's last confirmation of the configuration is, in ms. */
@@ -127,9 +127,9 @@
 		this.#active.offer({name: configuration.name, revision, value});
 	}
 
-	/** Takes in the era of the store that a peer names. @returns whether other peers should hear of it */
-	offerEra(era: StoreEra): boolean {
-		return this.#storeEra.record(era, 'peer');
+	/** Takes in the epoch of the store that a peer names. @returns whether other peers should hear of it */
+	offerEpoch(epoch: StoreEpoch): boolean {
+		return this.#storeEpoch.record(epoch, 'peer');
 	}
 
 	/** Takes in a peer's confirmation of a configuration. @returns whether it is so new that other peers should hear of it */
@@ -254,8 +254,8 @@
 			log,
 			random,
 			kind,
-			onEra: (era: StoreEra) => {
-				this.#recordEra(era);
+			onEpoch: (epoch: StoreEpoch) => {
+				this.#recordEpoch(epoch);
 			},
 			onOutcome: (error: Error | undefined) => {
 				this.#recordOutcome(kind, error);
@@ -282,8 +282,8 @@
 
 		log.event('lease_ended', {ageMs: Math.round(Math.min(this.confirmationAgeMs, Number.MAX_SAFE_INTEGER)), siteRevision: this.site?.revision ?? 0});
 		try {
-			const {objects, era} = await this.#store.list(configuration.kind, 'fresh');
-			this.#recordEra(era);
+			const {objects, epoch} = await this.#store.list(configuration.kind, 'fresh');
+			this.#recordEpoch(epoch);
 			for (const object of objects) {
 				this.#active.offer(object);
 			}
@@ -307,9 +307,9 @@
 		}
 	}
 
-	#recordEra(era: StoreEra): void {
-		if (this.#storeEra.record(era, 'store')) {
-			this.#parts.events.onStoreReturned();
+	#recordEpoch(epoch: StoreEpoch): void {
+		if (this.#storeEpoch.record(epoch, 'store')) {
+			this.#parts.events.onStoreRestored();
 		}
 	}
 
--- a/src/relay/directoryevents.ts
+++ b/src/relay/directoryevents.ts
@@ -7,8 +7,8 @@
 	abstract onHostRemoved(host: string): void;
 	/** Called when the store has confirmed the configuration, so that peers hear of it. */
 	abstract onConfirmed(): void;
-	/** Called when the store has come back from an older copy, so that peers hear of it. */
-	abstract onStoreReturned(): void;
+	/** Called when the store was restored from an older copy, so that peers hear of it. */
+	abstract onStoreRestored(): void;
 	/** Called with versions of entries that didn't come from a peer, so that peers hear of them. */
 	abstract onRecords(records: readonly HostRecord[]): void;
 }
--- a/src/relay/frame.ts
+++ b/src/relay/frame.ts
@@ -36,7 +36,7 @@
 	floors: 11,
 	/** No fields; makes the link part of the mesh. */
 	subscribe: 12,
-	/** Version of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions, era of the store (null if unknown). */
+	/** Version of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions, epoch of the store (null if unknown). */
 	news: 13,
 	/** Versions of entries, each as host, revision and entry (null if it was deleted). */
 	records: 14,
@@ -187,7 +187,7 @@
 	};
 }
 
-/** Encodes what a target said of itself: null if the answer doesn't tell, an empty list if it needs nothing, else its rate limit and whether it leaves. */
+/** Encodes what a target said of itself: null if the answer doesn't tell, an empty list for `NO_SIGNALS`, else its rate limit and whether it leaves. */
 export function packSignals(signals: TargetSignals | undefined): ReadonlyArray<number | boolean | null> | null {
 	if (signals === undefined) {
 		return null;
@@ -206,18 +206,18 @@
 	return packed.length === 0 ? NO_SIGNALS : {rateLimitPerS: typeof rateLimitPerS === 'number' ? rateLimitPerS : undefined, isLeaving: isLeaving === true};
 }
 
-/** The news of a peer: version of its configuration, ms since the store confirmed it, digest of its hosts' versions, era of the store. */
-export type News = {readonly siteVersion: number; readonly ageMs: number | undefined; readonly digest: number; readonly storeEra: number | undefined};
+/** The news of a peer: version of its configuration, ms since the store confirmed it, digest of its hosts' versions, epoch of the store. */
+export type News = {readonly siteVersion: number; readonly ageMs: number | undefined; readonly digest: number; readonly storeEpoch: number | undefined};
 
 /** @throws {FrameError} when a field has the wrong type */
-export function readNews([, siteVersion, ageMs, digest, storeEra]: Frame): News {
-	const areOptional = [ageMs, storeEra].every(field => field === null || typeof field === 'number');
+export function readNews([, siteVersion, ageMs, digest, storeEpoch]: Frame): News {
+	const areOptional = [ageMs, storeEpoch].every(field => field === null || typeof field === 'number');
 	if (typeof siteVersion !== 'number' || typeof digest !== 'number' || !areOptional) {
-		throw new FrameError('news: expected numbers for version, age, digest and era');
+		throw new FrameError('news: expected numbers for version, age, digest and epoch');
 	}
 
 	return {
-		siteVersion, ageMs: (ageMs as number | null) ?? undefined, digest, storeEra: (storeEra as number | null) ?? undefined,
+		siteVersion, ageMs: (ageMs as number | null) ?? undefined, digest, storeEpoch: (storeEpoch as number | null) ?? undefined,
 	};
 }
 
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -102,7 +102,7 @@
 		return [FrameTag.hello, this.#siteVersion, this.#parts.host];
 	}
 
-	/** Tells the mesh the configuration's version, how recently the store confirmed it, and the store's era. */
+	/** Tells the mesh the configuration's version, how recently the store confirmed it, and the store's epoch. */
 	floodNews(except?: FrameChannel): void {
 		const frame = this.#buildNewsFrame();
 		for (const channel of this.#channels.keys()) {
@@ -234,13 +234,13 @@
 	#buildNewsFrame(): Frame {
 		const {directory, hosts} = this.#parts;
 		const ageMs = directory.confirmationAgeMs;
-		return [FrameTag.news, this.#siteVersion, Number.isFinite(ageMs) ? Math.round(ageMs) : null, hosts.digest, directory.storeEra ?? null];
+		return [FrameTag.news, this.#siteVersion, Number.isFinite(ageMs) ? Math.round(ageMs) : null, hosts.digest, directory.storeEpoch ?? null];
 	}
 
 	#onNews(frame: Frame, channel: FrameChannel): void {
 		const {directory} = this.#parts;
 		const {
-			siteVersion, ageMs, digest, storeEra,
+			siteVersion, ageMs, digest, storeEpoch,
 		} = readNews(frame);
 		if (siteVersion > this.#siteVersion) {
 			this.#siteRequester.request({channel, version: siteVersion});
@@ -248,9 +248,9 @@
 			channel.send(this.#buildNewsFrame());
 		}
 
-		const hasReturned = storeEra !== undefined && directory.offerEra(storeEra);
+		const wasRestored = storeEpoch !== undefined && directory.offerEpoch(storeEpoch);
 		const isConfirmed = ageMs !== undefined && directory.confirm(siteVersion, ageMs);
-		if (hasReturned || isConfirmed) {
+		if (wasRestored || isConfirmed) {
 			this.floodNews(channel);
 		}
 
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -6,5 +6,5 @@
 export {decode} from './decode.js';
 export {DecodeError, StoreError} from './error.js';
 export {
-	type StoreChanges, type StoreEra, type Freshness, type StoreListing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
+	type StoreChanges, type StoreEpoch, type Freshness, type StoreListing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
 } from './store.js';
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -10,7 +10,7 @@
 export const HOST_KIND = 'comfreydyke-hosts';
 /** The smallest step between two revisions that a daemon tells its peers for entries that it hasn't written to the store. */
 const REVISION_STEP = 1e-6;
-/** The time over which the daemons spread the check of their entries after the store has come back from an older copy, in ms. */
+/** The time over which the daemons spread the check of their entries after the store was restored from an older copy, in ms. */
 const RECHECK_SPREAD_MS = 1000;
 /** The start time of a daemon, in seconds, modulo this number becomes the fraction of its entry's first revision. */
 const START_RANGE_S = 1e6;
@@ -106,11 +106,11 @@
 		void this.write();
 	}
 
-	/** Checks that the store still holds the entry, because it has come back from an older copy. */
-	onStoreReturned(): void {
+	/** Checks that the store still holds the entry, because it was restored from an older copy. */
+	onStoreRestored(): void {
 		setTimeout(() => {
 			if (this.#isWriting) {
-				this.onStoreReturned();
+				this.onStoreRestored();
 			} else {
 				void this.#recheck();
 			}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -240,7 +240,7 @@
 			onConfirmed: () => {
 				this.#links.gossip.floodNews();
 			},
-			onStoreReturned: () => {
+			onStoreRestored: () => {
 				this.#links.gossip.floodNews();
 			},
 			onRecords: (records: readonly HostRecord[]) => {
--- a/src/relay/store.ts
+++ b/src/relay/store.ts
@@ -5,19 +5,19 @@
 export type WatchOptions = {readonly waitMs: number; readonly freshness: Freshness};
 
 /**
- * The store's count of its returns from an older copy. What was written after the
+ * The number of times that the store was restored from an older copy. What was written after the
  * copy is lost then, and its revisions are given out again.
  */
-export type StoreEra = number;
+export type StoreEpoch = number;
 
 /** All objects of a kind at a revision of the store. */
-export type StoreListing = {readonly objects: readonly StoredObject[]; readonly revision: number; readonly era: StoreEra};
+export type StoreListing = {readonly objects: readonly StoredObject[]; readonly revision: number; readonly epoch: StoreEpoch};
 
 /** A write or deletion of one object. */
 export type StoreEvent = {readonly object: StoredObject; readonly isDeleted: boolean};
 
 /** The events of a kind after a revision, up to `revision`. */
-export type StoreChanges = {readonly events: readonly StoreEvent[]; readonly revision: number; readonly era: StoreEra};
+export type StoreChanges = {readonly events: readonly StoreEvent[]; readonly revision: number; readonly epoch: StoreEpoch};
 
 /** Tells whether an answer must be current ('fresh') or may be some seconds old ('stale'), which costs the store less. */
 export type Freshness = 'fresh' | 'stale';
--- a/src/relay/storewatch.ts
+++ b/src/relay/storewatch.ts
@@ -2,7 +2,7 @@
 import {type EventLog} from '../log/index.js';
 import {StoreError} from './error.js';
 import {
-	type StoreChanges, type StoreEra, type Freshness, type ObjectStore, type StoredObject,
+	type StoreChanges, type StoreEpoch, type Freshness, type ObjectStore, type StoredObject,
 } from './store.js';
 
 /** The back-off after the first failed call to the store, in ms; it doubles up to `MAX_BACKOFF_MS`. */
@@ -23,8 +23,8 @@
 	readonly choosePauseMs: () => number;
 	readonly onListing: (objects: readonly StoredObject[], revision: number) => void;
 	readonly onChanges: (changes: StoreChanges) => void;
-	/** Receives the era of each answer. */
-	readonly onEra: (era: StoreEra) => void;
+	/** Receives the epoch of each answer. */
+	readonly onEpoch: (epoch: StoreEpoch) => void;
 	/** Receives the error of each call that failed, and undefined after each that succeeded. */
 	readonly onOutcome: (error: Error | undefined) => void;
 };
@@ -33,8 +33,8 @@
 export class StoreWatch {
 	readonly #options: StoreWatchOptions;
 	#revision: number | undefined;
-	/** The era of the last listing. */
-	#era: StoreEra = 0;
+	/** The epoch of the last listing. */
+	#epoch: StoreEpoch = 0;
 	/** A stale answer can be older than the history that the store still has, so the next call asks for a fresh one. */
 	#needsFreshAnswer = false;
 	#backoffMs = INITIAL_BACKOFF_MS;
@@ -93,23 +93,23 @@
 	}
 
 	async #list(): Promise<void> {
-		const {store, kind, onListing, onEra} = this.#options;
-		const {objects, revision, era} = await store.list(kind, this.#freshness);
+		const {store, kind, onListing, onEpoch} = this.#options;
+		const {objects, revision, epoch} = await store.list(kind, this.#freshness);
 		this.#revision = revision;
-		this.#era = era;
-		onEra(era);
+		this.#epoch = epoch;
+		onEpoch(epoch);
 		onListing(objects, revision);
 	}
 
 	async #watch(from: number): Promise<void> {
 		const {
-			store, kind, chooseTimeoutMs, choosePauseMs, onChanges, onEra,
+			store, kind, chooseTimeoutMs, choosePauseMs, onChanges, onEpoch,
 		} = this.#options;
 		const changes = await store.watch(kind, from, {waitMs: chooseTimeoutMs(), freshness: this.#freshness});
 		this.#needsFreshAnswer = false;
 		this.#backoffMs = INITIAL_BACKOFF_MS;
-		onEra(changes.era);
-		if (changes.era !== this.#era) {
+		onEpoch(changes.epoch);
+		if (changes.epoch !== this.#epoch) {
 			// Revisions up to `from` were given out again, so the changes that they now stand for are missing here.
 			this.#revision = undefined;
 			this.#needsFreshAnswer = true;
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -105,30 +105,30 @@
 	});
 });
 
-describe('the era of the platform\'s store', () => {
+describe('the epoch of the platform\'s store', () => {
 	it('comes with each listing and each change', async () => {
-		standin.era = '7';
+		standin.epoch = '7';
 		standin.put(KIND, 'a', 1);
-		const {era, revision} = await store.list(KIND, 'fresh');
+		const {epoch, revision} = await store.list(KIND, 'fresh');
 		const watch = await store.watch(KIND, revision - 1, {waitMs: 100, freshness: 'fresh'});
-		expect([era, watch.era]).toEqual([7, 7]);
+		expect([epoch, watch.epoch]).toEqual([7, 7]);
 	});
 
 	it('is 0 if the store names none, and anything but a whole number is malformed', async () => {
-		const {era} = await store.list(KIND, 'fresh');
-		expect(era).toBe(0);
-		standin.era = 'second';
+		const {epoch} = await store.list(KIND, 'fresh');
+		expect(epoch).toBe(0);
+		standin.epoch = 'second';
 		expect(await errorKindOf(store.list(KIND, 'fresh'))).toBe('malformed');
 	});
 
 	it('must be the same on all pages of a list', async () => {
 		standin.pageSize = 1;
-		standin.era = '7';
+		standin.epoch = '7';
 		standin.put(KIND, 'a', 1);
 		standin.put(KIND, 'b', 1);
 		const listing = errorKindOf(store.list(KIND, 'fresh'));
 		await standin.answered();
-		standin.era = '8';
+		standin.epoch = '8';
 		expect(await listing).toBe('compacted');
 	});
 
--- a/test/platform/storestandin.ts
+++ b/test/platform/storestandin.ts
@@ -12,8 +12,8 @@
 /** A stand-in for the platform's store that speaks the store's HTTP protocol and keeps its objects in memory. */
 export class StoreStandin {
 	fault: StoreFault = 'none';
-	/** The number of its returns from an older copy, as its answers name it; undefined if they don't. */
-	era: string | undefined;
+	/** The number of the times that it was restored from an older copy, as its answers name it; undefined if they don't. */
+	epoch: string | undefined;
 	/** The maximum number of items in one page of a list. */
 	pageSize = 500;
 	requestCount = 0;
@@ -28,8 +28,8 @@
 
 	constructor() {
 		this.#server = createServer((request, response) => {
-			if (this.era !== undefined) {
-				response.setHeader('store-era', this.era);
+			if (this.epoch !== undefined) {
+				response.setHeader('store-era', this.epoch);
 			}
 
 			let text = '';
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -22,7 +22,7 @@
 	override async list(_kind: string, freshness: Freshness): Promise<StoreListing> {
 		this.calls++;
 		this.staleLists += freshness === 'stale' ? 1 : 0;
-		return {objects: [], revision: freshness === 'fresh' ? 10 : 3, era: 1};
+		return {objects: [], revision: freshness === 'fresh' ? 10 : 3, epoch: 1};
 	}
 
 	override async watch(_kind: string, revision: number, {waitMs}: WatchOptions): Promise<StoreChanges> {
@@ -32,7 +32,7 @@
 		}
 
 		await sleep(Math.min(waitMs, this.maxWaitMs), undefined, {ref: false});
-		return {events: [], revision, era: 1};
+		return {events: [], revision, epoch: 1};
 	}
 
 	override async get(): Promise<StoredObject> {
@@ -52,16 +52,16 @@
 	}
 }
 
-/** A store that has come back from an older copy, and whose stale answers are from before. */
-class ReturnedStore extends LaggingStore {
+/** A store that was restored from an older copy, and whose stale answers are from before. */
+class RestoredStore extends LaggingStore {
 	override async list(kind: string, freshness: Freshness): Promise<StoreListing> {
 		const listing = await super.list(kind, freshness);
-		return {...listing, revision: 10, era: freshness === 'fresh' ? 2 : 1};
+		return {...listing, revision: 10, epoch: freshness === 'fresh' ? 2 : 1};
 	}
 
 	override async watch(...args: Parameters<ObjectStore['watch']>): Promise<StoreChanges> {
 		const changes = await super.watch(...args);
-		return {...changes, era: 2};
+		return {...changes, epoch: 2};
 	}
 }
 
@@ -84,7 +84,7 @@
 		this.seen++;
 	}
 
-	override onStoreReturned(): void {
+	override onStoreRestored(): void {
 		this.seen++;
 	}
 
@@ -116,8 +116,8 @@
 		expect(store.calls).toBe(6);
 	});
 
-	it('asks for a fresh list after the store came back from an older copy, instead of looping on stale lists', async () => {
-		const store = new ReturnedStore();
+	it('asks for a fresh list after the store was restored from an older copy, instead of looping on stale lists', async () => {
+		const store = new RestoredStore();
 		store.maxWaitMs = 10;
 		directory = createDirectory(store);
 		directory.start();
--- a/test/relay/gossip.test.ts
+++ b/test/relay/gossip.test.ts
@@ -133,7 +133,7 @@
 		expect(new Set(mesh.members.slice(1).map(({hosts}) => hosts.get(changed.name)))).toEqual(new Set([undefined]));
 	});
 
-	it('write their lost entries again within 2 s after the store comes back from an older copy, and believe no deleted entry of it', async () => {
+	it('write their lost entries again within 2 s after the store is restored from an older copy, and believe no deleted entry of it', async () => {
 		configure(1);
 		const mesh = new DirectoryMesh(store, SIZE - 5);
 		await vi.advanceTimersByTimeAsync(10_000);
@@ -155,11 +155,11 @@
 		const stored = new Set(store.list(HOST_KIND).objects.map(({name}) => name));
 		expect([1, 2, 3, 4].filter(number => !stored.has(`late${number}`))).toEqual([]);
 		expect(mesh.calls.fresh - fresh).toBeLessThan(2 * SIZE);
-		expect(cutOff.directory.storeEra).toBe(store.era);
+		expect(cutOff.directory.storeEpoch).toBe(store.epoch);
 		expect(mesh.members.filter(({isUp, hosts}) => isUp && hosts.get(gone.name) !== undefined)).toEqual([]);
 	});
 
-	it('keep the configuration in force when the store comes back with an older one, and take the next one in time', async () => {
+	it('keep the configuration in force when the store is restored with an older one, and take the next one in time', async () => {
 		const mesh = await startMesh();
 		const copy = store.copy();
 		configure(2);
--- a/test/relay/storereturn.test.ts
+++ b/test/relay/storerestore.test.ts
@@ -10,7 +10,7 @@
 
 /** How long after its acceptance a configuration must be in force, in ms. */
 const CONFIG_MS = 2000;
-/** How long after the store's return the entries of the daemons must be there again, in ms. */
+/** How long after the store was restored the entries of the daemons must be there again, in ms. */
 const ENTRIES_MS = 2000;
 
 let mesh: Mesh;
@@ -37,7 +37,7 @@
 const statusesOf = async (route: string) => Promise.all(mesh.hosts.map(async host => statusOf(host, route)));
 const storedHosts = () => mesh.store.list(HOST_KIND).objects.map(({name}) => name).toSorted();
 
-describe('a store that comes back from an older copy', () => {
+describe('a store that is restored from an older copy', () => {
 	it('brings no older configuration into force, and the next one counts although its revision was given out before', async () => {
 		configure(['x'], 1);
 		await Promise.all(['1', '2', '3'].map(async name => addBack(name)));
