--- a/src/mesh/targetsignaltable.ts
+++ b/src/mesh/targetsignaltable.ts
@@ -20,7 +20,7 @@
 		}
 
 		const known = this.#find(host, target);
-		// An answer from before may arrive after the one that said so.
+		// An answer that the target sent before it began to leave may arrive after one that it sent later.
 		const leavingSinceMs = known?.leavingSinceMs ?? (isLeaving ? nowMs : undefined);
 		if (rateLimitPerS === undefined && leavingSinceMs === undefined) {
 			return this.#hosts.delete(host);
