The test of hosts that stay reachable over a restore calls each host by a service of its own

Cause: the check, not the product. It took a host that none of 40 quick calls had chosen for one that can't be reached, and looked at no status.

Replaced by a stricter one: each host has a service and a route of its own, all four hosts call all four routes over and over for the 2 s after the restore and each call must be answered 200; before, one host's calls were counted once, at the end.

With OwnEntry.onStoreRestored emptied it fails, and the other four pass.

--- a/test/relay/storerestore.test.ts
+++ b/test/relay/storerestore.test.ts
@@ -75,18 +75,29 @@
 	});
 
 	it('holds the entries that it had lost again soon, and their hosts stay reachable all the while', async () => {
-		configure(['x'], 1);
-		const first = await addBack('1');
+		const names = ['1', '2', '3', '4'];
+		// A service of its own for each host, so that each call shows whether that host is reachable.
+		mesh.configure(createSiteSpec(names.map(name => createRoute(`x${name}`, `back${name}`)), 1));
+		const addOwnBack = async (name: string) => mesh.addHost(name, {
+			id: `i-${name}`, service: `back${name}`, slots: 10, workMs: 1,
+		});
+		await addOwnBack('1');
 		const copy = mesh.store.copy();
-		await Promise.all(['2', '3', '4'].map(async name => addBack(name)));
-		await mesh.settle();
-		mesh.store.restore(copy);
-		await vi.waitFor(() => {
-			expect(storedHosts()).toEqual(['1', '2', '3', '4']);
+		await Promise.all(names.slice(1).map(async name => addOwnBack(name)));
+		const statusesOfAll = async () => Promise.all(names.map(async name => statusesOf(`x${name}`)));
+		const allReached = names.map(() => names.map(() => 200));
+		await vi.waitFor(async () => {
+			expect(await statusesOfAll()).toEqual(allReached);
 		}, {timeout: ENTRIES_MS, interval: 50});
-		await mesh.settle();
-		await Promise.all(Array.from({length: 40}, async () => statusOf(first, 'x')));
-		expect(mesh.hosts.filter(({target}) => target.ranAttemptIds.length === 0).map(({name}) => name)).toEqual([]);
+		mesh.store.restore(copy);
+		const restoredMs = Date.now();
+		while (Date.now() - restoredMs < ENTRIES_MS) {
+			// eslint-disable-next-line no-await-in-loop -- the hosts are called over and over
+			expect(await statusesOfAll()).toEqual(allReached);
+		}
+
+		expect(storedHosts()).toEqual(names);
+		expect(await statusesOfAll()).toEqual(allReached);
 		expect(mesh.logLines.filter(line => line.includes('event=host_gone'))).toEqual([]);
 	});
 
