The store's drill in virtual time: twice in a row, over a lost answer, within a cut

The in-memory store plays a whole drill: away for a moment, back from a copy, and what the operator wrote since written again later.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -1,6 +1,8 @@
 import {Clock} from '../src/clock/index.js';
 import {EventLog, Logger} from '../src/log/index.js';
-import {HostTable, type HostEntry, type HostRecord} from '../src/mesh/index.js';
+import {
+	HostTable, type HostEntry, type HostRecord, type Site,
+} from '../src/mesh/index.js';
 import {Directory} from '../src/relay/directory.js';
 import {DirectoryEvents} from '../src/relay/directoryevents.js';
 import {type Frame, FrameChannel, type TargetSlowness} from '../src/relay/frame.js';
@@ -64,6 +66,9 @@
 	/** The side of a network cut that it is on. */
 	side = 0;
 	isUp = true;
+	/** The versions of the configurations that came into force, oldest first. */
+	readonly versionsInForce: number[] = [];
+	readonly logLines: string[] = [];
 	readonly links = new Map<string, FakeChannel>();
 	/** Runs an action after the delay of a link. */
 	readonly deliver: (action: () => void) => void;
@@ -74,7 +79,9 @@
 		this.name = name;
 		this.failureDomain = failureDomain;
 		const clock = new TimerClock();
-		const log = new EventLog(new Logger(name, 'info', () => undefined), clock);
+		const log = new EventLog(new Logger(name, 'info', line => {
+			this.logLines.push(line.trim());
+		}), clock);
 		this.directory = new Directory({
 			adapter: new MeshAdapter(store),
 			clock,
@@ -120,7 +127,8 @@
 		return this.isUp && other.isUp && this.side === other.side;
 	}
 
-	override onSite(): void {
+	override onSite({version}: Site): void {
+		this.versionsInForce.push(version);
 		this.gossip.floodNews();
 	}
 
@@ -245,17 +253,15 @@
 	}
 
 	add(name: string): MeshMember {
-		const store = new MemberStore(this.#store.createView());
-		const member = new MeshMember(name, `d${this.members.length % this.#domainCount}`, store, {
-			random: this.#random,
-			deliver: action => {
-				this.#deliver(action);
-			},
-		});
+		const member = this.#create(name, `d${this.members.length % this.#domainCount}`);
 		this.members.push(member);
-		this.#stores.set(member, store);
-		member.directory.start();
-		member.directory.publish(member.entry);
+		return member;
+	}
+
+	/** Starts a daemon that was killed again, without what it knew, and with this entry. */
+	restart(killed: MeshMember, entry = killed.entry): MeshMember {
+		const member = this.#create(killed.name, killed.failureDomain, entry);
+		this.members[this.members.indexOf(killed)] = member;
 		return member;
 	}
 
@@ -286,6 +292,20 @@
 		return counts;
 	}
 
+	#create(name: string, failureDomain: string, entry?: HostEntry): MeshMember {
+		const store = new MemberStore(this.#store.createView());
+		const member = new MeshMember(name, failureDomain, store, {
+			random: this.#random,
+			deliver: action => {
+				this.#deliver(action);
+			},
+		});
+		this.#stores.set(member, store);
+		member.directory.start();
+		member.directory.publish(entry ?? member.entry);
+		return member;
+	}
+
 	// All frames sent at one time arrive by one timer, because fake timers are slow in large numbers.
 	#deliver(action: () => void): void {
 		if (this.#deliveries.length === 0) {
--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -1,3 +1,4 @@
+import {sleep} from '../src/clock/index.js';
 import {
 	type StoreChanges, type StoreListing, ObjectStore, StoreError, type StoredObject, type WatchOptions,
 } from '../src/relay/index.js';
@@ -6,6 +7,15 @@
 export type StoreCopy = {readonly objects: ReadonlyMap<string, StoredObject>; readonly history: readonly HistoryRecord[]; readonly revision: number};
 type HistoryRecord = {readonly kind: string; readonly object: StoredObject; readonly isDeleted: boolean};
 
+/** A drill in which the store is away for a moment and comes back from an older copy. */
+export type StoreDrill = {
+	readonly copy: StoreCopy;
+	/** How long the store is away, in ms. */
+	readonly awayMs: number;
+	/** How long after its return the operator writes again what the copy lacks, in ms. */
+	readonly rewriteAfterMs: number;
+};
+
 /** The fault that a store has at present. */
 export type StoreFault = 'none' | 'down' | 'lost-answers';
 
@@ -18,6 +28,8 @@
 	readonly #objects = new Map<string, StoredObject>();
 	#history: HistoryRecord[] = [];
 	readonly #watchWakers = new Set<() => void>();
+	/** The newest write of the operator to each object. */
+	readonly #operatorWrites = new Map<string, {readonly kind: string; readonly object: StoredObject}>();
 	#revision = 1;
 	#compactedTo = 0;
 
@@ -49,11 +61,10 @@
 		return {events, revision: this.#revision, epoch: this.epoch};
 	}
 
-	/** Writes an object without a check of its revision. */
+	/** Writes an object as the operator does, without a check of its revision. */
 	set(kind: string, name: string, value: unknown): StoredObject {
-		const object = {name, revision: ++this.#revision, value: structuredClone(value)};
-		this.#objects.set(`${kind}/${name}`, object);
-		this.#record({kind, object, isDeleted: false});
+		const object = this.#write(kind, name, value);
+		this.#operatorWrites.set(`${kind}/${name}`, {kind, object});
 		return object;
 	}
 
@@ -62,7 +73,7 @@
 			throw new StoreError('conflict', `${kind}/${name}`);
 		}
 
-		return this.set(kind, name, value);
+		return this.#write(kind, name, value);
 	}
 
 	delete(kind: string, name: string): void {
@@ -97,6 +108,20 @@
 		this.wakeWatches();
 	}
 
+	/** Plays a drill. Resolves when the operator has written again. */
+	async drill({copy, awayMs, rewriteAfterMs}: StoreDrill): Promise<void> {
+		this.fault = 'down';
+		this.wakeWatches();
+		await sleep(awayMs);
+		const lost = [...this.#operatorWrites.values()].filter(({object}) => object.revision > copy.revision);
+		this.restore(copy);
+		this.fault = 'none';
+		await sleep(rewriteAfterMs);
+		for (const {kind, object} of lost) {
+			this.set(kind, object.name, object.value);
+		}
+	}
+
 	/** Ends the waits of all watches. */
 	wakeWatches(): void {
 		for (const wake of this.#watchWakers) {
@@ -117,6 +142,13 @@
 		});
 	}
 
+	#write(kind: string, name: string, value: unknown): StoredObject {
+		const object = {name, revision: ++this.#revision, value: structuredClone(value)};
+		this.#objects.set(`${kind}/${name}`, object);
+		this.#record({kind, object, isDeleted: false});
+		return object;
+	}
+
 	#record(record: HistoryRecord): void {
 		this.#history.push(record);
 		this.wakeWatches();
--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,2 +1,3 @@
 export {Clock, ManualClock, SystemClock} from './clock.js';
 export {CachedClock} from './cachedclock.js';
+export {sleep} from './sleep.js';
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -1,5 +1,5 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {isDeepStrictEqual} from 'node:util';
+import {sleep} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {type HostEntry} from '../mesh/index.js';
 import {StoreError} from './error.js';
--- a/src/relay/storewatch.ts
+++ b/src/relay/storewatch.ts
@@ -1,4 +1,4 @@
-import {setTimeout as sleep} from 'node:timers/promises';
+import {sleep} from '../clock/index.js';
 import {type EventLog} from '../log/index.js';
 import {StoreError} from './error.js';
 import {
--- /dev/null
+++ b/test/relay/storedrill.test.ts
@@ -0,0 +1,102 @@
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {DirectoryMesh, type MeshMember} from '../../fakes/directorymesh.js';
+import {MemoryStore, type StoreCopy} from '../../fakes/memorystore.js';
+import {HOST_KIND} from '../../src/relay/ownentry.js';
+import {createRoute, createSiteSpec} from '../../standins/mesh.js';
+
+/** The time within which a configuration must be in force everywhere, in ms. */
+const CONFIG_MS = 3000;
+/** How long after the store's return the entries must be there again, in ms. */
+const ENTRIES_MS = 2000;
+const AWAY_MS = 400;
+const REWRITE_AFTER_MS = 800;
+const SIZE = 200;
+
+let store: MemoryStore;
+const configure = (version: number) => {
+	store.set('site', 'main', createSiteSpec([createRoute('x', 's')], version));
+};
+
+const drill = async (copy: StoreCopy) => store.drill({copy, awayMs: AWAY_MS, rewriteAfterMs: REWRITE_AFTER_MS});
+
+const startMesh = async () => {
+	configure(1);
+	const mesh = new DirectoryMesh(store, SIZE);
+	await vi.advanceTimersByTimeAsync(12_000);
+	return mesh;
+};
+
+/** Starts a mesh in which the store's copy lacks the second configuration and the entries of some daemons. */
+const startMeshAheadOfCopy = async () => {
+	const mesh = await startMesh();
+	const copy = store.copy();
+	configure(2);
+	const late = [1, 2, 3].map(number => mesh.add(`late${number}`));
+	await vi.advanceTimersByTimeAsync(4000);
+	return {mesh, copy, late};
+};
+
+const storedHosts = () => new Set(store.list(HOST_KIND).objects.map(({name}) => name));
+const namesMissingFrom = (names: ReadonlySet<string>, members: readonly MeshMember[]) => members.map(({name}) => name).filter(name => !names.has(name));
+
+beforeEach(() => {
+	vi.useFakeTimers();
+	store = new MemoryStore();
+});
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+describe('200 daemons whose store comes back from an older copy', () => {
+	it('write lost entries again and keep the configuration when it comes back twice in a row', async () => {
+		const {mesh, copy, late} = await startMeshAheadOfCopy();
+		void drill(copy);
+		await vi.advanceTimersByTimeAsync(AWAY_MS + 300);
+		void drill(copy);
+		await vi.advanceTimersByTimeAsync(AWAY_MS + ENTRIES_MS);
+		expect(namesMissingFrom(storedHosts(), mesh.members)).toEqual([]);
+		configure(3);
+		await vi.advanceTimersByTimeAsync(CONFIG_MS);
+		expect(mesh.countVersions()).toEqual({3: SIZE + late.length});
+		expect(new Set(mesh.members.map(({directory}) => directory.storeEpoch))).toEqual(new Set([store.epoch]));
+		expect(new Set(mesh.members.map(({hosts}) => hosts.digest)).size).toBe(1);
+	});
+
+	it('know and store the newest entry of a daemon whose write was under way, and whose answer was lost', async () => {
+		const {mesh, copy} = await startMeshAheadOfCopy();
+		const [changed] = mesh.members;
+		const entry = {...changed.entry, target: {...changed.entry.target!, state: 'draining' as const}};
+		store.fault = 'lost-answers';
+		changed.directory.publish(entry);
+		await vi.advanceTimersByTimeAsync(1);
+		void drill(copy);
+		await vi.advanceTimersByTimeAsync(AWAY_MS + ENTRIES_MS);
+		expect(store.get(HOST_KIND, changed.name).value).toEqual(entry);
+		expect(new Set(mesh.members.map(({hosts}) => hosts.get(changed.name)?.target?.state))).toEqual(new Set(['draining']));
+	});
+
+	it('agree after a cut that lasted over the return, and that kept half of them from the store', async () => {
+		const {mesh, copy, late} = await startMeshAheadOfCopy();
+		const cutOff = mesh.members.filter((_member, index) => index % 2 === 0);
+		for (const member of cutOff) {
+			member.side = 1;
+		}
+
+		mesh.setAccess(cutOff, 'silent');
+		await vi.advanceTimersByTimeAsync(1000);
+		void drill(copy);
+		await vi.advanceTimersByTimeAsync(AWAY_MS + REWRITE_AFTER_MS + 1000);
+		for (const member of cutOff) {
+			member.side = 0;
+		}
+
+		mesh.setAccess(cutOff, 'open');
+		await vi.advanceTimersByTimeAsync(6000);
+		expect(namesMissingFrom(storedHosts(), mesh.members)).toEqual([]);
+		expect(mesh.countVersions()).toEqual({2: SIZE + late.length});
+		expect(new Set(mesh.members.map(({hosts}) => hosts.digest)).size).toBe(1);
+		expect(mesh.members.filter(({versionsInForce}) => versionsInForce.some((version, index) => version < versionsInForce[index - 1]))).toEqual([]);
+	});
+});
