A daemon that a silent store has lost is kept by its peers

What callers saw: nothing yet; found by the new test, 200 daemons in virtual time. A daemon that can't reach the store stays cut off from it over a drill. Its entry isn't in the copy, peers learn of that as a deletion, and 201 of 203 daemons removed the host (host_gone) 2 s later though it served all the while.

Cause, three in a row, from the lines of the daemon that was removed: (1) a daemon didn't ask for versions of its own entry that peers offer, so it heard of the deletion only when digests were compared, 1.3 to 1.9 s later; (2) it told peers a version of its own only when a write had failed, 1.2 s, and the read after it, 1.2 s more, longer than the 2 s for which a missing entry is kept; (3) a write that failed while reads were answered backed off as if the store was away, so that the entry was missing for more than 2 s after the store could be reached again. (2) also held any other change of an entry for 2.4 s while the store was silent, a target that drains among them.

Now a daemon asks for newer versions of its own entry as for any other, tells peers at once that it is still there, and after 200 ms whatever the store does; a store that answers reads is written to after the shortest back-off.

--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -322,11 +322,11 @@
 
 	// Requests the versions that are new here, each from one peer at a time.
 	#onOffers(frame: Frame, channel: FrameChannel): void {
-		const {hosts, host: ownHost, nowMs} = this.#parts;
+		const {hosts, nowMs} = this.#parts;
 		const wanted = [...readOffers(frame)].filter(([host, revision]) => {
 			const asked = this.#askedRecords.get(host);
 			const isAsked = asked !== undefined && asked.revision >= revision && nowMs() - asked.atMs < RECORD_REQUEST_TIMEOUT_MS;
-			return host !== ownHost && revision > (hosts.revisionOf(host) ?? 0) && !isAsked;
+			return revision > (hosts.revisionOf(host) ?? 0) && !isAsked;
 		});
 		for (const [host, revision] of wanted) {
 			this.#askedRecords.set(host, {revision, atMs: nowMs()});
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -12,6 +12,8 @@
 const REVISION_STEP = 1e-6;
 /** The time over which the daemons spread the check of their entries after the store was restored from an older copy, in ms. */
 const RECHECK_SPREAD_MS = 1000;
+/** How long a write may take before peers hear of the entry without it, in ms: well within the time for which they keep a host whose entry is missing. */
+const ANNOUNCE_DELAY_MS = 200;
 /** The start time of a daemon, in seconds, modulo this number becomes the fraction of its entry's first revision. */
 const START_RANGE_S = 1e6;
 
@@ -103,6 +105,8 @@
 		this.#revision = Math.max(this.#revision, revision);
 		this.#storeRevision = 0;
 		this.#stored = undefined;
+		// Peers would forget this host before a store that is silent has refused the write.
+		this.announce();
 		void this.write();
 	}
 
@@ -138,19 +142,19 @@
 		this.#isWriting = true;
 		let backoffMs = INITIAL_BACKOFF_MS;
 		let written: HostEntry | undefined;
-		let announced: HostEntry | undefined;
 		while (!this.#isClosed && this.#entry !== undefined && written !== this.#entry) {
 			const entry = this.#entry;
+			const announceTimer = setTimeout(() => {
+				this.#announceOnce();
+			}, ANNOUNCE_DELAY_MS);
 			// eslint-disable-next-line no-await-in-loop -- one write at a time keeps the writes in order
 			const outcome = await this.#tryWrite(entry);
+			clearTimeout(announceTimer);
 			if (outcome === 'written') {
 				written = entry;
-			} else if (outcome === 'unavailable') {
-				if (announced !== entry) {
-					announced = entry;
-					this.announce();
-				}
-
+			} else if (outcome !== 'conflict') {
+				this.#announceOnce();
+				backoffMs = outcome === 'reachable' ? INITIAL_BACKOFF_MS : backoffMs;
 				// eslint-disable-next-line no-await-in-loop -- backs off before it writes again
 				await sleep(backoffMs * (0.5 + this.#options.random()));
 				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
@@ -164,7 +168,8 @@
 		this.#isClosed = true;
 	}
 
-	async #tryWrite(entry: HostEntry): Promise<'written' | 'conflict' | 'unavailable'> {
+	/** @returns `reachable` if the store answers reads, but the write failed */
+	async #tryWrite(entry: HostEntry): Promise<'written' | 'conflict' | 'reachable' | 'unavailable'> {
 		const {store, log} = this.#options;
 		try {
 			const stored = await store.put(HOST_KIND, entry.host, entry, this.#storeRevision);
@@ -178,13 +183,17 @@
 			}
 
 			// A write whose answer was lost may have succeeded.
-			const isStored = await this.#readStored(entry);
-			return isStored ? 'written' : (kind === 'conflict' ? 'conflict' : 'unavailable');
+			const copy = await this.#readStored(entry);
+			if (copy === 'same') {
+				return 'written';
+			}
+
+			return kind === 'conflict' ? 'conflict' : (copy === 'unread' ? 'unavailable' : 'reachable');
 		}
 	}
 
-	/** Reads the store's copy. @returns whether it equals the entry */
-	async #readStored(entry: HostEntry): Promise<boolean> {
+	/** Reads the store's copy and compares it with the entry. */
+	async #readStored(entry: HostEntry): Promise<'same' | 'different' | 'unread'> {
 		const {store, log} = this.#options;
 		try {
 			const stored = await store.get(HOST_KIND, entry.host);
@@ -195,15 +204,15 @@
 				this.#onWritten(entry, stored.revision);
 			}
 
-			return isSame;
+			return isSame ? 'same' : 'different';
 		} catch (error) {
 			if (error instanceof StoreError && error.kind === 'missing') {
 				this.#storeRevision = 0;
-			} else {
-				log.event('own_entry_unread', {reason: (error as Error).message});
+				return 'different';
 			}
 
-			return false;
+			log.event('own_entry_unread', {reason: (error as Error).message});
+			return 'unread';
 		}
 	}
 
@@ -214,12 +223,12 @@
 		}
 
 		const revision = this.#storeRevision;
-		const isStored = await this.#readStored(entry);
+		const copy = await this.#readStored(entry);
 		if (this.#storeRevision === 0) {
 			this.#options.log.warn('own_entry_lapsed', {revision});
 		}
 
-		if (!isStored) {
+		if (copy !== 'same') {
 			await this.write();
 		}
 	}
@@ -236,6 +245,12 @@
 		}
 	}
 
+	#announceOnce(): void {
+		if (this.#told !== this.#entry) {
+			this.announce();
+		}
+	}
+
 	#tell(entry: HostEntry): void {
 		this.#told = entry;
 		this.#options.onVersion(entry, this.#revision);
--- a/test/relay/storedrill.test.ts
+++ b/test/relay/storedrill.test.ts
@@ -40,6 +40,7 @@
 
 const storedHosts = () => new Set(store.list(HOST_KIND).objects.map(({name}) => name));
 const namesMissingFrom = (names: ReadonlySet<string>, members: readonly MeshMember[]) => members.map(({name}) => name).filter(name => !names.has(name));
+const instancesKnownOf = (name: string, members: readonly MeshMember[]) => [...new Set(members.filter(({isUp}) => isUp).map(({hosts}) => hosts.get(name)?.target?.id))];
 
 beforeEach(() => {
 	vi.useFakeTimers();
@@ -99,4 +100,20 @@
 		expect(new Set(mesh.members.map(({hosts}) => hosts.digest)).size).toBe(1);
 		expect(mesh.members.filter(({versionsInForce}) => versionsInForce.some((version, index) => version < versionsInForce[index - 1]))).toEqual([]);
 	});
+
+	it('keep a daemon that can\'t reach the store, and that hears of its return from peers alone', async () => {
+		const {mesh, copy, late: [cutOff]} = await startMeshAheadOfCopy();
+		mesh.setAccess([cutOff], 'silent');
+		void drill(copy);
+		for (let passedMs = 0; passedMs < 10_000; passedMs += 500) {
+			// eslint-disable-next-line no-await-in-loop -- looks at each moment of the drill and after it
+			await vi.advanceTimersByTimeAsync(500);
+			expect(instancesKnownOf(cutOff.name, mesh.members)).toEqual([`i-${cutOff.name}`]);
+		}
+
+		expect([cutOff.directory.storeEpoch, cutOff.siteVersion]).toEqual([store.epoch, 2]);
+		mesh.setAccess([cutOff], 'open');
+		await vi.advanceTimersByTimeAsync(ENTRIES_MS);
+		expect(storedHosts().has(cutOff.name)).toBe(true);
+	});
 });
