A daemon that starts again under the revision of its lost entry is told from that one

What callers saw: nothing yet; found by reading and shown by a test of 200 daemons in virtual time: an entry is lost with an older copy, its daemon starts again with another target, and the store gives the new entry the revision that the lost one had. Half of the daemons kept the old target for good ("['i-reborn', 'i-second']"), and no digest differed.

Cause: versions are compared and hashed by revision alone, and revisions are given out twice. Once the store is known to have been restored, a daemon tells its own versions with the fraction of its start, as it does for versions that it hasn't written, so no two lives share one.

The epoch that a daemon hears first gets a line.

--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -72,6 +72,7 @@
 			log,
 			random,
 			startedMs: this.#startedMs,
+			wasStoreRestored: () => this.#storeEpoch.wasRestored,
 			onVersion(entry, revision) {
 				parts.hosts.setOwnRevision(parts.host, revision);
 				parts.events.onRecords([{host: parts.host, revision, entry}]);
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -23,6 +23,8 @@
 	readonly random: () => number;
 	/** When this daemon started, in ms since 1970. */
 	readonly startedMs: number;
+	/** Whether the store may have given out the same revisions twice. */
+	readonly wasStoreRestored: () => boolean;
 	/** Called when peers should hear of a new version of the entry. */
 	readonly onVersion: (entry: HostEntry, revision: number) => void;
 };
@@ -236,11 +238,12 @@
 	#onWritten(entry: HostEntry, revision: number): void {
 		this.#storeRevision = revision;
 		this.#stored = entry;
-		if (revision > this.#revision) {
-			this.#revision = revision;
+		const isAhead = revision > this.#revision;
+		this.#revision = Math.max(this.#revision, revision);
+		if (isAhead && !this.#options.wasStoreRestored()) {
 			this.#tell(entry);
-		} else if (entry !== this.#told) {
-			// The store gives out revisions again that peers have seen.
+		} else if (isAhead || entry !== this.#told) {
+			// Peers may know this revision as that of another version; the fraction of this daemon's start sets them apart.
 			this.announce();
 		}
 	}
--- a/src/relay/storeepoch.ts
+++ b/src/relay/storeepoch.ts
@@ -1,6 +1,9 @@
 import {type EventLog} from '../log/index.js';
 import {type StoreEpoch} from './store.js';
 
+/** The epoch of a store that was never restored. */
+const FIRST_EPOCH = 1;
+
 /** Tracks the epoch of the store, as its answers and the peers name it. */
 export class StoreEpochTracker {
 	readonly #log: EventLog;
@@ -18,6 +21,11 @@
 		return this.#epoch;
 	}
 
+	/** Whether the store was ever restored from an older copy, as far as is known: revisions may have been given out twice. */
+	get wasRestored(): boolean {
+		return this.#epoch !== undefined && this.#epoch > FIRST_EPOCH;
+	}
+
 	/** Notes an epoch. @returns whether the store was restored since the one that was known, so that peers should hear of it */
 	record(epoch: StoreEpoch, source: 'store' | 'peer'): boolean {
 		const knownEpoch = this.#epoch;
@@ -27,6 +35,7 @@
 
 		this.#epoch = epoch;
 		if (knownEpoch === undefined) {
+			this.#log.event('store_epoch', {epoch, source});
 			return false;
 		}
 
--- a/test/relay/ownentry.test.ts
+++ b/test/relay/ownentry.test.ts
@@ -74,6 +74,7 @@
 		log: new EventLog(new Logger('h', 'info', () => undefined), new SystemClock()),
 		random: Math.random,
 		startedMs: STARTED_MS,
+		wasStoreRestored: () => memory.epoch > 1,
 		onVersion(_entry, revision) {
 			revisions.push(revision);
 		},
--- a/test/relay/storedrill.test.ts
+++ b/test/relay/storedrill.test.ts
@@ -116,4 +116,22 @@
 		await vi.advanceTimersByTimeAsync(ENTRIES_MS);
 		expect(storedHosts().has(cutOff.name)).toBe(true);
 	});
+
+	it('learn the new entry of a daemon that gets the revision which its lost entry had', async () => {
+		const mesh = await startMesh();
+		const copy = store.copy();
+		const killed = mesh.add('reborn');
+		await vi.advanceTimersByTimeAsync(4000);
+		const {revision} = store.get(HOST_KIND, killed.name);
+		mesh.kill([killed]);
+		void drill(copy);
+		await vi.advanceTimersByTimeAsync(AWAY_MS + ENTRIES_MS);
+		while (store.list(HOST_KIND).revision < revision - 1) {
+			store.set('unrelated', 'x', store.list(HOST_KIND).revision);
+		}
+
+		mesh.restart(killed, {...killed.entry, target: {...killed.entry.target!, id: 'i-second'}});
+		await vi.advanceTimersByTimeAsync(4000);
+		expect([store.get(HOST_KIND, killed.name).revision, instancesKnownOf(killed.name, mesh.members)]).toEqual([revision, ['i-second']]);
+	});
 });
