A daemon that starts brings no older copy of the configuration into force

A daemon that starts after the store came back from an older copy ran the older configuration until a peer sent the newer one ("[1, 2]" in force one after the other), against "never an older one after a newer" and the issue on the older copy; and with no peer no line said that nobody had confirmed it.

Cause: whatever the store listed first came into force at once. If the store names an epoch above 0, it may have been restored; then what it lists is held back for 700 ms, in which a peer (dialled each 500 ms by either side) sends what is in force. After that it counts, with the line site_unconfirmed. A change that is watched counts at once.

--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -24,7 +24,7 @@
 	fault: StoreFault = 'none';
 	callCount = 0;
 	/** Rises each time that the store is restored from an older copy. */
-	epoch = 1;
+	epoch = 0;
 	readonly #objects = new Map<string, StoredObject>();
 	#history: HistoryRecord[] = [];
 	readonly #watchWakers = new Set<() => void>();
--- a/src/relay/activesite.ts
+++ b/src/relay/activesite.ts
@@ -3,6 +3,9 @@
 import {type Adapter} from './adapter.js';
 import {type StoredObject} from './store.js';
 
+/** How long a daemon that starts waits for a peer's configuration, in ms: neighbors dial each other every 500 ms. */
+const HOLD_MS = 700;
+
 /** The configuration in force. Only one of a higher version replaces it. */
 export class ActiveSite {
 	readonly #adapter: Adapter;
@@ -10,6 +13,8 @@
 	readonly #onSite: (site: Site) => void;
 	#site: Site | undefined;
 	#value: unknown;
+	#held: StoredObject | undefined;
+	#holdTimer: NodeJS.Timeout | undefined;
 
 	/** @param onSite called when a configuration has come into force */
 	constructor(adapter: Adapter, log: EventLog, onSite: (site: Site) => void) {
@@ -27,6 +32,28 @@
 		return this.#value;
 	}
 
+	/**
+	 * Holds back what a store lists that may have been restored from an older copy, because a peer may know a newer
+	 * configuration. It comes into force when no peer has sent one for a while.
+	 */
+	hold(object: StoredObject): void {
+		if (this.#site !== undefined) {
+			this.offer(object);
+			return;
+		}
+
+		if (object.name === this.#adapter.configuration.name) {
+			this.#held = object;
+			this.#holdTimer ??= setTimeout(() => {
+				this.#releaseHeld();
+			}, HOLD_MS);
+		}
+	}
+
+	close(): void {
+		clearTimeout(this.#holdTimer);
+	}
+
 	/** Brings a stored configuration into force if it is newer. */
 	offer({name, revision, value}: StoredObject): void {
 		if (name !== this.#adapter.configuration.name) {
@@ -48,4 +75,14 @@
 			this.#log.warn('site_rejected', {revision, reason: (error as Error).message});
 		}
 	}
+
+	#releaseHeld(): void {
+		this.#holdTimer = undefined;
+		if (this.#site === undefined && this.#held !== undefined) {
+			this.#log.warn('site_unconfirmed', {revision: this.#held.revision, waitedMs: HOLD_MS});
+			this.offer(this.#held);
+		}
+
+		this.#held = undefined;
+	}
 }
--- a/src/relay/directory.ts
+++ b/src/relay/directory.ts
@@ -72,7 +72,7 @@
 			log,
 			random,
 			startedMs: this.#startedMs,
-			wasStoreRestored: () => this.#storeEpoch.wasRestored,
+			mayStoreBeRestored: () => this.#storeEpoch.mayBeRestored,
 			onVersion(entry, revision) {
 				parts.hosts.setOwnRevision(parts.host, revision);
 				parts.events.onRecords([{host: parts.host, revision, entry}]);
@@ -201,6 +201,7 @@
 		this.#isClosed = true;
 		clearTimeout(this.#leaseTimer);
 		this.#storeHealth.close();
+		this.#active.close();
 		this.#ownEntry.close();
 		for (const watch of this.#watches) {
 			watch.close();
@@ -211,23 +212,21 @@
 
 	#createSiteWatch(): StoreWatch {
 		const {adapter: {configuration}, configMs, random} = this.#parts;
-		const applyAll = (objects: readonly StoredObject[]) => {
-			for (const object of objects) {
-				this.#active.offer(object);
-			}
-
-			this.#onConfirmed();
-		};
-
 		return new StoreWatch({
 			...this.#watchParts(configuration.kind),
 			freshness: 'fresh',
 			isNeeded: hasListed => this.#watchers.isElected || (!hasListed && this.site === undefined),
 			chooseTimeoutMs: () => this.#watchers.count * configMs * LEASE_SHARE / CONFIRMATIONS_PER_LEASE * (0.5 + random()),
 			choosePauseMs: () => SITE_WATCH_PAUSE_MS,
-			onListing: applyAll,
-			onChanges({events}) {
-				applyAll(events.filter(({isDeleted}) => !isDeleted).map(({object}) => object));
+			onListing: objects => {
+				this.#applyListedSites(objects);
+			},
+			onChanges: ({events}) => {
+				for (const {object} of events.filter(({isDeleted}) => !isDeleted)) {
+					this.#active.offer(object);
+				}
+
+				this.#onConfirmed();
 			},
 		});
 	}
@@ -285,12 +284,8 @@
 		try {
 			const {objects, epoch} = await this.#store.list(configuration.kind, 'fresh');
 			this.#recordEpoch(epoch);
-			for (const object of objects) {
-				this.#active.offer(object);
-			}
-
 			this.#recordOutcome(configuration.kind, undefined);
-			this.#onConfirmed();
+			this.#applyListedSites(objects);
 			const listing = await this.#store.list(HOST_KIND, 'stale');
 			this.#applyHosts(listing.objects, listing.revision);
 		} catch (error) {
@@ -308,6 +303,18 @@
 		}
 	}
 
+	#applyListedSites(objects: readonly StoredObject[]): void {
+		for (const object of objects) {
+			if (this.#storeEpoch.mayBeRestored) {
+				this.#active.hold(object);
+			} else {
+				this.#active.offer(object);
+			}
+		}
+
+		this.#onConfirmed();
+	}
+
 	#recordEpoch(epoch: StoreEpoch): void {
 		if (this.#storeEpoch.record(epoch, 'store')) {
 			this.#parts.events.onStoreRestored();
--- a/src/relay/ownentry.ts
+++ b/src/relay/ownentry.ts
@@ -24,7 +24,7 @@
 	/** When this daemon started, in ms since 1970. */
 	readonly startedMs: number;
 	/** Whether the store may have given out the same revisions twice. */
-	readonly wasStoreRestored: () => boolean;
+	readonly mayStoreBeRestored: () => boolean;
 	/** Called when peers should hear of a new version of the entry. */
 	readonly onVersion: (entry: HostEntry, revision: number) => void;
 };
@@ -240,7 +240,7 @@
 		this.#stored = entry;
 		const isAhead = revision > this.#revision;
 		this.#revision = Math.max(this.#revision, revision);
-		if (isAhead && !this.#options.wasStoreRestored()) {
+		if (isAhead && !this.#options.mayStoreBeRestored()) {
 			this.#tell(entry);
 		} else if (isAhead || entry !== this.#told) {
 			// Peers may know this revision as that of another version; the fraction of this daemon's start sets them apart.
--- a/src/relay/storeepoch.ts
+++ b/src/relay/storeepoch.ts
@@ -1,8 +1,8 @@
 import {type EventLog} from '../log/index.js';
 import {type StoreEpoch} from './store.js';
 
-/** The epoch of a store that was never restored. */
-const FIRST_EPOCH = 1;
+/** The epoch of a store that was surely never restored; one that counts from 1 has none. */
+const UNRESTORED_EPOCH = 0;
 
 /** Tracks the epoch of the store, as its answers and the peers name it. */
 export class StoreEpochTracker {
@@ -21,9 +21,9 @@
 		return this.#epoch;
 	}
 
-	/** Whether the store was ever restored from an older copy, as far as is known: revisions may have been given out twice. */
-	get wasRestored(): boolean {
-		return this.#epoch !== undefined && this.#epoch > FIRST_EPOCH;
+	/** Whether the store may have been restored from an older copy, so that revisions were given out twice. */
+	get mayBeRestored(): boolean {
+		return this.#epoch !== undefined && this.#epoch > UNRESTORED_EPOCH;
 	}
 
 	/** Notes an epoch. @returns whether the store was restored since the one that was known, so that peers should hear of it */
--- a/test/relay/ownentry.test.ts
+++ b/test/relay/ownentry.test.ts
@@ -74,7 +74,7 @@
 		log: new EventLog(new Logger('h', 'info', () => undefined), new SystemClock()),
 		random: Math.random,
 		startedMs: STARTED_MS,
-		wasStoreRestored: () => memory.epoch > 1,
+		mayStoreBeRestored: () => memory.epoch > 0,
 		onVersion(_entry, revision) {
 			revisions.push(revision);
 		},
--- a/test/relay/storedrill.test.ts
+++ b/test/relay/storedrill.test.ts
@@ -134,4 +134,31 @@
 		await vi.advanceTimersByTimeAsync(4000);
 		expect([store.get(HOST_KIND, killed.name).revision, instancesKnownOf(killed.name, mesh.members)]).toEqual([revision, ['i-second']]);
 	});
+
+	it('bring the older configuration into force nowhere, not even where a daemon starts that asks the store first', async () => {
+		const {mesh, copy, late: [killed]} = await startMeshAheadOfCopy();
+		mesh.kill([killed]);
+		void store.drill({copy, awayMs: AWAY_MS, rewriteAfterMs: 10_000});
+		await vi.advanceTimersByTimeAsync(AWAY_MS + 100);
+		const started = mesh.restart(killed);
+		await vi.advanceTimersByTimeAsync(3000);
+		expect([started.versionsInForce, mesh.countVersions()]).toEqual([[2], {2: mesh.members.length}]);
+	});
+
+	it('take the configuration of the copy if all of them were down, say that no peer has confirmed it, and take the newer one once it is written again', async () => {
+		const {mesh, copy} = await startMeshAheadOfCopy();
+		const killed = [...mesh.members];
+		mesh.kill(killed);
+		await vi.advanceTimersByTimeAsync(1000);
+		void store.drill({copy, awayMs: AWAY_MS, rewriteAfterMs: 4000});
+		await vi.advanceTimersByTimeAsync(AWAY_MS + 100);
+		const members = killed.map(member => mesh.restart(member));
+		await vi.advanceTimersByTimeAsync(3500);
+		expect(mesh.countVersions()).toEqual({1: members.length});
+		const [{logLines}] = members;
+		expect(logLines.filter(line => line.includes('event=site_unconfirmed'))).toHaveLength(1);
+		await vi.advanceTimersByTimeAsync(400 + CONFIG_MS);
+		expect(mesh.countVersions()).toEqual({2: members.length});
+		expect(namesMissingFrom(storedHosts(), members)).toEqual([]);
+	});
 });
