--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -30,6 +30,8 @@
 /** Translates between the daemon and the platform that it runs on: headers, stored configuration, target messages. */
 export abstract class Adapter {
 	abstract readonly headers: HeaderNames;
+	/** The prefixes, in lower case, of all header names that the platform defines, those that nothing here reads included. */
+	abstract readonly headerPrefixes: readonly string[];
 	abstract readonly configuration: ConfigurationKey;
 	abstract readonly store: ObjectStore;
 	/** The URL path of the readiness check. */
--- a/src/relay/ownedcall.ts
+++ b/src/relay/ownedcall.ts
@@ -23,6 +23,7 @@
 	/** Called with what the target says of itself in its answer to the call. */
 	abstract onSignals(owned: OwnedCall, signals: TargetSignals): void;
 	abstract onInvalidSignals(owned: OwnedCall, error: DecodeError): void;
+	abstract onUnknownHeader(owned: OwnedCall, name: string): void;
 }
 
 /** One call at the owner of its target, from its arrival to its end. */
@@ -166,6 +167,10 @@
 		this.#owner.onInvalidSignals(this, error);
 	}
 
+	onUnknownHeader(name: string): void {
+		this.#owner.onUnknownHeader(this, name);
+	}
+
 	onBodyTaken(bytes: number): void {
 		this.#sink?.onCredit(bytes);
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -74,7 +74,7 @@
 		this.#loadShedder = new LoadShedder(settings.host);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
-		this.#targetClient = new TargetClient(settings.target, adapter.headers, nowMs);
+		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
 		this.#targetOwner = new TargetOwner({
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
 			onSlowness: slowness => {
--- a/src/relay/run.ts
+++ b/src/relay/run.ts
@@ -9,6 +9,7 @@
 } from './call.js';
 import {type DecodeError} from './error.js';
 import {readTargetSignals} from './targetsignals.js';
+import {type UnknownHeaders} from './unknownheaders.js';
 
 /** Receives the events of one run at the target. */
 export abstract class RunSink {
@@ -22,11 +23,14 @@
 	/** Called with what the target says of itself, before its answer is passed on. */
 	abstract onSignals(signals: TargetSignals): void;
 	abstract onInvalidSignals(error: DecodeError): void;
+	/** Called with the name of a header that the platform defines and that nothing here reads, once for each name. */
+	abstract onUnknownHeader(name: string): void;
 }
 
 /** What a run needs from the connection that it uses. */
 export type RunConnection = {
 	readonly wasReset: () => boolean;
+	readonly unknownHeaders: UnknownHeaders;
 	/** Called when the connection ended before any part of the answer arrived. */
 	readonly onLost: () => void;
 	/** @param isReusable whether the connection may carry another request */
@@ -254,6 +258,10 @@
 				continue;
 			}
 
+			if (this.#connection.unknownHeaders.shouldReport(name)) {
+				this.#sink.onUnknownHeader(name);
+			}
+
 			for (const item of Array.isArray(value) ? value : [value]) {
 				forwarded.push(name, item);
 			}
--- a/src/relay/targetclient.ts
+++ b/src/relay/targetclient.ts
@@ -1,9 +1,10 @@
 import {Client, buildConnector} from 'undici';
 import {IdleConnectionLimit} from '../mesh/index.js';
-import {type HeaderNames} from './adapter.js';
+import {type Adapter, type HeaderNames} from './adapter.js';
 import {type Call} from './call.js';
 import {Run, type RunSink} from './run.js';
 import {type Address} from './settings.js';
+import {UnknownHeaders} from './unknownheaders.js';
 
 /** The timeout for opening a connection to the target, in ms; the target is on the same host. */
 const CONNECT_TIMEOUT_MS = 1000;
@@ -22,12 +23,14 @@
 	readonly #nowMs: () => number;
 	readonly #origin: string;
 	readonly #idleLimit = new IdleConnectionLimit();
+	readonly #unknownHeaders: UnknownHeaders;
 	#noReuseUntilMs = 0;
 	#generation = 0;
 
-	constructor(address: Address, names: HeaderNames, nowMs: () => number) {
+	constructor(address: Address, {headers, headerPrefixes}: Pick<Adapter, 'headers' | 'headerPrefixes'>, nowMs: () => number) {
 		this.#origin = originOf(address);
-		this.#names = names;
+		this.#names = headers;
+		this.#unknownHeaders = new UnknownHeaders(headers, headerPrefixes);
 		this.#nowMs = nowMs;
 	}
 
@@ -58,6 +61,7 @@
 		const generation = this.#generation;
 		const run = new Run(call, this.#names, sink, {
 			wasReset: () => connection.wasReset,
+			unknownHeaders: this.#unknownHeaders,
 			onLost: () => {
 				if (Number.isFinite(idleMs)) {
 					this.#idleLimit.recordLoss(idleMs, this.#nowMs());
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -250,6 +250,10 @@
 		this.#options.log.warn('target_signals_rejected', {instance, attempt: attemptId, reason: error.message});
 	}
 
+	override onUnknownHeader({call: {instance, attemptId}}: OwnedCall, name: string): void {
+		this.#options.log.warn('target_header_unknown', {instance, attempt: attemptId, header: name});
+	}
+
 	#recordWork(owned: OwnedCall, nowMs: number): void {
 		const {log, lifecycle, onSlowness} = this.#options;
 		const {route} = owned.call.template;
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -25,6 +25,7 @@
 /** An adapter for tests: stored objects and messages are values of the relay's own types, so that nothing is converted. */
 export class MeshAdapter extends Adapter {
 	override readonly headers = meshHeaders;
+	override readonly headerPrefixes = ['target-'];
 	override readonly configuration = {kind: 'site', name: 'main'};
 	override readonly readinessPath = '/ready';
 	override readonly store: ObjectStore;
--- a/test/relay/targetsignals.test.ts
+++ b/test/relay/targetsignals.test.ts
@@ -1,10 +1,14 @@
-import {describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {NO_SIGNALS} from '../../src/mesh/index.js';
 import {packSignals, readSignals} from '../../src/relay/frame.js';
 import {readTargetSignals} from '../../src/relay/targetsignals.js';
 import {DecodeError} from '../../src/relay/index.js';
 import {pack, unpack} from '../../src/wire/index.js';
-import {meshHeaders} from '../../standins/meshadapter.js';
+import {Mesh} from '../../standins/mesh.js';
+import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
 
 const read = (limit?: string | string[], leaving?: string) => readTargetSignals({[meshHeaders.rateLimit]: limit, [meshHeaders.leaving]: leaving}, meshHeaders);
 
@@ -31,3 +35,21 @@
 		}
 	});
 });
+
+describe('a header of the platform that nothing here reads', () => {
+	const mesh = new Mesh();
+	afterEach(async () => {
+		await mesh.close();
+	});
+
+	it('is logged once, and still passed on', async () => {
+		const {back, port} = await mesh.addPair();
+		back.target.extraHeaders = {
+			...back.target.extraHeaders, 'target-mood': 'tired', 'content-language': 'en', [meshHeaders.rateLimit]: '50',
+		};
+		const first = await call(port, '/x/', {headers: createAttemptHeaders('a1')});
+		await call(port, '/x/', {headers: createAttemptHeaders('a2')});
+		expect([first.status, first.headers['target-mood']]).toEqual([200, 'tired']);
+		expect(mesh.logLines.filter(line => line.includes('event=target_header_unknown')).map(line => /header=(\S+)/v.exec(line)![1])).toEqual(['target-mood']);
+	});
+});
