What a target says of itself in a health check counts from the start of its daemon on

A daemon that starts beside a running target finds it by a health check. The answer names the rate limit and the leaving like any other, and the daemon read neither: until the first answer to a call it gave the target as many calls as it has slots. In the new test, 40 in the first second for a limit of 5 a second (allowed there: 10); with the signals of the check applied it passes.

--- a/src/relay/targetclient.ts
+++ b/src/relay/targetclient.ts
@@ -1,9 +1,10 @@
 import {Client, buildConnector} from 'undici';
-import {IdleConnectionLimit} from '../mesh/index.js';
+import {IdleConnectionLimit, type TargetSignals} from '../mesh/index.js';
 import {type Adapter, type HeaderNames} from './adapter.js';
 import {type Call} from './call.js';
 import {Run, type RunSink} from './run.js';
 import {type Address} from './settings.js';
+import {readTargetSignals} from './targetsignals.js';
 import {UnknownHeaders} from './unknownheaders.js';
 
 /** The timeout for opening a connection to the target, in ms; the target is on the same host. */
@@ -40,15 +41,19 @@
 		this.#destroyIdle();
 	}
 
-	/** Sends one health check to the target. @returns its id and its load header, if it answers 200 with both */
-	async probe(path: string): Promise<{id: string; load: string} | undefined> {
+	/**
+	 * Sends one health check to the target.
+	 * @returns its id, its load header and what else it says of itself, if it answers 200 with the first two
+	 * @throws {DecodeError} when what it says of itself is malformed
+	 */
+	async probe(path: string): Promise<{id: string; load: string; signals: TargetSignals} | undefined> {
 		const client = new Client(this.#origin);
 		try {
 			const response = await client.request({method: 'GET', path, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
 			await response.body.dump();
 			const id = response.headers[this.#names.instance];
 			const load = response.headers[this.#names.load];
-			return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load} : undefined;
+			return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load, signals: readTargetSignals(response.headers, this.#names)} : undefined;
 		} finally {
 			void client.destroy();
 		}
--- a/src/relay/targetmonitor.ts
+++ b/src/relay/targetmonitor.ts
@@ -155,7 +155,7 @@
 	// A target that kept running while its daemon restarted announces itself only after a while.
 	async #probe(): Promise<void> {
 		const {
-			adapter, log, lifecycle, targetClient, directory,
+			adapter, log, lifecycle, targetClient, owner, directory,
 		} = this.#parts;
 		const {service, failureDomain, target} = this.#parts.settings();
 		const path = directory.site?.services.get(service)?.healthPath;
@@ -172,6 +172,7 @@
 				this.#onAnnouncement({
 					id: answer.id, bornMs: UNKNOWN_START_MS, seq: 0, service, failureDomain, address: `${target.ip}:${target.port}`, slots, state: 'ready', warmUpLeftMs: 0,
 				});
+				owner.applySignals(answer.id, answer.signals);
 			}
 		} catch (error) {
 			log.event('target_unprobed', {reason: (error as Error).message});
--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -221,6 +221,11 @@
 	}
 
 	override onSignals({call: {instance}}: OwnedCall, signals: TargetSignals): void {
+		this.applySignals(instance, signals);
+	}
+
+	/** Applies what the target says of itself in an answer, that to a health check included. */
+	applySignals(instance: string, signals: TargetSignals): void {
 		const {log, lifecycle, onLeaving} = this.#options;
 		if (lifecycle.current?.id !== instance) {
 			return;
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -5,7 +5,7 @@
 import {type Route, type SiteSpec} from '../src/mesh/index.js';
 import {Relay, type RelaySettings} from '../src/relay/index.js';
 import {MeshAdapter} from './meshadapter.js';
-import {MeshTarget, type MeshTargetOptions} from './meshtarget.js';
+import {HEALTH_PATH, MeshTarget, type MeshTargetOptions} from './meshtarget.js';
 
 const ANNOUNCE_INTERVAL_MS = 500;
 
@@ -25,7 +25,7 @@
 	return {
 		version,
 		routes,
-		services: [...names].map(name => ({name, maxConnections: 100, healthPath: '/health'})),
+		services: [...names].map(name => ({name, maxConnections: 100, healthPath: HEALTH_PATH})),
 		limits: {
 			headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
@@ -102,10 +102,16 @@
 				this.logLines.push(line.trim());
 			},
 		});
+		const announce = async () => {
+			if (target.options.isSilent !== true) {
+				await target.announce(ports[3]);
+			}
+		};
+
 		await relay.start();
-		await target.announce(ports[3]);
+		await announce();
 		const timer = setInterval(() => {
-			void target.announce(ports[3]);
+			void announce();
 		}, ANNOUNCE_INTERVAL_MS);
 		return {
 			name,
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -6,6 +6,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {meshHeaders} from './meshadapter.js';
 
+/** The path of health checks. */
+export const HEALTH_PATH = '/health';
+
 /** A nested call that a target makes while it runs a request; `times` is how often it makes it. */
 export type NestedCall = {readonly path: string; readonly times: number};
 
@@ -23,6 +26,9 @@
 	/** Nested calls by path prefix of the request. */
 	readonly calls?: Readonly<Record<string, readonly NestedCall[]>>;
 	readonly bodyBytes?: number;
+	/** Whether the target never announces itself, so that only a health check finds it. */
+	readonly isSilent?: boolean;
+	readonly extraHeaders?: Readonly<Record<string, string>>;
 };
 
 /** A target that takes `workMs` for each request, makes its nested calls, and records what it received and ran. */
@@ -33,7 +39,7 @@
 	/** When each request arrived, in ms since 1970. */
 	readonly receivedTimesMs: number[] = [];
 	/** Headers that the target adds to its answers. */
-	extraHeaders: Readonly<Record<string, string>> = {};
+	extraHeaders: Readonly<Record<string, string>>;
 	runningCount = 0;
 	maxRunningCount = 0;
 	/** Connections opened to the target since its start, the closed ones included. */
@@ -46,6 +52,7 @@
 
 	constructor(options: MeshTargetOptions) {
 		this.options = options;
+		this.extraHeaders = options.extraHeaders ?? {};
 		this.#server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
 			void this.#serve(request, response);
 		});
@@ -124,6 +131,13 @@
 
 		const body = Buffer.concat(chunks);
 		const attemptId = String(request.headers[meshHeaders.attemptId]);
+		if (request.url === HEALTH_PATH) {
+			const {id, slots} = this.options;
+			response.writeHead(200, {...this.extraHeaders, [meshHeaders.instance]: id, [meshHeaders.load]: String(slots)});
+			response.end();
+			return;
+		}
+
 		if (request.headers[meshHeaders.expectedInstance] !== this.options.id) {
 			response.writeHead(421);
 			response.end();
--- a/test/relay/ratelimit.test.ts
+++ b/test/relay/ratelimit.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {
 	Mesh, type MeshHost, createRoute, createSiteSpec,
@@ -85,6 +85,24 @@
 		expect(countBusiestWindow(limited.target.receivedTimesMs, namedMs + limited.target.options.workMs + NOTICE_MS)).toBeLessThanOrEqual(allowedRequests(limitPerS));
 	});
 
+	it('gets no more than that from the start of its daemon on, as its health check names the limit, too', async () => {
+		const limitPerS = 5;
+		mesh = new Mesh({isFirstStart: false, announceIntervalMs: 5000});
+		mesh.configure(createSiteSpec([createRoute('x', 'back')]));
+		const options = {slots: 60, workMs: 300};
+		const client = await mesh.addHost('client', {id: 'i-1', service: 'front', ...options});
+		const {target} = await mesh.addHost('limited', {
+			id: 'i-limited', service: 'back', isSilent: true, extraHeaders: namesLimit(limitPerS), ...options,
+		});
+		await vi.waitFor(() => {
+			expect(mesh.logLines.filter(line => line.includes('event=target_probed instance=i-limited'))).toHaveLength(1);
+		}, 3000);
+		await mesh.settle();
+		await sendFor(1000, [client]);
+		expect(target.receivedTimesMs.length).toBeGreaterThan(0);
+		expect(target.receivedTimesMs.length).toBeLessThanOrEqual(limitPerS * 2);
+	});
+
 	it('gets more again once its answers name none', async () => {
 		const {clients, limited} = await createSite();
 		limited.target.extraHeaders = namesLimit(5);
