A key that is too long is refused as such, not as one from the future

Callers and operators were sent after their clocks: reason key-from-future for a key of 129 characters. Reason key-too-long now, status 400 as before. The test failed before.

--- a/src/core/answer.ts
+++ b/src/core/answer.ts
@@ -13,6 +13,7 @@
 		| 'fence-unavailable'
 		| 'key-expired'
 		| 'key-from-future'
+		| 'key-too-long'
 		| 'ledger-full'
 		| 'lost'
 		| 'no-config'
--- a/src/core/idempotencykey.ts
+++ b/src/core/idempotencykey.ts
@@ -14,8 +14,12 @@
 
 /** Returns why a key is refused, or undefined if it is accepted. */
 export function findKeyFault(key: string, {clockSkewMs, resendWindowMs}: SiteSpec, nowMs: number): Reason | undefined {
+	if (key.length > MAX_KEY_LENGTH) {
+		return 'key-too-long';
+	}
+
 	const createdMs = parseKeyTimeMs(key);
-	if (key.length > MAX_KEY_LENGTH || (createdMs !== undefined && createdMs > nowMs + clockSkewMs)) {
+	if (createdMs !== undefined && createdMs > nowMs + clockSkewMs) {
 		return 'key-from-future';
 	}
 
--- a/src/daemon/answer.ts
+++ b/src/daemon/answer.ts
@@ -9,6 +9,7 @@
 	'unknown-service': 404,
 	'unknown-operation': 404,
 	'key-from-future': 400,
+	'key-too-long': 400,
 	'key-expired': 409,
 	superseded: 409,
 	deadline: 504,
--- a/test/core/site.test.ts
+++ b/test/core/site.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {type CallerAnswer, type SiteObserver} from '../../fakes/index.js';
 import {type CasePlan} from '../../proof/caseplan.js';
+import {MAX_KEY_LENGTH} from '../../src/core/idempotencykey.js';
 import {
 	START_MS, type SimulatedService, CaseSimulation, createRequest, createTimedKey,
 } from '../../proof/casesimulation.js';
@@ -132,6 +133,12 @@
 		expect(sendRequest(world, 'back-0', {key: old, attempt: 2})).toMatchObject({outcome: 'unknown', reason: 'key-expired'});
 	});
 
+	it('refuses a key that is too long as such, and accepts the longest one', () => {
+		const world = createWorld();
+		expect(sendRequest(world, 'back-0', {key: 'k'.repeat(MAX_KEY_LENGTH + 1), attempt: 1})).toMatchObject({outcome: 'not-run', reason: 'key-too-long'});
+		expect(sendRequest(world, 'back-0', {key: 'k'.repeat(MAX_KEY_LENGTH), attempt: 1})?.outcome).toBe('complete');
+	});
+
 	it('refuses immediately, with a retry-after time, when there is no upstream', () => {
 		const world = createWorld();
 		for (const host of ['front-0', 'front-1', 'front-2']) {
