An answer of the object API of another shape is a PlatformError that names request and field

A ZodError passed every place that handles PlatformError: `apply` printed a stack, a daemon's load ended without the line platform_failed's status. The schema is checked where the other faults of a request become a PlatformError. The test failed before, with the ZodError.

--- a/src/platform/platformclient.ts
+++ b/src/platform/platformclient.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import {z} from 'zod';
+import {parseWithSchema} from '../config/index.js';
 import {PlatformError} from './error.js';
 
 /** Time beyond `waitMs` before a watch request without a response is aborted, in ms. */
@@ -7,6 +8,7 @@
 
 const storedSchema = z.object({key: z.string(), version: z.int(), value: z.unknown()});
 const listSchema = z.object({version: z.int(), objects: z.array(storedSchema)});
+const writtenSchema = z.object({version: z.int()});
 
 /** An object as the platform stores it. */
 export type StoredObject = z.infer<typeof storedSchema>;
@@ -28,13 +30,13 @@
 
 	/** @throws {PlatformError} */
 	async list(prefix: string): Promise<ObjectListing> {
-		return listSchema.parse(await this.#send('GET', `/objects?prefix=${encodeURIComponent(prefix)}`));
+		return this.#send('GET', `/objects?prefix=${encodeURIComponent(prefix)}`, listSchema);
 	}
 
 	/** @throws {PlatformError} */
 	async get(key: string): Promise<StoredObject | undefined> {
 		try {
-			return storedSchema.parse(await this.#send('GET', `/objects/${encodeURIComponent(key)}`));
+			return await this.#send('GET', `/objects/${encodeURIComponent(key)}`, storedSchema);
 		} catch (error) {
 			if (error instanceof PlatformError && error.status === 404) {
 				return undefined;
@@ -51,13 +53,13 @@
 	 */
 	async put(key: string, value: unknown, version: number): Promise<number> {
 		const headers: Record<string, string> = version === 0 ? {'if-none-match': '*'} : {'if-match': String(version)};
-		const answer = await this.#send('PUT', `/objects/${encodeURIComponent(key)}`, {headers, value});
-		return z.object({version: z.int()}).parse(answer).version;
+		const {version: newVersion} = await this.#send('PUT', `/objects/${encodeURIComponent(key)}`, writtenSchema, {headers, value});
+		return newVersion;
 	}
 
 	/** @throws {PlatformError} */
 	async delete(key: string): Promise<void> {
-		await this.#send('DELETE', `/objects/${encodeURIComponent(key)}`);
+		await this.#send('DELETE', `/objects/${encodeURIComponent(key)}`, z.unknown());
 	}
 
 	/**
@@ -67,10 +69,10 @@
 	async watch(prefix: string, after: number, waitMs: number, signal: AbortSignal): Promise<ObjectListing> {
 		const path = `/watch?prefix=${encodeURIComponent(prefix)}&after=${after}&waitMs=${waitMs}`;
 		const watchSignal = AbortSignal.any([signal, AbortSignal.timeout(waitMs + WATCH_TIMEOUT_MARGIN_MS)]);
-		return listSchema.parse(await this.#send('GET', path, {signal: watchSignal}));
+		return this.#send('GET', path, listSchema, {signal: watchSignal});
 	}
 
-	async #send(method: 'GET' | 'PUT' | 'DELETE', path: string, options: RequestOptions = {}): Promise<unknown> {
+	async #send<T>(method: 'GET' | 'PUT' | 'DELETE', path: string, schema: z.ZodType<T>, options: RequestOptions = {}): Promise<T> {
 		const {headers, value, signal = AbortSignal.timeout(this.#timeoutMs)} = options;
 		let status = 0;
 		try {
@@ -86,7 +88,7 @@
 				throw new PlatformError(status, `${method} ${path}: status ${status}`);
 			}
 
-			return text === '' ? undefined : JSON.parse(text);
+			return parseWithSchema(schema, text === '' ? undefined : JSON.parse(text));
 		} catch (error) {
 			if (error instanceof PlatformError) {
 				throw error;
--- a/test/platform/product.test.ts
+++ b/test/platform/product.test.ts
@@ -1,3 +1,6 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -77,6 +80,24 @@
 		expect(objects.map(({key}) => key)).toEqual(['config/site']);
 	});
 
+	it('reports an answer of another shape as a PlatformError that names the request and the field', async () => {
+		platform.close();
+		const other = createServer((_request, response) => {
+			response.end('{"version":"many"}');
+		}).listen(0, HOST);
+		await once(other, 'listening');
+		client = new PlatformClient(`http://${HOST}:${(other.address() as AddressInfo).port}`, 2000);
+		const calls = [client.list(''), client.get('a'), client.put('a', 1, 0), client.watch('', 0, 10, new AbortController().signal)];
+		for (const result of await Promise.allSettled(calls)) {
+			const {reason} = result as {readonly reason: unknown};
+			expect(reason).toBeInstanceOf(PlatformError);
+			expect((reason as Error).message).toMatch(/^(?:GET|PUT) \//v);
+			expect((reason as Error).message).toContain('version: ');
+		}
+
+		other.close();
+	});
+
 	it('reports an unreachable platform as a PlatformError', async () => {
 		platform.close();
 		await expect(client.list('')).rejects.toBeInstanceOf(PlatformError);
