A daemon that has stopped listens no longer

Seen once: ratelimit.test.ts, "listen EADDRINUSE 127.0.0.1:16024" when the daemon beside a target was started again on its ports. Cause: the listener of requests was closed by the timer at the end of the lame-duck time alone, and a stop may end before that timer has fired: at the same 50 ms tick, or because the grace period is shorter. A process that goes on after the stop keeps the port. The closing of the request server closes its listener now.

--- a/src/relay/requestserver.ts
+++ b/src/relay/requestserver.ts
@@ -145,6 +145,7 @@
 
 	/** Aborts the requests that are still open and closes all connections. */
 	close(): void {
+		this.#server.close();
 		for (const exchange of this.#exchanges) {
 			exchange.abort();
 		}
