A failed watch of the configuration is logged, once for each outage, and its end too

The product's daemon swallowed the error of its watch: an operator saw nothing while no new configuration could come. Events platform_watch_lost (status, reason) and platform_watch_regained (version). The test failed before.

--- a/src/daemon/platformtask.ts
+++ b/src/daemon/platformtask.ts
@@ -98,15 +98,26 @@
 
 	async #runWatch(signal: AbortSignal): Promise<void> {
 		let after = 0;
+		let isLost = false;
 		while (!signal.aborted) {
 			try {
 				// eslint-disable-next-line no-await-in-loop
 				const {version, objects} = await this.#client.watch(CONFIG_PREFIX, after, WATCH_WAIT_MS, signal);
 				after = version;
+				if (isLost) {
+					isLost = false;
+					this.#log.info('platform_watch_regained', {version});
+				}
+
 				if (objects.length > 0) {
 					this.#bus.send({type: 'platform', reply: {op: 'config', objects: this.#parseConfigObjects(objects)}});
 				}
-			} catch {
+			} catch (error) {
+				if (!isLost && !signal.aborted) {
+					isLost = true;
+					this.#log.warn('platform_watch_lost', fieldsOf(error));
+				}
+
 				// eslint-disable-next-line no-await-in-loop
 				await sleep(WATCH_RETRY_DELAY_MS, signal);
 			}
@@ -117,8 +128,7 @@
 		try {
 			return await action();
 		} catch (error) {
-			const status = error instanceof PlatformError ? error.status : 0;
-			this.#log.warn('platform_failed', {status, reason: (error as Error).message});
+			this.#log.warn('platform_failed', fieldsOf(error));
 			return undefined;
 		}
 	}
@@ -148,6 +158,10 @@
 	}
 }
 
+function fieldsOf(error: unknown): {status: number; reason: string} {
+	return {status: error instanceof PlatformError ? error.status : 0, reason: (error as Error).message};
+}
+
 async function sleep(ms: number, signal: AbortSignal): Promise<void> {
 	return new Promise(resolve => {
 		const timer = setTimeout(resolve, ms);
--- a/test/platform/product.test.ts
+++ b/test/platform/product.test.ts
@@ -1,10 +1,14 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {type SiteSpec} from '../../src/core/index.js';
+import {MessageBus} from '../../src/daemon/messagebus.js';
+import {PlatformTask} from '../../src/daemon/platformtask.js';
+import {Logger} from '../../src/log/index.js';
 import {
 	ConfigWriter, ConflictError, PlatformClient, PlatformError,
 } from '../../src/platform/index.js';
@@ -15,6 +19,31 @@
 	classes: [{name: 'low', rank: 0}], retryPot, retryRatio: 0.1, resendWindowMs: 1000, clockSkewMs: 1, epochMs: 1000,
 });
 
+describe('a daemon\'s watch of the configuration', () => {
+	it('logs that it failed, once for each outage, and that it works again', async () => {
+		const platform = new PlatformStandIn();
+		const port = await platform.listen(HOST, 0);
+		const lines: string[] = [];
+		const bus = new MessageBus();
+		const task = new PlatformTask(bus, new Logger('d', 'info', line => {
+			lines.push(line);
+		}), `http://${HOST}:${port}`, 500);
+		const events = () => lines.map(line => /event=(platform_watch_\w+)/v.exec(line)?.[1]).filter(Boolean);
+		platform.faults.outage = true;
+		bus.publish({type: 'platform', request: {op: 'watch', on: true}});
+		// Longer than the pause after a failed watch, so that another one fails.
+		await sleep(1500);
+		platform.faults.outage = false;
+		await new ConfigWriter(new PlatformClient(`http://${HOST}:${port}`, 2000)).write('site', siteSpec(1), {version: 0});
+		await vi.waitFor(() => {
+			expect(events()).toEqual(['platform_watch_lost', 'platform_watch_regained']);
+		}, {timeout: 5000});
+		expect(lines.find(line => line.includes('platform_watch_lost'))).toMatch(/status=503 .*reason=/v);
+		task.close();
+		platform.close();
+	});
+});
+
 describe('configuration writer', () => {
 	let platform: PlatformStandIn;
 	let client: PlatformClient;
