--- a/src/mesh/host.ts
+++ b/src/mesh/host.ts
@@ -151,14 +151,24 @@
 
 	/** The versions that a peer lacks that knows the given revisions. */
 	newerThan(revisions: ReadonlyMap<string, number>): HostRecord[] {
-		return [...this.#revisions].filter(([host, revision]) => revision > (revisions.get(host) ?? 0)).flatMap(([host, revision]) => {
+		const newer = [...this.#revisions].filter(([host, revision]) => revision > (revisions.get(host) ?? 0));
+		return this.recordsOf(newer.map(([host]) => host));
+	}
+
+	/** The newest known versions of these hosts' entries, without those of hosts that aren't known here. */
+	recordsOf(hosts: Iterable<string>): HostRecord[] {
+		const records: HostRecord[] = [];
+		for (const host of hosts) {
+			const revision = this.#revisions.get(host);
 			const held = this.#hosts.get(host);
-			if (held === undefined && host === this.#ownHost) {
-				return [];
+			if (revision === undefined || (held === undefined && host === this.#ownHost)) {
+				continue;
 			}
 
-			return held === undefined || held.deletedAtMs !== undefined ? [{host, revision}] : [{host, revision, entry: held.entry}];
-		});
+			records.push(held === undefined || held.deletedAtMs !== undefined ? {host, revision} : {host, revision, entry: held.entry});
+		}
+
+		return records;
 	}
 
 	#setRevision(host: string, revision: number): void {
--- a/src/relay/gossip.ts
+++ b/src/relay/gossip.ts
@@ -13,7 +13,6 @@
 const FLOOD_DELAY_MS = 40;
 /** How long a peer may take to send a version that it offered before another is asked, in ms. */
 const RECORD_REQUEST_TIMEOUT_MS = 300;
-const NO_REVISIONS: ReadonlyMap<string, number> = new Map();
 /** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
 /** Consecutive news with a different digest from one peer before the versions are compared: versions may be on their way. */
@@ -338,8 +337,8 @@
 	}
 
 	#sendRecords(hosts: unknown, channel: FrameChannel): void {
-		const names = new Set(Array.isArray(hosts) ? hosts : []);
-		const records = this.#parts.hosts.newerThan(NO_REVISIONS).filter(({host}) => names.has(host));
+		const names = Array.isArray(hosts) ? hosts.filter(host => typeof host === 'string') : [];
+		const records = this.#parts.hosts.recordsOf(names);
 		if (records.length > 0) {
 			channel.send(buildRecordsFrame(records));
 		}
