--- a/src/relay/targetowner.ts
+++ b/src/relay/targetowner.ts
@@ -295,7 +295,7 @@
 		this.onRunEnded(owned, false);
 	}
 
-	// A daemon that has restarted learns the limit with the calls of those that had passed it on: the target's own word comes only with an answer.
+	// After a restart, the limit is known from callers that have passed it on before the target answers a call or a health check.
 	#adoptRateLimit({rateLimitPerS, instance}: Call, nowMs: number): void {
 		if (this.#signals === undefined && rateLimitPerS !== undefined && rateLimitPerS < this.#queue.ratePerS) {
 			this.#queue.setRateLimit(rateLimitPerS, nowMs);
