--- /dev/null
+++ b/src/mesh/organisations/index.ts
@@ -0,0 +1,2 @@
+export {type Organisation} from './organisation.js';
+export {OrganisationTable} from './organisationtable.js';
--- a/src/mesh/routing/route.ts
+++ b/src/mesh/routing/route.ts
@@ -20,6 +20,8 @@
 	/** Priority class; 0 is the highest. */
 	readonly rank: number;
 	readonly destinations: readonly Destination[];
+	/** Whether its requests need no API key, also where the site has organisations. */
+	readonly isPublic?: boolean;
 };
 
 /** Finds the route of a request: the one with the longest matching path prefix among the routes of its host. */
--- a/src/mesh/routing/site.ts
+++ b/src/mesh/routing/site.ts
@@ -1,3 +1,5 @@
+import {type Organisation} from '../organisations/organisation.js';
+import {OrganisationTable} from '../organisations/organisationtable.js';
 import {type Route, RouteTable} from './route.js';
 
 /** Limits on the size and duration of client requests. */
@@ -16,6 +18,8 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly ServiceSpec[];
+	/** Absent if requests need no API key. */
+	readonly organisations?: readonly Organisation[];
 	readonly limits: ClientLimits;
 };
 
@@ -26,6 +30,8 @@
 	readonly spec: SiteSpec;
 	readonly routeTable: RouteTable;
 	readonly services: ReadonlyMap<string, ServiceSpec>;
+	/** Undefined if requests need no API key. */
+	readonly organisations: OrganisationTable | undefined;
 
 	/** The operator's version; a higher one is newer. */
 	get version(): number {
@@ -37,5 +43,6 @@
 		this.spec = spec;
 		this.routeTable = new RouteTable(spec.routes);
 		this.services = new Map(spec.services.map(service => [service.name, service]));
+		this.organisations = spec.organisations && new OrganisationTable(spec.organisations);
 	}
 }
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -29,6 +29,8 @@
 	readonly priority: Priority;
 	/** Whether a call that is running at a target waits for this one. */
 	readonly isNested: boolean;
+	/** The organisation that the root request belongs to; absent if it belongs to none. */
+	readonly organisation?: string;
 	readonly body: Buffer;
 	/** Whether the call, or the running call that waits for it, is a retry. */
 	readonly isRepeat: boolean;
