Requests belong to the organisation that holds their API key; without a known key they get 401

What callers would see on a site with organisations: any key, or none, was served, the key travelled to the target, and the target was told whatever organisation the client named.

Where the configuration has organisations, the daemon that accepts a request looks its key up (one look-up in the table of the version in force), answers 401 without one on a route that isn't public, and tells the target the organisation in a header of its own. The key goes no further. A nested call belongs to the organisation of the run that makes it; one whose run isn't known here, as after a restart of the daemon, is refused as not run. An organisation's rank goes before the route's. If the operator is strict, keys don't count once the configuration is unconfirmed for too long.

--- a/src/mesh/organisations/index.ts
+++ b/src/mesh/organisations/index.ts
@@ -1,2 +1,5 @@
+export {
+	type Authentication, type AuthenticationRefusal, type Credentials, type RevocationOptions, Authenticator, readBearerKey,
+} from './authenticator.js';
 export {type Organisation} from './organisation.js';
 export {OrganisationTable} from './organisationtable.js';
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -11,6 +11,8 @@
 	readonly load: string;
 	readonly notRun: string;
 	readonly callerService: string;
+	/** Tells the target the organisation that the request belongs to. */
+	readonly organisation: string;
 	/** Carries the target's id in answers to health checks. */
 	readonly instance: string;
 	/** Carries the requests per second that the target accepts from all hosts together. */
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -7,26 +7,13 @@
 import {
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
-import {type ExchangeContext} from './exchangecontext.js';
+import {type ExchangeContext, type ExchangeOptions} from './exchangecontext.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
 
 /** Why a request ended without an answer from its target. */
 type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
 
-/** The properties of a request that its exchange is created with. */
-export type ExchangeOptions = {
-	readonly route: Route;
-	/** The service that was chosen among those of the route. */
-	readonly service: string;
-	readonly attemptId: string;
-	/** How long the client waits, in ms. */
-	readonly leftMs: number;
-	readonly template: CallTemplate;
-	/** The call running on this host that waits for this request; undefined for a root request. */
-	readonly parentCall: Call | undefined;
-};
-
 /** One client's request, from its arrival to its single final answer. */
 export class Exchange extends CallSink {
 	readonly route: Route;
@@ -40,6 +27,7 @@
 	readonly #body: RequestBody;
 	readonly #attempts: Attempts;
 	readonly #template: CallTemplate;
+	readonly #organisation: string | undefined;
 	readonly #arrivedMs: number;
 	readonly #parentCall: Call | undefined;
 	readonly #priority: Priority;
@@ -61,10 +49,11 @@
 		this.#body = new RequestBody(request);
 		this.#responseWriter = new ResponseWriter(context, request, response, options.attemptId);
 		this.#template = options.template;
+		this.#organisation = options.organisation;
 		this.#parentCall = options.parentCall;
 		this.#arrivedMs = context.clock.nowMs();
 		this.#routedService = {route: this.route.name, service: this.service};
-		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.route.rank, this.attemptId, this.#arrivedMs);
+		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
@@ -290,6 +279,7 @@
 			priority: this.#priority,
 			rateLimitPerS: this.#attempts.rateLimitPerS,
 			isNested: this.#parentCall !== undefined,
+			...(this.#organisation === undefined ? {} : {organisation: this.#organisation}),
 			body: this.#body.firstChunk,
 			hasMoreBody: this.#body.isStreaming,
 			isRepeat: this.#attempts.mayBeDuplicate,
@@ -321,7 +311,7 @@
 	#countAnswer(status: number, nowMs: number): void {
 		const {registry} = this.#context.log;
 		registry.count('answers', {service: this.service, status});
-		registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
+		registry.observe('answer', {service: this.service, rank: this.#template.rank}, nowMs - this.#arrivedMs);
 	}
 
 	#releaseHost(): void {
@@ -359,7 +349,7 @@
 		this.#notifyParent();
 		this.#finish();
 		this.#logEvent(status === 503 ? 'refused' : 'failed', reason, {status});
-		this.#context.log.registry.count(status === 503 ? 'refused' : 'failed', {service: this.service, rank: this.route.rank, reason});
+		this.#context.log.registry.count(status === 503 ? 'refused' : 'failed', {service: this.service, rank: this.#template.rank, reason});
 		this.#responseWriter.sendEmpty(status, headers);
 	}
 
@@ -389,6 +379,7 @@
 			tried: this.#attempts.count,
 			ageMs: Math.round(nowMs - this.#arrivedMs),
 			leftMs: Math.round(this.deadlineMs - nowMs),
+			...(this.#organisation === undefined ? {} : {organisation: this.#organisation}),
 			...extraFields,
 		});
 	}
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -1,9 +1,10 @@
+import {createHash} from 'node:crypto';
 import {
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {
-	type ClientLimits, type Route, type Site, TrafficSplitter,
+	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
 import {HOP_BY_HOP_HEADERS} from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
@@ -18,6 +19,12 @@
 /** The Retry-After value of a daemon that has no configuration yet, in s. */
 const NO_SITE_RETRY_AFTER_S = '0.4';
 
+/** The Retry-After value of a request whose organisation can't be told at present, in s. */
+const UNAUTHENTICATED_RETRY_AFTER_S = '0.4';
+const AUTHORIZATION_HEADER = 'authorization';
+/** How much of an unknown key's hash is logged, in characters: enough to tell keys apart, too little to try keys out. */
+const KEY_HASH_LENGTH = 6;
+
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
 
@@ -27,6 +34,11 @@
 	readonly callerService: () => string;
 	/** Finds the run on this host that waits for a nested call with this attempt id. */
 	readonly findParentCall: (attemptId: string) => Call | undefined;
+	/** Whether the attempt id is that of a nested call, known here or not. */
+	readonly isNestedCall: (attemptId: string) => boolean;
+	/** How long ago the store confirmed the configuration, in ms. */
+	readonly confirmationAgeMs: () => number;
+	readonly revocation: RevocationOptions | undefined;
 };
 
 type Connection = {
@@ -44,7 +56,10 @@
 	readonly #splitter: TrafficSplitter;
 	readonly #exchanges = new Set<Exchange>();
 	readonly #connections = new WeakMap<Socket, Connection>();
-	readonly #notForwarded: Set<string>;
+	readonly #notForwarded: ReadonlySet<string>;
+	/** Besides these, the headers that tell or prove an organisation, where the site has some. */
+	readonly #notForwardedWithOrganisations: ReadonlySet<string>;
+	readonly #authenticator: Authenticator;
 	readonly #sockets = new Set<Socket>();
 	readonly #deadlineCheck = new PeriodicCheck(() => this.#checkDeadlines());
 	#isStopping = false;
@@ -53,6 +68,8 @@
 		this.#options = options;
 		this.#splitter = new TrafficSplitter(options.random);
 		this.#notForwarded = new Set([...NOT_FORWARDED_HEADERS, options.names.attemptId, options.names.deadlineMs, options.names.callerService, options.names.expectedInstance]);
+		this.#notForwardedWithOrganisations = new Set([...this.#notForwarded, AUTHORIZATION_HEADER, options.names.organisation]);
+		this.#authenticator = new Authenticator(options.revocation);
 		this.#context = {
 			...options,
 			onBeforeHead: response => {
@@ -173,9 +190,18 @@
 			return;
 		}
 
+		const parentCall = this.#options.findParentCall(attemptId);
+		const authentication = this.#authenticate(site, request, {route, attemptId, parentCall});
+		if (!authentication.isAccepted) {
+			this.#refuseUnauthenticated(response, authentication.reason, {route, attemptId, site});
+			return;
+		}
+
+		const {organisation} = authentication;
+		const rank = organisation?.rank ?? route.rank;
 		const service = this.#splitter.choose(route) ?? '';
 		const exchange = new Exchange(this.#context, request, response, {
-			route, service, attemptId, leftMs, template: this.#createTemplate(request, route), parentCall: this.#options.findParentCall(attemptId),
+			route, service, attemptId, leftMs, parentCall, organisation: organisation?.name, template: this.#createTemplate(request, {site, route, rank}),
 		});
 		this.#exchanges.add(exchange);
 		connection.exchanges.add(exchange);
@@ -190,17 +216,40 @@
 		}
 	}
 
-	#createTemplate(request: IncomingMessage, {name, rank, repeatability}: Route): CallTemplate {
+	#authenticate(site: Site, request: IncomingMessage, {route, attemptId, parentCall}: {route: Route; attemptId: string; parentCall: Call | undefined}): Authentication {
+		return this.#authenticator.authenticate(site, {
+			route,
+			authorization: request.headers.authorization,
+			isNested: this.#options.isNestedCall(attemptId),
+			parentCall,
+			confirmationAgeMs: this.#options.confirmationAgeMs(),
+		});
+	}
+
+	#refuseUnauthenticated(response: ServerResponse, reason: AuthenticationRefusal, {route, attemptId, site}: {route: Route; attemptId: string; site: Site}): void {
+		const {authorization} = response.req.headers;
+		this.#options.log.event('unauthenticated', {
+			attempt: attemptId, route: route.name, reason, siteVersion: site.version, keyHash: authorization === undefined ? 'none' : hashPrefixOf(authorization),
+		});
+		if (reason === 'unknown-key') {
+			this.#sendEmpty(response, 401, reason, ['www-authenticate', 'Bearer']);
+		} else {
+			this.#sendEmpty(response, 503, reason, ['retry-after', UNAUTHENTICATED_RETRY_AFTER_S]);
+		}
+	}
+
+	#createTemplate(request: IncomingMessage, {site, route, rank}: {site: Site; route: Route; rank: number}): CallTemplate {
 		const headers: string[] = [];
+		const notForwarded = site.organisations === undefined ? this.#notForwarded : this.#notForwardedWithOrganisations;
 		const {rawHeaders} = request;
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-			if (!this.#notForwarded.has(rawHeaders[index].toLowerCase())) {
+			if (!notForwarded.has(rawHeaders[index].toLowerCase())) {
 				headers.push(rawHeaders[index], rawHeaders[index + 1]);
 			}
 		}
 
 		return {
-			route: name, rank, repeatability, method: request.method!, callerService: this.#options.callerService(), headers,
+			route: route.name, rank, repeatability: route.repeatability, method: request.method!, callerService: this.#options.callerService(), headers,
 		};
 	}
 
@@ -253,3 +302,8 @@
 		return this.#exchanges.size > 0;
 	}
 }
+
+/** The beginning of a hash of the key in an Authorization header. */
+function hashPrefixOf(authorization: string): string {
+	return createHash('sha256').update(readBearerKey(authorization) ?? '').digest('hex').slice(0, KEY_HASH_LENGTH);
+}
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -129,17 +129,22 @@
 	const [number, value] = templates.write(key, template);
 	const body = call.body.length > 0 ? call.body : null;
 	const {level, floor} = call.priority;
-	return [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor, call.rateLimitPerS ?? null];
+	const frame = [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor, call.rateLimitPerS ?? null] as const;
+	return call.organisation === undefined ? frame : [...frame, call.organisation];
 }
 
 /** @throws {FrameError} when a field is missing or has the wrong type */
 export function readCallFrame(frame: Frame, templates: TemplateReader<CallTemplate>, empty: Buffer): Call {
-	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor, rateLimitPerS] = frame.slice(2);
+	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor, rateLimitPerS, organisation] = frame.slice(2);
 	const areNumbers = [leftMs, flags, level, floor, rateLimitPerS ?? 0].every(field => typeof field === 'number');
 	if (!areNumbers || typeof instance !== 'string' || typeof path !== 'string' || typeof attemptId !== 'string') {
 		throw new FrameError('call: expected strings for instance, path and attempt id, and numbers for remaining time, flags, level, floor and rate limit');
 	}
 
+	if (organisation !== undefined && typeof organisation !== 'string') {
+		throw new FrameError('call: expected a string for the organisation');
+	}
+
 	return {
 		template: templates.read(number, value),
 		instance,
@@ -152,6 +157,7 @@
 		body: (body as Buffer | null) ?? empty,
 		priority: {level: level as number, floor: floor as number},
 		rateLimitPerS: (rateLimitPerS as number | null) ?? undefined,
+		...(organisation === undefined ? {} : {organisation}),
 	};
 }
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -107,6 +107,9 @@
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
+			revocation: settings.revocation,
+			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
+			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
 			callerService: () => this.#lifecycle.current?.service ?? this.#settings.service,
 			onNestedCall: (attemptId, change) => {
 				this.#targetOwner.onNestedCall(attemptId, change);
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -1,4 +1,5 @@
 import {type StatsdOptions} from '../log/index.js';
+import {type RevocationOptions} from '../mesh/index.js';
 
 /** A TCP address. */
 export type Address = {readonly ip: string; readonly port: number};
@@ -36,6 +37,8 @@
 	readonly settlingMs: number;
 	/** How long a target may still be given calls after its deregistration was acknowledged, in ms. */
 	readonly drainMs: number;
+	/** What withdrawn API keys need; without it keys count for as long as no newer configuration is known. */
+	readonly revocation?: RevocationOptions;
 	/** The time between the stop signal and the kill of the process, in ms. */
 	readonly graceMs: number;
 	/** How long a stopping daemon continues to accept requests, in ms: until its clients have noticed the stop. */
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -71,7 +71,9 @@
 	}
 
 	options(): Dispatcher.DispatchOptions {
-		const {template, attemptId, path, instance, leftMs, body} = this.#call;
+		const {
+			template, attemptId, path, instance, leftMs, body, organisation,
+		} = this.#call;
 		const headers = [
 			...template.headers,
 			this.#names.attemptId,
@@ -82,6 +84,7 @@
 			template.callerService,
 			this.#names.expectedInstance,
 			instance,
+			...(organisation === undefined ? [] : [this.#names.organisation, organisation]),
 		];
 		return {
 			path, method: template.method, headers, body: this.#bodyStream ?? (body.length > 0 ? body : null),
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -12,6 +12,7 @@
 	load: 'target-load',
 	notRun: 'not-run',
 	callerService: 'caller-service',
+	organisation: 'organisation',
 	instance: 'target-instance',
 	rateLimit: 'target-rate-limit',
 	leaving: 'target-leaving',
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -45,6 +45,33 @@
 	});
 });
 
+describe('decoding the organisations', () => {
+	const columns = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'];
+	const decodeRows = (...rows: unknown[][]) => adapter.decodeSite({...spec, tenants: {columns, rows}}).organisations;
+
+	it('maps the rows of its table, in which 0 and null stand for no limit', () => {
+		expect(decodeRows(['acme', ['k1', 'k2'], 1, 221, 100], ['bolt', [], null, 0, null], ['core', ['k3'], null, null, 3])).toEqual([
+			{
+				name: 'acme', keys: ['k1', 'k2'], rank: 1, ratePerS: 221, burst: 100,
+			},
+			{name: 'bolt', keys: [], burst: 0},
+			{name: 'core', keys: ['k3'], burst: 3},
+		]);
+		expect(adapter.decodeSite(spec).organisations).toBeUndefined();
+	});
+
+	it.each([
+		['a missing name', [[null, ['k1'], 1, 5, 5]], 'tenants.0.name'],
+		['a negative limit', [['acme', ['k1'], 1, 5, 5], ['bolt', ['k2'], 1, -1, 5]], 'tenants.1.rate_per_s'],
+		['keys that aren\'t text', [['acme', [7], 1, 5, 5]], 'tenants.0.api_keys.0'],
+		['a name that stands twice', [['acme', ['k1'], 1, 5, 5], ['acme', ['k2'], 1, 5, 5]], 'the name acme stands twice'],
+		['a key that two hold', [['acme', ['k1'], 1, 5, 5], ['bolt', ['k1'], 1, 5, 5]], 'held by acme and bolt'],
+	])('rejects %s and names field and reason, but no key', (_name, rows, message) => {
+		expect(() => decodeRows(...rows)).toThrow(message);
+		expect(() => decodeRows(...rows)).not.toThrow(/k1/v);
+	});
+});
+
 describe('decoding a target message', () => {
 	it('tells an announcement from a deregistration', () => {
 		expect(adapter.decodeTargetMessage('POST', HEARTBEAT, heartbeatBody())).toMatchObject({announcement: {id: 'i-1', bornMs: 5, slots: 9}});
