The owner's queue asks three questions: who is next, what is due, what fits

Callers saw: under a burst impatient calls waited behind patient ones of their rank until late, patient ones were refused though there was room some seconds later, and one organisation with four times its share cost all others as much as itself.

Cause: one list in order of arrival for each rank, 4 waiting calls for each slot, waits reckoned by the backlog alone, and a call kept as long as its mean time fits.

Now: FairShares (start-time fair queueing over slot time, by what the configuration entitles an organisation to), DueOrder (earliest due until not all can be in time, then those that can, then the shortest late ones), Fit (mean and deviation). Strict by rank, nested before new; all in heaps. The wait of a lane or organisation is reckoned by the rate at which it has been served of late. Calls that are sure to be late while others can be in time are refused at arrival. 16 calls for each slot, 16 MiB of bodies; new calls never displace nested ones.

Tests: one expected 'full' for a call that is due before all that wait, which now goes before them; the others are due first now, so that the refusal is right again. Evicted calls are a list.

--- a/fakes/loadsimulation.ts
+++ b/fakes/loadsimulation.ts
@@ -66,7 +66,7 @@
 /** A call at the host that runs it, from its admission to its answer. */
 type SimulatedCall = QueuedCall & {readonly id: string; readonly load: SimulatedRoute; readonly mayBeDuplicate: boolean; readonly onAnswer: (answer: Answer) => void; startedMs: number; nestedMs: number};
 /** A call that the daemon of `host` sends for a client or for a running call, before the load balancer chooses where to. */
-type OutgoingCall = {readonly id: string; readonly load: SimulatedRoute; readonly host: Host; readonly priority: Priority; readonly isNested: boolean; readonly isForRetriedRun: boolean; readonly endMs: number};
+type OutgoingCall = {readonly id: string; readonly load: SimulatedRoute; readonly host: Host; readonly priority: Priority; readonly isNested: boolean; readonly isForRetriedRun: boolean; readonly endMs: number; readonly objectiveEndMs: number};
 
 type HostOptions = {readonly random: Random; readonly daemons: number; readonly domainCount: number; readonly loadBalancing?: Partial<LoadBalancerOptions> | undefined};
 
@@ -196,7 +196,7 @@
 		}
 
 		this.#send({
-			id, load, host, priority, isNested: false, isForRetriedRun: false, endMs,
+			id, load, host, priority, isNested: false, isForRetriedRun: false, endMs, objectiveEndMs: firstMs + route.objectiveMs,
 		}, ({outcome}) => {
 			onEnd(outcome);
 		});
@@ -243,16 +243,16 @@
 	}
 
 	#admit(owner: Host, outgoing: OutgoingCall, mayBeDuplicate: boolean, onAnswer: (answer: Answer) => void): void {
-		const {load, priority, isNested, endMs, id} = outgoing;
+		const {load, priority, isNested, endMs, objectiveEndMs, id} = outgoing;
 		const serviceMs = owner.serviceTimes.expectedMs(load.route.name);
 		const call: SimulatedCall = {
-			id, load, priority, isNested, deadlineMs: endMs, serviceMs, mayBeDuplicate, onAnswer, startedMs: 0, nestedMs: 0,
+			id, load, priority, isNested, deadlineMs: endMs, objectiveEndMs, serviceMs, deviationMs: owner.serviceTimes.deviationMs(load.route.name), mayBeDuplicate, onAnswer, startedMs: 0, nestedMs: 0,
 		};
 		owner.loadShedder.onArrival(priority, serviceMs);
 		const {verdict, evicted} = owner.admissionQueue.admit(call, this.#nowMs);
 		this.#updateFloor(owner);
-		if (evicted !== undefined) {
-			this.#answer(owner, evicted, 'refused', 'evicted');
+		for (const other of evicted) {
+			this.#answer(owner, other, 'refused', 'evicted');
 		}
 
 		if (verdict === 'run') {
@@ -298,7 +298,7 @@
 		const load = this.#routes.get(name)!;
 		const sentMs = this.#nowMs;
 		this.#send({
-			id: `${call.id}.${step}`, load, host: owner, priority: call.priority, isNested: true, isForRetriedRun: call.mayBeDuplicate, endMs: Math.min(call.deadlineMs, this.#nowMs + load.deadlineMs),
+			id: `${call.id}.${step}`, load, host: owner, priority: call.priority, isNested: true, isForRetriedRun: call.mayBeDuplicate, endMs: Math.min(call.deadlineMs, this.#nowMs + load.deadlineMs), objectiveEndMs: call.objectiveEndMs!,
 		}, ({outcome, reached}) => {
 			call.nestedMs += this.#nowMs - sentMs;
 			owner.loadShedder.recordReached({route: call.load.route.name, service: owner.service.name}, reached);
@@ -319,7 +319,7 @@
 			}
 		}
 
-		owner.admissionQueue.release(spentMs);
+		owner.admissionQueue.release(spentMs, outcome === 'served');
 		this.#answer(owner, call, outcome, reason);
 		this.#startQueued(owner);
 	}
--- a/src/mesh/admission/admissionqueue.ts
+++ b/src/mesh/admission/admissionqueue.ts
@@ -1,55 +1,79 @@
 import {RANK_COUNT, rankOf} from '../../core/index.js';
+import {type FitCall, Fit} from './fit.js';
+import {IndexedHeap} from './indexedheap.js';
 import {type Priority} from './loadshedder.js';
+import {QueueLane, type WaitingItem} from './queuelane.js';
 import {RateLimiter} from './ratelimiter.js';
 
-/** Why a call isn't run here: the queue is full or too long for its deadline, the deadline has passed or can no longer be met, or a call of a higher rank took its place. */
+/** Why a call isn't run here: the queue is full or too long for its deadline, the deadline has passed or can no longer be met, or a call that goes before it took its place. */
 export type AdmissionRefusal = 'full' | 'expired' | 'evicted';
 
 /** The properties of a call by which the queue orders it. */
-export type QueuedCall = {
+export type QueuedCall = FitCall & {
 	/** Priority of the root request that the call is made for; higher ranks are served first. */
 	readonly priority: Priority;
 	/** Whether a run in progress waits for the call, so that refusing it would waste the work of its parent. */
 	readonly isNested: boolean;
-	/** Time by which the answer must have arrived, in ms. */
-	readonly deadlineMs: number;
-	/** Expected time at the target, in ms. */
-	readonly serviceMs: number;
+	/** When the objective of its root ends, in ms; the deadline if absent. */
+	readonly objectiveEndMs?: number | undefined;
+	/** The organisation of its root; absent if it belongs to none. */
+	readonly organisation?: string | undefined;
+	/** What its body takes while it waits. */
+	readonly bodyBytes?: number;
 };
 
 /** The decision on an arriving call. */
 export type AdmissionDecision<Call> = {
 	readonly verdict: 'run' | 'wait' | AdmissionRefusal;
-	/** A waiting call that was removed to make room for this one. */
-	readonly evicted?: Call;
+	/** The waiting calls that were removed to make room for this one. */
+	readonly evicted: readonly Call[];
 };
 
 /** Queued calls allowed for each slot: in a longer queue, calls expire before they run. */
-const QUEUED_PER_SLOT = 4;
+const QUEUED_PER_SLOT = 16;
 /** Queued calls allowed whatever the limit is. */
 const MIN_QUEUE_LENGTH = 64;
+/** By what factor new calls may exceed the length of the queue if only nested calls could give way. */
+const RESERVE_FACTOR = 2;
+/** Share of the time until a call would be late that its expected wait may take while the queue is overloaded: the rest is for what comes and goes before it. */
+const IN_TIME_SHARE = 0.9;
+/** The most that the bodies of queued calls may take together. */
+const MAX_QUEUED_BYTES = 16_777_216;
 /** Share of its slots that a target is given: some targets slow down when nearly full, and a new connection may occupy a slot. */
 const SLOT_SHARE = 0.95;
 /** The longest that a call waits for its token at a rate-limited target, in ms: another target, or a later retry, serves it sooner. */
 const MAX_TOKEN_WAIT_MS = 500;
+/** The slot in `heapPlaces` of the order of checks; the others belong to the order by due time. */
+const CHECK_SLOT = 2;
+
+const RUN = {verdict: 'run', evicted: []} as const;
+const EXPIRED = {verdict: 'expired', evicted: []} as const;
+const FULL = {verdict: 'full', evicted: []} as const;
 
 /**
  * Enforces a concurrency limit of `limit` calls, and the rate limit that the target
  * names, and queues the rest: by the rank of their root request, nested calls before
- * new ones, and then the oldest first.
+ * new ones, then by the organisation's share, and then by what is due.
  * Handles the load pattern in which demand of several ranks exceeds the target's capacity.
  */
 export class AdmissionQueue<Call extends QueuedCall> {
-	readonly #queues: Call[][] = [];
+	readonly #lanes: Array<QueueLane<Call> | undefined> = Array.from({length: RANK_COUNT * 2});
+	readonly #waiting = new Map<Call, WaitingItem<Call>>();
+	readonly #byCheck = new IndexedHeap<WaitingItem<Call>>(CHECK_SLOT, (a, b) => a.checkMs < b.checkMs);
+	readonly #fit = new Fit();
 	readonly #rateLimiter = new RateLimiter();
+	readonly #weightOf: (organisation: string) => number;
 	#limit: number;
 	#running = 0;
-	#queued = 0;
+	#arrivals = 0;
+	#queuedBytes = 0;
 	/** Moving mean of the time that calls run; 20 ms until calls have ended. */
 	#meanServiceMs = 20;
 
-	constructor(limit: number) {
+	/** @param weightOf what an organisation is entitled to, in relation to the others */
+	constructor(limit: number, weightOf: (organisation: string) => number = () => 1) {
 		this.#limit = limit;
+		this.#weightOf = weightOf;
 	}
 
 	get limit(): number {
@@ -80,115 +104,106 @@
 	}
 
 	get queued(): number {
-		return this.#queued;
+		return this.#waiting.size;
+	}
+
+	/** The bytes of the queued calls' bodies. */
+	get queuedBytes(): number {
+		return this.#queuedBytes;
 	}
 
 	/** Decides whether an arriving call runs now, waits or is refused. */
 	admit(call: Call, nowMs: number): AdmissionDecision<Call> {
 		if (call.deadlineMs - nowMs <= 0) {
-			return {verdict: 'expired'};
+			return EXPIRED;
 		}
 
-		if (this.#running < this.#limit && this.#queued === 0 && this.#rateLimiter.tryTake(nowMs)) {
+		if (this.#running < this.#limit && this.queued === 0 && this.#rateLimiter.tryTake(nowMs)) {
 			this.#running++;
-			return {verdict: 'run'};
-		}
-
-		const queueIndex = queueIndexOf(call);
-		const tokenWaitMs = this.#rateLimiter.waitMs(this.#callsAhead(queueIndex) + 1, nowMs);
-		const waitMs = Math.max(this.#slotWaitMs(queueIndex), tokenWaitMs);
-		if (tokenWaitMs > MAX_TOKEN_WAIT_MS || nowMs + waitMs + call.serviceMs > call.deadlineMs) {
-			return {verdict: 'full'};
+			return RUN;
 		}
 
-		let evicted: Call | undefined;
-		if (this.#queued >= Math.max(MIN_QUEUE_LENGTH, this.#limit * QUEUED_PER_SLOT)) {
-			evicted = this.#evictBelow(queueIndex);
-			if (evicted === undefined) {
-				return {verdict: 'full'};
-			}
+		const item = this.#createItem(call, nowMs);
+		const tokenWaitMs = this.#rateLimiter.waitMs(this.#callsAhead(item.lane) + 1, nowMs);
+		const waitMs = Math.max(this.#slotWaitMs(item, nowMs), tokenWaitMs);
+		const evicted = tokenWaitMs <= MAX_TOKEN_WAIT_MS && this.#isWorthWaiting(item, waitMs, nowMs) ? this.#makeRoom(item) : undefined;
+		if (evicted === undefined) {
+			return FULL;
 		}
 
-		this.#queueAt(queueIndex).push(call);
-		this.#queued++;
-		return evicted === undefined ? {verdict: 'wait'} : {verdict: 'wait', evicted};
+		this.#waiting.set(call, item);
+		this.#queuedBytes += item.bytes;
+		item.lane.add(item, nowMs);
+		this.#byCheck.add(item);
+		return {verdict: 'wait', evicted};
 	}
 
-	/** Frees the slot of a call that ran for `serviceMs`, or that never ran if that is undefined. */
-	release(serviceMs: number | undefined): void {
+	/**
+	 * Frees the slot of a call that held it for `spentMs`, or that never ran if that is undefined.
+	 * @param isServed whether the target answered; one that turns calls away at once isn't a fast one
+	 */
+	release(spentMs: number | undefined, isServed = true): void {
 		this.#running = Math.max(0, this.#running - 1);
-		if (serviceMs !== undefined) {
-			this.#meanServiceMs += (serviceMs - this.#meanServiceMs) * 0.05;
+		if (spentMs !== undefined && (isServed || spentMs > this.#meanServiceMs)) {
+			this.#meanServiceMs += (spentMs - this.#meanServiceMs) * 0.05;
 		}
 	}
 
 	/**
 	 * Removes the next call that may run now and counts it as running. A call that
-	 * can't meet its deadline is returned as expired and takes no slot.
+	 * isn't worth waiting for any longer is returned as expired and takes no slot.
 	 */
 	dequeue(nowMs: number): {call: Call; expired: boolean} | undefined {
-		if (this.#queued === 0) {
+		if (this.queued === 0) {
 			return undefined;
 		}
 
-		for (const queue of this.#queues) {
-			const call = queue?.[0];
-			if (call === undefined) {
-				continue;
-			}
-
-			const expired = nowMs + call.serviceMs > call.deadlineMs;
-			if (!expired && (this.#running >= this.#limit || !this.#rateLimiter.tryTake(nowMs))) {
-				return undefined;
-			}
+		const hopeless = this.#takeHopeless(nowMs);
+		if (hopeless !== undefined) {
+			return {call: hopeless, expired: true};
+		}
 
-			queue.shift();
-			this.#queued--;
-			if (!expired) {
-				this.#running++;
-			}
+		if (this.#running >= this.#limit) {
+			return undefined;
+		}
 
-			return {call, expired};
+		const item = this.#lanes.find(lane => lane !== undefined && lane.size > 0)?.next(nowMs, this.#limit);
+		if (item === undefined || !this.#rateLimiter.tryTake(nowMs)) {
+			return undefined;
 		}
 
-		return undefined;
+		item.lane.serve(item, nowMs);
+		this.#forget(item);
+		this.#running++;
+		return {call: item.call, expired: false};
 	}
 
-	/** Removes the waiting calls that can no longer meet their deadline. */
+	/** Removes the waiting calls that can no longer meet their deadline, or are late and have too much before them. */
 	removeExpired(nowMs: number): Call[] {
 		const expired: Call[] = [];
-		for (const queue of this.#queues) {
-			for (let index = (queue?.length ?? 0) - 1; index >= 0; index--) {
-				if (nowMs + queue[index].serviceMs > queue[index].deadlineMs) {
-					expired.push(...queue.splice(index, 1));
-				}
-			}
+		for (let call = this.#takeHopeless(nowMs); call !== undefined; call = this.#takeHopeless(nowMs)) {
+			expired.push(call);
 		}
 
-		this.#queued -= expired.length;
 		return expired;
 	}
 
 	/** Removes a waiting call. @returns whether it was waiting */
 	cancel(call: Call): boolean {
-		const queue = this.#queues[queueIndexOf(call)];
-		const index = queue?.indexOf(call) ?? -1;
-		if (index === -1) {
-			return false;
+		const item = this.#waiting.get(call);
+		if (item !== undefined) {
+			this.#remove(item);
 		}
 
-		queue.splice(index, 1);
-		this.#queued--;
-		return true;
+		return item !== undefined;
 	}
 
-	/** The expected slot time of all waiting calls of at least this level, in ms. */
+	/** The expected slot time of all waiting calls of at least the rank of this level, in ms. */
 	queuedWorkMs(level: number): number {
+		const end = (RANK_COUNT - rankOf(level)) * 2;
 		let sumMs = 0;
-		for (const queue of this.#queues) {
-			for (const call of queue) {
-				sumMs += call.priority.level >= level ? call.serviceMs : 0;
-			}
+		for (let index = 0; index < end && index < this.#lanes.length; index++) {
+			sumMs += this.#lanes[index]?.workMs ?? 0;
 		}
 
 		return sumMs;
@@ -196,46 +211,141 @@
 
 	/** Removes all waiting calls. */
 	clear(): Call[] {
-		const all = this.#queues.flat().filter(call => call !== undefined);
-		this.#queues.length = 0;
-		this.#queued = 0;
+		const all = [...this.#waiting.keys()];
+		for (const call of all) {
+			this.cancel(call);
+		}
+
 		return all;
 	}
 
-	/** The expected wait for a slot of a call that is added to a queue now, in ms. */
-	#slotWaitMs(queueIndex: number): number {
-		const callsAhead = Math.max(0, this.#running - this.#limit) + 1 + this.#callsAhead(queueIndex);
-		return callsAhead * this.#meanServiceMs / this.#limit;
+	#createItem(call: Call, nowMs: number): WaitingItem<Call> {
+		const index = laneIndexOf(call);
+		const lane = this.#lanes[index] ?? new QueueLane(index, this.#weightOf);
+		this.#lanes[index] = lane;
+		const dueMs = Math.min(call.deadlineMs, call.objectiveEndMs ?? call.deadlineMs);
+		const inTimeStartMs = dueMs - this.#fit.runMs(call);
+		return {
+			call,
+			lane,
+			organisation: call.organisation ?? '',
+			bytes: call.bodyBytes ?? 0,
+			dueMs,
+			serviceMs: call.serviceMs,
+			inTimeStartMs,
+			lastStartMs: this.#fit.lastStartMs(call),
+			bucket: lane.bucketOf(dueMs, nowMs),
+			order: this.#arrivals++,
+			isLate: false,
+			checkMs: inTimeStartMs,
+			heapPlaces: [-1, -1, -1],
+		};
 	}
 
-	/** The number of waiting calls that are served before one that is added to a queue now. */
-	#callsAhead(queueIndex: number): number {
-		let count = 0;
-		for (let index = 0; index <= queueIndex; index++) {
-			count += this.#queues[index]?.length ?? 0;
+	#remove(item: WaitingItem<Call>): void {
+		item.lane.remove(item);
+		this.#forget(item);
+	}
+
+	#forget(item: WaitingItem<Call>): void {
+		this.#waiting.delete(item.call);
+		this.#queuedBytes -= item.bytes;
+		this.#byCheck.remove(item);
+	}
+
+	// A call is looked at when it can no longer be in time, and, if it may still be worth a slot then, when it can no longer be answered.
+	#takeHopeless(nowMs: number): Call | undefined {
+		for (let item = this.#byCheck.first; item !== undefined && nowMs > item.checkMs; item = this.#byCheck.first) {
+			const {lane, lastStartMs, call} = item;
+			lane.markLate(item);
+			if (nowMs > lastStartMs || this.#isLateForNothing(item, nowMs)) {
+				this.#remove(item);
+				return call;
+			}
+
+			item.checkMs = lastStartMs;
+			this.#byCheck.update(item);
 		}
 
-		return count;
+		return undefined;
+	}
+
+	// While not all new calls that can be in time will be, a late one waits for nothing.
+	#isLateForNothing({call, lane, organisation}: WaitingItem<Call>, nowMs: number): boolean {
+		return !call.isNested && lane.isOverloaded(organisation, nowMs, this.#limit);
+	}
+
+	#isWorthWaiting(item: WaitingItem<Call>, waitMs: number, nowMs: number): boolean {
+		const willBeInTime = waitMs <= IN_TIME_SHARE * (item.inTimeStartMs - nowMs);
+		return this.#fit.fits(item.call, waitMs, nowMs) && (willBeInTime || !this.#isLateForNothing(item, nowMs));
+	}
+
+	/** The expected wait for a slot of a call that is added to the queue now, in ms. */
+	#slotWaitMs(item: WaitingItem<Call>, nowMs: number): number {
+		const slotMs = (Math.max(0, this.#running - this.#limit) + 1) * this.#meanServiceMs;
+		return ((slotMs + this.#workAboveMs(item.lane)) / this.#limit) + item.lane.waitMs(item, nowMs, this.#limit);
+	}
+
+	/** The expected slot time of the calls in the lanes that are served before this one, in ms. */
+	#workAboveMs({index}: QueueLane<Call>): number {
+		let sumMs = 0;
+		for (let above = 0; above < index; above++) {
+			sumMs += this.#lanes[above]?.workMs ?? 0;
+		}
+
+		return sumMs;
 	}
 
-	#queueAt(queueIndex: number): Call[] {
-		while (this.#queues.length <= queueIndex) {
-			this.#queues.push([]);
+	/** The number of calls in this lane and those served before it. */
+	#callsAhead({index}: QueueLane<Call>): number {
+		let count = 0;
+		for (let above = 0; above <= index; above++) {
+			count += this.#lanes[above]?.size ?? 0;
 		}
 
-		return this.#queues[queueIndex];
+		return count;
 	}
 
-	#evictBelow(queueIndex: number): Call | undefined {
-		for (let index = this.#queues.length - 1; index > queueIndex; index--) {
-			const evicted = this.#queues[index].pop();
-			if (evicted !== undefined) {
-				this.#queued--;
-				return evicted;
+	/** Removes calls until there is room for one more. @returns the removed ones; undefined if there can be no room */
+	#makeRoom(item: WaitingItem<Call>): Call[] | undefined {
+		const {lane, bytes, organisation, serviceMs} = item;
+		const maxCalls = Math.max(MIN_QUEUE_LENGTH, this.#limit * QUEUED_PER_SLOT);
+		const tooManyBytes = (freedBytes: number) => this.#queuedBytes - freedBytes + bytes > MAX_QUEUED_BYTES;
+		const evicted: Call[] = [];
+		const below = this.#lanesBelow(lane);
+		let isTooLong = this.queued >= maxCalls;
+		if (!tooManyBytes(below.reduce((sum, {bytes: freed}) => sum + freed, 0))) {
+			for (const lower of below) {
+				while (lower.size > 0 && (isTooLong || tooManyBytes(0))) {
+					evicted.push(this.#evict(lower.leastOwed!));
+					isTooLong = false;
+				}
 			}
 		}
 
-		return undefined;
+		if (!isTooLong && !tooManyBytes(0)) {
+			return evicted;
+		}
+
+		const overShare = lane.findOverShare(organisation, serviceMs);
+		if (overShare !== undefined && !tooManyBytes(overShare.bytes)) {
+			return [this.#evict(overShare)];
+		}
+
+		const hasPaidBelow = isNewLane(lane) && this.#lanes.some((other, index) => index > lane.index && (other?.size ?? 0) > 0);
+		return hasPaidBelow && this.queued < maxCalls * RESERVE_FACTOR && !tooManyBytes(0) ? [] : undefined;
+	}
+
+	#evict(item: WaitingItem<Call>): Call {
+		this.#remove(item);
+		return item.call;
+	}
+
+	/** The lanes whose calls give way to one of this lane, in that order: nested calls never do to new ones. */
+	#lanesBelow(lane: QueueLane<Call>): Array<QueueLane<Call>> {
+		const below = this.#lanes.filter(other => other !== undefined && other.index > lane.index && other.size > 0).toReversed() as Array<QueueLane<Call>>;
+		const newOnes = below.filter(other => isNewLane(other));
+		return isNewLane(lane) ? newOnes : [...newOnes, ...below.filter(other => !isNewLane(other))];
 	}
 }
 
@@ -244,7 +354,11 @@
 	return Math.max(1, Math.floor(slots * SLOT_SHARE));
 }
 
-/** The index of the queue that a call belongs to; lower indexes are served first. */
-function queueIndexOf({priority, isNested}: QueuedCall): number {
+/** The index of the lane that a call belongs to; lower indexes are served first. */
+function laneIndexOf({priority, isNested}: QueuedCall): number {
 	return ((RANK_COUNT - 1 - rankOf(priority.level)) * 2) + (isNested ? 0 : 1);
 }
+
+function isNewLane({index}: {readonly index: number}): boolean {
+	return index % 2 === 1;
+}
--- a/src/mesh/organisations/organisationtable.ts
+++ b/src/mesh/organisations/organisationtable.ts
@@ -4,9 +4,13 @@
 export class OrganisationTable {
 	readonly #byName: ReadonlyMap<string, Organisation>;
 	readonly #byKey = new Map<string, Organisation>();
+	/** 1 if no limit is stated. */
+	readonly #meanRatePerS: number;
 
 	constructor(organisations: readonly Organisation[]) {
 		this.#byName = new Map(organisations.map(organisation => [organisation.name, organisation]));
+		const ratesPerS = organisations.flatMap(({ratePerS}) => ratePerS ?? []);
+		this.#meanRatePerS = ratesPerS.length === 0 ? 1 : ratesPerS.reduce((sum, rate) => sum + rate, 0) / ratesPerS.length;
 		for (const organisation of organisations) {
 			for (const key of organisation.keys) {
 				this.#byKey.set(key, organisation);
@@ -27,6 +31,11 @@
 		return this.#byName.get(name);
 	}
 
+	/** What the organisation is entitled to, in relation to the others: its limit, or the mean of the stated limits if none is stated for it. */
+	weightOf(name: string): number {
+		return this.#byName.get(name)?.ratePerS ?? this.#meanRatePerS;
+	}
+
 	values(): Iterable<Organisation> {
 		return this.#byName.values();
 	}
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -25,6 +25,8 @@
 	readonly instance: string;
 	/** The time left until the deadline of the client or the route, whichever is earlier, in ms. */
 	readonly leftMs: number;
+	/** The time left until the objective of the root request ends, in ms; 0 if it has ended, undefined if an older daemon doesn't tell. */
+	readonly objectiveLeftMs: number | undefined;
 	/** The priority of the root request that the call is made for. */
 	readonly priority: Priority;
 	/** Whether a call that is running at a target waits for this one. */
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -120,6 +120,8 @@
 const NESTED_FLAG = 1;
 const MORE_BODY_FLAG = 2;
 const REPEAT_FLAG = 4;
+/** Unit of the time left to the objective, in ms; a call with up to 1270 ms left says so in one byte. */
+const OBJECTIVE_UNIT_MS = 10;
 
 /** Encodes a call; its template is included if the other side doesn't have it yet. */
 export function buildCallFrame(id: number, call: Call, templates: TemplateWriter): Frame {
@@ -129,13 +131,14 @@
 	const [number, value] = templates.write(key, template);
 	const body = call.body.length > 0 ? call.body : null;
 	const {level, floor} = call.priority;
-	const frame = [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor, call.rateLimitPerS ?? null] as const;
+	const objective = packObjective(call.objectiveLeftMs);
+	const frame = [FrameTag.call, id, number, value, call.instance, Math.round(call.leftMs), flags, call.attemptId, call.path, body, level, floor, call.rateLimitPerS ?? null, objective] as const;
 	return call.organisation === undefined ? frame : [...frame, call.organisation];
 }
 
 /** @throws {FrameError} when a field is missing or has the wrong type */
 export function readCallFrame(frame: Frame, templates: TemplateReader<CallTemplate>, empty: Buffer): Call {
-	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor, rateLimitPerS, organisation] = frame.slice(2);
+	const [number, value, instance, leftMs, flags, attemptId, path, body, level, floor, rateLimitPerS, objective, organisation] = frame.slice(2);
 	const areNumbers = [leftMs, flags, level, floor, rateLimitPerS ?? 0].every(field => typeof field === 'number');
 	if (!areNumbers || typeof instance !== 'string' || typeof path !== 'string' || typeof attemptId !== 'string') {
 		throw new FrameError('call: expected strings for instance, path and attempt id, and numbers for remaining time, flags, level, floor and rate limit');
@@ -157,10 +160,28 @@
 		body: (body as Buffer | null) ?? empty,
 		priority: {level: level as number, floor: floor as number},
 		rateLimitPerS: (rateLimitPerS as number | null) ?? undefined,
+		objectiveLeftMs: readObjective(objective),
 		...(organisation === undefined ? {} : {organisation}),
 	};
 }
 
+function packObjective(leftMs: number | undefined): number | null {
+	return leftMs === undefined ? null : Math.max(0, Math.floor(leftMs / OBJECTIVE_UNIT_MS));
+}
+
+/** @throws {FrameError} when it is there, but no whole number of units */
+function readObjective(packed: unknown): number | undefined {
+	if (packed === undefined || packed === null) {
+		return undefined;
+	}
+
+	if (!Number.isSafeInteger(packed) || (packed as number) < 0) {
+		throw new FrameError('call: expected the time left to the objective as a whole number of units');
+	}
+
+	return (packed as number) * OBJECTIVE_UNIT_MS;
+}
+
 /** Encodes the floors that a daemon knows, each as a list of service, upstream, floor and age in ms. */
 export function buildFloorReportFrame(reports: readonly FloorReport[]): Frame {
 	return [FrameTag.floors, reports.map(({service, upstream, floor, ageMs}) => [service, upstream, Math.round(floor), Math.round(ageMs)])];
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -83,6 +83,7 @@
 			onLeaving: instance => {
 				this.#targetMonitor.handleLeaving(instance);
 			},
+			weightOf: organisation => this.#directory.site?.organisations?.weightOf(organisation) ?? 1,
 		});
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
@@ -117,6 +118,7 @@
 			onNestedFailure: attemptId => {
 				this.#targetOwner.onNestedFailure(attemptId);
 			},
+			findObjectiveEndMs: attemptId => this.#targetOwner.findObjectiveEndMs(attemptId),
 			findParentCall: attemptId => {
 				const parentId = adapter.parseParentAttemptId(attemptId);
 				return parentId === undefined ? undefined : this.#targetOwner.findRunningCall(parentId);
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -3,7 +3,7 @@
 	BusyTime, type QueuedCall, type LoadReport, type Priority, type TargetSignals,
 } from '../../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason, BODY_WINDOW_BYTES,
 } from '../call.js';
 import {type DecodeError} from '../error.js';
 import {RunSink, type Run} from './run.js';
@@ -32,7 +32,10 @@
 	readonly priority: Priority;
 	readonly isNested: boolean;
 	readonly deadlineMs: number;
+	/** When the objective of the root request ends, in ms on the daemon's clock; undefined if it is unknown. */
+	readonly objectiveEndMs: number | undefined;
 	readonly serviceMs: number;
+	readonly deviationMs: number;
 	startedMs = 0;
 	hasNestedFailure = false;
 	run: Run | undefined;
@@ -46,9 +49,9 @@
 	#pendingChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
 	#isOver = false;
 
-	constructor(owner: CallOwner, call: Call, sink: CallSink, arrival: {readonly nowMs: number; readonly serviceMs: number}) {
+	constructor(owner: CallOwner, call: Call, sink: CallSink, arrival: {readonly nowMs: number; readonly serviceMs: number; readonly deviationMs: number}) {
 		super();
-		const {nowMs, serviceMs} = arrival;
+		const {nowMs, serviceMs, deviationMs} = arrival;
 		this.#owner = owner;
 		this.#arrivedMs = nowMs;
 		this.call = call;
@@ -56,7 +59,18 @@
 		this.priority = call.priority;
 		this.isNested = call.isNested;
 		this.deadlineMs = nowMs + call.leftMs;
+		this.objectiveEndMs = call.objectiveLeftMs === undefined ? undefined : nowMs + call.objectiveLeftMs;
 		this.serviceMs = serviceMs;
+		this.deviationMs = deviationMs;
+	}
+
+	get organisation(): string | undefined {
+		return this.call.organisation;
+	}
+
+	/** What the body takes at most until the run begins: a streamed one arrives within its window. */
+	get bodyBytes(): number {
+		return this.call.body.length + (this.call.hasMoreBody ? BODY_WINDOW_BYTES : 0);
 	}
 
 	/** The receiver of the outcome; undefined once the call is abandoned. */
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -9,6 +9,7 @@
 import {type DecodeError} from '../error.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
 import {PeriodicCheck} from '../periodiccheck.js';
+import {logRefusal} from './refusallog.js';
 import {type TargetClient} from './targetclient.js';
 
 /** How long a run may exceed its deadline before its connection is closed, in ms: the target normally stops at the deadline by itself. */
@@ -24,6 +25,8 @@
 	readonly lifecycle: TargetLifecycle;
 	readonly targetClient: TargetClient;
 	readonly loadShedder: LoadShedder;
+	/** What an organisation is entitled to, in relation to the others. */
+	readonly weightOf: (organisation: string) => number;
 	/** Called when peers should hear by what factor the target is slower than usual; 1 if it no longer is. */
 	readonly onSlowness: (slowness: number) => void;
 	/** Called when the target says in an answer that it leaves. */
@@ -38,7 +41,7 @@
  */
 export class TargetOwner extends CallOwner {
 	readonly #options: TargetOwnerOptions;
-	readonly #queue = new AdmissionQueue<OwnedCall>(1);
+	readonly #queue: AdmissionQueue<OwnedCall>;
 	readonly #serviceTimes = new ServiceTimes();
 	readonly #targetSpeed = new TargetSpeed();
 	readonly #running = new Set<OwnedCall>();
@@ -60,6 +63,7 @@
 	constructor(options: TargetOwnerOptions) {
 		super();
 		this.#options = options;
+		this.#queue = new AdmissionQueue(1, options.weightOf);
 	}
 
 	get running(): number {
@@ -82,6 +86,11 @@
 		this.#queue.setRateLimit(undefined, this.#options.clock.nowMs());
 	}
 
+	/** When the objective of the root request that the run with this attempt id is made for ends, in ms; undefined if it is unknown. */
+	findObjectiveEndMs(attemptId: string): number | undefined {
+		return this.#runningByAttempt.get(attemptId)?.objectiveEndMs;
+	}
+
 	/** Records that the run with this attempt id begins or ends to wait for a nested call. */
 	onNestedCall(attemptId: string, change: 'begun' | 'ended'): void {
 		this.#runningByAttempt.get(attemptId)?.onNestedCall(change, this.#options.clock.nowMs());
@@ -131,7 +140,8 @@
 
 	submit(call: Call, sink: CallSink): CallHandle {
 		const nowMs = this.#options.clock.nowMs();
-		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#serviceTimes.expectedMs(call.template.route)});
+		const {route} = call.template;
+		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#serviceTimes.expectedMs(route), deviationMs: this.#serviceTimes.deviationMs(route)});
 		const refusal = this.#findRefusal(call, nowMs);
 		if (refusal !== undefined) {
 			this.#refuse(owned, refusal);
@@ -142,8 +152,8 @@
 		this.#options.loadShedder.onArrival(call.priority, owned.serviceMs);
 		const {verdict, evicted} = this.#queue.admit(owned, nowMs);
 		this.#updateFloor(nowMs);
-		if (evicted !== undefined) {
-			this.#refuse(evicted, 'evicted');
+		for (const other of evicted) {
+			this.#refuse(other, 'evicted');
 		}
 
 		if (verdict === 'run') {
@@ -196,7 +206,7 @@
 			this.#recordWork(owned, nowMs);
 		}
 
-		this.#queue.release(spentMs);
+		this.#queue.release(spentMs, isServed);
 		this.#startQueued();
 	}
 
@@ -378,21 +388,8 @@
 	}
 
 	#refuse(owned: OwnedCall, reason: RefusalReason): void {
-		const {call, waitedMs} = owned;
-		this.#options.log.event('owner_refused', {
-			attempt: call.attemptId,
-			route: call.template.route,
-			reason,
-			instance: call.instance,
-			running: this.#queue.running,
-			queued: this.#queue.queued,
-			limit: this.#queue.limit,
-			ratePerS: Number.isFinite(this.#queue.ratePerS) ? this.#queue.ratePerS : 'none',
-			level: call.priority.level,
-			floor: this.#options.loadShedder.floor,
-			waitedMs: Math.round(waitedMs(this.#options.clock.nowMs())),
-			leftMs: Math.round(call.leftMs),
-		});
-		owned.refuse(reason, this.getLoadReport(call.template.route));
+		const {log, loadShedder, clock} = this.#options;
+		logRefusal(log, owned, reason, {queue: this.#queue, floor: loadShedder.floor, nowMs: clock.nowMs()});
+		owned.refuse(reason, this.getLoadReport(owned.call.template.route));
 	}
 }
--- a/test/mesh/admissionqueue.test.ts
+++ b/test/mesh/admissionqueue.test.ts
@@ -43,7 +43,7 @@
 	it('refuses a call that would wait past its deadline', () => {
 		const queue = createBusyQueue();
 		for (let number = 0; number < 12; number++) {
-			queue.admit(call(`waits-${number}`, 0), 0);
+			queue.admit(call(`waits-${number}`, 0, {objectiveEndMs: 40}), 0);
 		}
 
 		expect(queue.admit(call('hasty', 0, {deadlineMs: 50}), 0).verdict).toBe('full');
@@ -57,7 +57,7 @@
 		}
 
 		const {verdict, evicted} = queue.admit(call('high', 0), 0);
-		expect([verdict, evicted?.name]).toEqual(['wait', 'low-63']);
+		expect([verdict, evicted.map(({name}) => name)]).toEqual(['wait', ['low-63']]);
 		expect(queue.admit(call('low-again', 2, {deadlineMs: 60_000}), 0).verdict).toBe('full');
 	});
 
