--- a/src/mesh/admission/index.ts
+++ b/src/mesh/admission/index.ts
@@ -1,3 +1,5 @@
+export {FairShares} from './fairshares.js';
+export {IndexedHeap} from './indexedheap.js';
 export {RateLimiter} from './ratelimiter.js';
 export {
 	type QueuedCall, type AdmissionDecision, type AdmissionRefusal, AdmissionQueue, usableSlots,
