An answer that outlasts its deadline or its daemon is cut, instead of taking the daemon down

What callers saw: a streamed answer (over 64 KiB) that was still coming when the first daemon found its deadline passed, when that daemon ended its stop, or when the request's body grew over the limit, made the daemon write a second head. Node throws for that inside a timer, nothing caught it, and the process ended with all its open requests. Cause: the three paths ended the request with a status without asking whether the head had been sent; only a failure told by the owner asked. Evidence: test/failures/endlessanswer.test.ts, 'the body of a failure': ERR_HTTP_HEADERS_SENT out of checkTime, and the test's own process at its end. With the change the connection is reset, as for any answer that ends early.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -244,9 +244,7 @@
 
 		this.#mayHaveRun = true;
 		if (this.#isHeadSent) {
-			this.#finish();
-			this.#responseWriter.resetConnection();
-			this.#logEvent('answer_cut', reason);
+			this.#cutAnswer(reason);
 		} else if (this.#mayResend(nowMs)) {
 			this.#resend(reason);
 		} else {
@@ -346,6 +344,11 @@
 			return;
 		}
 
+		if (this.#isHeadSent) {
+			this.#cutAnswer(reason);
+			return;
+		}
+
 		this.#notifyParent();
 		this.#finish();
 		this.#logEvent(status === 503 ? 'refused' : 'failed', reason, {status});
@@ -353,6 +356,14 @@
 		this.#responseWriter.sendEmpty(status, headers);
 	}
 
+	/** Ends a request whose answer has begun: it must not look complete. */
+	#cutAnswer(reason: EndReason): void {
+		this.#notifyParent();
+		this.#finish();
+		this.#responseWriter.resetConnection();
+		this.#logEvent('answer_cut', reason);
+	}
+
 	#notifyParent(): void {
 		if (this.#parentCall !== undefined) {
 			this.#context.onNestedFailure(this.#parentCall.attemptId);
