What a target sends without end is bounded in bytes, in the head, between the chunks and after a refusal

What a daemon did: it kept the whole body of an answer that said that it had not run, until the deadline (98 MiB in 0.8 s on a busy machine), and read interim answers, chunk extensions and anything else that its HTTP client skips for as long as they came. A refusal's body is dropped now, and cut after 64 KiB; 32 interim answers, or 128 KiB beside the body and 8 bytes for each byte of the body, end the run as garbled (not run, where the answer had said so).

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -31,12 +31,20 @@
 export type RunConnection = {
 	readonly wasReset: () => boolean;
 	readonly unknownHeaders: UnknownHeaders;
+	/** The bytes that the connection has received since it was opened. */
+	readonly receivedBytes: () => number;
 	/** Called when the connection ended before any part of the answer arrived. */
 	readonly onLost: () => void;
 	/** @param isReusable whether the connection may carry another request */
 	readonly release: (isReusable: boolean) => void;
 };
 
+/** Limits the interim answers (1xx) before an answer. */
+const MAX_INTERIM_ANSWERS = 32;
+/** Limits what the target sends beside the body of an answer, in bytes: its head, and for each byte of the body what its framing may take. */
+const MAX_HEAD_BYTES = 131_072;
+const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
+
 /** One call running at the target. */
 export class Run implements Dispatcher.DispatchHandler {
 	readonly #call: Call;
@@ -50,6 +58,9 @@
 	#notRunReason: RefusalReason | undefined;
 	#chunks: Buffer[] = [];
 	#bufferedBytes = 0;
+	#bodyBytes = 0;
+	#interimAnswers = 0;
+	readonly #receivedBytesBefore: number;
 	#unreportedBytes = 0;
 	#isStreaming = false;
 	#isOver = false;
@@ -60,6 +71,7 @@
 		this.#names = names;
 		this.#sink = sink;
 		this.#connection = connection;
+		this.#receivedBytesBefore = connection.receivedBytes();
 		if (call.hasMoreBody) {
 			this.#bodyStream = new Readable({
 				read: () => {
@@ -115,6 +127,20 @@
 		}
 	}
 
+	/** Ends the run if the target sends far more than an answer, such as a head without an end. */
+	checkReceivedBytes(): void {
+		const beside = this.#connection.receivedBytes() - this.#receivedBytesBefore - this.#bodyBytes;
+		if (this.#isOver || beside <= MAX_HEAD_BYTES + (this.#bodyBytes * MAX_FRAMING_BYTES_PER_BODY_BYTE)) {
+			return;
+		}
+
+		if (this.#notRunReason === undefined) {
+			this.#fail('garbled');
+		} else {
+			this.#endNotRun(this.#notRunReason);
+		}
+	}
+
 	/** Aborts the run; the target sees its connection close. */
 	cancel(): void {
 		if (!this.#isOver) {
@@ -134,6 +160,11 @@
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		if (status < 200) {
+			this.#interimAnswers++;
+			if (this.#interimAnswers > MAX_INTERIM_ANSWERS && !this.#isOver) {
+				this.#fail('garbled');
+			}
+
 			return;
 		}
 
@@ -166,13 +197,23 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		this.#bodyBytes += chunk.length;
+		if (this.#notRunReason !== undefined) {
+			// The body of a refusal is for nobody.
+			if (this.#bodyBytes > MAX_INLINE_BODY_BYTES) {
+				this.#endNotRun(this.#notRunReason);
+			}
+
+			return;
+		}
+
 		if (this.#isStreaming) {
 			this.#creditBytes -= chunk.length;
 			this.#sink.onChunk(chunk, false);
 		} else {
 			this.#chunks.push(chunk);
 			this.#bufferedBytes += chunk.length;
-			if (this.#bufferedBytes > MAX_INLINE_BODY_BYTES && this.#notRunReason === undefined) {
+			if (this.#bufferedBytes > MAX_INLINE_BODY_BYTES) {
 				this.#isStreaming = true;
 				this.#creditBytes -= this.#bufferedBytes;
 				this.#sink.onHead(this.#head!, Buffer.concat(this.#chunks), false);
@@ -246,6 +287,14 @@
 		}
 	}
 
+	#endNotRun(reason: RefusalReason): void {
+		this.#isOver = true;
+		this.#controller?.abort(new Error(reason));
+		this.#bodyStream?.destroy();
+		this.#connection.release(false);
+		this.#sink.onNotRun(reason);
+	}
+
 	#fail(reason: FailureReason): void {
 		this.#isOver = true;
 		this.#controller?.abort(new Error(reason));
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {Client, buildConnector} from 'undici';
 import {IdleConnectionLimit, type TargetSignals} from '../../mesh/index.js';
 import {type Adapter, type HeaderNames} from '../adapter.js';
@@ -66,6 +67,7 @@
 		const generation = this.#generation;
 		const run = new Run(call, this.#names, sink, {
 			wasReset: () => connection.wasReset,
+			receivedBytes: () => connection.socket?.bytesRead ?? 0,
 			unknownHeaders: this.#unknownHeaders,
 			onLost: () => {
 				if (Number.isFinite(idleMs)) {
@@ -98,7 +100,7 @@
 	}
 
 	#openConnection(): Connection {
-		const connection = {wasReset: false, idleSinceMs: Number.POSITIVE_INFINITY};
+		const connection: ConnectionState = {wasReset: false, socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY};
 		const client = new Client(this.#origin, {
 			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection), maxHeaderSize: MAX_HEADER_BYTES,
 		});
@@ -135,21 +137,25 @@
 	}
 }
 
-type Connection = {
-	readonly client: Client;
+type ConnectionState = {
 	wasReset: boolean;
+	/** Undefined until it is open. */
+	socket: Socket | undefined;
 	/** When the connection became idle, in ms; infinite for one that has carried no request yet. */
 	idleSinceMs: number;
 };
 
+type Connection = ConnectionState & {readonly client: Client};
+
 // Marks connections that end in a reset: the HTTP client takes an answer without a length as complete even then.
-function markResets(connection: {wasReset: boolean}): buildConnector.connector {
+function markResets(connection: Pick<ConnectionState, 'wasReset' | 'socket'>): buildConnector.connector {
 	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [error, socket] = result;
 			connection.wasReset = false;
 			if (error === null) {
+				connection.socket = socket;
 				socket.on('error', () => {
 					connection.wasReset = true;
 				});
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -121,7 +121,9 @@
 		for (const owned of this.#running) {
 			if (owned.abandonedAtMs !== undefined && (nowMs > owned.abandonedAtMs + MAX_ABANDONED_RUN_MS || this.#queue.queued > 0)) {
 				this.#abortRun(owned);
-			} else if (nowMs > owned.deadlineMs + DEADLINE_OVERRUN_MS) {
+			} else if (nowMs <= owned.deadlineMs + DEADLINE_OVERRUN_MS) {
+				owned.run?.checkReceivedBytes();
+			} else {
 				this.#abortRun(owned);
 				this.onRunFailed(owned, 'deadline');
 				owned.sink?.onFailed('deadline', this.getLoadReport(owned.call.template.route));
