--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -30,6 +30,10 @@
 /** How long before the end of the lame-duck period a stopping daemon starts to refuse calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
 
+/** How many unexpected errors a daemon survives in this time, in ms. */
+const MAX_UNEXPECTED_ERRORS = 20;
+const UNEXPECTED_ERROR_WINDOW_MS = 10_000;
+
 /** Replacements that a test passes for the host's clock and log output. */
 export type RelayOptions = {
 	readonly clock?: Clock;
@@ -61,6 +65,8 @@
 	#counterFeed: StatsdReporter | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	/** When the last unexpected errors occurred, in ms. */
+	#unexpectedErrorTimesMs: number[] = [];
 	#stopped: Promise<void> | undefined;
 
 	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(new SystemClock()), write}: RelayOptions = {}) {
@@ -142,6 +148,11 @@
 		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
 
+	/** The number of calls that the target beside this daemon runs. */
+	get runningCalls(): number {
+		return this.#targetOwner.running;
+	}
+
 	async start(): Promise<void> {
 		const {listen} = this.#settings;
 		await Promise.all([
@@ -171,6 +182,15 @@
 		this.#log.warn('settings_rejected', {reason});
 	}
 
+	/** Logs an error that no part has handled. @returns whether the daemon goes on: not after many in a short time */
+	survivesUnexpectedError(error: Error): boolean {
+		const nowMs = this.#clock.nowMs();
+		this.#log.registry.count('unexpected_errors', {});
+		this.#log.warn('unexpected_error', {reason: error.message, at: (error.stack ?? '').split('\n')[1]?.trim() ?? ''});
+		this.#unexpectedErrorTimesMs = [...this.#unexpectedErrorTimesMs.filter(timeMs => nowMs - timeMs < UNEXPECTED_ERROR_WINDOW_MS), nowMs];
+		return this.#unexpectedErrorTimesMs.length <= MAX_UNEXPECTED_ERRORS;
+	}
+
 	/** Stops gracefully: refuses new calls, then waits for open ones to end, both within the grace period. */
 	async stop(): Promise<void> {
 		this.#stopped ??= this.#stop();
