A signed answer that names no attempt is no answer to the request it arrives at

What a caller could see: a second copy of a failure, without the attempt's id and with the signature of an earlier request, passed as its own on a connection in use again. Targets echo the id with every answer that they sign; one that doesn't is garbled now, as a success without it was before. Evidence: test/failures/latecopy.test.ts, 'a failure without an id', red on the code before (500 with the signature of the request before); ten other copies and a client that pipelines were green on it.

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -170,7 +170,9 @@
 
 		const signature = headers[this.#names.signature];
 		const echoedAttemptId = headers[this.#names.attemptId];
-		if (echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId) {
+		const isOfOther = echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId;
+		// A target signs what it has run, and names the attempt: without that it may be of another.
+		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
 			this.#fault = 'garbled';
 		} else if (headers[this.#names.notRun] !== undefined || status === 421) {
 			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
--- /dev/null
+++ b/test/failures/latecopy.test.ts
@@ -0,0 +1,124 @@
+import {type IncomingMessage} from 'node:http';
+import {type Socket, connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {Mesh, createRoute} from '../../standins/mesh.js';
+import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
+
+const ROUNDS = 6;
+
+let mesh: Mesh;
+afterEach(async () => {
+	await mesh.close();
+});
+
+const idOf = ({headers}: IncomingMessage) => String(headers[meshHeaders.attemptId]);
+const answerTo = (id: string, {status = '200 OK', hasId = true, body = 'ok'} = {}) =>
+	`HTTP/1.1 ${status}\r\n${hasId ? `${meshHeaders.attemptId}: ${id}\r\n` : ''}${meshHeaders.signature}: of-${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+/** What a target sends of the answer before, between that answer and the next one on the connection. */
+type Copy = {
+	readonly name: string;
+	readonly method?: 'GET' | 'HEAD';
+	/** Sent while the connection is idle. */
+	readonly early?: (previous: string) => string;
+	/** Sent once the next request has arrived, before its own answer. */
+	readonly late?: (previous: string) => string;
+	/** Whether the next request's own answer never comes. */
+	readonly isLost?: boolean;
+};
+
+const COPIES: Copy[] = [
+	{name: 'the whole answer, late', late: id => answerTo(id)},
+	{name: 'the whole answer, late, in place of the next', late: id => answerTo(id), isLost: true},
+	{name: 'the whole answer while the connection is idle', early: id => answerTo(id)},
+	{name: 'the answer in two pieces across the reuse', early: id => answerTo(id).slice(0, 20), late: id => answerTo(id).slice(20)},
+	{name: 'its last byte across the reuse', early: id => answerTo(id).slice(0, -1), late: () => 'k'},
+	{name: 'the answer after an interim one', late: id => `HTTP/1.1 102 Processing\r\n\r\n${answerTo(id)}`},
+	{name: 'the body of an answer to HEAD', method: 'HEAD', early: () => 'ok'},
+	{name: 'the body of an answer to HEAD, late', method: 'HEAD', late: () => 'ok'},
+	{name: 'a success without an id', late: id => answerTo(id, {hasId: false})},
+	{name: 'a failure without an id', late: id => answerTo(id, {hasId: false, status: '500 No'})},
+	{name: 'a refusal of the one before', late: id => answerTo(id, {status: `503 Full\r\n${meshHeaders.notRun}: 1`})},
+];
+
+describe('a second copy of an answer on a connection in use again', () => {
+	it.each(COPIES)('is no answer to the next caller: $name', async ({method = 'GET', early, late, isLost = false}) => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair({routes: [createRoute('x', 'back', {repeatability: 'unsafe'})], back: {slots: 1}});
+		const previousIds = new WeakMap<Socket, string>();
+		let copies = 0;
+		back.target.behaviourOverride = request => {
+			const {socket} = request;
+			const id = idOf(request);
+			const previous = previousIds.get(socket);
+			previousIds.set(socket, id);
+			if (previous !== undefined && late !== undefined) {
+				copies++;
+				socket.write(late(previous));
+			}
+
+			if (previous === undefined || !isLost) {
+				socket.write(method === 'HEAD' ? answerTo(id).slice(0, -2) : answerTo(id));
+			}
+
+			if (early !== undefined) {
+				setTimeout(() => {
+					copies++;
+					socket.write(early(id));
+				}, 5);
+			}
+		};
+
+		for (let round = 0; round < ROUNDS; round++) {
+			// eslint-disable-next-line no-await-in-loop -- each reuses the connection of the one before
+			const {status, headers} = await call(port, '/x/', {method, headers: createAttemptHeaders(`r${round}`, 500)});
+			expect([200, 502, 504]).toContain(status);
+			expect(headers[meshHeaders.signature] ?? `of-r${round}`).toBe(`of-r${round}`);
+			if (round % 2 === 0) {
+				// eslint-disable-next-line no-await-in-loop -- every second copy finds the connection idle
+				await sleep(15);
+			}
+		}
+
+		// A connection that carried a HEAD request isn't used again.
+		expect(copies > 0 || method === 'HEAD').toBe(true);
+	});
+
+	it('reaches no request that a client sent behind another', async () => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair({back: {slots: 4}});
+		const previousIds = new WeakMap<Socket, string>();
+		back.target.behaviourOverride = request => {
+			const {socket} = request;
+			const previous = previousIds.get(socket);
+			previousIds.set(socket, idOf(request));
+			socket.write(`${previous === undefined ? '' : answerTo(previous)}${answerTo(idOf(request))}`);
+		};
+
+		const client = connect(port, '127.0.0.1');
+		let text = '';
+		client.on('data', bytes => {
+			text += bytes.toString();
+		});
+		client.on('error', () => undefined);
+		const ids = Array.from({length: 8}, (_, number) => `p${number}`);
+		for (const id of ids) {
+			const fields = Object.entries(createAttemptHeaders(id, 800)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+			client.write(`GET /x/ HTTP/1.1\r\n${fields}\r\n`);
+			// eslint-disable-next-line no-await-in-loop -- the connections to the target are used again
+			await sleep(20);
+		}
+
+		await expect.poll(() => text.split('HTTP/1.1 ').length - 1, {timeout: 4000}).toBe(ids.length);
+		client.destroy();
+		const answers = text.split('HTTP/1.1 ').slice(1);
+		for (const [index, answer] of answers.entries()) {
+			const signature = /^signature: of-(?<id>\w+)/mv.exec(answer)?.groups?.id;
+			expect([undefined, ids[index]]).toContain(signature);
+		}
+	});
+});
