--- a/test/relay/authentication.test.ts
+++ b/test/relay/authentication.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
@@ -86,4 +87,27 @@
 		const orphan = await call(back.settings.listen.requests.port, '/inner/', {headers: withKey('gone.1')});
 		expect(orphan.status).toBe(503);
 	});
+
+	it('refuses a withdrawn key also at a daemon that starts again while the store is back from an older copy', async () => {
+		const {front} = await startPair();
+		const copy = mesh.store.copy();
+		mesh.configure(createSite([ORGANISATIONS[0]], 3));
+		await mesh.settle();
+		await front.stop();
+		mesh.store.restore(copy);
+		const {listen, failureDomain} = front.settings;
+		const ports = [listen.requests, listen.peers, listen.readiness, listen.announcements].map(({port}) => port);
+		const restarted = await mesh.startDaemon('front', front.target, ports, failureDomain);
+		const statuses: number[] = [];
+		for (let round = 0; round < 20; round++) {
+			// eslint-disable-next-line no-await-in-loop -- from its first moment on
+			statuses.push(await statusOf(ports[0], '/x/', {headers: withKey(`again-${round}`, 'key-b')}));
+			// eslint-disable-next-line no-await-in-loop -- spread over its first second
+			await sleep(60);
+		}
+
+		await restarted.stop();
+		expect(statuses.at(-1)).toBe(401);
+		expect(statuses.filter(status => status !== 401 && status !== 503)).toEqual([]);
+	});
 });
