--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -30,8 +30,6 @@
 	readonly #organisation: string | undefined;
 	readonly #arrivedMs: number;
 	readonly #parentCall: Call | undefined;
-	/** When the objective of the root request ends, in ms. */
-	readonly #rootObjectiveEndMs: number;
 	readonly #priority: Priority;
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
@@ -69,7 +67,6 @@
 
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
 		this.objectiveEndMs = this.#arrivedMs + options.route.objectiveMs;
-		this.#rootObjectiveEndMs = (this.#parentCall && context.findObjectiveEndMs(this.#parentCall.attemptId)) ?? this.objectiveEndMs;
 	}
 
 	/** Whether the request is admitted. A nested call always is, because work for its root request has already been spent. */
@@ -277,7 +274,7 @@
 			path: this.#request.url!,
 			instance: entry.target!.id,
 			leftMs: this.deadlineMs - nowMs,
-			objectiveLeftMs: Math.max(0, this.#rootObjectiveEndMs - nowMs),
+			objectiveLeftMs: Math.max(0, ((this.#parentCall && this.#context.findObjectiveEndMs(this.#parentCall.attemptId)) ?? this.objectiveEndMs) - nowMs),
 			priority: this.#priority,
 			rateLimitPerS: this.#attempts.rateLimitPerS,
 			isNested: this.#parentCall !== undefined,
