Budgets that all daemons share: accountants, shares of what is wanted, allowances in between

Nothing uses them yet. A daemon admits the fraction that the accountant of the budget names, and in one interval of reports no more than an allowance, which without news is filled at the recent rate.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -16,7 +16,9 @@
 	type Announcement, type Input, type JoinRecord, type Output, type PlatformReply, type PlatformRequest, type RequestId, type LinkSide, type TargetResult,
 } from './message.js';
 export {Digest} from './digest.js';
-export {type MeshPeer, chooseNeighbors, isElectedForDuty} from './neighbors.js';
+export {
+	type MeshPeer, chooseByRendezvous, chooseNeighbors, electForDuty, isElectedForDuty,
+} from './neighbors.js';
 export {DaemonCore} from './daemoncore.js';
 export {type CoreOptions} from './coreoptions.js';
 export {
--- a/src/core/neighbors.ts
+++ b/src/core/neighbors.ts
@@ -45,6 +45,34 @@
 	return lowerCount < count;
 }
 
+/** Chooses by rendezvous hashing the running daemons that perform a duty: `count` in each failure domain. */
+export function electForDuty<Peer extends MeshPeer>(duty: string, running: Iterable<Peer>, count: number): Peer[] {
+	const domains = new Map<string, Array<{member: Peer; weight: number}>>();
+	for (const member of running) {
+		const key = `${member.region}/${member.failureDomain}`;
+		const domain = domains.get(key) ?? [];
+		domain.push({member, weight: murmurhash.v3(`${duty}:${member.id}`)});
+		domains.set(key, domain);
+	}
+
+	return [...domains.values()].flatMap(domain => domain.toSorted((a, b) => a.weight - b.weight || (a.member.id < b.member.id ? -1 : 1)).slice(0, count).map(({member}) => member));
+}
+
+/** Assigns a key to one of the ids by rendezvous hashing; undefined if there are none. */
+export function chooseByRendezvous(key: string, ids: readonly string[]): string | undefined {
+	let chosen: string | undefined;
+	let lowest = Number.POSITIVE_INFINITY;
+	for (const id of ids) {
+		const weight = murmurhash.v3(`${key}@${id}`);
+		if (weight < lowest) {
+			chosen = id;
+			lowest = weight;
+		}
+	}
+
+	return chosen;
+}
+
 function findSuccessor<Peer extends MeshPeer>(self: MeshPeer, others: readonly Peer[]): Peer | undefined {
 	const ownHash = murmurhash.v3(self.id);
 	let next: Peer | undefined;
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -1,5 +1,6 @@
 export * from './routing/index.js';
 export * from './organisations/index.js';
+export * from './shares/index.js';
 export * from './membership/index.js';
 export * from './admission/index.js';
 export * from './balancing/index.js';
--- a/src/mesh/organisations/index.ts
+++ b/src/mesh/organisations/index.ts
@@ -1,5 +1,6 @@
 export {
 	type Authentication, type AuthenticationRefusal, type Credentials, type RevocationOptions, Authenticator, readBearerKey,
 } from './authenticator.js';
+export {largestOrganisations, quotaLimits} from './quota.js';
 export {type Organisation} from './organisation.js';
 export {OrganisationTable} from './organisationtable.js';
--- /dev/null
+++ b/src/mesh/shares/budgetsharing.ts
@@ -0,0 +1,215 @@
+import {type HostEntry} from '../membership/host.js';
+import {Account, type BudgetChange} from './account.js';
+import {Accountants, electAccountants} from './accountants.js';
+import {
+	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type UsageReport, roomOf,
+} from './budget.js';
+import {type Admission, Share} from './share.js';
+
+/** The time between two reports to an accountant of what has been spent, in ms. */
+const INTERVAL_MS = 250;
+/** The most daemons that report so often; with more, the interval grows with their number up to the factor. */
+const MAX_DAEMONS_PER_INTERVAL = 128;
+const MAX_INTERVAL_FACTOR = 4;
+/** After how many intervals a daemon reports that nothing was spent. */
+const EMPTY_REPORT_INTERVALS = 2;
+/** After how many intervals without a reply a fraction is no longer in force. */
+const STALE_INTERVALS = 5;
+
+/** What one accountant has told this daemon last. */
+type AccountantNews = {heardMs: number; replies: number; limited: ReadonlyMap<string, Allowance>};
+
+const NO_NEWS: AccountantNews = {heardMs: Number.NEGATIVE_INFINITY, replies: 0, limited: new Map()};
+
+type HeldShare = {readonly share: Share; news: AccountantNews; filledReplies: number};
+
+export type BudgetSharingOptions = {
+	/** This daemon's host. */
+	readonly host: string;
+	readonly room: BudgetRoom;
+	readonly random: () => number;
+};
+
+/** A report that is due, and the host of the accountant that it goes to. */
+export type DueReport = {readonly to: string; readonly report: UsageReport};
+
+/**
+ * One daemon's part in budgets that all daemons share: what it spends of them,
+ * what it reports of that to the accountants, and its own accounts if it is one.
+ */
+export class BudgetSharing {
+	readonly account: Account;
+	readonly #options: BudgetSharingOptions;
+	#limits: ReadonlyMap<string, BudgetLimit> = new Map();
+	#accountants = new Accountants([]);
+	#daemonCount = 1;
+	readonly #shares = new Map<string, HeldShare>();
+	#news: ReadonlyMap<string, AccountantNews> = new Map();
+	readonly #reportedMs = new Map<string, number>();
+
+	constructor(options: BudgetSharingOptions) {
+		this.#options = options;
+		this.account = new Account(options.host, options.room);
+	}
+
+	get accountants(): Accountants {
+		return this.#accountants;
+	}
+
+	/** The time between two reports, in ms. */
+	get intervalMs(): number {
+		return INTERVAL_MS * Math.min(MAX_INTERVAL_FACTOR, Math.max(1, this.#daemonCount / MAX_DAEMONS_PER_INTERVAL));
+	}
+
+	/** Whether any budget has a limit. */
+	get isActive(): boolean {
+		return this.#limits.size > 0;
+	}
+
+	setLimits(limits: ReadonlyMap<string, BudgetLimit>, nowMs: number): void {
+		this.#limits = limits;
+		for (const [budget, {share}] of this.#shares) {
+			const limit = limits.get(budget);
+			if (limit === undefined) {
+				this.#shares.delete(budget);
+			} else {
+				share.setLimit(limit);
+			}
+		}
+
+		this.account.setLimits(limits, nowMs);
+	}
+
+	/**
+	 * Sets the hosts that this daemon can reach, itself included.
+	 * @returns whether the accountants have changed
+	 */
+	setHosts(reachable: ReadonlyArray<Pick<HostEntry, 'host' | 'failureDomain'>>, nowMs: number): boolean {
+		const accountants = electAccountants(reachable);
+		if (accountants.view === this.#accountants.view) {
+			return false;
+		}
+
+		this.#accountants = accountants;
+		const newsByHost = new Map(accountants.hosts.map(host => [host, this.#news.get(host) ?? {heardMs: Number.NEGATIVE_INFINITY, replies: 0, limited: new Map()}]));
+		this.#news = newsByHost;
+		for (const [budget, held] of this.#shares) {
+			held.news = this.#newsOf(budget);
+			held.filledReplies = held.news.replies;
+		}
+
+		for (const host of this.#reportedMs.keys()) {
+			if (!newsByHost.has(host)) {
+				this.#reportedMs.delete(host);
+			}
+		}
+
+		this.account.setAccountants(accountants, nowMs);
+		return true;
+	}
+
+	/**
+	 * Does what is due at each interval.
+	 * @param knownCount the number of daemons that may be running
+	 * @returns the budgets that are calm again by this accountant's books
+	 */
+	check(knownCount: number, nowMs: number): BudgetChange[] {
+		this.#daemonCount = Math.max(1, knownCount);
+		this.account.check(this.#daemonCount, this.intervalMs, nowMs);
+		return this.account.review(nowMs);
+	}
+
+	/** Spends one of a budget if this daemon may. A budget without a limit may always be spent. */
+	trySpend(budget: string, nowMs: number): Admission {
+		const limit = this.#limits.get(budget);
+		if (limit === undefined) {
+			return {isAdmitted: true};
+		}
+
+		const held = this.#shares.get(budget) ?? this.#createShare(budget, limit, nowMs);
+		const {share, news} = held;
+		if (held.filledReplies !== news.replies) {
+			held.filledReplies = news.replies;
+			share.fill();
+		}
+
+		const fraction = this.#isFresh(news, nowMs) ? news.limited.get(budget)?.fraction : undefined;
+		return share.trySpend(fraction ?? 1, nowMs);
+	}
+
+	/** Gives back what was spent for a request that didn't run. */
+	giveBack(budget: string, nowMs: number): void {
+		this.#shares.get(budget)?.share.giveBack(nowMs);
+	}
+
+	/** Returns the reports that are due. @param canSend whether a report would reach that host now; otherwise it waits */
+	takeReports(canSend: (host: string) => boolean, nowMs: number): DueReport[] {
+		const budgets = new Map<string, string[]>(this.#accountants.hosts.map(host => [host, []]));
+		for (const [budget, {share}] of this.#shares) {
+			if (share.hasUsage) {
+				budgets.get(this.#accountants.of(budget)!)?.push(budget);
+			}
+		}
+
+		return [...budgets].flatMap(([to, used]) => {
+			const isDue = used.length > 0 || nowMs - (this.#reportedMs.get(to) ?? Number.NEGATIVE_INFINITY) >= EMPTY_REPORT_INTERVALS * this.intervalMs;
+			if (!isDue || !canSend(to)) {
+				return [];
+			}
+
+			this.#reportedMs.set(to, nowMs);
+			const usages = used.map(budget => ({budget, ...this.#shares.get(budget)!.share.takeUsage()}));
+			return [{to, report: {host: this.#options.host, view: this.#accountants.view, usages}}];
+		});
+	}
+
+	/** Handles what an accountant tells. */
+	onNews({host, isReady, isReply, allowances}: AllowanceNews, nowMs: number): void {
+		const news = this.#news.get(host);
+		if (news === undefined || !isReady) {
+			return;
+		}
+
+		news.heardMs = nowMs;
+		news.limited = new Map(allowances.filter(({fraction}) => fraction < 1).map(allowance => [allowance.budget, allowance]));
+		news.replies += isReply ? 1 : 0;
+		for (const allowance of isReply ? allowances : []) {
+			const held = this.#shares.get(allowance.budget);
+			if (held?.news === news) {
+				held.share.onAllowance(allowance, this.#context, nowMs);
+			}
+		}
+	}
+
+	get #context() {
+		return {daemonCount: this.#daemonCount, intervalMs: this.intervalMs};
+	}
+
+	#newsOf(budget: string): AccountantNews {
+		return this.#news.get(this.#accountants.of(budget) ?? '') ?? NO_NEWS;
+	}
+
+	#isFresh(news: AccountantNews, nowMs: number): boolean {
+		return nowMs - news.heardMs < STALE_INTERVALS * this.intervalMs;
+	}
+
+	#createShare(budget: string, limit: BudgetLimit, nowMs: number): HeldShare {
+		const {random, room} = this.#options;
+		const news = this.#newsOf(budget);
+		// Daemons that all start at once have no more than the room together, and what a second allows.
+		const chance = (limit.ratePerS + (roomOf(limit, room) / 2)) / this.#daemonCount;
+		const tokens = random() < chance ? 1 : random();
+		const share = new Share(limit, this.#context, {credit: random(), tokens}, nowMs);
+		const isFresh = this.#isFresh(news, nowMs);
+		if (isFresh) {
+			const calm = {
+				budget, fraction: 1, usedPerS: 0, spendable: limit.burst + (roomOf(limit, room) / 2),
+			};
+			share.onAllowance(news.limited.get(budget) ?? calm, this.#context, nowMs);
+		}
+
+		const held = {share, news, filledReplies: isFresh ? news.replies - 1 : news.replies};
+		this.#shares.set(budget, held);
+		return held;
+	}
+}
--- /dev/null
+++ b/src/mesh/shares/index.ts
@@ -0,0 +1,8 @@
+export {Account, type BudgetChange} from './account.js';
+export {Accountants, electAccountants} from './accountants.js';
+export {
+	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type Usage, type UsageReport, roomOf,
+} from './budget.js';
+export {BudgetSharing, type BudgetSharingOptions, type DueReport} from './budgetsharing.js';
+export {Ledger} from './ledger.js';
+export {type Admission, Share} from './share.js';
--- /dev/null
+++ b/src/mesh/shares/share.ts
@@ -0,0 +1,129 @@
+import {type Allowance, type BudgetLimit} from './budget.js';
+
+/** What a daemon may spend of a budget at once without any news of it. */
+const MIN_CAPACITY = 2;
+/** How much more than its recent spending a daemon may spend in one interval of reports, as a factor: requests arrive unevenly. */
+const SURGE = 2;
+/** Time constant of what is wanted and spent here, in ms. */
+const RATE_MS = 2000;
+/** The most that a daemon saves up of its fraction. */
+const MAX_CREDIT = 2;
+
+/** Whether a share allows a spending; otherwise after what time it may, in ms. */
+export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number};
+
+const ADMITTED: Admission = {isAdmitted: true};
+
+/** What a share needs to know of the fleet. */
+export type ShareContext = {readonly daemonCount: number; readonly intervalMs: number};
+
+/**
+ * One daemon's share of a budget: of what is wanted here, the fraction that the
+ * accountant names, and in one interval of reports no more than an allowance.
+ * Without news, the allowance is filled again only at the rate of the recent
+ * spending here, and an equal share of what all daemons left unused.
+ */
+export class Share {
+	#limit: BudgetLimit;
+	/** Counts fractions: a spending is admitted for each whole number. Begins at random, as all daemons would otherwise wait for it at the same time. */
+	#credit: number;
+	#tokens: number;
+	#capacity = MIN_CAPACITY;
+	#fillPerS: number;
+	#advancedMs: number;
+	#wantedPerS = 0;
+	#usedPerS = 0;
+	#wanted = 0;
+	#used = 0;
+
+	/** @param tokens what may be spent before any news */
+	constructor(limit: BudgetLimit, {daemonCount}: ShareContext, {credit, tokens}: {credit: number; tokens: number}, nowMs: number) {
+		this.#limit = limit;
+		this.#credit = credit;
+		this.#tokens = tokens;
+		this.#fillPerS = limit.ratePerS / daemonCount;
+		this.#advancedMs = nowMs;
+	}
+
+	get hasUsage(): boolean {
+		return this.#wanted !== 0 || this.#used !== 0;
+	}
+
+	/** Changes the limit; a lower one lowers the share in proportion at once. */
+	setLimit(limit: BudgetLimit): void {
+		const factor = Math.min(1, limit.ratePerS / this.#limit.ratePerS);
+		this.#limit = limit;
+		this.#fillPerS *= factor;
+		this.#usedPerS *= factor;
+		this.#capacity = MIN_CAPACITY + ((this.#capacity - MIN_CAPACITY) * factor);
+		this.#tokens = Math.min(this.#tokens, this.#capacity);
+	}
+
+	/** @param fraction the fraction in force; 1 if there is none */
+	trySpend(fraction: number, nowMs: number): Admission {
+		this.#advance(nowMs);
+		this.#wanted++;
+		this.#wantedPerS += 1000 / RATE_MS;
+		if (fraction < 1) {
+			this.#credit = Math.min(this.#credit + fraction, MAX_CREDIT);
+			if (this.#credit < 1) {
+				return {isAdmitted: false, retryAfterMs: (1 - this.#credit) * 1000 / (fraction * this.#wantedPerS)};
+			}
+		} else {
+			this.#credit %= 1;
+		}
+
+		if (this.#tokens < 1) {
+			return {isAdmitted: false, retryAfterMs: (1 - this.#tokens) * 1000 / this.#fillPerS};
+		}
+
+		this.#credit -= fraction < 1 ? 1 : 0;
+		this.#tokens--;
+		this.#used++;
+		this.#usedPerS += 1000 / RATE_MS;
+		return ADMITTED;
+	}
+
+	/** Gives back what was admitted and not spent. */
+	giveBack(nowMs: number): void {
+		this.#advance(nowMs);
+		this.#tokens = Math.min(this.#tokens + 1, this.#capacity);
+		this.#used--;
+		this.#usedPerS = Math.max(0, this.#usedPerS - (1000 / RATE_MS));
+	}
+
+	/** Returns what is to be reported, and counts from zero again. */
+	takeUsage(): {wanted: number; used: number} {
+		const usage = {wanted: this.#wanted, used: this.#used};
+		this.#wanted = 0;
+		this.#used = 0;
+		return usage;
+	}
+
+	/** Applies what the accountant says of the budget. */
+	onAllowance({usedPerS, spendable}: Allowance, {daemonCount, intervalMs}: ShareContext, nowMs: number): void {
+		this.#advance(nowMs);
+		const own = this.#usedPerS;
+		const weight = ((own / Math.max(usedPerS, own, 1 / RATE_MS)) + (1 / daemonCount)) / 2;
+		this.#capacity = MIN_CAPACITY + (spendable * weight) + (SURGE * own * intervalMs / 1000);
+		this.#fillPerS = own + (Math.max(0, this.#limit.ratePerS - usedPerS) / daemonCount);
+	}
+
+	/** Fills the allowance after a reply of the accountant. */
+	fill(): void {
+		this.#tokens = this.#capacity;
+	}
+
+	#advance(nowMs: number): void {
+		const passedMs = nowMs - this.#advancedMs;
+		if (passedMs <= 0) {
+			return;
+		}
+
+		this.#advancedMs = nowMs;
+		this.#tokens = Math.min(this.#tokens + (this.#fillPerS * passedMs / 1000), this.#capacity);
+		const decay = Math.exp(-passedMs / RATE_MS);
+		this.#wantedPerS *= decay;
+		this.#usedPerS *= decay;
+	}
+}
