Quotas: an organisation's requests over all daemons stay within its limit, the rest gets 429

A client of an organisation over its limit was served like any other: nothing knew the limit. Now the daemon that a request reaches takes a token of the organisation's quota, after 404, 401 and the floor and before a target is chosen, and refuses with 429 and the time after which there will be one. Nested calls and public routes take none; a request that ends without having run gives its token back, once, and isn't counted as wanted.

Daemons report by two new frames to accountants that they elect; without a limited organisation there is no frame and no timer. An accountant scales its limits by the daemons that report to it with its own view of the accountants, so that two halves of a cut fleet stay within the limit together; hosts that refuse connections don't count.

--- a/fakes/sharefleet.ts
+++ b/fakes/sharefleet.ts
@@ -1,11 +1,13 @@
 import {
-	type AllowanceNews, type BudgetLimit, type BudgetRoom, BudgetSharing, type UsageReport,
+	type AllowanceNews, type BudgetLimit, type BudgetRoom, BudgetSharing, type DueReport, type UsageReport,
 } from '../src/mesh/index.js';
 import {Random} from './random.js';
 
 const STEP_MS = 10;
 /** One way between two daemons, in ms. */
 const LINK_MS = 4;
+/** The shortest time between two messages of an accountant to all daemons, in ms. */
+const PUSH_INTERVAL_MS = 100;
 /** How long daemons take to find that a host is out of reach, or back, in ms. */
 const DETECTION_MS = 2400;
 
@@ -32,6 +34,10 @@
 export class ShareFleet {
 	nowMs = 0;
 	frames = 0;
+	/** How often an accountant has told all daemons of a limited budget. */
+	pushes = 0;
+	/** The reports that were sent before the end of an interval. */
+	lowReports = 0;
 	readonly members: FleetMember[] = [];
 	readonly random: Random;
 	/** When each request was admitted, by budget. */
@@ -40,6 +46,9 @@
 	readonly #byName: ReadonlyMap<string, FleetMember>;
 	readonly #room: BudgetRoom;
 	#limits: ReadonlyMap<string, BudgetLimit>;
+	/** The daemons that report sooner, in the next step. */
+	readonly #low = new Set<string>();
+	readonly #pushedMs = new Map<string, number>();
 	#wasCut = false;
 	#deliveries: Array<{atMs: number; deliver: () => void}> = [];
 	/** Since when a daemon can reach another, or can't, by the names of both. */
@@ -97,6 +106,14 @@
 		while (this.nowMs < endMs) {
 			this.nowMs += STEP_MS;
 			this.#deliver();
+			for (const host of this.#low) {
+				const member = this.#byName.get(host)!;
+				const reports = member.sharing.takeLowReports(() => true, this.nowMs);
+				this.lowReports += reports.length;
+				this.#sendReports(member, reports);
+			}
+
+			this.#low.clear();
 			for (const member of this.members) {
 				if (member.isUp && member.nextCheckMs <= this.nowMs) {
 					this.#check(member);
@@ -153,7 +170,14 @@
 	}
 
 	#createSharing(host: string): BudgetSharing {
-		const sharing = new BudgetSharing({host, room: this.#room, random: () => this.random.next()});
+		const sharing = new BudgetSharing({
+			host,
+			room: this.#room,
+			random: () => this.random.next(),
+			onLow: () => {
+				this.#low.add(host);
+			},
+		});
 		sharing.setLimits(this.#limits, this.nowMs);
 		return sharing;
 	}
@@ -164,20 +188,26 @@
 		sharing.setHosts([member, ...others].map(({name, failureDomain}) => ({host: name, failureDomain})), this.nowMs);
 		// A killed daemon refuses connections, so its peers know that it isn't running.
 		sharing.check(this.members.filter(other => other.isUp).length, this.nowMs);
-		for (const {to, report} of sharing.takeReports(() => true, this.nowMs)) {
+		this.#sendReports(member, sharing.takeReports(() => true, this.nowMs));
+		member.nextCheckMs = this.nowMs + sharing.intervalMs;
+	}
+
+	#sendReports(member: FleetMember, reports: readonly DueReport[]): void {
+		for (const {to, report} of reports) {
 			this.#send(member, to, receiver => {
 				this.#onReport(receiver, report);
 			});
 		}
-
-		member.nextCheckMs = this.nowMs + sharing.intervalMs;
 	}
 
 	#onReport(accountant: FleetMember, report: UsageReport): void {
 		const {account} = accountant.sharing;
 		account.record(report, this.nowMs);
 		this.#sendNews(accountant, report.host, account.tell(report, this.nowMs));
-		if (account.takePush()) {
+		if (account.isPushDue && this.nowMs - (this.#pushedMs.get(accountant.name) ?? 0) >= PUSH_INTERVAL_MS) {
+			account.onPush();
+			this.#pushedMs.set(accountant.name, this.nowMs);
+			this.pushes++;
 			for (const {name} of this.members) {
 				this.#sendNews(accountant, name, account.tell(undefined, this.nowMs));
 			}
--- a/src/mesh/shares/account.ts
+++ b/src/mesh/shares/account.ts
@@ -4,14 +4,16 @@
 } from './budget.js';
 import {Ledger} from './ledger.js';
 
-/** How long an accountant listens before it answers, in intervals of reports: each daemon has reported several times by then. */
-const LISTENING_INTERVALS = 5;
+/** How long an accountant listens before it answers, in intervals of reports: each daemon has reported by then. */
+const LISTENING_INTERVALS = 3;
+/** How long it listens if it hears all daemons. */
+const LISTENING_INTERVALS_TO_ALL = 1;
 /** How long a daemon counts as heard after its last report, and a view that this daemon had itself as the same, in intervals. */
 const HEARD_INTERVALS = 8;
 /** A budget that was limited is calm again when more than this share of what is wanted may be spent. */
 const CALM_FRACTION = 1.25;
-/** A limited budget is told to all daemons again when its fraction has fallen to this share of what they were told. */
-const PUSH_FRACTION = 0.7;
+/** A limited budget is told to all daemons at once when its fraction has fallen to this share of what they were told; otherwise with the next replies. */
+const PUSH_FRACTION = 0.75;
 
 /** A budget that has become limited, or calm again. */
 export type BudgetChange = {readonly budget: string; readonly isLimited: boolean; readonly fraction: number; readonly wantedPerS: number};
@@ -53,6 +55,21 @@
 		return this.#scale;
 	}
 
+	/** Whether this daemon is an accountant that has begun to listen. */
+	get isListening(): boolean {
+		return this.#listensSinceMs !== undefined;
+	}
+
+	/** Whether all daemons should be told at once of a budget that has become limited. */
+	get isPushDue(): boolean {
+		return this.#isPushDue;
+	}
+
+	/** Whether the daemon has reported lately. */
+	hears(host: string): boolean {
+		return this.#heard.has(host);
+	}
+
 	ledgerOf(budget: string): Ledger | undefined {
 		return this.#ledgers.get(budget);
 	}
@@ -137,16 +154,15 @@
 		return changes;
 	}
 
-	/** Whether all daemons should be told of a budget that has become limited; asking ends it. */
-	takePush(): boolean {
-		const isDue = this.#isPushDue;
+	/** Records that all daemons are being told. */
+	onPush(): void {
 		this.#isPushDue = false;
-		return isDue;
 	}
 
 	/** What to tell a daemon, in reply to a report or, without one, to all. */
 	tell(report: UsageReport | undefined, nowMs: number): AllowanceNews {
-		const isReady = this.#listensSinceMs !== undefined && nowMs - this.#listensSinceMs >= LISTENING_INTERVALS * this.#intervalMs && this.#scale > 0;
+		const listeningMs = (this.#scale < 1 ? LISTENING_INTERVALS : LISTENING_INTERVALS_TO_ALL) * this.#intervalMs;
+		const isReady = this.#listensSinceMs !== undefined && nowMs - this.#listensSinceMs >= listeningMs && this.#scale > 0;
 		const news = {host: this.#host, isReady, isReply: report !== undefined};
 		if (!isReady) {
 			return {...news, allowances: []};
@@ -176,13 +192,13 @@
 		const fraction = ledger.fraction(nowMs);
 		const told = this.#limited.get(budget);
 		const isLimited = fraction < (told === undefined ? 1 : CALM_FRACTION);
-		if (isLimited && (told === undefined || fraction < told * PUSH_FRACTION)) {
-			this.#limited.set(budget, fraction);
-			this.#isPushDue = true;
-		} else if (!isLimited && told !== undefined) {
+		if (!isLimited) {
 			this.#limited.delete(budget);
-		} else if (told !== undefined && fraction > told) {
+		} else if (fraction < (told ?? 1) * PUSH_FRACTION) {
 			this.#limited.set(budget, fraction);
+			this.#isPushDue = true;
+		} else {
+			this.#limited.set(budget, Math.max(fraction, told ?? 1));
 		}
 
 		if (isLimited !== (told !== undefined)) {
--- a/src/mesh/shares/budget.ts
+++ b/src/mesh/shares/budget.ts
@@ -9,7 +9,7 @@
 	return (over * ((ratePerS * windowMs / 1000) + burst)) + slack;
 }
 
-/** What one daemon was asked for of a budget since its last report, and what it spent of it; given back spending counts as negative. */
+/** What one daemon was asked for of a budget since its last report, and what it spent of it; what is given back counts as negative in both. */
 export type Usage = {readonly budget: string; readonly wanted: number; readonly used: number};
 
 /** A daemon's report to an accountant. */
--- a/src/mesh/shares/budgetsharing.ts
+++ b/src/mesh/shares/budgetsharing.ts
@@ -17,7 +17,7 @@
 const STALE_INTERVALS = 5;
 
 /** What one accountant has told this daemon last. */
-type AccountantNews = {heardMs: number; replies: number; limited: ReadonlyMap<string, Allowance>};
+type AccountantNews = {heardMs: number; replies: number; limited: Map<string, Allowance>};
 
 const NO_NEWS: AccountantNews = {heardMs: Number.NEGATIVE_INFINITY, replies: 0, limited: new Map()};
 
@@ -28,6 +28,8 @@
 	readonly host: string;
 	readonly room: BudgetRoom;
 	readonly random: () => number;
+	/** Called when the allowance of a budget may not last until the next report, which should then be sent sooner. */
+	readonly onLow: () => void;
 };
 
 /** A report that is due, and the host of the accountant that it goes to. */
@@ -45,6 +47,8 @@
 	#daemonCount = 1;
 	readonly #shares = new Map<string, HeldShare>();
 	#news: ReadonlyMap<string, AccountantNews> = new Map();
+	/** The accountants that are to be reported to sooner. */
+	readonly #low = new Set<string>();
 	readonly #reportedMs = new Map<string, number>();
 
 	constructor(options: BudgetSharingOptions) {
@@ -94,13 +98,18 @@
 		const newsByHost = new Map(accountants.hosts.map(host => [host, this.#news.get(host) ?? {heardMs: Number.NEGATIVE_INFINITY, replies: 0, limited: new Map()}]));
 		this.#news = newsByHost;
 		for (const [budget, held] of this.#shares) {
-			held.news = this.#newsOf(budget);
-			held.filledReplies = held.news.replies;
+			const news = this.#newsOf(budget);
+			if (news !== held.news) {
+				this.#onStale(budget, held);
+				held.news = news;
+				held.filledReplies = news.replies;
+			}
 		}
 
 		for (const host of this.#reportedMs.keys()) {
 			if (!newsByHost.has(host)) {
 				this.#reportedMs.delete(host);
+				this.#low.delete(host);
 			}
 		}
 
@@ -133,8 +142,19 @@
 			share.fill();
 		}
 
-		const fraction = this.#isFresh(news, nowMs) ? news.limited.get(budget)?.fraction : undefined;
-		return share.trySpend(fraction ?? 1, nowMs);
+		const isFresh = this.#isFresh(news, nowMs);
+		if (!isFresh) {
+			this.#onStale(budget, held);
+		}
+
+		const fraction = news.limited.get(budget)?.fraction ?? 1;
+		const admission = share.trySpend(fraction, nowMs);
+		if (isFresh && share.isLow) {
+			this.#low.add(this.#accountants.of(budget)!);
+			this.#options.onLow();
+		}
+
+		return admission;
 	}
 
 	/** Gives back what was spent for a request that didn't run. */
@@ -144,23 +164,12 @@
 
 	/** Returns the reports that are due. @param canSend whether a report would reach that host now; otherwise it waits */
 	takeReports(canSend: (host: string) => boolean, nowMs: number): DueReport[] {
-		const budgets = new Map<string, string[]>(this.#accountants.hosts.map(host => [host, []]));
-		for (const [budget, {share}] of this.#shares) {
-			if (share.hasUsage) {
-				budgets.get(this.#accountants.of(budget)!)?.push(budget);
-			}
-		}
-
-		return [...budgets].flatMap(([to, used]) => {
-			const isDue = used.length > 0 || nowMs - (this.#reportedMs.get(to) ?? Number.NEGATIVE_INFINITY) >= EMPTY_REPORT_INTERVALS * this.intervalMs;
-			if (!isDue || !canSend(to)) {
-				return [];
-			}
+		return this.#takeReports(this.#accountants.hosts, canSend, nowMs);
+	}
 
-			this.#reportedMs.set(to, nowMs);
-			const usages = used.map(budget => ({budget, ...this.#shares.get(budget)!.share.takeUsage()}));
-			return [{to, report: {host: this.#options.host, view: this.#accountants.view, usages}}];
-		});
+	/** Returns the reports that are to be sent sooner. */
+	takeLowReports(canSend: (host: string) => boolean, nowMs: number): DueReport[] {
+		return this.#takeReports([...this.#low], canSend, nowMs);
 	}
 
 	/** Handles what an accountant tells. */
@@ -185,6 +194,31 @@
 		return {daemonCount: this.#daemonCount, intervalMs: this.intervalMs};
 	}
 
+	#takeReports(hosts: readonly string[], canSend: (host: string) => boolean, nowMs: number): DueReport[] {
+		const budgets = new Map<string, string[]>(hosts.map(host => [host, []]));
+		for (const [budget, {share}] of this.#shares) {
+			if (share.hasUsage) {
+				budgets.get(this.#accountants.of(budget)!)?.push(budget);
+			}
+		}
+
+		return [...budgets].flatMap(([to, used]) => {
+			const isDue = used.length > 0 || nowMs - (this.#reportedMs.get(to) ?? Number.NEGATIVE_INFINITY) >= EMPTY_REPORT_INTERVALS * this.intervalMs;
+			if (!isDue || !canSend(to)) {
+				return [];
+			}
+
+			this.#low.delete(to);
+			this.#reportedMs.set(to, nowMs);
+			const usages = used.map(budget => ({budget, ...this.#shares.get(budget)!.share.takeUsage()}));
+			return [{to, report: {host: this.#options.host, view: this.#accountants.view, usages}}];
+		});
+	}
+
+	#onStale(budget: string, {share, news}: HeldShare): void {
+		share.onStale(news.limited.delete(budget));
+	}
+
 	#newsOf(budget: string): AccountantNews {
 		return this.#news.get(this.#accountants.of(budget) ?? '') ?? NO_NEWS;
 	}
--- a/src/mesh/shares/ledger.ts
+++ b/src/mesh/shares/ledger.ts
@@ -4,6 +4,8 @@
 const BALANCE_MS = 1000;
 /** Time constant of the wanted rate, in ms: some reports of each daemon lie within it. */
 const WANTED_MS = 750;
+/** The time that the first reports stand for at least, in ms. */
+const MIN_OPEN_MS = 500;
 /** Time constant of the rate that is spent, in ms. */
 const USED_MS = 2000;
 /** The share of the room that is in use while a budget is limited; the rest is for what is spent while news is on its way. */
@@ -20,16 +22,20 @@
 	#room: number;
 	readonly #roomOptions: BudgetRoom;
 	#scale = 1;
-	/** Begins empty: what was spent before isn't known. */
-	#level = 0;
+	#level: number;
+	/** Decays from each report on; too low until the ledger has been open for some time. */
 	#wantedPerS = 0;
 	#usedPerS = 0;
+	readonly #openedMs: number;
 	#advancedMs: number;
 
 	constructor(limit: BudgetLimit, room: BudgetRoom, nowMs: number) {
 		this.#limit = limit;
 		this.#roomOptions = room;
 		this.#room = roomOf(limit, room);
+		// No full burst: what was spent before isn't known.
+		this.#level = Math.min(limit.burst, this.#room * STEADY_SHARE);
+		this.#openedMs = nowMs;
 		this.#advancedMs = nowMs;
 	}
 
@@ -38,7 +44,8 @@
 	}
 
 	get wantedPerS(): number {
-		return this.#wantedPerS;
+		const openMs = Math.max(this.#advancedMs - this.#openedMs, MIN_OPEN_MS);
+		return this.#wantedPerS / (1 - Math.exp(-openMs / WANTED_MS));
 	}
 
 	get usedPerS(): number {
@@ -69,7 +76,7 @@
 	record(wanted: number, used: number, nowMs: number): void {
 		this.#advance(nowMs);
 		this.#level = Math.max(this.#level - used, -this.#maxDebt);
-		this.#wantedPerS += wanted * 1000 / WANTED_MS;
+		this.#wantedPerS = Math.max(0, this.#wantedPerS + (wanted * 1000 / WANTED_MS));
 		this.#usedPerS = Math.max(0, this.#usedPerS + (used * 1000 / USED_MS));
 	}
 
@@ -77,7 +84,7 @@
 	fraction(nowMs: number): number {
 		this.#advance(nowMs);
 		const spendPerS = (this.#limit.ratePerS * this.#scale) + ((this.#level + (this.#room * STEADY_SHARE * this.#scale)) * 1000 / BALANCE_MS);
-		return Math.max(0, spendPerS) / Math.max(this.#wantedPerS, Number.MIN_VALUE);
+		return Math.max(0, spendPerS) / Math.max(this.wantedPerS, Number.MIN_VALUE);
 	}
 
 	/** Debt beyond a whole window's limit isn't remembered: the windows that it lies in would be over before it is paid back. */
--- a/src/mesh/shares/share.ts
+++ b/src/mesh/shares/share.ts
@@ -4,6 +4,8 @@
 const MIN_CAPACITY = 2;
 /** How much more than its recent spending a daemon may spend in one interval of reports, as a factor: requests arrive unevenly. */
 const SURGE = 2;
+/** The part of what all daemons may spend that one may spend between two replies: requests may move to a daemon that has seen none. */
+const MIN_WEIGHT = 1 / 16;
 /** Time constant of what is wanted and spent here, in ms. */
 const RATE_MS = 2000;
 /** The most that a daemon saves up of its fraction. */
@@ -29,6 +31,8 @@
 	#credit: number;
 	#tokens: number;
 	#capacity = MIN_CAPACITY;
+	/** The part of the capacity that all daemons may use at the same time. */
+	#staleCapacity = MIN_CAPACITY;
 	#fillPerS: number;
 	#advancedMs: number;
 	#wantedPerS = 0;
@@ -45,6 +49,11 @@
 		this.#advancedMs = nowMs;
 	}
 
+	/** Whether so little is left of the allowance that it may not last until the next reply. */
+	get isLow(): boolean {
+		return this.#tokens < this.#capacity / 2;
+	}
+
 	get hasUsage(): boolean {
 		return this.#wanted !== 0 || this.#used !== 0;
 	}
@@ -56,6 +65,7 @@
 		this.#fillPerS *= factor;
 		this.#usedPerS *= factor;
 		this.#capacity = MIN_CAPACITY + ((this.#capacity - MIN_CAPACITY) * factor);
+		this.#staleCapacity = MIN_CAPACITY + ((this.#staleCapacity - MIN_CAPACITY) * factor);
 		this.#tokens = Math.min(this.#tokens, this.#capacity);
 	}
 
@@ -88,6 +98,7 @@
 	giveBack(nowMs: number): void {
 		this.#advance(nowMs);
 		this.#tokens = Math.min(this.#tokens + 1, this.#capacity);
+		this.#wanted--;
 		this.#used--;
 		this.#usedPerS = Math.max(0, this.#usedPerS - (1000 / RATE_MS));
 	}
@@ -105,10 +116,21 @@
 		this.#advance(nowMs);
 		const own = this.#usedPerS;
 		const weight = ((own / Math.max(usedPerS, own, 1 / RATE_MS)) + (1 / daemonCount)) / 2;
-		this.#capacity = MIN_CAPACITY + (spendable * weight) + (SURGE * own * intervalMs / 1000);
+		const surge = MIN_CAPACITY + (SURGE * own * intervalMs / 1000);
+		this.#staleCapacity = surge + (spendable * weight);
+		this.#capacity = surge + (spendable * Math.max(weight, MIN_WEIGHT));
 		this.#fillPerS = own + (Math.max(0, this.#limit.ratePerS - usedPerS) / daemonCount);
 	}
 
+	/**
+	 * Takes a part of the allowance away because there is no news any longer.
+	 * @param wasLimited whether a fraction was in force, which had kept the allowance unspent
+	 */
+	onStale(wasLimited: boolean): void {
+		this.#capacity = this.#staleCapacity;
+		this.#tokens = Math.min(this.#tokens, wasLimited ? this.#credit % 1 : this.#capacity);
+	}
+
 	/** Fills the allowance after a reply of the accountant. */
 	fill(): void {
 		this.#tokens = this.#capacity;
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -8,12 +8,10 @@
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {type ExchangeContext, type ExchangeOptions} from './exchangecontext.js';
+import {type EndReason, judgeRefusal, recordRefusal} from './refusals.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
 
-/** Why a request ended without an answer from its target. */
-type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
-
 /** One client's request, from its arrival to its single final answer. */
 export class Exchange extends CallSink {
 	readonly route: Route;
@@ -33,6 +31,8 @@
 	readonly #priority: Priority;
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
+	/** Gives the token of the organisation's quota back. */
+	#giveBack: (() => void) | undefined;
 	#mayHaveRun = false;
 	/** The status of an answer whose body is streamed. */
 	#streamedStatus = 0;
@@ -79,7 +79,8 @@
 	}
 
 	/** Reads the body, or its first chunk if it is too large to send inline, then sends the request to a host. */
-	start(hasBody: boolean, maxBodyBytes: number): void {
+	start(hasBody: boolean, maxBodyBytes: number, giveBack?: () => void): void {
+		this.#giveBack = giveBack;
 		if (!hasBody) {
 			this.#sendToNextHost();
 			return;
@@ -126,6 +127,11 @@
 		this.#refuse('overload', 'overload');
 	}
 
+	/** Refuses the request because its organisation is over its quota. */
+	deny(retryAfterMs: number): void {
+		this.#endWithStatus(429, 'quota', ['retry-after', (retryAfterMs / 1000).toFixed(3)]);
+	}
+
 	/** Ends the request with an error because the process stops before its answer arrives. */
 	abort(): void {
 		if (!this.#isOver) {
@@ -205,23 +211,12 @@
 		this.#releaseHost();
 		const {loadBalancer, log} = this.#context;
 		log.registry.count('owner_refusals', {service: this.service, reason});
-		if (reason === 'stopping') {
-			loadBalancer.markDraining(host, nowMs);
-		} else if (reason === 'not-here' || reason === 'unreachable' || reason === 'misdirected') {
-			loadBalancer.markUnreachable(host, nowMs);
-		}
-
-		const reachedTarget = reason === 'shed-by-target' || reason === 'misdirected';
-		if (reason === 'shed-by-target') {
-			loadBalancer.onOutcome(host, true, nowMs);
-		}
-
+		recordRefusal(loadBalancer, host, reason, nowMs);
 		if (this.#isOver) {
 			return;
 		}
 
-		const isForLoad = reason === 'full' || reason === 'evicted' || reason === 'expired' || reason === 'shed-by-target';
-		const mayTryAnotherHost = !this.#body.isStreaming && this.#attempts.mayTryAnotherHost({isForLoad, reachedTarget}, nowMs);
+		const mayTryAnotherHost = !this.#body.isStreaming && this.#attempts.mayTryAnotherHost(judgeRefusal(reason), nowMs);
 		if (mayTryAnotherHost) {
 			this.#sendToNextHost(reason);
 		} else {
@@ -323,6 +318,7 @@
 	#cancelCall(): void {
 		const handle = this.#callHandle;
 		if (handle !== undefined) {
+			this.#mayHaveRun = true;
 			this.#releaseHost();
 			handle.cancel();
 		}
@@ -351,8 +347,9 @@
 
 		this.#notifyParent();
 		this.#finish();
-		this.#logEvent(status === 503 ? 'refused' : 'failed', reason, {status});
-		this.#context.log.registry.count(status === 503 ? 'refused' : 'failed', {service: this.service, rank: this.#template.rank, reason});
+		const event = status === 503 ? 'refused' : (status === 429 ? 'quota_denied' : 'failed');
+		this.#logEvent(event, reason, {status});
+		this.#context.log.registry.count(event === 'quota_denied' ? 'refused' : event, {service: this.service, rank: this.#template.rank, reason});
 		this.#responseWriter.sendEmpty(status, headers);
 	}
 
@@ -372,6 +369,10 @@
 
 	#finish(): void {
 		this.#isOver = true;
+		if (!this.#mayHaveRun && !this.#isHeadSent && this.#callHandle === undefined) {
+			this.#giveBack?.();
+		}
+
 		if (this.#parentCall !== undefined) {
 			this.#context.onNestedCall(this.#parentCall.attemptId, 'ended');
 		}
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -13,6 +13,7 @@
 import {PeriodicCheck} from '../periodiccheck.js';
 import {type ExchangeContext} from './exchangecontext.js';
 import {Exchange} from './exchange.js';
+import {type QuotaGate} from './quotagate.js';
 
 /** The largest header block accepted from a client, in bytes; the configuration can't raise it. */
 const MAX_HEADER_BYTES = 65_536;
@@ -39,6 +40,7 @@
 	/** How long ago the store confirmed the configuration, in ms. */
 	readonly confirmationAgeMs: () => number;
 	readonly revocation: RevocationOptions | undefined;
+	readonly quotaGate: QuotaGate;
 };
 
 type Connection = {
@@ -209,10 +211,17 @@
 		this.#deadlineCheck.schedule();
 		const length = headers['content-length'];
 		const hasBody = headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-		if (exchange.isAdmitted) {
-			exchange.start(hasBody, site.spec.limits.bodyBytes);
-		} else {
+		if (!exchange.isAdmitted) {
 			exchange.shed();
+			return;
+		}
+
+		// The root has paid for its nested calls.
+		const decision = parentCall === undefined && route.isPublic !== true ? this.#options.quotaGate.tryAdmit(organisation?.name) : undefined;
+		if (decision?.isAdmitted === false) {
+			exchange.deny(decision.retryAfterMs);
+		} else {
+			exchange.start(hasBody, site.spec.limits.bodyBytes, decision?.giveBack);
 		}
 	}
 
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -48,6 +48,10 @@
 	offers: 17,
 	/** Hosts; asks for a `records` frame with their entries. */
 	recordRequest: 18,
+	/** Host of the sender, hash of the accountants that it knows, usages. */
+	usage: 19,
+	/** Host of the accountant, whether it is ready, whether it replies to a report, allowances. */
+	allowances: 20,
 } as const;
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -40,6 +40,8 @@
 export class Link extends FrameChannel {
 	readonly host: string;
 	readonly address: string;
+	/** Whether the link stays open and is watched while it carries no calls, though it isn't part of the mesh. */
+	isWatched = false;
 	readonly #events: LinkEvents;
 	readonly #socket: WebSocket;
 	readonly #calls = new Map<number, LinkCall>();
@@ -128,7 +130,7 @@
 
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
 	checkLiveness(nowMs: number): void {
-		if (this.#calls.size === 0 && this.#isKept) {
+		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
 			this.#checkQuiet(nowMs);
 		} else if (this.#calls.size === 0) {
 			this.#lastHeardMs = nowMs;
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -9,6 +9,7 @@
 } from './frame.js';
 import {Gossip} from './gossip.js';
 import {Link, LinkEvents, LIVENESS_INTERVAL_MS} from './link.js';
+import {type ShareExchange} from './shareexchange.js';
 
 /** How many daemons, on average, remove an entry that all daemons find to be wrong; more than one, because one may fail. */
 const ENTRY_REMOVERS = 3;
@@ -19,6 +20,9 @@
 /** Why a link is closed whose host has another address now, and is as reachable as before. */
 const MOVED = 'moved';
 
+/** The beginning of the error of a connection to a host on which nothing listens. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
+
 export type LinksParts = {
 	/** The name of this daemon's host. */
 	readonly host: string;
@@ -29,6 +33,7 @@
 	readonly loadBalancer: LoadBalancer;
 	readonly loadShedder: LoadShedder;
 	readonly directory: Directory;
+	readonly shareExchange: ShareExchange;
 	readonly random: () => number;
 };
 
@@ -38,6 +43,9 @@
 	readonly #links = new Map<string, Link>();
 	/** Hosts whose link broke; this daemon reconnects to them so that a restarted daemon receives the configuration. */
 	readonly #unreachable: UnreachableHosts;
+	/** Hosts that refused the last connection: no daemon runs there. */
+	readonly #gone = new Set<string>();
+	#watched: ReadonlySet<string> = new Set();
 	readonly #gossip: Gossip;
 	readonly #timer: NodeJS.Timeout;
 	#neighborTimer: NodeJS.Timeout | undefined;
@@ -81,10 +89,28 @@
 
 		existing?.close(MOVED);
 		const link = new Link(host, address, this, () => this.#parts.clock.nowMs());
+		link.isWatched = this.#watched.has(host);
 		this.#links.set(host, link);
 		return link;
 	}
 
+	/** Watches the links to these hosts also while they carry no calls. */
+	watch(hosts: ReadonlySet<string>): void {
+		this.#watched = hosts;
+		for (const link of this.#links.values()) {
+			link.isWatched = hosts.has(link.host);
+		}
+	}
+
+	isUnreachable(host: string): boolean {
+		return this.#unreachable.has(host);
+	}
+
+	/** Whether the host refused the last connection: it is reachable, and no daemon runs there. */
+	isGone(host: string): boolean {
+		return this.#gone.has(host);
+	}
+
 	/** Keeps links open to the neighbors in the mesh. */
 	keepNeighbors(): void {
 		if (this.#isClosed) {
@@ -131,10 +157,12 @@
 	onHostNews(host: string): void {
 		this.#onHostsChanged();
 		this.#unreachable.delete(host);
+		this.#gone.delete(host);
 		this.#parts.loadBalancer.clearMarks(host);
 	}
 
 	removeHost(host: string): void {
+		this.#gone.delete(host);
 		this.#onHostsChanged();
 		this.#unreachable.delete(host);
 		this.#links.get(host)?.close('host gone');
@@ -162,14 +190,21 @@
 			}
 
 			default: {
-				if (!this.#gossip.handleFrame(frame, channel)) {
+				if (!this.#gossip.handleFrame(frame, channel) && !this.#parts.shareExchange.handleFrame(frame, channel)) {
 					log.registry.count('bad_input', {address: 'peers'});
 				}
 			}
 		}
 	}
 
+	/** Forgets a link that another daemon has closed. */
+	removeChannel(channel: FrameChannel): void {
+		this.#gossip.removeChannel(channel);
+		this.#parts.shareExchange.removeChannel(channel);
+	}
+
 	override onOpen(link: Link): void {
+		this.#gone.delete(link.host);
 		link.send(this.#gossip.buildHelloFrame());
 		if (link.isKept) {
 			this.#subscribe(link);
@@ -192,7 +227,11 @@
 	}
 
 	override onClosed(link: Link, reason: string): void {
-		this.#gossip.removeChannel(link);
+		this.removeChannel(link);
+		if (reason.includes(CONNECTION_REFUSED)) {
+			this.#gone.add(link.host);
+		}
+
 		if (this.#links.get(link.host) === link) {
 			this.#links.delete(link.host);
 		}
@@ -221,6 +260,7 @@
 
 	#onHostsChanged(): void {
 		this.#gossip.onHostsChanged();
+		this.#parts.shareExchange.onHostsChanged();
 		this.#neighborTimer ??= setTimeout(() => {
 			this.#neighborTimer = undefined;
 			this.keepNeighbors();
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,16 +1,18 @@
 import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
 import {StatsdReporter, EventLog, Logger} from '../log/index.js';
 import {
-	type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable,
+	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, quotaLimits,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './target/announcementendpoint.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
 import {Directory} from './store/directory.js';
 import {type DirectoryEvents} from './store/directoryevents.js';
+import {QuotaGate} from './clients/quotagate.js';
 import {RequestServer} from './clients/requestserver.js';
 import {FrameTag} from './peers/frame.js';
 import {Links} from './peers/links.js';
+import {ShareExchange} from './peers/shareexchange.js';
 import {MetricsEndpoint} from './operators/metricsendpoint.js';
 import {TargetMonitor} from './target/targetmonitor.js';
 import {TargetOwner} from './target/targetowner.js';
@@ -34,6 +36,9 @@
 const MAX_UNEXPECTED_ERRORS = 20;
 const UNEXPECTED_ERROR_WINDOW_MS = 10_000;
 
+/** How far requests may go beyond a quota where the operator doesn't say. */
+const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
+
 /** Replacements that a test passes for the host's clock and log output. */
 export type RelayOptions = {
 	readonly clock?: Clock;
@@ -61,6 +66,8 @@
 	readonly #readinessEndpoint: ReadinessEndpoint;
 	readonly #metricsEndpoint: MetricsEndpoint;
 	readonly #links: Links;
+	readonly #quotaGate: QuotaGate;
+	readonly #shareExchange: ShareExchange;
 	readonly #targetMonitor: TargetMonitor;
 	#counterFeed: StatsdReporter | undefined;
 	#timer: NodeJS.Timeout | undefined;
@@ -93,10 +100,19 @@
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
+		const sharing = new BudgetSharing({
+			host: settings.host, room: settings.quotaRoom ?? QUOTA_ROOM, random, onLow: () => {
+				this.#shareExchange.onLow();
+			},
+		});
+		this.#quotaGate = new QuotaGate({sharing, clock, log: this.#log});
+		this.#shareExchange = new ShareExchange({
+			host: settings.host, failureDomain: settings.failureDomain, clock, log: this.#log, hosts: this.#hosts, sharing, random, links: () => this.#links,
+		});
 		this.#links = new Links({
 			host: settings.host,
 			failureDomain: settings.failureDomain,
-			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, random,
+			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, random,
 		});
 		this.#targetMonitor = new TargetMonitor({
 			settings: () => this.#settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
@@ -113,6 +129,7 @@
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
+			quotaGate: this.#quotaGate,
 			revocation: settings.revocation,
 			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
@@ -138,7 +155,7 @@
 				this.#links.handleFrame(frame, channel);
 			},
 			onClosed: channel => {
-				this.#links.gossip.removeChannel(channel);
+				this.#links.removeChannel(channel);
 			},
 		});
 		this.#announcementEndpoint = new AnnouncementEndpoint(adapter, this.#log, message => {
@@ -229,6 +246,7 @@
 		this.#metricsEndpoint.close();
 		this.#peerServer.close();
 		this.#links.close();
+		this.#shareExchange.close();
 		clearInterval(this.#timer);
 		await this.#counterFeed?.close();
 		await this.#directory.close();
@@ -250,6 +268,9 @@
 		return {
 			onSite: (site: Site) => {
 				this.#requestServer.applyLimits(site.spec.limits);
+				const limits = quotaLimits(site.organisations?.values() ?? []);
+				this.#quotaGate.setLimits(limits);
+				this.#shareExchange.setLimits(limits);
 				this.#links.gossip.floodNews();
 			},
 			onHost: (entry: HostEntry) => {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -1,5 +1,5 @@
 import {type StatsdOptions} from '../log/index.js';
-import {type RevocationOptions} from '../mesh/index.js';
+import {type BudgetRoom, type RevocationOptions} from '../mesh/index.js';
 
 /** A TCP address. */
 export type Address = {readonly ip: string; readonly port: number};
@@ -45,4 +45,6 @@
 	readonly lameDuckMs: number;
 	/** The retry budget of the whole site: `ratio` retries for each request, and besides `slack` retries in each window. */
 	readonly retry: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
+	/** How far the requests of an organisation may go beyond its quota in a window; absent for the defaults. */
+	readonly quotaRoom?: BudgetRoom;
 };
