--- a/src/relay/clients/refusals.ts
+++ b/src/relay/clients/refusals.ts
@@ -12,11 +12,13 @@
 	};
 }
 
+const UNREACHABLE_REASONS: ReadonlySet<RefusalReason> = new Set(['not-here', 'unreachable', 'misdirected']);
+
 /** Has the load balancer avoid a host for what its refusal says. */
 export function recordRefusal(loadBalancer: LoadBalancer, host: string, reason: RefusalReason, nowMs: number): void {
 	if (reason === 'stopping') {
 		loadBalancer.markDraining(host, nowMs);
-	} else if (reason === 'not-here' || reason === 'unreachable' || reason === 'misdirected') {
+	} else if (UNREACHABLE_REASONS.has(reason)) {
 		loadBalancer.markUnreachable(host, nowMs);
 	} else if (reason === 'shed-by-target') {
 		loadBalancer.onOutcome(host, true, nowMs);
