Floor reports tell what share of its calls a target answers

A daemon that starts a root knows nothing of a service four calls down that turns away half of its calls: its floor is 0 and its health good. Each owner now counts how its target's runs end (time constant 0.4 s, so that some tens of calls count on a busy target and a recovery shows in 0.2 s) and puts the share into its floor report, as a fifth number and only below 0.9; the list of services that a route reaches names each as often as whole runs call it. Both only where LoadShedder is told to count outcomes; without it no byte changes. Daemons that heard of such a share pass their reports on to their neighbours each 80 ms, as roots that wait bring no answers that reports travel with. Floor frames are now read with field checks.

--- a/src/mesh/admission/index.ts
+++ b/src/mesh/admission/index.ts
@@ -5,5 +5,5 @@
 export {IdleConnectionLimit} from './idleconnectionlimit.js';
 export {type RetryCause, chooseRetryAfterMs} from './retryafter.js';
 export {
-	type Priority, type RoutedService, type TargetLoad, LoadShedder,
+	type Priority, type RoutedService, type RunOutcome, type TargetLoad, LoadShedder,
 } from './loadshedder.js';
--- a/src/mesh/admission/loadshedder.ts
+++ b/src/mesh/admission/loadshedder.ts
@@ -1,11 +1,15 @@
 import {
 	MAX_FLOOR, FloorController, type FloorReport, FloorTable, RANK_COUNT, levelOf,
 } from '../../core/index.js';
+import {AnsweredShare} from './answeredshare.js';
+import {CallCounts} from './callcounts.js';
 
 /** How long an attempt keeps its level within its rank, in ms: one that is sent again later gets another level, and with it another chance. */
 const LEVEL_EPOCH_MS = 2000;
 /** Target for the queue wait of the lowest admitted rank, in ms: short compared with any objective, long enough to keep slots busy. */
 const QUEUE_TARGET_MS = 25;
+/** Share of answered calls from which on a target counts as one that answers all: single failures are no news. */
+const SOUND_SHARE = 0.9;
 
 /** Priority of a root request; all calls made for it inherit it. */
 export type Priority = {
@@ -18,6 +22,9 @@
 /** A route and the service that the traffic split chose for a request. */
 export type RoutedService = {readonly route: string; readonly service: string};
 
+/** How a run ended: `failed-below` if it was a nested call that failed, `lost` if that says nothing of the target. */
+export type RunOutcome = 'answered' | 'failed-below' | 'failed' | 'turned-away' | 'lost';
+
 /** The load of the owner's target. */
 export type TargetLoad = {
 	/** Concurrency limit. */
@@ -40,9 +47,12 @@
 	readonly #floors = new FloorTable();
 	readonly #controller = new FloorController();
 	readonly #reached = new Map<string, Set<string>>();
+	readonly #outcomes: {readonly answered: AnsweredShare; readonly callCounts: CallCounts} | undefined;
 
-	constructor(host: string) {
+	/** @param countsOutcomes whether it learns and reports what share of the calls is answered, and how many calls a request needs */
+	constructor(host: string, countsOutcomes = false) {
 		this.#host = host;
+		this.#outcomes = countsOutcomes ? {answered: new AnsweredShare(), callCounts: new CallCounts()} : undefined;
 	}
 
 	/** The current floor of the local target. */
@@ -60,23 +70,49 @@
 		return level >= floor;
 	}
 
-	/** The services that requests of the route have reached by way of the service, as far as is known here. */
+	/** The services that requests of the route have reached by way of the service, as far as is known here; each as often as it is called, if that is counted. */
 	reachedServices(routedService: RoutedService): string[] {
-		return [...(this.#reached.get(keyOf(routedService)) ?? [])];
+		const key = keyOf(routedService);
+		const services = [...(this.#reached.get(key) ?? [])];
+		const callCounts = this.#outcomes?.callCounts;
+		return callCounts === undefined ? services : services.flatMap(service => Array.from<string>({length: callCounts.countOf(key, service)}).fill(service));
 	}
 
-	/** Records the services that requests reached, directly or through the calls made for them. */
-	recordReached(routedService: RoutedService, services: readonly string[]): void {
+	/**
+	 * The chance that a request ends well if it starts now, from 0 to 1, by the calls that it needs.
+	 * @param upstreamCountOf returns how many upstreams a service has
+	 */
+	chanceOf(routedService: RoutedService, upstreamCountOf: (service: string) => number, nowMs: number): number {
 		const key = keyOf(routedService);
-		let known = this.#reached.get(key);
-		if (known === undefined) {
-			known = new Set();
-			this.#reached.set(key, known);
+		let chance = 1;
+		for (const service of this.#reached.get(key) ?? []) {
+			const share = this.#floors.answeredShareOf(service, upstreamCountOf(service), nowMs);
+			chance *= share === 1 ? 1 : share ** (this.#outcomes?.callCounts.countOf(key, service) ?? 1);
 		}
 
-		for (const service of services) {
-			known.add(service);
+		return chance;
+	}
+
+	/** Records that a run makes a nested call, which reaches these services. */
+	onNestedCall(runId: string, routedService: RoutedService, services: readonly string[]): void {
+		this.#addReached(keyOf(routedService), services);
+		this.#outcomes?.callCounts.onNestedCall(runId, services);
+	}
+
+	/** Records how a run at the local target ended. */
+	onRunEnded(runId: string, routedService: RoutedService, outcome: RunOutcome, nowMs: number): void {
+		if (outcome === 'answered' || outcome === 'failed' || outcome === 'turned-away') {
+			this.#outcomes?.answered.record(outcome === 'answered', nowMs);
 		}
+
+		this.#outcomes?.callCounts.onRunEnded(runId, outcome === 'answered' ? keyOf(routedService) : undefined);
+	}
+
+	/** Records the services that requests reached, directly or through the calls made for them. */
+	recordReached(routedService: RoutedService, services: readonly string[]): void {
+		const key = keyOf(routedService);
+		this.#addReached(key, services);
+		this.#outcomes?.callCounts.record(key, services);
 	}
 
 	/** Counts a call that arrived at this owner and is expected to hold a slot for `serviceMs`. */
@@ -92,8 +128,9 @@
 			queueTargetMs: QUEUE_TARGET_MS,
 			isSaturated: load.isSaturated,
 		}));
+		const answeredShare = this.#outcomes?.answered.at(nowMs) ?? 1;
 		this.#floors.record({
-			service, upstream: this.#host, floor: Math.min(MAX_FLOOR, this.#controller.floor), ageMs: 0,
+			service, upstream: this.#host, floor: Math.min(MAX_FLOOR, this.#controller.floor), ageMs: 0, answeredShare: answeredShare < SOUND_SHARE ? answeredShare : undefined,
 		}, nowMs);
 	}
 
@@ -103,10 +140,27 @@
 		}
 	}
 
+	/** Whether targets that turn calls away were heard of lately, which all daemons should hear of, also those that start no requests for it. */
+	hasUnanswered(nowMs: number): boolean {
+		return this.#outcomes !== undefined && this.#floors.hasUnanswered(nowMs);
+	}
+
 	/** The fresh floor reports, to be passed on to the daemons that call here. */
 	reports(nowMs: number): FloorReport[] {
 		return this.#floors.reports(nowMs, this.#host);
 	}
+
+	#addReached(key: string, services: readonly string[]): void {
+		let known = this.#reached.get(key);
+		if (known === undefined) {
+			known = new Set();
+			this.#reached.set(key, known);
+		}
+
+		for (const service of services) {
+			known.add(service);
+		}
+	}
 }
 
 function keyOf({route, service}: RoutedService): string {
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -155,20 +155,32 @@
 	};
 }
 
-/** Encodes the floors that a daemon knows, each as a list of service, upstream, floor and age in ms. */
+/** Encodes the floors that a daemon knows, each as a list of service, upstream, floor, age in ms and, if it tells something, the answered share in percent. */
 export function buildFloorReportFrame(reports: readonly FloorReport[]): Frame {
-	return [FrameTag.floors, reports.map(({service, upstream, floor, ageMs}) => [service, upstream, Math.round(floor), Math.round(ageMs)])];
+	return [FrameTag.floors, reports.map(({service, upstream, floor, ageMs, answeredShare}) => {
+		const report = [service, upstream, Math.round(floor), Math.round(ageMs)];
+		return answeredShare === undefined ? report : [...report, Math.round(answeredShare * 100)];
+	})];
 }
 
-/** @throws {FrameError} when the list of reports is missing */
+/** @throws {FrameError} when the list of reports is missing or a field has the wrong type */
 export function readFloorReports([, packed]: Frame): FloorReport[] {
 	if (!Array.isArray(packed)) {
 		throw new FrameError('floors: expected a list of reports');
 	}
 
-	return (packed as Array<[string, string, number, number]>).map(([service, upstream, floor, ageMs]) => ({
-		service, upstream, floor, ageMs,
-	}));
+	return (packed as unknown[][]).map(([service, upstream, floor, ageMs, answeredPercent]) => {
+		const numbers = answeredPercent === undefined ? [floor, ageMs] : [floor, ageMs, answeredPercent];
+		const areNumbers = numbers.every(field => typeof field === 'number' && field >= 0);
+		if (typeof service !== 'string' || typeof upstream !== 'string' || !areNumbers || (answeredPercent as number) > 100) {
+			throw new FrameError('floors: expected service, upstream, floor, age and at most a share in percent');
+		}
+
+		const report = {
+			service, upstream, floor: floor as number, ageMs: ageMs as number,
+		};
+		return answeredPercent === undefined ? report : {...report, answeredShare: (answeredPercent as number) / 100};
+	});
 }
 
 /** Encodes a load report as four numbers: running, queued, limit and service time in ms. */
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -103,7 +103,11 @@
 
 	/** Tells the mesh the configuration's version, how recently the store confirmed it, and the store's epoch. */
 	floodNews(except?: FrameChannel): void {
-		const frame = this.#buildNewsFrame();
+		this.flood(this.#buildNewsFrame(), except);
+	}
+
+	/** Sends a frame to all neighbors. */
+	flood(frame: Frame, except?: FrameChannel): void {
 		for (const channel of this.#channels.keys()) {
 			if (channel !== except) {
 				channel.send(frame);
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -16,6 +16,9 @@
 /** How soon the links of the mesh are chosen anew after a host has come or gone, in ms. */
 const NEIGHBOR_DELAY_MS = 50;
 
+/** How often floors are passed on to the neighbors while targets turn calls away, in ms: a few steps reach all daemons within half a second. */
+const SPREAD_INTERVAL_MS = 80;
+
 /** Why a link is closed whose host has another address now, and is as reachable as before. */
 const MOVED = 'moved';
 
@@ -41,6 +44,7 @@
 	readonly #gossip: Gossip;
 	readonly #timer: NodeJS.Timeout;
 	#neighborTimer: NodeJS.Timeout | undefined;
+	#spreadTimer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
 	constructor(parts: LinksParts) {
@@ -124,6 +128,7 @@
 		this.#isClosed = true;
 		clearInterval(this.#timer);
 		clearTimeout(this.#neighborTimer);
+		clearTimeout(this.#spreadTimer);
 		this.#gossip.close();
 	}
 
@@ -152,6 +157,7 @@
 		switch (frame[0]) {
 			case FrameTag.floors: {
 				loadShedder.recordFloorReports(readFloorReports(frame), clock.nowMs());
+				this.#spreadFloors();
 				break;
 			}
 
@@ -227,6 +233,24 @@
 		}, NEIGHBOR_DELAY_MS);
 	}
 
+	// Requests that wait bring no answers that floors could travel with.
+	#spreadFloors(): void {
+		const {loadShedder, clock} = this.#parts;
+		if (this.#spreadTimer !== undefined || this.#isClosed || !loadShedder.hasUnanswered(clock.nowMs())) {
+			return;
+		}
+
+		this.#spreadTimer = setTimeout(() => {
+			this.#spreadTimer = undefined;
+			const frame = this.buildFloorFrame();
+			if (frame !== undefined) {
+				this.#gossip.flood(frame);
+			}
+
+			this.#spreadFloors();
+		}, SPREAD_INTERVAL_MS);
+	}
+
 	#subscribe(link: Link): void {
 		link.send([FrameTag.subscribe]);
 		this.#gossip.addChannel(link);
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -1,6 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {
-	BusyTime, type QueuedCall, type LoadReport, type Priority, type TargetSignals,
+	BusyTime, type QueuedCall, type LoadReport, type Priority, type RunOutcome, type TargetSignals,
 } from '../../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -16,7 +16,7 @@
 	/** Cancels a call that nobody waits for any longer. */
 	abstract cancel(owned: OwnedCall): void;
 	/** @param isServed whether the target ran the call and answered it */
-	abstract onRunEnded(owned: OwnedCall, isServed: boolean): void;
+	abstract onRunEnded(owned: OwnedCall, isServed: boolean, outcome: RunOutcome): void;
 	abstract onRunFailed(owned: OwnedCall, reason: FailureReason): void;
 	abstract onUnreachable(owned: OwnedCall): void;
 	abstract onMisdirected(owned: OwnedCall): void;
@@ -43,6 +43,7 @@
 	readonly #arrivedMs: number;
 	readonly #nestedTime = new BusyTime();
 	#isStreamed = false;
+	#answer: RunOutcome = 'lost';
 	#pendingChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
 	#isOver = false;
 
@@ -125,8 +126,9 @@
 	// Called by the run at the target.
 
 	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
+		this.#answer = head.status < 500 ? 'answered' : (this.hasNestedFailure ? 'failed-below' : 'failed');
 		if (isWhole) {
-			this.#end(true);
+			this.#end(true, this.#answer);
 		} else {
 			this.#isStreamed = true;
 		}
@@ -136,14 +138,14 @@
 
 	onChunk(bytes: Buffer, isLast: boolean): void {
 		if (isLast) {
-			this.#end(true);
+			this.#end(true, this.#answer);
 		}
 
 		this.#sink?.onChunk(bytes, isLast);
 	}
 
 	onNotRun(reason: RefusalReason): void {
-		this.#end(false);
+		this.#end(false, reason === 'shed-by-target' ? 'turned-away' : 'lost');
 		if (reason === 'unreachable') {
 			this.#owner.onUnreachable(this);
 		} else if (reason === 'misdirected') {
@@ -154,7 +156,7 @@
 	}
 
 	onFailed(reason: FailureReason): void {
-		this.#end(false);
+		this.#end(false, reason === 'broken' || reason === 'garbled' ? 'failed' : 'lost');
 		this.#owner.onRunFailed(this, reason);
 		this.#sink?.onFailed(reason, this.#getLoadReport());
 	}
@@ -175,9 +177,9 @@
 		this.#sink?.onCredit(bytes);
 	}
 
-	#end(isServed: boolean): void {
+	#end(isServed: boolean, outcome: RunOutcome): void {
 		this.#isOver = true;
-		this.#owner.onRunEnded(this, isServed);
+		this.#owner.onRunEnded(this, isServed, outcome);
 	}
 
 	#getLoadReport(): LoadReport {
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	AdmissionQueue, NO_SIGNALS, type TargetLifecycle, type TargetSignals, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
+	AdmissionQueue, NO_SIGNALS, type RunOutcome, type TargetLifecycle, type TargetSignals, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
 } from '../../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -183,16 +183,18 @@
 	}
 
 	/** @param isServed whether the target ran the call and answered it */
-	override onRunEnded(owned: OwnedCall, isServed: boolean): void {
+	override onRunEnded(owned: OwnedCall, isServed: boolean, outcome: RunOutcome = 'lost'): void {
 		if (!this.#running.delete(owned)) {
 			return;
 		}
 
-		this.#runningByAttempt.delete(owned.call.attemptId);
+		const {attemptId, template: {route}} = owned.call;
+		this.#runningByAttempt.delete(attemptId);
 		const nowMs = this.#options.clock.nowMs();
+		this.#options.loadShedder.onRunEnded(attemptId, {route, service: this.#options.lifecycle.current?.service ?? ''}, outcome, nowMs);
 		const spentMs = nowMs - owned.startedMs;
 		if (isServed) {
-			this.#serviceTimes.record(owned.call.template.route, spentMs);
+			this.#serviceTimes.record(route, spentMs);
 			this.#recordWork(owned, nowMs);
 		}
 
--- a/test/core/floortable.test.ts
+++ b/test/core/floortable.test.ts
@@ -47,3 +47,20 @@
 		expect([table.meanFloorOf('s', 110), table.meanFloorOf('s', 900)].map(floor => floor < 100)).toEqual([true, true]);
 	});
 });
+
+describe('the answered share of a service', () => {
+	const table = new FloorTable();
+	table.record({...report(1, 0), answeredShare: 0.45}, 0);
+
+	it('is the mean over its upstreams, of which those that answer all calls report nothing', () => {
+		expect([table.answeredShareOf('s', 2, 10), table.answeredShareOf('other', 2, 10)]).toEqual([0.725, 1]);
+		expect(table.meanFloorOf('s', 10)).toBe(0);
+	});
+
+	it('is passed on, recovers with the next report, and without one in a while', () => {
+		expect(table.reports(10)).toEqual([{...report(1, 0), ageMs: 10, answeredShare: 0.45}]);
+		expect(table.answeredShareOf('s', 1, 1500)).toBeGreaterThan(0.95);
+		table.record(report(1, 0), 1600);
+		expect(table.answeredShareOf('s', 1, 1610)).toBe(1);
+	});
+});
