Roots wait for the end of a fault below them, if the settings allow memory for it

In the seconds in which the targets of a deep service turn away 0.55 of their calls, a root that needs four of its answers has a chance of 0.04. It was started at once, its slots were spent for nothing, and its caller got a 500 though he would have waited for 5 s. With heldBytes in the settings, a root with a chance under 0.2 is told to come back after a quarter to a third of its caller's time; while the fault is younger than that, it is held first, within the objective. One that has come back is held until the chance is back or its last useful moment has come, and then started. One in sixteen starts, to see the recovery.

Without a fault every decision is the same. The simulation's clients now keep their deadline across attempts that a route's time-out ends.

--- a/fakes/loadsimulation.ts
+++ b/fakes/loadsimulation.ts
@@ -1,6 +1,6 @@
 import {MAX_FLOOR} from '../src/core/index.js';
 import {
-	Attempts, AdmissionQueue, type QueuedCall, type HostEntry, HostTable, type LoadBalancerOptions, type LoadReport, LOAD_BALANCING, LoadBalancer, RetryBudget, type Route, ServiceTimes, TargetSpeed, LoadShedder, type Priority, TargetSignalTable, chooseRetryAfterMs, usableSlots,
+	Attempts, AdmissionQueue, PatientAdmission, type RunOutcome, type WaitDecision, type WaitingRequest, type QueuedCall, type HostEntry, HostTable, type LoadBalancerOptions, type LoadReport, LOAD_BALANCING, LoadBalancer, RetryBudget, type Route, ServiceTimes, TargetSpeed, LoadShedder, type Priority, TargetSignalTable, chooseRetryAfterMs, usableSlots,
 } from '../src/mesh/index.js';
 import {Random} from './random.js';
 import {Scheduler} from './scheduler.js';
@@ -43,6 +43,8 @@
 	readonly spendsRetriesByPriority?: boolean;
 	/** Whether the load balancer chooses the host, rather than chance. */
 	readonly usesLoadBalancing?: boolean;
+	/** Whether requests wait for the end of a fault below them: by what the daemons know, or by the end itself. */
+	readonly waitsForFaults?: 'no' | 'by-reports' | 'by-oracle';
 	/** Whether all daemons hear of a target that its own daemon finds slow. */
 	readonly sharesSlowness?: boolean;
 	/** Options of the load balancer that differ from the defaults. */
@@ -60,6 +62,12 @@
 };
 /** The outcomes of the clients' requests of one route. */
 export type RouteTally = {requests: number; inTime: number; late: number; refused: number; failed: number};
+/** A client's attempt that waits at its first daemon. */
+type Held = WaitingRequest & {readonly start: () => void};
+/** How an owner counts a run, by the reason of its end. */
+const RUN_OUTCOMES: Record<string, RunOutcome> = {done: 'answered', below: 'failed-below', 'shed-by-target': 'turned-away'};
+/** Bytes of requests that a daemon holds at most. */
+const HELD_BYTES = 4_000_000;
 
 type Outcome = 'served' | 'refused' | 'failed';
 type Answer = {readonly outcome: Outcome; readonly reason: string; readonly report: LoadReport; readonly reached: readonly string[]};
@@ -68,7 +76,7 @@
 /** A call that the daemon of `host` sends for a client or for a running call, before the load balancer chooses where to. */
 type OutgoingCall = {readonly id: string; readonly load: SimulatedRoute; readonly host: Host; readonly priority: Priority; readonly isNested: boolean; readonly isForRetriedRun: boolean; readonly endMs: number};
 
-type HostOptions = {readonly random: Random; readonly daemons: number; readonly domainCount: number; readonly loadBalancing?: Partial<LoadBalancerOptions> | undefined};
+type HostOptions = {readonly random: Random; readonly daemons: number; readonly domainCount: number; readonly loadBalancing?: Partial<LoadBalancerOptions> | undefined; readonly countsOutcomes: boolean};
 
 class Host {
 	readonly name: string;
@@ -80,16 +88,17 @@
 	readonly admissionQueue: AdmissionQueue<SimulatedCall>;
 	readonly serviceTimes = new ServiceTimes();
 	readonly targetSpeed = new TargetSpeed();
-
+	readonly patientAdmission: PatientAdmission<Held>;
 	readonly failureDomain: string;
 
-	constructor(service: SimulatedService, copy: number, {random, daemons, domainCount, loadBalancing}: HostOptions) {
+	constructor(service: SimulatedService, copy: number, {random, daemons, domainCount, loadBalancing, countsOutcomes}: HostOptions) {
 		this.name = `${service.name}-${copy}`;
 		this.service = service;
 		this.copy = copy;
 		this.failureDomain = `d${copy % domainCount}`;
 		this.loadBalancer = new LoadBalancer(this.failureDomain, {...LOAD_BALANCING, ...loadBalancing}, () => random.next());
-		this.loadShedder = new LoadShedder(this.name);
+		this.loadShedder = new LoadShedder(this.name, countsOutcomes);
+		this.patientAdmission = new PatientAdmission(HELD_BYTES, () => random.next());
 		this.retryBudget = new RetryBudget({ratio: 0.2, slack: 48, windowMs: 10_000});
 		this.retryBudget.setDaemonCount(daemons);
 		this.admissionQueue = new AdmissionQueue(usableSlots(service.slots));
@@ -118,17 +127,19 @@
 	readonly #hostsByName = new Map<string, Host>();
 	readonly #hostTable = new HostTable(2000);
 	readonly #routes: Map<string, SimulatedRoute>;
+	readonly #upstreamCounts: Map<string, number>;
 	#nextId = 0;
 
 	constructor(options: LoadSimulationOptions) {
 		this.#options = options;
 		this.#random = new Random(options.seed);
 		this.#routes = new Map(options.routes.map(load => [load.route.name, load]));
+		this.#upstreamCounts = new Map(options.services.map(({name, speeds}) => [name, speeds.length]));
 		const daemons = options.services.reduce((sum, {speeds}) => sum + speeds.length, 0);
 		for (const service of options.services) {
 			for (const copy of service.speeds.keys()) {
 				const host = new Host(service, copy, {
-					random: this.#random, daemons, domainCount: options.domainCount ?? 1, loadBalancing: options.overrides?.loadBalancing,
+					random: this.#random, daemons, domainCount: options.domainCount ?? 1, loadBalancing: options.overrides?.loadBalancing, countsOutcomes: options.overrides?.waitsForFaults === 'by-reports',
 				});
 				this.#hosts.push(host);
 				this.#hostsByName.set(host.name, host);
@@ -170,36 +181,87 @@
 		const {route} = load;
 		const routedService = {route: route.name, service: route.destinations[0].service};
 		const id = `a${this.#nextId++}`;
-		const endMs = firstMs + Math.min(load.deadlineMs, route.timeoutMs);
-		const priority = host.loadShedder.priorityOf(routedService, route.rank, id, this.#nowMs);
-		const onEnd = (outcome: Outcome) => {
+		const clientEndMs = firstMs + load.deadlineMs;
+		const endMs = Math.min(clientEndMs, this.#nowMs + route.timeoutMs);
+		const startedMs = this.#nowMs;
+		const onEnd = (outcome: Outcome, afterMs?: number) => {
 			if (outcome === 'served') {
+				host.patientAdmission.recordAnswer(route.name, this.#nowMs - startedMs);
 				tally[this.#nowMs - firstMs <= route.objectiveMs ? 'inTime' : 'late']++;
 				return;
 			}
 
-			const isAgain = retriesLeft > 0 && this.#nowMs < endMs && (outcome === 'refused' || route.repeatability === 'safe');
+			const isAgain = retriesLeft > 0 && this.#nowMs < clientEndMs && (outcome === 'refused' || route.repeatability === 'safe');
 			if (!isAgain) {
 				tally[outcome]++;
 				return;
 			}
 
-			const waitMs = outcome === 'refused' ? chooseRetryAfterMs('overload', endMs - this.#nowMs, firstMs + route.objectiveMs - this.#nowMs, () => this.#random.next()) : 0;
+			const waitMs = outcome === 'refused' ? afterMs ?? chooseRetryAfterMs('overload', clientEndMs - this.#nowMs, firstMs + route.objectiveMs - this.#nowMs, () => this.#random.next()) : 0;
 			this.#scheduler.schedule(waitMs, () => {
 				this.#attempt(load, firstMs, retriesLeft - 1);
 			});
 		};
 
-		if ((this.#options.overrides?.shedsByFloors ?? true) && !host.loadShedder.isAdmitted(priority)) {
-			onEnd('refused');
-			return;
+		const start = () => {
+			const priority = host.loadShedder.priorityOf(routedService, route.rank, id, this.#nowMs);
+			if ((this.#options.overrides?.shedsByFloors ?? true) && !host.loadShedder.isAdmitted(priority)) {
+				onEnd('refused');
+				return;
+			}
+
+			this.#send({
+				id, load, host, priority, isNested: false, isForRetriedRun: false, endMs,
+			}, ({outcome}) => {
+				onEnd(outcome);
+			});
+		};
+
+		const act = (heldSinceMs: number) => {
+			const heldMs = this.#nowMs - heldSinceMs;
+			const decision = this.#decide(load, host, clientEndMs - this.#nowMs, heldMs);
+			const isHeld = decision.action === 'hold' && host.patientAdmission.hold({
+				kind: route.name,
+				rank: route.rank,
+				lastStartMs: decision.lastStartMs,
+				sizeBytes: 0,
+				start() {
+					act(startedMs);
+				},
+			});
+			if (decision.action === 'return') {
+				onEnd('refused', decision.afterMs);
+			} else if (!isHeld) {
+				start();
+			}
+		};
+
+		act(this.#nowMs);
+	}
+
+	#decide(load: SimulatedRoute, host: Host, leftMs: number, heldMs: number): WaitDecision {
+		if ((this.#options.overrides?.waitsForFaults ?? 'no') === 'no') {
+			return {action: 'start'};
 		}
 
-		this.#send({
-			id, load, host, priority, isNested: false, isForRetriedRun: false, endMs,
-		}, ({outcome}) => {
-			onEnd(outcome);
-		});
+		const {name, timeoutMs, objectiveMs} = load.route;
+		return host.patientAdmission.decide({
+			kind: name, route: name, leftMs, timeoutMs, objectiveMs, heldMs, chance: this.#chanceOf(host, load),
+		}, this.#nowMs);
+	}
+
+	// The oracle knows at each moment which share of the calls is turned away, and how many a request needs.
+	#chanceOf(host: Host, load: SimulatedRoute): number {
+		if (this.#options.overrides?.waitsForFaults === 'by-reports') {
+			return host.loadShedder.chanceOf({route: load.route.name, service: load.route.destinations[0].service}, service => this.#upstreamCounts.get(service)!, this.#nowMs);
+		}
+
+		const shed = this.#activeFault('shed');
+		return shed === undefined ? 1 : (1 - shed.share) ** this.#countCalls(load, shed.service);
+	}
+
+	#countCalls({route, nestedRoutes}: SimulatedRoute, service: string): number {
+		return nestedRoutes.reduce((sum, name) => sum + this.#countCalls(this.#routes.get(name)!, service), route.destinations[0].service === service ? 1 : 0);
 	}
 
 	#send(outgoing: OutgoingCall, onAnswer: (answer: Answer) => void): void {
@@ -291,7 +353,7 @@
 	#callNested(owner: Host, call: SimulatedCall, step: number): void {
 		const name = call.load.nestedRoutes[step];
 		if (name === undefined || this.#nowMs >= call.deadlineMs) {
-			this.#end(owner, call, this.#nowMs < call.deadlineMs ? 'served' : 'failed', 'done');
+			this.#end(owner, call, this.#nowMs < call.deadlineMs ? 'served' : 'failed', name === undefined ? 'done' : 'late');
 			return;
 		}
 
@@ -301,7 +363,7 @@
 			id: `${call.id}.${step}`, load, host: owner, priority: call.priority, isNested: true, isForRetriedRun: call.mayBeDuplicate, endMs: Math.min(call.deadlineMs, this.#nowMs + load.deadlineMs),
 		}, ({outcome, reached}) => {
 			call.nestedMs += this.#nowMs - sentMs;
-			owner.loadShedder.recordReached({route: call.load.route.name, service: owner.service.name}, reached);
+			owner.loadShedder.onNestedCall(call.id, {route: call.load.route.name, service: owner.service.name}, reached);
 			if (outcome === 'served') {
 				this.#callNested(owner, call, step + 1);
 			} else {
@@ -312,6 +374,7 @@
 
 	#end(owner: Host, call: SimulatedCall, outcome: Outcome, reason: string): void {
 		const spentMs = this.#nowMs - call.startedMs;
+		owner.loadShedder.onRunEnded(call.id, {route: call.load.route.name, service: owner.service.name}, RUN_OUTCOMES[reason] ?? 'lost', this.#nowMs);
 		if (outcome === 'served') {
 			owner.serviceTimes.record(call.load.route.name, spentMs);
 			if (owner.targetSpeed.record(call.load.route.name, spentMs - call.nestedMs, this.#nowMs)) {
@@ -349,7 +412,7 @@
 		const {name} = owner.service;
 		const {name: route} = call.load.route;
 		call.onAnswer({
-			outcome, reason, report: owner.report(route), reached: [name, ...owner.loadShedder.reachedServices({route, service: name})],
+			outcome, reason, report: owner.report(route), reached: [name, ...owner.loadShedder.reachedServices({route, service: name}).filter(service => service !== name)],
 		});
 	}
 
@@ -376,6 +439,9 @@
 				}
 
 				this.#startQueued(owner);
+				for (const held of owner.patientAdmission.release(kind => this.#chanceOf(owner, this.#routes.get(kind)!), this.#nowMs)) {
+					held.start();
+				}
 			}
 
 			this.#scheduleHousekeeping();
--- a/src/mesh/admission/index.ts
+++ b/src/mesh/admission/index.ts
@@ -7,3 +7,5 @@
 export {
 	type Priority, type RoutedService, type RunOutcome, type TargetLoad, LoadShedder,
 } from './loadshedder.js';
+export {type PatientRequest, PatientAdmission, type WaitDecision} from './patientadmission.js';
+export {type WaitingRequest} from './waitingroom.js';
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -8,30 +8,16 @@
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {type ExchangeContext} from './exchangecontext.js';
+import {type EndReason, type ExchangeOptions} from './exchangeoptions.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
 
-/** Why a request ended without an answer from its target. */
-type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone';
-
-/** The properties of a request that its exchange is created with. */
-export type ExchangeOptions = {
-	readonly route: Route;
-	/** The service that was chosen among those of the route. */
-	readonly service: string;
-	readonly attemptId: string;
-	/** How long the client waits, in ms. */
-	readonly leftMs: number;
-	readonly template: CallTemplate;
-	/** The call running on this host that waits for this request; undefined for a root request. */
-	readonly parentCall: Call | undefined;
-};
-
 /** One client's request, from its arrival to its single final answer. */
 export class Exchange extends CallSink {
 	readonly route: Route;
 	readonly service: string;
 	readonly attemptId: string;
+	readonly leftMs: number;
 	readonly deadlineMs: number;
 	readonly objectiveEndMs: number;
 	readonly #context: ExchangeContext;
@@ -42,7 +28,7 @@
 	readonly #template: CallTemplate;
 	readonly #arrivedMs: number;
 	readonly #parentCall: Call | undefined;
-	readonly #priority: Priority;
+	#priority: Priority;
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
 	#mayHaveRun = false;
@@ -63,17 +49,16 @@
 		this.#template = options.template;
 		this.#parentCall = options.parentCall;
 		this.#arrivedMs = context.clock.nowMs();
+		this.leftMs = options.leftMs;
 		this.#routedService = {route: this.route.name, service: this.service};
 		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.route.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
 		if (this.#parentCall !== undefined) {
-			context.onNestedCall(this.#parentCall.attemptId, 'begun');
-			context.loadShedder.recordReached(
-				{route: this.#parentCall.template.route, service: this.#template.callerService},
-				[this.service, ...context.loadShedder.reachedServices(this.#routedService)],
-			);
+			const {attemptId, template: {route}} = this.#parentCall;
+			context.onNestedCall(attemptId, 'begun');
+			context.loadShedder.onNestedCall(attemptId, {route, service: this.#template.callerService}, [this.service, ...context.loadShedder.reachedServices(this.#routedService).filter(service => service !== this.service)]);
 		}
 
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
@@ -92,14 +77,14 @@
 	/** Reads the body, or its first chunk if it is too large to send inline, then sends the request to a host. */
 	start(hasBody: boolean, maxBodyBytes: number): void {
 		if (!hasBody) {
-			this.#sendToNextHost();
+			this.#sendOrWait();
 			return;
 		}
 
 		this.#body.read(maxBodyBytes, {
 			onReady: () => {
 				if (!this.#isOver) {
-					this.#sendToNextHost();
+					this.#sendOrWait();
 				}
 			},
 			onChunk: (bytes, isLast) => {
@@ -115,6 +100,16 @@
 		});
 	}
 
+	/** Starts the request after it was held. */
+	resume(): void {
+		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, this.route.rank, this.attemptId, this.#context.clock.nowMs());
+		if (this.isAdmitted) {
+			this.#sendOrWait();
+		} else {
+			this.shed();
+		}
+	}
+
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
 		if (!this.#isOver && nowMs >= this.deadlineMs) {
@@ -232,8 +227,7 @@
 		}
 
 		const isForLoad = reason === 'full' || reason === 'evicted' || reason === 'expired' || reason === 'shed-by-target';
-		const mayTryAnotherHost = !this.#body.isStreaming && this.#attempts.mayTryAnotherHost({isForLoad, reachedTarget}, nowMs);
-		if (mayTryAnotherHost) {
+		if (!this.#body.isStreaming && this.#attempts.mayTryAnotherHost({isForLoad, reachedTarget}, nowMs)) {
 			this.#sendToNextHost(reason);
 		} else {
 			this.#refuse(reason, report === undefined || reason === 'not-here' || reason === 'stopping' || reason === 'misdirected' ? 'transient' : 'overload');
@@ -269,6 +263,15 @@
 		this.#body.grantCredit(bytes);
 	}
 
+	#sendOrWait(): void {
+		const decision = this.#parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
+		if (typeof decision === 'number') {
+			this.#refuse('no-chance', 'overload', decision);
+		} else if (decision !== 'held') {
+			this.#sendToNextHost();
+		}
+	}
+
 	#sendToNextHost(previousRefusal?: string): void {
 		const nowMs = this.#context.clock.nowMs();
 		const entry = this.#attempts.chooseNextHost(nowMs);
@@ -322,6 +325,7 @@
 		const {registry} = this.#context.log;
 		registry.count('answers', {service: this.service, status});
 		registry.observe('answer', {service: this.service, rank: this.route.rank}, nowMs - this.#arrivedMs);
+		this.#context.heldRequests?.onAnswered(this, status);
 	}
 
 	#releaseHost(): void {
@@ -340,14 +344,14 @@
 		}
 	}
 
-	#refuse(reason: EndReason, cause: 'transient' | 'overload'): void {
+	#refuse(reason: EndReason, cause: 'transient' | 'overload', afterMs?: number): void {
 		if (this.#mayHaveRun) {
 			this.#endWithStatus(502, reason);
 			return;
 		}
 
 		const nowMs = this.#context.clock.nowMs();
-		const waitMs = chooseRetryAfterMs(cause, this.deadlineMs - nowMs, this.objectiveEndMs - nowMs, this.#context.random);
+		const waitMs = afterMs ?? chooseRetryAfterMs(cause, this.deadlineMs - nowMs, this.objectiveEndMs - nowMs, this.#context.random);
 		this.#endWithStatus(503, reason, ['retry-after', (waitMs / 1000).toFixed(3)]);
 	}
 
@@ -375,6 +379,7 @@
 			this.#context.onNestedCall(this.#parentCall.attemptId, 'ended');
 		}
 
+		this.#context.heldRequests?.remove(this);
 		this.#context.onEnded(this);
 	}
 
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -3,6 +3,7 @@
 import {type AttemptsParts, type HostEntry, type LoadShedder} from '../../mesh/index.js';
 import {type Call, type CallHandle, type CallSink} from '../call.js';
 import {type Exchange} from './exchange.js';
+import {type HeldRequests} from './heldrequests.js';
 import {type ResponseWriterContext} from './responsewriter.js';
 
 /** What an exchange needs of its request server. */
@@ -10,6 +11,8 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly loadShedder: LoadShedder;
+	/** Holds requests that wait for the end of a fault; absent unless the settings allow it memory. */
+	readonly heldRequests?: HeldRequests | undefined;
 	readonly random: () => number;
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	readonly onEnded: (exchange: Exchange) => void;
--- /dev/null
+++ b/src/relay/clients/exchangeoptions.ts
@@ -0,0 +1,20 @@
+import {type Route} from '../../mesh/index.js';
+import {
+	type Call, type CallTemplate, type FailureReason, type RefusalReason,
+} from '../call.js';
+
+/** Why a request ended without an answer from its target. */
+export type EndReason = RefusalReason | FailureReason | 'no-target' | 'no-chance' | 'overload' | 'timeout' | 'client-gone';
+
+/** The properties of a request that its exchange is created with. */
+export type ExchangeOptions = {
+	readonly route: Route;
+	/** The service that was chosen among those of the route. */
+	readonly service: string;
+	readonly attemptId: string;
+	/** How long the client waits, in ms. */
+	readonly leftMs: number;
+	readonly template: CallTemplate;
+	/** The call running on this host that waits for this request; undefined for a root request. */
+	readonly parentCall: Call | undefined;
+};
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -8,6 +8,7 @@
 import {type Call, type CallHandle, type CallSink} from './call.js';
 import {Directory} from './store/directory.js';
 import {type DirectoryEvents} from './store/directoryevents.js';
+import {HeldRequests} from './clients/heldrequests.js';
 import {RequestServer} from './clients/requestserver.js';
 import {FrameTag} from './peers/frame.js';
 import {Links} from './peers/links.js';
@@ -71,7 +72,7 @@
 		const nowMs = () => clock.nowMs();
 		this.#loadBalancer = new LoadBalancer(settings.failureDomain, LOAD_BALANCING, random);
 		this.#retryBudget = new RetryBudget(settings.retry);
-		this.#loadShedder = new LoadShedder(settings.host);
+		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
@@ -104,6 +105,7 @@
 			retryBudget: this.#retryBudget,
 			targetSignals: this.#targetSignals,
 			loadShedder: this.#loadShedder,
+			heldRequests: this.#createHeldRequests(random),
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
@@ -211,6 +213,14 @@
 		await this.#directory.close();
 	}
 
+	#createHeldRequests(random: () => number): HeldRequests | undefined {
+		const {heldBytes: maxBytes} = this.#settings;
+		const options = {
+			clock: this.#clock, log: this.#log, hosts: this.#hosts, loadShedder: this.#loadShedder, random,
+		};
+		return maxBytes === undefined ? undefined : new HeldRequests({...options, maxBytes});
+	}
+
 	#send(entry: HostEntry, call: Call, sink: CallSink): CallHandle {
 		return entry.host === this.#settings.host ? this.#targetOwner.submit(call, sink) : this.#links.linkTo(entry).call(call, sink);
 	}
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -42,4 +42,6 @@
 	readonly lameDuckMs: number;
 	/** The retry budget of the whole site: `ratio` retries for each request, and besides `slack` retries in each window. */
 	readonly retry: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
+	/** The memory that requests held for the end of a fault may take, in bytes; without it none is held, and no outcomes are counted. */
+	readonly heldBytes?: number | undefined;
 };
