A request whose deadline passes before it has left is refused as not run

It got a 504, after which an unsafe request can't come back, although its call was still in the queue of its own daemon or on a link that hadn't opened: cancelling a call now tells whether it is certain that it hasn't run and never will. Not done: a call that waits in a peer's queue at its deadline is still a 504, as the peer hasn't confirmed. The sabotage of the proof returns false, as the method now has a result.

--- a/proof/rules/lifecycle.ts
+++ b/proof/rules/lifecycle.ts
@@ -31,7 +31,7 @@
 		},
 		sabotage: {
 			title: 'the owner of a call isn\'t told of its cancellation',
-			apply: () => replaceMethod(OwnedCall.prototype, 'cancel', () => undefined),
+			apply: () => replaceMethod(OwnedCall.prototype, 'cancel', () => false),
 		},
 	},
 	{
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -91,8 +91,11 @@
 	abstract write(bytes: Buffer, isLast: boolean): void;
 	/** Adds flow-control credit: the sender can accept this many more bytes of the answer body. */
 	abstract grantCredit(bytes: number): void;
-	/** Cancels the call, because nobody waits for it any longer; no further event is reported for it. */
-	abstract cancel(): void;
+	/**
+	 * Cancels the call, because nobody waits for it any longer; no further event is reported for it.
+	 * @returns whether it is certain that the call hasn't run and never will
+	 */
+	abstract cancel(): boolean;
 }
 
 /** The largest body that is sent inline with its call or answer, in bytes; larger ones are streamed. */
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -113,16 +113,14 @@
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
 		if (!this.#isOver && nowMs >= this.deadlineMs) {
-			const wasSent = this.#callHandle !== undefined || this.#mayHaveRun;
 			if (this.#callHandle !== undefined) {
 				this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
 			}
 
-			this.#cancelCall();
-			if (wasSent) {
-				this.#endWithStatus(504, 'timeout');
-			} else {
+			if (this.#cancelCall()) {
 				this.#refuse('timeout', 'overload');
+			} else {
+				this.#endWithStatus(504, 'timeout');
 			}
 		}
 	}
@@ -134,8 +132,9 @@
 
 	/** Ends the request with an error because the process stops before its answer arrives. */
 	abort(): void {
-		if (!this.#isOver) {
-			this.#cancelCall();
+		if (!this.#isOver && this.#cancelCall()) {
+			this.#refuse('cancelled', 'transient');
+		} else if (!this.#isOver) {
 			this.#endWithStatus(502, 'cancelled');
 		}
 	}
@@ -336,12 +335,15 @@
 		this.#callHandle = undefined;
 	}
 
-	#cancelCall(): void {
+	/** @returns whether it is certain that the request hasn't run and never will */
+	#cancelCall(): boolean {
 		const handle = this.#callHandle;
-		if (handle !== undefined) {
-			this.#releaseHost();
-			handle.cancel();
+		if (handle === undefined) {
+			return !this.#mayHaveRun;
 		}
+
+		this.#releaseHost();
+		return handle.cancel() && !this.#mayHaveRun;
 	}
 
 	#refuse(reason: EndReason, cause: 'transient' | 'overload', afterMs?: number): void {
@@ -385,16 +387,10 @@
 
 	#logEvent(event: string, reason: string, extraFields: Record<string, string | number> = {}): void {
 		const nowMs = this.#context.clock.nowMs();
+		const {attemptId: attempt, route: {name: route}, service} = this;
+		const {host, count: tried} = this.#attempts;
 		this.#context.log.event(event, {
-			attempt: this.attemptId,
-			route: this.route.name,
-			service: this.service,
-			reason,
-			host: this.#attempts.host,
-			tried: this.#attempts.count,
-			ageMs: Math.round(nowMs - this.#arrivedMs),
-			leftMs: Math.round(this.deadlineMs - nowMs),
-			...extraFields,
+			attempt, route, service, reason, host, tried, ageMs: Math.round(nowMs - this.#arrivedMs), leftMs: Math.round(this.deadlineMs - nowMs), ...extraFields,
 		});
 	}
 }
--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -310,7 +310,8 @@
 		this.#link.send([FrameTag.credit, this.id, bytes]);
 	}
 
-	override cancel(): void {
+	override cancel(): boolean {
 		this.#link.cancelCall(this);
+		return !this.isSent;
 	}
 }
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -116,11 +116,13 @@
 		this.run?.grantCredit(bytes);
 	}
 
-	cancel(): void {
+	cancel(): boolean {
 		if (!this.#isOver) {
 			this.#isOver = true;
 			this.#owner.cancel(this);
 		}
+
+		return this.run === undefined;
 	}
 
 	// Called by the run at the target.
--- /dev/null
+++ b/test/relay/notrun.test.ts
@@ -0,0 +1,56 @@
+import {createServer} from 'node:net';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {HOST_KIND} from '../../src/relay/store/ownentry.js';
+import {Mesh, createRoute, createSiteSpec} from '../../standins/mesh.js';
+import {createAttemptHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
+
+let mesh: Mesh;
+afterEach(async () => {
+	await mesh.close();
+});
+
+const UNSAFE = {repeatability: 'unsafe'} as const;
+const send = async (port: number, id: string, deadlineMs: number) => call(port, '/x/', {method: 'POST', headers: createAttemptHeaders(id, deadlineMs)});
+
+describe('an unsafe request whose deadline passes before a target has got it', () => {
+	it('is refused as not run while it waits in the queue of its own daemon', async () => {
+		mesh = new Mesh();
+		mesh.configure(createSiteSpec([createRoute('x', 'front', UNSAFE)]));
+		const {settings, target} = await mesh.addHost('front', {
+			id: 'i-front', service: 'front', slots: 1, workMs: 600,
+		});
+		await mesh.settle();
+		const {port} = settings.listen.requests;
+		const first = send(port, 'first', 1500);
+		const waiting = await Promise.all(Array.from({length: 6}, async (_, index) => send(port, `w${index}`, 100 + (index * 15))));
+		expect(waiting.map(({status}) => status)).toEqual(waiting.map(() => 503));
+		const {status} = await first;
+		expect(status).toBe(200);
+		expect(target.ranAttemptIds).toEqual(['first']);
+	});
+
+	it('is refused as not run while the link to its host has not opened', async () => {
+		const silent = createServer();
+		await new Promise<void>(resolve => {
+			silent.listen(0, '127.0.0.1', resolve);
+		});
+		try {
+			mesh = new Mesh();
+			const {front} = await mesh.addPair({routes: [createRoute('x', 'gone', UNSAFE)]});
+			const {port} = silent.address() as {port: number};
+			mesh.store.set(HOST_KIND, 'silent', {
+				host: 'silent', failureDomain: 'a', address: `127.0.0.1:${port}`, target: {
+					id: 'i-gone', service: 'gone', slots: 4, state: 'ready',
+				},
+			});
+			await mesh.settle();
+			const answer = await send(front.settings.listen.requests.port, 'unsent', 120);
+			expect([answer.status, Number(answer.headers['retry-after']) >= 0]).toEqual([503, true]);
+		} finally {
+			silent.close();
+		}
+	});
+});
