--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -7,8 +7,10 @@
 import {
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
-import {type ExchangeContext, type ExchangeOptions} from './exchangecontext.js';
+import {type ExchangeContext} from './exchangecontext.js';
+import {type ExchangeOptions} from './exchangeoptions.js';
 import {type EndReason, judgeRefusal, recordRefusal} from './refusals.js';
+import {ParentRun} from './parentrun.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
 
@@ -17,6 +19,7 @@
 	readonly route: Route;
 	readonly service: string;
 	readonly attemptId: string;
+	readonly leftMs: number;
 	readonly deadlineMs: number;
 	readonly objectiveEndMs: number;
 	readonly #context: ExchangeContext;
@@ -28,7 +31,8 @@
 	readonly #organisation: string | undefined;
 	readonly #arrivedMs: number;
 	readonly #parentCall: Call | undefined;
-	readonly #priority: Priority;
+	readonly #parentRun: ParentRun | undefined;
+	#priority: Priority;
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
 	/** Gives the token of the organisation's quota back. */
@@ -52,19 +56,14 @@
 		this.#organisation = options.organisation;
 		this.#parentCall = options.parentCall;
 		this.#arrivedMs = context.clock.nowMs();
+		this.leftMs = options.leftMs;
 		this.#routedService = {route: this.route.name, service: this.service};
 		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
-		if (this.#parentCall !== undefined) {
-			context.onNestedCall(this.#parentCall.attemptId, 'begun');
-			context.loadShedder.recordReached(
-				{route: this.#parentCall.template.route, service: this.#template.callerService},
-				[this.service, ...context.loadShedder.reachedServices(this.#routedService)],
-			);
-		}
-
+		this.#parentRun = options.parentCall && new ParentRun(context, options.parentCall);
+		this.#parentRun?.begin(this.#template.callerService, [this.service, ...context.loadShedder.reachedServices(this.#routedService).filter(service => service !== this.service)]);
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
 		this.objectiveEndMs = this.#arrivedMs + options.route.objectiveMs;
 	}
@@ -82,14 +81,14 @@
 	start(hasBody: boolean, maxBodyBytes: number, giveBack?: () => void): void {
 		this.#giveBack = giveBack;
 		if (!hasBody) {
-			this.#sendToNextHost();
+			this.#sendOrWait();
 			return;
 		}
 
 		this.#body.read(maxBodyBytes, {
 			onReady: () => {
 				if (!this.#isOver) {
-					this.#sendToNextHost();
+					this.#sendOrWait();
 				}
 			},
 			onChunk: (bytes, isLast) => {
@@ -105,19 +104,27 @@
 		});
 	}
 
+	/** Starts the request after it was held. */
+	resume(): void {
+		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#context.clock.nowMs());
+		if (this.isAdmitted) {
+			this.#sendOrWait();
+		} else {
+			this.shed();
+		}
+	}
+
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
 		if (!this.#isOver && nowMs >= this.deadlineMs) {
-			const wasSent = this.#callHandle !== undefined || this.#mayHaveRun;
 			if (this.#callHandle !== undefined) {
 				this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
 			}
 
-			this.#cancelCall();
-			if (wasSent) {
-				this.#endWithStatus(504, 'timeout');
-			} else {
+			if (this.#cancelCall()) {
 				this.#refuse('timeout', 'overload');
+			} else {
+				this.#endWithStatus(504, 'timeout');
 			}
 		}
 	}
@@ -134,8 +141,9 @@
 
 	/** Ends the request with an error because the process stops before its answer arrives. */
 	abort(): void {
-		if (!this.#isOver) {
-			this.#cancelCall();
+		if (!this.#isOver && this.#cancelCall()) {
+			this.#refuse('cancelled', 'transient');
+		} else if (!this.#isOver) {
 			this.#endWithStatus(502, 'cancelled');
 		}
 	}
@@ -151,7 +159,7 @@
 
 	override onAnswer(head: AnswerHead, body: Buffer, isWhole: boolean, report: LoadReport): void {
 		const nowMs = this.#context.clock.nowMs();
-		this.#recordReport(report, nowMs);
+		this.#attempts.recordReport(report, nowMs);
 		if (isWhole) {
 			this.#releaseHost();
 		}
@@ -173,7 +181,7 @@
 
 		this.#isHeadSent = true;
 		if (head.status >= 500) {
-			this.#notifyParent();
+			this.#parentRun?.fail();
 		}
 
 		this.#responseWriter.writeHead(head, isWhole ? body.length : undefined);
@@ -207,7 +215,7 @@
 	override onRefused(reason: RefusalReason, report: LoadReport | undefined): void {
 		const nowMs = this.#context.clock.nowMs();
 		const {host} = this.#attempts;
-		this.#recordReport(report, nowMs);
+		this.#attempts.recordReport(report, nowMs);
 		this.#releaseHost();
 		const {loadBalancer, log} = this.#context;
 		log.registry.count('owner_refusals', {service: this.service, reason});
@@ -216,8 +224,7 @@
 			return;
 		}
 
-		const mayTryAnotherHost = !this.#body.isStreaming && this.#attempts.mayTryAnotherHost(judgeRefusal(reason), nowMs);
-		if (mayTryAnotherHost) {
+		if (!this.#body.isStreaming && this.#attempts.mayTryAnotherHost(judgeRefusal(reason), nowMs)) {
 			this.#sendToNextHost(reason);
 		} else {
 			this.#refuse(reason, report === undefined || reason === 'not-here' || reason === 'stopping' || reason === 'misdirected' ? 'transient' : 'overload');
@@ -226,7 +233,7 @@
 
 	override onFailed(reason: FailureReason, report: LoadReport | undefined): void {
 		const nowMs = this.#context.clock.nowMs();
-		this.#recordReport(report, nowMs);
+		this.#attempts.recordReport(report, nowMs);
 		this.#releaseHost();
 		this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
 		if (reason === 'link-lost') {
@@ -251,6 +258,15 @@
 		this.#body.grantCredit(bytes);
 	}
 
+	#sendOrWait(): void {
+		const decision = this.#parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
+		if (typeof decision === 'number') {
+			this.#refuse('no-chance', 'overload', decision);
+		} else if (decision !== 'held') {
+			this.#sendToNextHost();
+		}
+	}
+
 	#sendToNextHost(previousRefusal?: string): void {
 		const nowMs = this.#context.clock.nowMs();
 		const entry = this.#attempts.chooseNextHost(nowMs);
@@ -296,43 +312,38 @@
 		return !this.#body.isStreaming && !this.#isOver && this.#attempts.mayResend(nowMs);
 	}
 
-	#recordReport(report: LoadReport | undefined, nowMs: number): void {
-		if (report !== undefined && this.#attempts.count > 0) {
-			this.#context.loadBalancer.onReport(this.#attempts.host, this.route.name, report, nowMs);
-		}
-	}
-
 	#countAnswer(status: number, nowMs: number): void {
 		const {registry} = this.#context.log;
 		registry.count('answers', {service: this.service, status});
 		registry.observe('answer', {service: this.service, rank: this.#template.rank}, nowMs - this.#arrivedMs);
+		this.#context.heldRequests?.onAnswered(this, status);
 	}
 
 	#releaseHost(): void {
-		if (this.#attempts.count > 0) {
-			this.#context.loadBalancer.onEnded(this.#attempts.host);
-		}
-
+		this.#attempts.onEnded();
 		this.#callHandle = undefined;
 	}
 
-	#cancelCall(): void {
+	/** @returns whether it is certain that the request hasn't run and never will */
+	#cancelCall(): boolean {
 		const handle = this.#callHandle;
-		if (handle !== undefined) {
-			this.#mayHaveRun = true;
-			this.#releaseHost();
-			handle.cancel();
+		if (handle === undefined) {
+			return !this.#mayHaveRun;
 		}
+
+		this.#releaseHost();
+		this.#mayHaveRun ||= !handle.cancel();
+		return !this.#mayHaveRun;
 	}
 
-	#refuse(reason: EndReason, cause: 'transient' | 'overload'): void {
+	#refuse(reason: EndReason, cause: 'transient' | 'overload', afterMs?: number): void {
 		if (this.#mayHaveRun) {
 			this.#endWithStatus(502, reason);
 			return;
 		}
 
 		const nowMs = this.#context.clock.nowMs();
-		const waitMs = chooseRetryAfterMs(cause, this.deadlineMs - nowMs, this.objectiveEndMs - nowMs, this.#context.random);
+		const waitMs = afterMs ?? chooseRetryAfterMs(cause, this.deadlineMs - nowMs, this.objectiveEndMs - nowMs, this.#context.random);
 		this.#endWithStatus(503, reason, ['retry-after', (waitMs / 1000).toFixed(3)]);
 	}
 
@@ -346,7 +357,7 @@
 			return;
 		}
 
-		this.#notifyParent();
+		this.#parentRun?.fail();
 		this.#finish();
 		const event = status === 503 ? 'refused' : (status === 429 ? 'quota_denied' : 'failed');
 		this.#logEvent(event, reason, {status});
@@ -356,42 +367,29 @@
 
 	/** Ends a request whose answer has begun: it must not look complete. */
 	#cutAnswer(reason: EndReason): void {
-		this.#notifyParent();
+		this.#parentRun?.fail();
 		this.#finish();
 		this.#responseWriter.resetConnection();
 		this.#logEvent('answer_cut', reason);
 	}
 
-	#notifyParent(): void {
-		if (this.#parentCall !== undefined) {
-			this.#context.onNestedFailure(this.#parentCall.attemptId);
-		}
-	}
-
 	#finish(): void {
 		this.#isOver = true;
 		if (!this.#mayHaveRun && !this.#isHeadSent && this.#callHandle === undefined) {
 			this.#giveBack?.();
 		}
 
-		if (this.#parentCall !== undefined) {
-			this.#context.onNestedCall(this.#parentCall.attemptId, 'ended');
-		}
-
+		this.#parentRun?.end();
+		this.#context.heldRequests?.remove(this);
 		this.#context.onEnded(this);
 	}
 
 	#logEvent(event: string, reason: string, extraFields: Record<string, string | number> = {}): void {
 		const nowMs = this.#context.clock.nowMs();
+		const {attemptId: attempt, route: {name: route}, service} = this;
+		const {host, count: tried} = this.#attempts;
 		this.#context.log.event(event, {
-			attempt: this.attemptId,
-			route: this.route.name,
-			service: this.service,
-			reason,
-			host: this.#attempts.host,
-			tried: this.#attempts.count,
-			ageMs: Math.round(nowMs - this.#arrivedMs),
-			leftMs: Math.round(this.deadlineMs - nowMs),
+			attempt, route, service, reason, host, tried, ageMs: Math.round(nowMs - this.#arrivedMs), leftMs: Math.round(this.deadlineMs - nowMs),
 			...(this.#organisation === undefined ? {} : {organisation: this.#organisation}),
 			...extraFields,
 		});
--- a/src/relay/clients/refusals.ts
+++ b/src/relay/clients/refusals.ts
@@ -2,7 +2,7 @@
 import {type FailureReason, type RefusalReason} from '../call.js';
 
 /** Why a request ended without an answer from its target. */
-export type EndReason = RefusalReason | FailureReason | 'no-target' | 'overload' | 'timeout' | 'client-gone' | 'quota';
+export type EndReason = RefusalReason | FailureReason | 'no-target' | 'no-chance' | 'overload' | 'timeout' | 'client-gone' | 'quota';
 
 /** What a host's refusal says of it: whether it was for lack of capacity, and whether its target has received the call. */
 export function judgeRefusal(reason: RefusalReason): HostRefusal {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -47,4 +47,6 @@
 	readonly retry: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
 	/** How far the requests of an organisation may go beyond its quota in a window; absent for the defaults. */
 	readonly quotaRoom?: BudgetRoom;
+	/** The memory that requests held for the end of a fault may take, in bytes; without it none is held, and no outcomes are counted. */
+	readonly heldBytes?: number | undefined;
 };
