Choice among a sample of targets; an unheard target's load is taken from its group

Callers waited at a full target while others were idle: a daemon of a large fleet hears from a given target every few seconds, and a target without fresh news counted as idle, so calls stayed in a full failure domain and piled up at the targets that seemed fast.

- News of a target's load fades to the mean of the targets of its service in its failure domain; that mean fades to a load that costs nothing, so that calls find out.
- Services of more than twelve targets are compared by a sample, drawn anew for each call: no herd at one idle target, and no walk over all of them.
- How fast a copy is on the routes that were heard tells of those that weren't; a copy once heard to be slow gets calls again after some seconds.
- What its own daemon says of a target's failures counts beside what this one saw.

--- a/src/mesh/balancing/index.ts
+++ b/src/mesh/balancing/index.ts
@@ -1,5 +1,5 @@
 export {
-	type LoadReport, type LoadBalancerOptions, LOAD_BALANCING, LoadBalancer,
+	type CallToPlace, type LoadReport, type LoadBalancerOptions, LOAD_BALANCING, LoadBalancer,
 } from './loadbalancer.js';
 export {UnreachableHosts} from './unreachablehosts.js';
 export {BusyTime} from './busytime.js';
--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -8,6 +8,8 @@
 	readonly limit: number;
 	/** Mean time that this route's calls take at the target, in ms; 0 if unknown. */
 	readonly serviceMs: number;
+	/** Share of the target's last runs that it shed or failed; 0 if it is absent. */
+	readonly failureShare?: number;
 };
 
 /** Settings of the cost by which hosts are compared. */
@@ -35,11 +37,15 @@
 type HostState = {
 	report: LoadReport;
 	reportedAtMs: number;
+	/** The targets of its service in its failure domain. */
+	group: GroupLoad | undefined;
 	/** Calls that this daemon has in flight there. */
 	inFlight: number;
 	/** Calls that this daemon had in flight there when the report arrived. */
 	inFlightAtReport: number;
 	serviceMs: Map<string, number>;
+	/** Moving mean of how its times compare with those of all targets, over all routes; below 1 for a fast one. */
+	relativeTime: number;
 	/** Moving mean of the share of calls that failed there. */
 	failureShare: number;
 	failureShareAtMs: number;
@@ -51,6 +57,19 @@
 	slownessHeardMs: number;
 };
 
+/** What the choice of a host depends on. */
+export type CallToPlace = {
+	readonly route: string;
+	readonly objectiveMs: number;
+	/** The hosts that the request was sent to before. */
+	readonly tried: readonly string[];
+};
+/** What the targets of one service in one failure domain have in use on average: a moving mean of their reports. */
+type GroupLoad = {load: number; heardMs: number};
+type Candidate = {entry: HostEntry | undefined; cost: number};
+type Comparison = {readonly best: Candidate; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
+type DomainSplit = {readonly near: HostEntry[]; readonly far: HostEntry[]};
+
 /** How long a target counts as slow after its daemon said so, in ms; then it gets calls again, which show whether it still is. */
 const SLOWNESS_TTL_MS = 2500;
 /** How long a load report counts, in ms: a few heartbeats of a busy queue. */
@@ -77,6 +96,21 @@
 const DEFAULT_SERVICE_MS = 30;
 /** Weight of one report in the mean time of a route over all targets. */
 const ROUTE_MEAN_WEIGHT = 0.1;
+/** Weight of one report in the comparison of a target with all others. */
+const RELATIVE_TIME_WEIGHT = 0.3;
+/** Half-life of a target's reported load, in ms; after it, the mean of its group counts for more. */
+const LOAD_HALF_LIFE_MS = 1000;
+/** Half-life of how a target's times differ from those of the others, in ms, while nothing is heard of it. */
+const SPEED_HALF_LIFE_MS = 5000;
+/** Half-life of what is known of a group's load, in ms; then its load is taken for one that costs nothing, so that calls find out. */
+const GROUP_HALF_LIFE_MS = 4000;
+/** Weight of one report in the mean load of its group. */
+const GROUP_LOAD_WEIGHT = 0.1;
+/** Services of up to this many targets are compared whole. */
+const MAX_COMPARED = 12;
+/** Targets drawn in the daemon's own failure domain, and in the others, when a service has more. */
+const NEAR_DRAWS = 8;
+const FAR_DRAWS = 4;
 /** Maximum random addition to the cost of a target whose load is known, as a share of it: daemons with the same load reports don't all choose the same target. */
 const COST_JITTER = 0.1;
 
@@ -94,6 +128,9 @@
 	readonly #hosts = new Map<string, HostState>();
 	/** Moving mean of the time that each route takes at the targets that have reported it, in ms. */
 	readonly #routeMeansMs = new Map<string, number>();
+	readonly #groups = new Map<string, GroupLoad>();
+	/** The targets of a service by failure domain, for each list that was chosen from. */
+	readonly #splits = new WeakMap<readonly HostEntry[], DomainSplit>();
 
 	constructor(failureDomain: string, options: LoadBalancerOptions, random: () => number) {
 		this.#failureDomain = failureDomain;
@@ -101,23 +138,34 @@
 		this.#random = random;
 	}
 
-	/** @returns the host with the lowest cost among those not yet tried; an unreachable one only if there is no other */
-	choose(entries: readonly HostEntry[], route: string, objectiveMs: number, tried: readonly string[], nowMs: number): HostEntry | undefined {
-		let best: HostEntry | undefined;
-		let bestCost = Number.POSITIVE_INFINITY;
-		for (const entry of entries) {
-			if (entry.target === undefined || tried.includes(entry.host)) {
-				continue;
+	/**
+	 * Compares the targets, or a sample of them, drawn anew for each call, if there are many. Daemons that hear of one idle
+	 * target then don't all choose it, and a choice costs the same for a service of any size.
+	 * @param isExcluded tells which targets get no calls any more
+	 * @returns the host with the lowest cost among those not yet tried; an unreachable one only if there is no other
+	 */
+	choose(entries: readonly HostEntry[], call: CallToPlace, nowMs: number, isExcluded: (entry: HostEntry) => boolean = () => false): HostEntry | undefined {
+		const best: Candidate = {entry: undefined, cost: Number.POSITIVE_INFINITY};
+		if (entries.length > MAX_COMPARED) {
+			const {near, far} = this.#domainsOf(entries);
+			this.#compareDrawn(near, NEAR_DRAWS, {
+				best, call, nowMs, isExcluded,
+			});
+			this.#compareDrawn(far, near.length === 0 ? NEAR_DRAWS : FAR_DRAWS, {
+				best, call, nowMs, isExcluded,
+			});
+			if (best.cost < DRAINING_COST * call.objectiveMs) {
+				return best.entry;
 			}
+		}
 
-			const cost = this.#cost(entry, route, objectiveMs, nowMs) * (1 + (this.#jitterOf(entry.host, nowMs) * this.#random()));
-			if (cost < bestCost) {
-				best = entry;
-				bestCost = cost;
-			}
+		for (const entry of entries) {
+			this.#compare(entry, {
+				best, call, nowMs, isExcluded,
+			});
 		}
 
-		return best;
+		return best.entry;
 	}
 
 	onSent(host: string): void {
@@ -135,17 +183,24 @@
 		state.report = report;
 		state.reportedAtMs = nowMs;
 		state.inFlightAtReport = state.inFlight;
+		if (state.group !== undefined && report.limit > 0) {
+			const before = this.#groupLoadOf(state.group, nowMs);
+			state.group.load = before + ((((report.running + report.queued) / report.limit) - before) * GROUP_LOAD_WEIGHT);
+			state.group.heardMs = nowMs;
+		}
+
 		if (report.serviceMs > 0) {
 			state.serviceMs.set(route, report.serviceMs);
 			const meanMs = this.#routeMeansMs.get(route) ?? report.serviceMs;
 			this.#routeMeansMs.set(route, meanMs + ((report.serviceMs - meanMs) * ROUTE_MEAN_WEIGHT));
+			state.relativeTime += ((report.serviceMs / Math.max(1, meanMs)) - state.relativeTime) * RELATIVE_TIME_WEIGHT;
 		}
 	}
 
 	/** @param failed whether the target itself failed the call */
 	onOutcome(host: string, failed: boolean, nowMs: number): void {
 		const state = this.#hostState(host);
-		state.failureShare = (this.#failureShareOf(state, nowMs) * (1 - FAILURE_WEIGHT)) + (failed ? FAILURE_WEIGHT : 0);
+		state.failureShare = (this.#ownFailureShareOf(state, nowMs) * (1 - FAILURE_WEIGHT)) + (failed ? FAILURE_WEIGHT : 0);
 		state.failureShareAtMs = nowMs;
 		if (!failed) {
 			state.unreachableCount = 0;
@@ -171,6 +226,7 @@
 		if (slowness === 1 || nowMs - state.slownessHeardMs >= SLOWNESS_TTL_MS) {
 			// The times reported before tell nothing of the present ones.
 			state.serviceMs.clear();
+			state.relativeTime = 1;
 		}
 
 		state.slowness = slowness;
@@ -202,6 +258,41 @@
 		this.#hosts.delete(host);
 	}
 
+	#domainsOf(entries: readonly HostEntry[]): DomainSplit {
+		let split = this.#splits.get(entries);
+		if (split === undefined) {
+			split = {near: [], far: []};
+			for (const entry of entries) {
+				split[entry.failureDomain === this.#failureDomain ? 'near' : 'far'].push(entry);
+			}
+
+			this.#splits.set(entries, split);
+		}
+
+		return split;
+	}
+
+	// Draws without replacement: the drawn entries are moved to the front of the list.
+	#compareDrawn(entries: HostEntry[], draws: number, comparison: Comparison): void {
+		for (let index = 0; index < Math.min(draws, entries.length); index++) {
+			const drawn = index + Math.floor(this.#random() * (entries.length - index));
+			[entries[index], entries[drawn]] = [entries[drawn], entries[index]];
+			this.#compare(entries[index], comparison);
+		}
+	}
+
+	#compare(entry: HostEntry, {best, call, nowMs, isExcluded}: Comparison): void {
+		if (entry.target === undefined || call.tried.includes(entry.host) || isExcluded(entry)) {
+			return;
+		}
+
+		const cost = this.#cost(entry, call.route, call.objectiveMs, nowMs) * (1 + (this.#jitterOf(entry.host, nowMs) * this.#random()));
+		if (cost < best.cost) {
+			best.entry = entry;
+			best.cost = cost;
+		}
+	}
+
 	#jitterOf(host: string, nowMs: number): number {
 		const isKnown = nowMs - this.#hostState(host).reportedAtMs < REPORT_TTL_MS;
 		return isKnown ? COST_JITTER : this.#options.unknownLoadJitter;
@@ -210,7 +301,7 @@
 	#cost(entry: HostEntry, route: string, objectiveMs: number, nowMs: number): number {
 		const state = this.#hostState(entry.host);
 		const serviceMs = this.#expectedMs(state, route, nowMs);
-		const load = this.loadOf(entry, nowMs);
+		const load = this.#expectedLoad(entry, state, nowMs);
 		let cost = serviceMs * (1 + (LOAD_SLOPE * Math.max(0, load - this.#options.busyShare)));
 		if (load > 1) {
 			cost += objectiveMs * (load - 1);
@@ -232,14 +323,45 @@
 		return cost;
 	}
 
+	// What was heard of this target fades to what is heard of its group, because the news of one of many targets is old.
+	#expectedLoad(entry: HostEntry, state: HostState, nowMs: number): number {
+		const {service, slots} = entry.target!;
+		if (state.group === undefined) {
+			const key = `${service} ${entry.failureDomain}`;
+			state.group = this.#groups.get(key) ?? {load: this.#options.busyShare, heardMs: nowMs};
+			this.#groups.set(key, state.group);
+		}
+
+		const {report} = state;
+		const limit = report.limit > 0 ? report.limit : slots;
+		const groupLoad = this.#groupLoadOf(state.group, nowMs);
+		const isHeard = report.limit > 0;
+		const heardLoad = isHeard ? (report.running + report.queued + state.inFlight - state.inFlightAtReport) / limit : groupLoad;
+		const weight = isHeard ? 0.5 ** ((nowMs - state.reportedAtMs) / LOAD_HALF_LIFE_MS) : 0;
+		return Math.max((heardLoad * weight) + ((groupLoad + (state.inFlight / limit)) * (1 - weight)), state.inFlight / limit);
+	}
+
+	#groupLoadOf({load, heardMs}: GroupLoad, nowMs: number): number {
+		const weight = 0.5 ** ((nowMs - heardMs) / GROUP_HALF_LIFE_MS);
+		return (load * weight) + (this.#options.busyShare * (1 - weight));
+	}
+
 	#expectedMs(state: HostState, route: string, nowMs: number): number {
 		const isSlow = state.slowness > 1 && nowMs - state.slownessHeardMs < SLOWNESS_TTL_MS;
 		const meanMs = this.#routeMeansMs.get(route) ?? DEFAULT_SERVICE_MS;
-		const reportedMs = state.serviceMs.get(route) ?? meanMs;
+		const heardMs = state.serviceMs.get(route) ?? meanMs * state.relativeTime;
+		// A target that was slow when it was heard of last, cold for instance, isn't avoided for good.
+		const reportedMs = meanMs + ((heardMs - meanMs) * (0.5 ** ((nowMs - state.reportedAtMs) / SPEED_HALF_LIFE_MS)));
 		return isSlow ? Math.max(reportedMs, meanMs * state.slowness) : reportedMs;
 	}
 
+	// The daemon beside a target sees all of its runs, this one only those that it asked for.
 	#failureShareOf(state: HostState, nowMs: number): number {
+		const reported = (state.report.failureShare ?? 0) * (0.5 ** ((nowMs - state.reportedAtMs) / FAILURE_HALF_LIFE_MS));
+		return Math.max(this.#ownFailureShareOf(state, nowMs), reported);
+	}
+
+	#ownFailureShareOf(state: HostState, nowMs: number): number {
 		return state.failureShare * (0.5 ** ((nowMs - state.failureShareAtMs) / FAILURE_HALF_LIFE_MS));
 	}
 
@@ -251,9 +373,11 @@
 					running: 0, queued: 0, limit: 0, serviceMs: 0,
 				},
 				reportedAtMs: Number.NEGATIVE_INFINITY,
+				group: undefined,
 				inFlight: 0,
 				inFlightAtReport: 0,
 				serviceMs: new Map(),
+				relativeTime: 1,
 				failureShare: 0,
 				failureShareAtMs: 0,
 				unreachableUntilMs: 0,
--- a/src/mesh/balancing/targetspeed.ts
+++ b/src/mesh/balancing/targetspeed.ts
@@ -11,6 +11,8 @@
 const MAX_SLOWNESS = 8;
 /** The shortest time between two reports that a target is still slow, in ms. */
 const REPORT_INTERVAL_MS = 1500;
+/** Weight of one outcome in the share of runs that fail. */
+const FAILURE_WEIGHT = 0.05;
 
 type UsualTime = {runs: number; meanMs: number};
 
@@ -28,17 +30,28 @@
 	#recent = 1;
 	#slowSinceMs: number | undefined;
 	#reportedMs = Number.NEGATIVE_INFINITY;
+	#failureShare = 0;
 
 	/** By what factor the target is slower than usual; 1 unless it counts as slow. */
 	get slowness(): number {
 		return this.#slowSinceMs === undefined ? 1 : this.#recent;
 	}
 
+	/** Share of the last runs that the target shed or failed. */
+	get failureShare(): number {
+		return this.#failureShare;
+	}
+
 	/** When the target became slow, in ms; undefined if it isn't. */
 	get slowSinceMs(): number | undefined {
 		return this.#slowSinceMs;
 	}
 
+	/** Records whether the target shed or failed a run. */
+	recordOutcome(hasFailed: boolean): void {
+		this.#failureShare += ((hasFailed ? 1 : 0) - this.#failureShare) * FAILURE_WEIGHT;
+	}
+
 	/**
 	 * Records the work of one run, without the time for its own calls.
 	 * @returns whether peers should hear of the slowness: it began, goes on or ended
@@ -65,6 +78,7 @@
 		this.#usual.clear();
 		this.#recent = 1;
 		this.#slowSinceMs = undefined;
+		this.#failureShare = 0;
 	}
 
 	#updateState(nowMs: number): boolean {
--- a/src/mesh/membership/targetsignaltable.ts
+++ b/src/mesh/membership/targetsignaltable.ts
@@ -35,14 +35,15 @@
 		return this.#find(host, target)?.rateLimitPerS;
 	}
 
-	/** The entries without those whose target said that it leaves, and whose drain time is over. */
+	/** Whether the host's target said that it leaves, and its drain time is over. */
+	hasLeft({host, target}: HostEntry, nowMs: number): boolean {
+		const leavingSinceMs = this.#find(host, target)?.leavingSinceMs;
+		return leavingSinceMs !== undefined && nowMs - leavingSinceMs >= this.#drainMs;
+	}
+
+	/** The entries without those whose target has left. */
 	withoutLeft(entries: readonly HostEntry[], nowMs: number): readonly HostEntry[] {
-		return this.#hosts.size === 0
-			? entries
-			: entries.filter(({host, target}) => {
-				const leavingSinceMs = this.#find(host, target)?.leavingSinceMs;
-				return leavingSinceMs === undefined || nowMs - leavingSinceMs < this.#drainMs;
-			});
+		return this.#hosts.size === 0 ? entries : entries.filter(entry => !this.hasLeft(entry, nowMs));
 	}
 
 	forget(host: string): void {
--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -83,7 +83,8 @@
 			hosts, loadBalancer, retryBudget, targetSignals,
 		} = this.#parts;
 		const {route, service, isForRetriedRun} = this.#request;
-		const entry = loadBalancer.choose(targetSignals.withoutLeft(hosts.serving(service), nowMs), route.name, route.objectiveMs, this.#triedHosts, nowMs);
+		const call = {route: route.name, objectiveMs: route.objectiveMs, tried: this.#triedHosts};
+		const entry = loadBalancer.choose(hosts.serving(service), call, nowMs, candidate => targetSignals.hasLeft(candidate, nowMs));
 		if (entry !== undefined) {
 			if (this.#triedHosts.length === 0) {
 				retryBudget.recordFirstSend(service, nowMs);
--- a/test/mesh/loadbalancer.test.ts
+++ b/test/mesh/loadbalancer.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {Random} from '../../fakes/index.js';
 import {MAX_FLOOR} from '../../src/core/index.js';
 import {
 	type HostEntry, HostTable, LOAD_BALANCING, LoadBalancer, RetryBudget, chooseRetryAfterMs,
@@ -10,7 +11,7 @@
 	},
 });
 const createLoadBalancer = () => new LoadBalancer('a', LOAD_BALANCING, () => 0);
-const choose = (loadBalancer: LoadBalancer, entries: HostEntry[], nowMs = 0, tried: string[] = []) => loadBalancer.choose(entries, 'r', 1000, tried, nowMs)?.host;
+const choose = (loadBalancer: LoadBalancer, entries: HostEntry[], nowMs = 0, tried: string[] = []) => loadBalancer.choose(entries, {route: 'r', objectiveMs: 1000, tried}, nowMs)?.host;
 const createReport = (running: number, serviceMs = 20) => ({
 	running, queued: 0, limit: 10, serviceMs,
 });
@@ -158,3 +159,75 @@
 		expect(delayAt(1) - delayAt(0)).toBeGreaterThan(500);
 	});
 });
+
+describe('LoadBalancer with news of only a few of many targets', () => {
+	const targets = Array.from({length: 40}, (_, number) => entry(`h${number}`, number % 4 === 0 ? 'a' : 'b'));
+	const createSeeded = () => {
+		const random = new Random(3);
+		return new LoadBalancer('a', LOAD_BALANCING, () => random.next());
+	};
+
+	const chooseMany = (loadBalancer: LoadBalancer, count: number, nowMs = 0, entries = targets) => Array.from({length: count}, () => choose(loadBalancer, entries, nowMs)!);
+
+	it('doesn\'t send most calls to the one target that is idle', () => {
+		const loadBalancer = createSeeded();
+		chooseMany(loadBalancer, 10);
+		for (const {host} of targets) {
+			loadBalancer.onReport(host, 'r', createReport(host === 'h0' ? 0 : 9), 0);
+		}
+
+		expect(chooseMany(loadBalancer, 400).filter(host => host === 'h0').length).toBeLessThan(360);
+	});
+
+	it('takes the load of targets that it knows nothing of from those nearby, and leaves a failure domain that is full', () => {
+		const loadBalancer = createSeeded();
+		chooseMany(loadBalancer, 100);
+		for (let number = 0; number < 40; number++) {
+			loadBalancer.onReport('h0', 'r', createReport(14), 0);
+			loadBalancer.onReport('h4', 'r', createReport(14), 0);
+		}
+
+		const isNear = (host: string) => targets.find(target => target.host === host)!.failureDomain === 'a';
+		expect(chooseMany(loadBalancer, 100).filter(host => isNear(host))).toEqual([]);
+		expect(chooseMany(loadBalancer, 100, 60_000).every(host => isNear(host))).toBe(true);
+	});
+
+	it('sends calls again to a target that was slow when it was last heard of', () => {
+		const loadBalancer = createSeeded();
+		const near = targets.filter(({failureDomain}) => failureDomain === 'a');
+		for (const {host} of near) {
+			loadBalancer.onReport(host, 'r', createReport(0, host === 'h0' ? 200 : 40), 0);
+		}
+
+		expect(chooseMany(loadBalancer, 200, 10, near)).not.toContain('h0');
+		expect(chooseMany(loadBalancer, 200, 30_000, near)).toContain('h0');
+	});
+
+	it('expects a target that is fast for one route to be fast for another', () => {
+		const loadBalancer = createLoadBalancer();
+		for (let number = 0; number < 40; number++) {
+			loadBalancer.onReport('slow', 'r', createReport(0, 40), 0);
+			loadBalancer.onReport('slow', 'other', createReport(0, 60), 0);
+			loadBalancer.onReport('fast', 'other', createReport(0, 20), 0);
+		}
+
+		expect(choose(loadBalancer, [entry('slow'), entry('fast')])).toBe('fast');
+	});
+
+	it('avoids a target whose daemon says that it sheds its calls, though no call of this one was', () => {
+		const loadBalancer = createLoadBalancer();
+		loadBalancer.onReport('shedding', 'r', {...createReport(0), failureShare: 0.6}, 0);
+		expect(choose(loadBalancer, [entry('shedding'), entry('sound', 'b')])).toBe('sound');
+	});
+
+	it('finds the only usable target wherever it is, and none that has left', () => {
+		const loadBalancer = createSeeded();
+		for (const {host} of targets.slice(1)) {
+			loadBalancer.markUnreachable(host, 0);
+		}
+
+		expect(new Set(chooseMany(loadBalancer, 50, 10))).toEqual(new Set(['h0']));
+		const leftAll = new Set(targets.filter(({host}) => host !== 'h7').map(({host}) => host));
+		expect(loadBalancer.choose(targets, {route: 'r', objectiveMs: 1000, tried: []}, 10, ({host}) => leftAll.has(host))?.host).toBe('h7');
+	});
+});
