Owner: tells which share of its target's runs failed

A copy that sheds or fails its calls at once looks idle. Each daemon sends one of many targets so few calls that its own count of failures has faded before the next; the daemon beside the target sees them all. What the runs show of a target has moved to RunRecorder.

--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -171,9 +171,15 @@
 	}));
 }
 
-/** Encodes a load report as four numbers: running, queued, limit and service time in ms. */
+/** Encodes a load report as numbers: running, queued, limit, service time in ms, and the share of failed runs in percent unless that is 0. */
 export function packLoadReport(report: LoadReport | undefined): readonly number[] | null {
-	return report === undefined ? null : [report.running, report.queued, report.limit, Math.round(report.serviceMs)];
+	if (report === undefined) {
+		return null;
+	}
+
+	const {running, queued, limit, serviceMs, failureShare = 0} = report;
+	const failedPercent = Math.round(failureShare * 100);
+	return failedPercent === 0 ? [running, queued, limit, Math.round(serviceMs)] : [running, queued, limit, Math.round(serviceMs), failedPercent];
 }
 
 export function readLoadReport(packed: unknown): LoadReport | undefined {
@@ -181,9 +187,9 @@
 		return undefined;
 	}
 
-	const [running, queued, limit, serviceMs] = packed as number[];
+	const [running, queued, limit, serviceMs, failedPercent = 0] = packed as number[];
 	return {
-		running, queued, limit, serviceMs,
+		running, queued, limit, serviceMs, failureShare: failedPercent / 100,
 	};
 }
 
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -17,6 +17,9 @@
 	abstract cancel(owned: OwnedCall): void;
 	/** @param isServed whether the target ran the call and answered it */
 	abstract onRunEnded(owned: OwnedCall, isServed: boolean): void;
+	/** Called when the target has answered the call or shed it. @param hasFailed whether it shed or failed it by itself */
+	abstract onOutcome(owned: OwnedCall, hasFailed: boolean): void;
+	/** Called when a run failed without a whole answer. */
 	abstract onRunFailed(owned: OwnedCall, reason: FailureReason): void;
 	abstract onUnreachable(owned: OwnedCall): void;
 	abstract onMisdirected(owned: OwnedCall): void;
@@ -131,6 +134,8 @@
 			this.#isStreamed = true;
 		}
 
+		this.#owner.onOutcome(this, head.status >= 500 && !this.hasNestedFailure);
+
 		this.#sink?.onAnswer({...head, reached: this.#owner.listReachedServices(this.call), isFailedBelow: this.hasNestedFailure}, body, isWhole, this.#getLoadReport());
 	}
 
@@ -144,7 +149,9 @@
 
 	onNotRun(reason: RefusalReason): void {
 		this.#end(false);
-		if (reason === 'unreachable') {
+		if (reason === 'shed-by-target') {
+			this.#owner.onOutcome(this, true);
+		} else if (reason === 'unreachable') {
 			this.#owner.onUnreachable(this);
 		} else if (reason === 'misdirected') {
 			this.#owner.onMisdirected(this);
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	AdmissionQueue, NO_SIGNALS, type TargetLifecycle, type TargetSignals, TargetSpeed, type LoadReport, ServiceTimes, type LoadShedder,
+	AdmissionQueue, NO_SIGNALS, type TargetLifecycle, type TargetSignals, type LoadReport, type LoadShedder,
 } from '../../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -9,6 +9,7 @@
 import {type DecodeError} from '../error.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
 import {PeriodicCheck} from '../periodiccheck.js';
+import {RunRecorder} from './runrecorder.js';
 import {type TargetClient} from './targetclient.js';
 
 /** How long a run may exceed its deadline before its connection is closed, in ms: the target normally stops at the deadline by itself. */
@@ -39,8 +40,7 @@
 export class TargetOwner extends CallOwner {
 	readonly #options: TargetOwnerOptions;
 	readonly #queue = new AdmissionQueue<OwnedCall>(1);
-	readonly #serviceTimes = new ServiceTimes();
-	readonly #targetSpeed = new TargetSpeed();
+	readonly #runRecorder: RunRecorder;
 	readonly #running = new Set<OwnedCall>();
 	readonly #runningByAttempt = new Map<string, OwnedCall>();
 	readonly #periodicCheck = new PeriodicCheck(() => {
@@ -60,6 +60,7 @@
 	constructor(options: TargetOwnerOptions) {
 		super();
 		this.#options = options;
+		this.#runRecorder = new RunRecorder(options);
 	}
 
 	get running(): number {
@@ -77,7 +78,7 @@
 
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
-		this.#targetSpeed.reset();
+		this.#runRecorder.reset();
 		this.#signals = undefined;
 		this.#queue.setRateLimit(undefined, this.#options.clock.nowMs());
 	}
@@ -131,7 +132,7 @@
 
 	submit(call: Call, sink: CallSink): CallHandle {
 		const nowMs = this.#options.clock.nowMs();
-		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#serviceTimes.expectedMs(call.template.route)});
+		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#runRecorder.expectedMs(call.template.route)});
 		const refusal = this.#findRefusal(call, nowMs);
 		if (refusal !== undefined) {
 			this.#refuse(owned, refusal);
@@ -166,7 +167,7 @@
 
 	override getLoadReport(route: string): LoadReport {
 		return {
-			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.concurrency, serviceMs: this.#serviceTimes.knownMs(route),
+			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.concurrency, ...this.#runRecorder.describe(route),
 		};
 	}
 
@@ -192,15 +193,20 @@
 		const nowMs = this.#options.clock.nowMs();
 		const spentMs = nowMs - owned.startedMs;
 		if (isServed) {
-			this.#serviceTimes.record(owned.call.template.route, spentMs);
-			this.#recordWork(owned, nowMs);
+			this.#runRecorder.recordRun(owned, this.#queue.running, nowMs);
 		}
 
 		this.#queue.release(spentMs);
 		this.#startQueued();
 	}
 
-	override onRunFailed({call, startedMs}: OwnedCall, reason: FailureReason): void {
+	override onOutcome(owned: OwnedCall, hasFailed: boolean): void {
+		this.#runRecorder.recordOutcome(owned, hasFailed, this.#options.clock.nowMs());
+	}
+
+	override onRunFailed(owned: OwnedCall, reason: FailureReason): void {
+		const {call, startedMs} = owned;
+		this.onOutcome(owned, true);
 		this.#options.log.event('run_failed', {
 			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
 		});
@@ -259,31 +265,6 @@
 		this.#options.log.warn('target_header_unknown', {instance, attempt: attemptId, header: name});
 	}
 
-	#recordWork(owned: OwnedCall, nowMs: number): void {
-		const {log, lifecycle, onSlowness} = this.#options;
-		const {route} = owned.call.template;
-		const workMs = owned.workMs(nowMs);
-		const sinceMs = this.#targetSpeed.slowSinceMs;
-		if (workMs === undefined) {
-			return;
-		}
-
-		log.registry.observe('run', {route}, workMs);
-		if (!this.#targetSpeed.record(route, workMs, nowMs)) {
-			return;
-		}
-
-		const {slowness, slowSinceMs} = this.#targetSpeed;
-		onSlowness(slowness);
-		if (sinceMs === undefined) {
-			log.warn('target_slow', {
-				instance: lifecycle.current?.id ?? '', slowness: slowness.toFixed(1), route, workMs: Math.round(workMs), running: this.#queue.running,
-			});
-		} else if (slowSinceMs === undefined) {
-			log.event('target_recovered', {instance: lifecycle.current?.id ?? '', slowForMs: Math.round(nowMs - sinceMs)});
-		}
-	}
-
 	// Aborting a run costs a connection, so a run that will end soon continues while no call waits for its slot.
 	#mayFinish({call, startedMs, serviceMs}: OwnedCall, nowMs: number): boolean {
 		const leftMs = startedMs + (serviceMs * 2) - nowMs;
