--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -1,4 +1,5 @@
 import {type HostEntry} from '../membership/host.js';
+import {GroupLoad, fade} from './groupload.js';
 
 /** The load of a target, as its owner reports it with each answer. */
 export type LoadReport = {
@@ -29,7 +30,7 @@
 	// Follows from the price of traffic between failure domains.
 	crossDomainCostMs: 60,
 	// An instance that is slow but meets the objective keeps the calls of its own failure domain.
-	crossDomainCostShare: 0.15,
+	crossDomainCostShare: 0.25,
 	busyShare: 0.6,
 	unknownLoadJitter: 0.3,
 };
@@ -64,8 +65,6 @@
 	/** The hosts that the request was sent to before. */
 	readonly tried: readonly string[];
 };
-/** What the targets of one service in one failure domain have in use on average: a moving mean of their reports. */
-type GroupLoad = {load: number; heardMs: number};
 type Candidate = {entry: HostEntry | undefined; cost: number};
 type Comparison = {readonly best: Candidate; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
 type DomainSplit = {readonly near: HostEntry[]; readonly far: HostEntry[]};
@@ -102,10 +101,6 @@
 const LOAD_HALF_LIFE_MS = 1000;
 /** Half-life of how a target's times differ from those of the others, in ms, while nothing is heard of it. */
 const SPEED_HALF_LIFE_MS = 5000;
-/** Half-life of what is known of a group's load, in ms; then its load is taken for one that costs nothing, so that calls find out. */
-const GROUP_HALF_LIFE_MS = 4000;
-/** Weight of one report in the mean load of its group. */
-const GROUP_LOAD_WEIGHT = 0.1;
 /** Services of up to this many targets are compared whole. */
 const MAX_COMPARED = 12;
 /** Targets drawn in the daemon's own failure domain, and in the others, when a service has more. */
@@ -184,9 +179,7 @@
 		state.reportedAtMs = nowMs;
 		state.inFlightAtReport = state.inFlight;
 		if (state.group !== undefined && report.limit > 0) {
-			const before = this.#groupLoadOf(state.group, nowMs);
-			state.group.load = before + ((((report.running + report.queued) / report.limit) - before) * GROUP_LOAD_WEIGHT);
-			state.group.heardMs = nowMs;
+			state.group.record((report.running + report.queued) / report.limit, nowMs);
 		}
 
 		if (report.serviceMs > 0) {
@@ -328,41 +321,37 @@
 		const {service, slots} = entry.target!;
 		if (state.group === undefined) {
 			const key = `${service} ${entry.failureDomain}`;
-			state.group = this.#groups.get(key) ?? {load: this.#options.busyShare, heardMs: nowMs};
+			state.group = this.#groups.get(key) ?? new GroupLoad(this.#options.busyShare);
 			this.#groups.set(key, state.group);
 		}
 
 		const {report} = state;
 		const limit = report.limit > 0 ? report.limit : slots;
-		const groupLoad = this.#groupLoadOf(state.group, nowMs);
+		const groupLoad = state.group.expected(nowMs);
 		const isHeard = report.limit > 0;
 		const heardLoad = isHeard ? (report.running + report.queued + state.inFlight - state.inFlightAtReport) / limit : groupLoad;
-		const weight = isHeard ? 0.5 ** ((nowMs - state.reportedAtMs) / LOAD_HALF_LIFE_MS) : 0;
+		const weight = isHeard ? fade(nowMs - state.reportedAtMs, LOAD_HALF_LIFE_MS) : 0;
 		return Math.max((heardLoad * weight) + ((groupLoad + (state.inFlight / limit)) * (1 - weight)), state.inFlight / limit);
 	}
 
-	#groupLoadOf({load, heardMs}: GroupLoad, nowMs: number): number {
-		const weight = 0.5 ** ((nowMs - heardMs) / GROUP_HALF_LIFE_MS);
-		return (load * weight) + (this.#options.busyShare * (1 - weight));
-	}
-
 	#expectedMs(state: HostState, route: string, nowMs: number): number {
 		const isSlow = state.slowness > 1 && nowMs - state.slownessHeardMs < SLOWNESS_TTL_MS;
 		const meanMs = this.#routeMeansMs.get(route) ?? DEFAULT_SERVICE_MS;
 		const heardMs = state.serviceMs.get(route) ?? meanMs * state.relativeTime;
 		// A target that was slow when it was heard of last, cold for instance, isn't avoided for good.
-		const reportedMs = meanMs + ((heardMs - meanMs) * (0.5 ** ((nowMs - state.reportedAtMs) / SPEED_HALF_LIFE_MS)));
+		const reportedMs = meanMs + ((heardMs - meanMs) * fade(nowMs - state.reportedAtMs, SPEED_HALF_LIFE_MS));
 		return isSlow ? Math.max(reportedMs, meanMs * state.slowness) : reportedMs;
 	}
 
 	// The daemon beside a target sees all of its runs, this one only those that it asked for.
 	#failureShareOf(state: HostState, nowMs: number): number {
-		const reported = (state.report.failureShare ?? 0) * (0.5 ** ((nowMs - state.reportedAtMs) / FAILURE_HALF_LIFE_MS));
+		const {failureShare = 0} = state.report;
+		const reported = failureShare === 0 ? 0 : failureShare * fade(nowMs - state.reportedAtMs, FAILURE_HALF_LIFE_MS);
 		return Math.max(this.#ownFailureShareOf(state, nowMs), reported);
 	}
 
 	#ownFailureShareOf(state: HostState, nowMs: number): number {
-		return state.failureShare * (0.5 ** ((nowMs - state.failureShareAtMs) / FAILURE_HALF_LIFE_MS));
+		return state.failureShare === 0 ? 0 : state.failureShare * (0.5 ** ((nowMs - state.failureShareAtMs) / FAILURE_HALF_LIFE_MS));
 	}
 
 	#hostState(host: string): HostState {
