--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -277,6 +277,7 @@
 			return;
 		}
 
+		this.#context.log.registry.count('sent', {service: this.service, host: entry.host});
 		if (previousRefusal !== undefined) {
 			this.#logEvent('placed_again', previousRefusal);
 		}
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -83,6 +83,32 @@
 	});
 });
 
+describe('a target that sheds its calls at once', () => {
+	it('is named by its own daemon while it does', async () => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair({back: {slots: 4, workMs: 5}});
+		let id = 0;
+		const sendAll = async (count: number) => {
+			for (let number = 0; number < count; number++) {
+				// eslint-disable-next-line no-await-in-loop -- one after the other
+				await call(port, '/x/', {headers: createAttemptHeaders(`a${id++}`)});
+			}
+		};
+
+		await sendAll(5);
+		back.target.behaviourOverride = (_request, response) => {
+			response.writeHead(503, {[meshHeaders.notRun]: '1'});
+			response.end();
+		};
+
+		await sendAll(12);
+		back.target.behaviourOverride = undefined;
+		await sendAll(30);
+		const lines = mesh.logLines.filter(line => line.includes('daemon=back')).join('\n');
+		expect(lines).toMatch(/event=target_failing instance=i-back route=x failureShare=0\.3\d.*\n(?:.*\n)*.*event=target_sound instance=i-back failingForMs=\d+/v);
+	});
+});
+
 describe('a target that takes the place of a faster one', () => {
 	it('isn\'t taken for a slow one', async () => {
 		mesh = new Mesh();
