--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -1,5 +1,5 @@
 import {type HostEntry, type HostTable} from '../membership/host.js';
-import {type LoadBalancer} from '../balancing/loadbalancer.js';
+import {type LoadBalancer, type LoadReport} from '../balancing/loadbalancer.js';
 import {type Route} from '../routing/route.js';
 import {type TargetSignals} from '../membership/targetsignals.js';
 import {type TargetSignalTable} from '../membership/targetsignaltable.js';
@@ -100,6 +100,20 @@
 		return entry;
 	}
 
+	/** Records the load that the last host's owner reports. */
+	recordReport(report: LoadReport | undefined, nowMs: number): void {
+		if (report !== undefined && this.#entry !== undefined) {
+			this.#parts.loadBalancer.onReport(this.#entry.host, this.#request.route.name, report, nowMs);
+		}
+	}
+
+	/** Counts the call to the last host as no longer in flight. */
+	onEnded(): void {
+		if (this.#entry !== undefined) {
+			this.#parts.loadBalancer.onEnded(this.#entry.host);
+		}
+	}
+
 	/** Records what the target of the last host said of itself in its answer. */
 	recordSignals(signals: TargetSignals | undefined, nowMs: number): void {
 		if (signals !== undefined && this.#entry !== undefined && this.#parts.targetSignals.record(this.#entry, signals, nowMs)) {
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -9,6 +9,7 @@
 } from './frame.js';
 import {Gossip} from './gossip.js';
 import {Link, LinkEvents, LIVENESS_INTERVAL_MS} from './link.js';
+import {type ShareExchange} from './shareexchange.js';
 
 /** How many daemons, on average, remove an entry that all daemons find to be wrong; more than one, because one may fail. */
 const ENTRY_REMOVERS = 3;
@@ -16,9 +17,15 @@
 /** How soon the links of the mesh are chosen anew after a host has come or gone, in ms. */
 const NEIGHBOR_DELAY_MS = 50;
 
+/** How often floors are passed on to the neighbors while targets turn calls away, in ms: a few steps reach all daemons within half a second. */
+const SPREAD_INTERVAL_MS = 80;
+
 /** Why a link is closed whose host has another address now, and is as reachable as before. */
 const MOVED = 'moved';
 
+/** The beginning of the error of a connection to a host on which nothing listens. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
+
 export type LinksParts = {
 	/** The name of this daemon's host. */
 	readonly host: string;
@@ -29,6 +36,7 @@
 	readonly loadBalancer: LoadBalancer;
 	readonly loadShedder: LoadShedder;
 	readonly directory: Directory;
+	readonly shareExchange: ShareExchange;
 	readonly random: () => number;
 };
 
@@ -38,9 +46,13 @@
 	readonly #links = new Map<string, Link>();
 	/** Hosts whose link broke; this daemon reconnects to them so that a restarted daemon receives the configuration. */
 	readonly #unreachable: UnreachableHosts;
+	/** Hosts that refused the last connection: no daemon runs there. */
+	readonly #gone = new Set<string>();
+	#watched: ReadonlySet<string> = new Set();
 	readonly #gossip: Gossip;
 	readonly #timer: NodeJS.Timeout;
 	#neighborTimer: NodeJS.Timeout | undefined;
+	#spreadTimer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
 	constructor(parts: LinksParts) {
@@ -81,10 +93,28 @@
 
 		existing?.close(MOVED);
 		const link = new Link(host, address, this, () => this.#parts.clock.nowMs());
+		link.isWatched = this.#watched.has(host);
 		this.#links.set(host, link);
 		return link;
 	}
 
+	/** Watches the links to these hosts also while they carry no calls. */
+	watch(hosts: ReadonlySet<string>): void {
+		this.#watched = hosts;
+		for (const link of this.#links.values()) {
+			link.isWatched = hosts.has(link.host);
+		}
+	}
+
+	isUnreachable(host: string): boolean {
+		return this.#unreachable.has(host);
+	}
+
+	/** Whether the host refused the last connection: it is reachable, and no daemon runs there. */
+	isGone(host: string): boolean {
+		return this.#gone.has(host);
+	}
+
 	/** Keeps links open to the neighbors in the mesh. */
 	keepNeighbors(): void {
 		if (this.#isClosed) {
@@ -124,6 +154,7 @@
 		this.#isClosed = true;
 		clearInterval(this.#timer);
 		clearTimeout(this.#neighborTimer);
+		clearTimeout(this.#spreadTimer);
 		this.#gossip.close();
 	}
 
@@ -131,10 +162,12 @@
 	onHostNews(host: string): void {
 		this.#onHostsChanged();
 		this.#unreachable.delete(host);
+		this.#gone.delete(host);
 		this.#parts.loadBalancer.clearMarks(host);
 	}
 
 	removeHost(host: string): void {
+		this.#gone.delete(host);
 		this.#onHostsChanged();
 		this.#unreachable.delete(host);
 		this.#links.get(host)?.close('host gone');
@@ -152,6 +185,7 @@
 		switch (frame[0]) {
 			case FrameTag.floors: {
 				loadShedder.recordFloorReports(readFloorReports(frame), clock.nowMs());
+				this.#spreadFloors();
 				break;
 			}
 
@@ -162,14 +196,21 @@
 			}
 
 			default: {
-				if (!this.#gossip.handleFrame(frame, channel)) {
+				if (!this.#gossip.handleFrame(frame, channel) && !this.#parts.shareExchange.handleFrame(frame, channel)) {
 					log.registry.count('bad_input', {address: 'peers'});
 				}
 			}
 		}
 	}
 
+	/** Forgets a link that another daemon has closed. */
+	removeChannel(channel: FrameChannel): void {
+		this.#gossip.removeChannel(channel);
+		this.#parts.shareExchange.removeChannel(channel);
+	}
+
 	override onOpen(link: Link): void {
+		this.#gone.delete(link.host);
 		link.send(this.#gossip.buildHelloFrame());
 		if (link.isKept) {
 			this.#subscribe(link);
@@ -192,7 +233,11 @@
 	}
 
 	override onClosed(link: Link, reason: string): void {
-		this.#gossip.removeChannel(link);
+		this.removeChannel(link);
+		if (reason.includes(CONNECTION_REFUSED)) {
+			this.#gone.add(link.host);
+		}
+
 		if (this.#links.get(link.host) === link) {
 			this.#links.delete(link.host);
 		}
@@ -221,12 +266,31 @@
 
 	#onHostsChanged(): void {
 		this.#gossip.onHostsChanged();
+		this.#parts.shareExchange.onHostsChanged();
 		this.#neighborTimer ??= setTimeout(() => {
 			this.#neighborTimer = undefined;
 			this.keepNeighbors();
 		}, NEIGHBOR_DELAY_MS);
 	}
 
+	// Requests that wait bring no answers that floors could travel with.
+	#spreadFloors(): void {
+		const {loadShedder, clock} = this.#parts;
+		if (this.#spreadTimer !== undefined || this.#isClosed || !loadShedder.hasUnanswered(clock.nowMs())) {
+			return;
+		}
+
+		this.#spreadTimer = setTimeout(() => {
+			this.#spreadTimer = undefined;
+			const frame = this.buildFloorFrame();
+			if (frame !== undefined) {
+				this.#gossip.flood(frame);
+			}
+
+			this.#spreadFloors();
+		}, SPREAD_INTERVAL_MS);
+	}
+
 	#subscribe(link: Link): void {
 		link.send([FrameTag.subscribe]);
 		this.#gossip.addChannel(link);
