--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -35,7 +35,7 @@
 await build({
 	...options,
 	plugins: [...options.plugins, replaceModules],
-	sourcemap: false,
+	sourcemap: 'external',
 	minifyWhitespace: true,
 	minifySyntax: true,
 	legalComments: 'none',
