--- a/bench/start/daemon.ts
+++ b/bench/start/daemon.ts
@@ -31,7 +31,7 @@
 	}
 
 	/** Starts the daemon as the deploy file does, with the probe besides; resolves once it is ready. */
-	async start(storeAddress: string, nodeFlags: readonly string[]): Promise<void> {
+	async start(storeAddress: string, bundleFolder: string, nodeFlags: readonly string[]): Promise<void> {
 		const [requests, peers, readiness, announcements, metrics] = await findFreePorts(5);
 		this.requestsPort = requests;
 		this.target.sendNestedCallsTo(requests);
@@ -51,7 +51,7 @@
 			store: storeAddress,
 			bounds: {},
 		}));
-		this.#child = spawn(process.execPath, ['--max-old-space-size=160', ...nodeFlags, '--require', './bench/start/probe.cjs', 'target/comfreydyke.cjs'], {
+		this.#child = spawn(process.execPath, ['--max-old-space-size=160', ...nodeFlags, '--require', './bench/start/probe.cjs', `${bundleFolder}/comfreydyke.cjs`], {
 			env: {...process.env, COMFREYDYKE_SETTINGS: settingsFile}, stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
 		});
 		const bornMs = Date.now();
--- a/bench/start/main.ts
+++ b/bench/start/main.ts
@@ -23,6 +23,8 @@
 
 const rates = process.argv.filter(text => /^\d+$/v.test(text)).map(Number);
 const isProfiling = process.argv.includes('--profile');
+/** The folder of the bundle, so that two can be measured in turn. */
+const bundleFolder = process.argv.find(text => text.startsWith('--bundle='))?.slice('--bundle='.length) ?? 'target';
 const nodeFlags = process.argv.filter(text => text.startsWith('--flag=')).map(text => text.slice('--flag='.length));
 
 const sumOf = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0);
@@ -46,7 +48,7 @@
 	const targets = SERVICES.flatMap(service => Array.from({length: DAEMONS_PER_SERVICE}, (_, index) => new BenchTarget(`${service}-${index}`, service)));
 	await Promise.all(targets.map(async target => target.listen()));
 	const daemons = targets.map(target => new BenchDaemon(target, folder));
-	await Promise.all(daemons.map(async daemon => daemon.start(store.address, nodeFlags)));
+	await Promise.all(daemons.map(async daemon => daemon.start(store.address, bundleFolder, nodeFlags)));
 	const started = await readUsage(daemons);
 	// The first moments of a mesh, in which links open, belong to neither the start nor the idle second.
 	await sleep(2000);
@@ -56,7 +58,7 @@
 	const idleMsPerSecond = (idle.totalMs - last.totalMs) / daemons.length / IDLE_SECONDS;
 	console.log(`rate=${rate} start_ms=${(started.totalMs / daemons.length).toFixed(0)} idle_ms_per_s=${idleMsPerSecond.toFixed(2)}`);
 	const callers = new BenchCallers(daemons.filter(({target}) => target.service === SERVICES[0]).map(({requestsPort}) => requestsPort));
-	const table = new ProfileTable();
+	const table = new ProfileTable(`${bundleFolder}/daemon.cjs.map`);
 	let served = 0;
 	last = idle;
 	for (const stage of stages) {
--- a/bench/start/profile.ts
+++ b/bench/start/profile.ts
@@ -7,8 +7,6 @@
 /** A profile as V8 writes it; times in µs. */
 export type CpuProfile = {readonly nodes: readonly ProfileNode[]; readonly samples: readonly number[]; readonly timeDeltas: readonly number[]};
 
-const BUNDLE = 'target/daemon.cjs';
-const MAP = `${BUNDLE}.map`;
 /** The length of what the loader puts before the bundle's first line. */
 const WRAPPER_LENGTH = '(function (exports, require, module, __filename, __dirname) { '.length;
 
@@ -29,7 +27,12 @@
 export class ProfileTable {
 	readonly parts = new Map<string, number>();
 	readonly functions = new Map<string, number>();
-	readonly #map = existsSync(MAP) ? new SourceMap(JSON.parse(readFileSync(MAP, 'utf8')) as ConstructorParameters<typeof SourceMap>[0]) : undefined;
+	readonly #map: SourceMap | undefined;
+
+	/** @param mapFile the source map of the bundle; without it functions have no file */
+	constructor(mapFile: string) {
+		this.#map = existsSync(mapFile) ? new SourceMap(JSON.parse(readFileSync(mapFile, 'utf8')) as ConstructorParameters<typeof SourceMap>[0]) : undefined;
+	}
 
 	add({nodes, samples, timeDeltas}: CpuProfile): void {
 		const nodesById = new Map(nodes.map(node => [node.id, node]));
