--- a/src/log/metricsregistry.ts
+++ b/src/log/metricsregistry.ts
@@ -101,8 +101,21 @@
 	return series;
 }
 
+/** Characters that a label's value can't have in the text format. */
+const UNSAFE_PATTERN = /["\\\n]/v;
+const UNSAFE_PATTERN_ALL = /["\\\n]/gv;
+
+// Called for each record, several times a request: one text, no list and no copy of the labels.
 function formatLabels(labels: Labels): string {
-	return Object.entries(labels).map(([name, value]) => `${name}="${String(value).replaceAll(/["\\\n]/gv, '_')}"`).join(',');
+	let text = '';
+	for (const name in labels) {
+		if (Object.hasOwn(labels, name)) {
+			const value = String(labels[name]);
+			text += `${text === '' ? '' : ','}${name}="${UNSAFE_PATTERN.test(value) ? value.replaceAll(UNSAFE_PATTERN_ALL, '_') : value}"`;
+		}
+	}
+
+	return text;
 }
 
 function wrapInBraces(key: string): string {
