--- a/bench/start/main.ts
+++ b/bench/start/main.ts
@@ -25,6 +25,8 @@
 const isProfiling = process.argv.includes('--profile');
 /** The folder of the bundle, so that two can be measured in turn. */
 const bundleFolder = process.argv.find(text => text.startsWith('--bundle='))?.slice('--bundle='.length) ?? 'target';
+/** The numbers of calls at which the cost is read, in place of the usual ones. */
+const chosenStages = process.argv.find(text => text.startsWith('--stages='))?.slice('--stages='.length).split(',').map(Number);
 const nodeFlags = process.argv.filter(text => text.startsWith('--flag=')).map(text => text.slice('--flag='.length));
 
 const sumOf = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0);
@@ -114,7 +116,7 @@
 
 for (const rate of rates.length === 0 ? STAGES.keys() : rates) {
 	// eslint-disable-next-line no-await-in-loop -- one rate after another, so that they don't share the processor
-	await playRate(rate, STAGES.get(rate) ?? [100, 1000, 3000]);
+	await playRate(rate, chosenStages ?? STAGES.get(rate) ?? [100, 1000, 3000]);
 }
 
 // eslint-disable-next-line unicorn/no-process-exit -- kept connections would keep the process running
--- a/bench/start/site.ts
+++ b/bench/start/site.ts
@@ -111,7 +111,7 @@
 
 		const attemptId = String(request.headers[HEADER_NAMES.attemptId]);
 		await sleep(WORK_MS[this.service]);
-		const status = this.service === 'front' ? await sendCall(this.#outboundPort, '/back/item', `${attemptId}.1`, this.#agent) : 200;
+		const status = this.service === 'front' ? (await sendCall(this.#outboundPort, '/back/item', `${attemptId}.1`, this.#agent) || 502) : 200;
 		response.writeHead(status, {
 			'content-type': 'text/plain',
 			[HEADER_NAMES.attemptId]: attemptId,
