--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -6,10 +6,11 @@
  * source map and no part of a library that the daemon doesn't use, and lies
  * beside a cache of its compiled code.
  */
-import {copyFileSync} from 'node:fs';
+import {execFileSync} from 'node:child_process';
+import {copyFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
-import {warmUp} from '../platform/warmup.mjs';
 import {bundleOptions} from './bundle.mjs';
 
 const resolveHere = name => fileURLToPath(new URL(name, import.meta.url));
@@ -42,7 +43,23 @@
 });
 copyFileSync(resolveHere('loader.cjs'), 'target/comfreydyke.cjs');
 
-const served = await warmUp('target');
-if (served === 0) {
-	console.warn('the warm-up served no call, so each daemon compiles what calls use by itself');
-}
+// The daemon that fills the cache listens on ports of the loopback address that the system chooses, and finds no store.
+const anyPort = '127.0.0.1:0';
+writeFileSync('target/warmup.json', JSON.stringify({
+	host: 'warmup',
+	failureDomain: 'a',
+	service: 's',
+	target: anyPort,
+	listen: {
+		requests: anyPort, peers: anyPort, readiness: anyPort, announcements: anyPort, metrics: anyPort,
+	},
+	isFirstStart: true,
+	seeds: [],
+	announceIntervalMs: 1500,
+	store: '127.0.0.1:1',
+	bounds: {},
+}));
+// The cache is only valid for the flags of the deploy file.
+execFileSync(process.execPath, ['--max-old-space-size=160', 'target/comfreydyke.cjs', '--write-cache'], {
+	env: {...process.env, COMFREYDYKE_SETTINGS: 'target/warmup.json'}, stdio: ['ignore', 'ignore', 'inherit'],
+});
