--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -167,12 +167,25 @@
 
 	onNotRun(reason: RefusalReason): void {
 		this.#end(false, reason === 'shed-by-target' ? 'turned-away' : 'lost');
-		if (reason === 'shed-by-target') {
-			this.#owner.onOutcome(this, true);
-		} else if (reason === 'unreachable') {
-			this.#owner.onUnreachable(this);
-		} else if (reason === 'misdirected') {
-			this.#owner.onMisdirected(this);
+		switch (reason) {
+			case 'shed-by-target': {
+				this.#owner.onOutcome(this, true);
+
+				break;
+			}
+
+			case 'unreachable': {
+				this.#owner.onUnreachable(this);
+
+				break;
+			}
+
+			case 'misdirected': {
+				this.#owner.onMisdirected(this);
+
+				break;
+			}
+		// No default
 		}
 
 		this.#sink?.onRefused(reason, this.#getLoadReport());
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -5,8 +5,8 @@
 } from '../../mesh/index.js';
 import {type Adapter, type TargetMessage} from '../adapter.js';
 import {type Directory} from '../store/directory.js';
-import {type TargetOwner} from './targetowner.js';
 import {type RelaySettings} from '../settings.js';
+import {type TargetOwner} from './targetowner.js';
 import {type TargetClient} from './targetclient.js';
 
 /** How many announcement intervals a target may stay silent before it counts as gone. */
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -7,8 +7,8 @@
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {type DecodeError} from '../error.js';
-import {CallOwner, OwnedCall} from './ownedcall.js';
 import {PeriodicCheck} from '../periodiccheck.js';
+import {CallOwner, OwnedCall} from './ownedcall.js';
 import {logRefusal} from './refusallog.js';
 import {RunRecorder} from './runrecorder.js';
 import {type TargetClient} from './targetclient.js';
