--- a/src/relay/clients/heldrequests.ts
+++ b/src/relay/clients/heldrequests.ts
@@ -109,7 +109,7 @@
 		const nowMs = clock.nowMs();
 		for (const {exchange, kind, heldAtMs, lastStartMs} of this.#admission.release(kind => this.#chanceOf(this.#routedServices.get(kind)!, nowMs), nowMs)) {
 			this.#heldByExchange.delete(exchange);
-			log.registry.observe('held', {route: kind}, nowMs - heldAtMs);
+			log.registry.observe('held', this.#routedServices.get(kind)!, nowMs - heldAtMs);
 			log.event('released', {attempt: exchange.attemptId, heldMs: Math.round(nowMs - heldAtMs), reason: nowMs >= lastStartMs ? 'last-moment' : 'recovered'});
 			exchange.resume();
 		}
