--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -170,22 +170,22 @@
 		switch (reason) {
 			case 'shed-by-target': {
 				this.#owner.onOutcome(this, true);
-
 				break;
 			}
 
 			case 'unreachable': {
 				this.#owner.onUnreachable(this);
-
 				break;
 			}
 
 			case 'misdirected': {
 				this.#owner.onMisdirected(this);
+				break;
+			}
 
+			default: {
 				break;
 			}
-		// No default
 		}
 
 		this.#sink?.onRefused(reason, this.#getLoadReport());
