--- /dev/null
+++ b/test/mesh/placement.test.ts
@@ -0,0 +1,27 @@
+import {describe, expect, it} from 'vitest';
+import {type PlacementPolicy, type PlacementScenario, PlacementSimulation} from '../../fakes/placementsimulation.js';
+
+const fleet: PlacementScenario = {
+	name: 'fleet', targets: 42, daemons: 86, domainCount: 4, slots: 12, workMs: 240, objectiveMs: 2000, deadlineMs: 5000, demand: 0.75, speeds: [0.5, 1, 1, 1.5],
+};
+const play = (scenario: Partial<PlacementScenario>, policy: PlacementPolicy = 'load-balancer') => new PlacementSimulation({...fleet, ...scenario}, policy, 5).run(12_000);
+
+describe('42 targets of uneven speed', () => {
+	it('serve all in time while the machines of a sixth of them are slow for a moment', () => {
+		const noise = {noiseShare: 0.17, noiseFactor: 2.5};
+		const {inTimeShare, p99Ms} = play(noise);
+		expect(inTimeShare).toBeGreaterThan(0.99);
+		expect(p99Ms).toBeLessThan(play(noise, 'two-choices').p99Ms * 0.6);
+	});
+
+	it('serve all in time though one failure domain has less than its calls need, and few calls leave theirs', () => {
+		const {inTimeShare, crossingShare} = play({domainSpeeds: [0.6, 1, 1, 1.4]});
+		expect(inTimeShare).toBeGreaterThan(0.99);
+		expect(crossingShare).toBeLessThan(0.25);
+	});
+
+	it('aren\'t drawn to those that shed at once', () => {
+		const shedding = {sheddingTargets: 6, shedShare: 0.6};
+		expect(play(shedding).shedShare).toBeLessThan(play(shedding, 'two-choices').shedShare / 4);
+	});
+});
