--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -167,25 +167,16 @@
 
 	onNotRun(reason: RefusalReason): void {
 		this.#end(false, reason === 'shed-by-target' ? 'turned-away' : 'lost');
-		switch (reason) {
-			case 'shed-by-target': {
-				this.#owner.onOutcome(this, true);
-				break;
-			}
-
-			case 'unreachable': {
-				this.#owner.onUnreachable(this);
-				break;
-			}
-
-			case 'misdirected': {
-				this.#owner.onMisdirected(this);
-				break;
-			}
-
-			default: {
-				break;
-			}
+		if (reason === 'shed-by-target') {
+			this.#owner.onOutcome(this, true);
+		}
+
+		if (reason === 'unreachable') {
+			this.#owner.onUnreachable(this);
+		}
+
+		if (reason === 'misdirected') {
+			this.#owner.onMisdirected(this);
 		}
 
 		this.#sink?.onRefused(reason, this.#getLoadReport());
