The joined parts: checks that a change elsewhere had made blind or red

- DRAIN, by answers: its sabotage took withoutLeft away, which the choice of a host no longer asks; it takes hasLeft away now, and is reported again.
As strict: both daemons' ways to know of a leaving are off.
- What two organisations can't both have is found in src/mesh/organisations, the adapter only names the table: it has to stay a thin layer.

--- a/proof/rules/signals.ts
+++ b/proof/rules/signals.ts
@@ -80,7 +80,7 @@
 			apply(): Undo {
 				const undos = [
 					replaceMethod(TargetLifecycle.prototype, 'startDrain', () => false),
-					replaceMethod(TargetSignalTable.prototype, 'withoutLeft', entries => entries),
+					replaceMethod(TargetSignalTable.prototype, 'hasLeft', () => false),
 				];
 				return () => {
 					for (const undo of undos) {
--- a/src/mesh/organisations/index.ts
+++ b/src/mesh/organisations/index.ts
@@ -2,5 +2,6 @@
 	type Authentication, type AuthenticationRefusal, type Credentials, type RevocationOptions, Authenticator, readBearerKey,
 } from './authenticator.js';
 export {largestOrganisations, quotaLimits} from './quota.js';
+export {findConflict} from './conflict.js';
 export {type Organisation} from './organisation.js';
 export {OrganisationTable} from './organisationtable.js';
