--- /dev/null
+++ b/test/failures/plannedstop.test.ts
@@ -0,0 +1,91 @@
+import {type Socket, connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {
+	Mesh, createRoute, createSiteSpec,
+} from '../../standins/mesh.js';
+import {createAttemptHeaders} from '../../standins/meshadapter.js';
+
+const ROUTES = [createRoute('x', 'back', {repeatability: 'unsafe'})];
+/** The rest of a request comes well within the time in which a stopping daemon still reads. */
+const REST_AFTER_MS = 120;
+
+let mesh: Mesh;
+afterEach(async () => {
+	await mesh.close();
+});
+
+const headOf = (id: string, more = '') => `POST /x/ HTTP/1.1\r\n${Object.entries(createAttemptHeaders(id)).map(([name, value]) => `${name}: ${value}\r\n`).join('')}${more}\r\n`;
+
+/** Sends the parts of a request with a pause between them. @returns all that comes back until the connection closes */
+async function exchange(port: number, parts: readonly string[], pauseMs: number): Promise<string> {
+	const socket: Socket = connect(port, '127.0.0.1');
+	let text = '';
+	socket.on('data', bytes => {
+		text += bytes.toString();
+	});
+	const closed = new Promise<void>(resolve => {
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			resolve();
+		});
+	});
+	for (const [index, part] of parts.entries()) {
+		if (index > 0) {
+			// eslint-disable-next-line no-await-in-loop -- one part after the other
+			await sleep(pauseMs);
+		}
+
+		socket.write(part);
+	}
+
+	await closed;
+	return text;
+}
+
+const statusesIn = (text: string) => [...text.matchAll(/HTTP\/1\.1 (?<status>\d+)/gv)].map(({groups}) => Number(groups!.status));
+
+type Stop = {readonly name: string; readonly beside: (front: {stop: () => Promise<void>}) => void};
+const STOPS: Stop[] = [
+	{name: 'alone', beside: () => undefined},
+	{
+		name: 'with a second signal',
+		beside(front) {
+			void front.stop();
+		},
+	},
+	{
+		name: 'while a configuration arrives',
+		beside() {
+			mesh.configure(createSiteSpec([...ROUTES, createRoute('y', 'back')], 2));
+		},
+	},
+];
+
+describe('a planned stop under load', () => {
+	it.each(STOPS)('answers whatever it has read, $name', async ({beside}) => {
+		mesh = new Mesh();
+		const {front, back, port} = await mesh.addPair({routes: ROUTES, back: {slots: 100, workMs: 150}});
+		const running = Array.from({length: 10}, async (_, number) => exchange(port, [headOf(`running-${number}`, 'content-length: 0\r\n')], 0));
+		const halfHeads = Array.from({length: 5}, async (_, number) => {
+			const head = headOf(`half-${number}`, 'content-length: 0\r\n');
+			return exchange(port, [head.slice(0, 30), head.slice(30)], REST_AFTER_MS);
+		});
+		const bodies = Array.from({length: 5}, async (_, number) => exchange(port, [headOf(`body-${number}`, 'content-length: 6\r\n') + 'abc', 'def'], REST_AFTER_MS));
+		await sleep(40);
+		const accepted = Array.from({length: 20}, async (_, number) => exchange(port, [headOf(`accepted-${number}`, 'content-length: 0\r\n')], 0));
+		const behind = exchange(port, [headOf('first', 'content-length: 0\r\n') + headOf('behind', 'content-length: 0\r\n')], 0);
+		const stopped = front.stop();
+		beside(front);
+		const answers = await Promise.all([...running, ...halfHeads, ...bodies, ...accepted]);
+		expect(answers.map(text => statusesIn(text))).toEqual(answers.map(() => [200]));
+		// The one behind another is answered, too, or wasn't read and has run nowhere.
+		const [first, second] = statusesIn(await behind);
+		expect(first).toBe(200);
+		expect([200, undefined]).toContain(second);
+		expect(back.target.ranAttemptIds.filter(id => id === 'behind')).toHaveLength(second === undefined ? 0 : 1);
+		await stopped;
+	});
+});
