--- a/src/relay/peers/shareexchange.ts
+++ b/src/relay/peers/shareexchange.ts
@@ -127,6 +127,10 @@
 
 	#check(): void {
 		const {host: ownHost, clock, hosts, sharing, random, links} = this.#parts;
+		// First, so that an error in one check doesn't end all.
+		this.#timer = setTimeout(() => {
+			this.#check();
+		}, sharing.intervalMs * (1 + (INTERVAL_JITTER * (random() - 0.5))));
 		const nowMs = clock.nowMs();
 		const others = hosts.entries.filter(({host}) => host !== ownHost);
 		if (this.#areHostsStale) {
@@ -137,9 +141,6 @@
 		this.#logChanges(sharing.check(1 + others.filter(({host}) => !links().isGone(host)).length, nowMs));
 		this.#send(sharing.takeReports(host => this.#canSend(host), nowMs));
 		this.#dialUnheard(others);
-		this.#timer = setTimeout(() => {
-			this.#check();
-		}, sharing.intervalMs * (1 + (INTERVAL_JITTER * (random() - 0.5))));
 	}
 
 	#send(reports: readonly DueReport[]): void {
