--- a/proof/rules/index.ts
+++ b/proof/rules/index.ts
@@ -3,6 +3,7 @@
 import {type RuleCheck} from './rulecheck.js';
 import {LIFECYCLE_CHECKS} from './lifecycle.js';
 import {LOAD_CHECKS} from './load.js';
+import {ORGANISATION_CHECKS} from './organisations.js';
 import {ROUTE_CHECKS} from './routes.js';
 import {SIGNAL_CHECKS} from './signals.js';
 import {STORE_RESTORE_CHECKS} from './storerestore.js';
@@ -10,7 +11,7 @@
 export {type RuleCheck} from './rulecheck.js';
 
 /** The checks of all rules of the platform, each with a sabotage of the mechanism that enforces the rule. */
-export const RULE_CHECKS: readonly RuleCheck[] = [...ANSWER_CHECKS, ...ROUTE_CHECKS, ...LIFECYCLE_CHECKS, ...LOAD_CHECKS, ...SIGNAL_CHECKS, ...STORE_RESTORE_CHECKS];
+export const RULE_CHECKS: readonly RuleCheck[] = [...ANSWER_CHECKS, ...ROUTE_CHECKS, ...LIFECYCLE_CHECKS, ...LOAD_CHECKS, ...SIGNAL_CHECKS, ...ORGANISATION_CHECKS, ...STORE_RESTORE_CHECKS];
 
 /** Checks one rule on a new mesh. @returns the violations */
 export async function checkRule({run, sabotage}: RuleCheck, isSabotaged: boolean): Promise<string[]> {
