A planned stop waits until answers are written, and for requests that are on their way

Callers of a daemon that stops lost answers in three ways: an answer that had ended, but stood in the process' buffers because its client reads slowly, was destroyed when the listener closed; a request of which half a head had been read at the end of the lame-duck time, and the first request of a connection accepted just before it, were cut off without an answer.

Cause: the stop counted exchanges, which end when the answer is handed to Node's response, not when it is written; Node's http server closes 'idle' connections in close(), those with an ended but unwritten answer included; the drain ended each connection without an open request, whatever had been read of the next. Answers to peers that waited in a link's buffer had the same fate at the exit of the process.

--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -11,6 +11,7 @@
 import {listen} from '../listen.js';
 import {type Address} from '../settings.js';
 import {PeriodicCheck} from '../periodiccheck.js';
+import {ClientConnection} from './clientconnection.js';
 import {type ExchangeContext} from './exchangecontext.js';
 import {Exchange} from './exchange.js';
 import {type QuotaGate} from './quotagate.js';
@@ -43,13 +44,6 @@
 	readonly quotaGate: QuotaGate;
 };
 
-type Connection = {
-	readonly exchanges: Set<Exchange>;
-	/** The number of requests whose answers aren't yet fully written to the socket. */
-	unansweredRequests: number;
-	isClosing: boolean;
-};
-
 /** Accepts requests from the clients and the target on this host, over HTTP. */
 export class RequestServer {
 	readonly #options: RequestServerOptions;
@@ -57,12 +51,11 @@
 	readonly #server: Server;
 	readonly #splitter: TrafficSplitter;
 	readonly #exchanges = new Set<Exchange>();
-	readonly #connections = new WeakMap<Socket, Connection>();
+	readonly #connections = new Map<Socket, ClientConnection>();
 	readonly #notForwarded: ReadonlySet<string>;
 	/** Besides these, the headers that tell or prove an organisation, where the site has some. */
 	readonly #notForwardedWithOrganisations: ReadonlySet<string>;
 	readonly #authenticator: Authenticator;
-	readonly #sockets = new Set<Socket>();
 	readonly #deadlineCheck = new PeriodicCheck(() => this.#checkDeadlines());
 	#isStopping = false;
 
@@ -97,12 +90,13 @@
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (request, response) => {
 			this.#onRequest(request, response);
 		});
+		// When the server closes, Node would take connections for idle whose answers have ended but aren't written.
+		this.#server.closeIdleConnections = () => undefined;
 		this.#server.on('connection', (socket: Socket) => {
-			this.#sockets.add(socket);
-			const connection: Connection = {exchanges: new Set(), unansweredRequests: 0, isClosing: false};
+			const connection = new ClientConnection(socket, options.clock.nowMs());
 			this.#connections.set(socket, connection);
 			socket.on('close', () => {
-				this.#sockets.delete(socket);
+				this.#connections.delete(socket);
 				for (const exchange of connection.exchanges) {
 					exchange.onClientDisconnected();
 				}
@@ -117,6 +111,12 @@
 		return this.#exchanges.size;
 	}
 
+	/** Whether a client waits for an answer or for the rest of one, or is sending a request. */
+	get isInUse(): boolean {
+		const nowMs = this.#options.clock.nowMs();
+		return this.#exchanges.size > 0 || [...this.#connections.values()].some(connection => connection.isInUse(nowMs));
+	}
+
 	async listen(address: Address): Promise<void> {
 		await listen(this.#server, address);
 	}
@@ -132,15 +132,17 @@
 		this.#isStopping = true;
 	}
 
-	/** Accepts no more requests: open ones are still answered, then their connections close. */
+	/** Accepts no more connections, and no more requests on idle ones: all others close after their next answer. */
 	drain(): void {
 		this.#isStopping = true;
 		this.#server.close();
-		for (const socket of this.#sockets) {
-			const connection = this.#connections.get(socket)!;
-			connection.isClosing = true;
-			if (connection.unansweredRequests === 0) {
+		const nowMs = this.#options.clock.nowMs();
+		for (const [socket, connection] of this.#connections) {
+			if (!connection.isInUse(nowMs)) {
+				connection.isClosing = true;
 				socket.end();
+			} else if (connection.unansweredRequests > 0) {
+				connection.isClosing = true;
 			}
 		}
 	}
@@ -152,7 +154,7 @@
 			exchange.abort();
 		}
 
-		for (const socket of this.#sockets) {
+		for (const socket of this.#connections.keys()) {
 			socket.end();
 		}
 	}
@@ -165,9 +167,9 @@
 			return;
 		}
 
-		connection.unansweredRequests++;
+		connection.onRequest();
 		response.on('finish', () => {
-			connection.unansweredRequests--;
+			connection.onAnswerWritten();
 		});
 
 		response.sendDate = false;
--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -70,6 +70,11 @@
 		});
 	}
 
+	/** Whether answers wait to be written to a link. */
+	get isSending(): boolean {
+		return [...this.#links].some(link => link.isSending);
+	}
+
 	async listen(address: Address): Promise<void> {
 		await listen(this.#server, address);
 	}
@@ -128,6 +133,10 @@
 		});
 	}
 
+	get isSending(): boolean {
+		return this.#socket.readyState === this.#socket.OPEN && this.#socket.bufferedAmount > 0;
+	}
+
 	override send(frame: Frame): void {
 		if (this.#socket.readyState === this.#socket.OPEN) {
 			this.#socket.send(encodeFrame(frame));
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -236,7 +236,7 @@
 		await new Promise<void>(resolve => {
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
-				const isIdle = this.#requestServer.openRequests === 0 && this.#targetOwner.running === 0;
+				const isIdle = !this.#requestServer.isInUse && !this.#peerServer.isSending && this.#targetOwner.running === 0;
 				if ((isIdle && nowMs - startMs >= this.#settings.lameDuckMs) || nowMs >= endMs) {
 					clearInterval(timer);
 					resolve();
--- a/test/failures/plannedstop.test.ts
+++ b/test/failures/plannedstop.test.ts
@@ -11,6 +11,9 @@
 const ROUTES = [createRoute('x', 'back', {repeatability: 'unsafe'})];
 /** The rest of a request comes well within the time in which a stopping daemon still reads. */
 const REST_AFTER_MS = 120;
+const LAME_DUCK_MS = 300;
+const REQUESTS = 300;
+const ANSWER_BYTES = 60_000;
 
 let mesh: Mesh;
 afterEach(async () => {
@@ -89,3 +92,45 @@
 		await stopped;
 	});
 });
+
+describe('a planned stop of a daemon whose clients are slow', () => {
+	it('waits until all answers are written', async () => {
+		mesh = new Mesh();
+		const {front, back, port} = await mesh.addPair({routes: ROUTES, back: {slots: 100, bodyBytes: ANSWER_BYTES}});
+		const socket = connect(port, '127.0.0.1');
+		socket.pause();
+		// All are read at once, and the buffers of the two sockets don't hold the answers.
+		socket.write(Array.from({length: REQUESTS}, (_, number) => headOf(`slow-${number}`, 'content-length: 0\r\n')).join(''));
+		await sleep(700);
+		expect(back.target.ranAttemptIds).toHaveLength(REQUESTS);
+		let isStopped = false;
+		const stopped = (async () => {
+			await front.stop();
+			isStopped = true;
+		})();
+		await sleep(2 * LAME_DUCK_MS);
+		expect(isStopped).toBe(false);
+		let length = 0;
+		socket.on('data', bytes => {
+			length += bytes.length;
+		});
+		socket.resume();
+		await stopped;
+		await sleep(50);
+		expect(length).toBeGreaterThan(REQUESTS * ANSWER_BYTES);
+	});
+
+	it.each([
+		{name: 'with half a head', early: 30},
+		{name: 'accepted just now', early: 0},
+	])('answers a connection $name, though its request comes after the drain', async ({early}) => {
+		mesh = new Mesh();
+		const {front, back, port} = await mesh.addPair({routes: ROUTES});
+		const stopped = front.stop();
+		await sleep(LAME_DUCK_MS - 50);
+		const head = headOf('late', 'content-length: 0\r\n');
+		const answer = await exchange(port, [head.slice(0, early), head.slice(early)], 100);
+		expect([statusesIn(answer), back.target.ranAttemptIds]).toEqual([[200], ['late']]);
+		await stopped;
+	});
+});
