A product's daemon that stops writes its answers first

Callers that read slowly lost the rest of their answers at a planned stop: the daemon closed its idle connections, and Node takes a connection for idle whose answer has ended, written or not. Now the connections stay until the answers are written, at most 10 s (the longest that a caller of the questionnaire's defaults waits).

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer} from '../core/index.js';
 import {type HttpMessage, header} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
@@ -11,6 +13,8 @@
 
 const MAX_HEADER_BYTES = 32_768;
 const IDLE_TIMEOUT_MS = 65_000;
+/** How long a daemon that stops waits for clients that read their answers slowly, in ms. */
+const MAX_WRITE_MS = 10_000;
 
 /** Where a request server listens, and its limits. */
 export type RequestServerOptions = {
@@ -77,13 +81,23 @@
 	/** Accepts no new connections. Each response from now on closes its connection. */
 	stopAccepting(): void {
 		this.#isClosing = true;
+		// Node would take connections for idle whose answers have ended but aren't written.
+		this.server.closeIdleConnections = () => undefined;
 		this.server.close();
-		this.server.closeIdleConnections();
 	}
 
-	/** Resolves when all open responses are closed. */
+	/** Resolves when all open responses are written or broken off, or clients take too long to read them. */
 	async waitForResponses(): Promise<void> {
-		this.server.closeIdleConnections();
+		const endMs = performance.now() + MAX_WRITE_MS;
+		while (this.#openResponses.size > 0 && performance.now() < endMs) {
+			// eslint-disable-next-line no-await-in-loop -- others may have come meanwhile
+			await Promise.race([sleep(endMs - performance.now(), undefined, {ref: false}), this.#waitForOpenResponses()]);
+		}
+
+		this.server.closeAllConnections();
+	}
+
+	async #waitForOpenResponses(): Promise<void> {
 		await Promise.all([...this.#openResponses.values()].map(async response => new Promise(resolve => {
 			response.once('close', resolve);
 		})));
