Gossip: versions are compared for a lasting difference, not while entries change

One cause: two news in a row with different digests made a daemon send all versions to its peer and get all of its own back (7.5 kB each way at 300), each 1.5 s. While entries change one after the other, as in a rolling restart, digests of two daemons differ all the time.

Now the same two digests must differ twice in a row: what is on its way changes them. The twelfth difference compares at all events, so that nobody who misses an entry waits for a quiet moment.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -45,6 +45,8 @@
 	}
 
 	override send(frame: Frame): void {
+		const [tag] = frame;
+		this.#from.sentFrames.set(tag, (this.#from.sentFrames.get(tag) ?? 0) + 1);
 		this.#from.deliver(() => {
 			if (this.#from.reaches(this.#to)) {
 				this.#to.gossip.handleFrame(frame, this.#reverse!);
@@ -70,6 +72,8 @@
 	readonly versionsInForce: number[] = [];
 	readonly logLines: string[] = [];
 	readonly links = new Map<string, FakeChannel>();
+	/** The number of frames sent, by tag. */
+	readonly sentFrames = new Map<number, number>();
 	/** Runs an action after the delay of a link. */
 	readonly deliver: (action: () => void) => void;
 
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -15,11 +15,16 @@
 const RECORD_REQUEST_TIMEOUT_MS = 300;
 /** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
-/** Consecutive news with a different digest from one peer before the versions are compared: versions may be on their way. */
-const MISMATCH_LIMIT = 2;
+/** Consecutive news with a different digest from one peer after which the versions are compared even if they still change. */
+const MAX_MISMATCHES = 12;
 /** The shortest time between two comparisons of versions that this daemon begins, in ms. */
 const COMPARISON_INTERVAL_MS = 1500;
 
+/** A difference between the digests of two daemons: a pair that stays the same is no version on its way. */
+type Mismatch = {count: number; own: number; other: number};
+
+const NO_MISMATCH: Mismatch = {count: 0, own: 0, other: 0};
+
 export type GossipParts = {
 	readonly host: string;
 	readonly failureDomain: string;
@@ -41,8 +46,8 @@
  */
 export class Gossip {
 	readonly #parts: GossipParts;
-	/** The links of the mesh, opened by either side, with the number of consecutive news whose digest differed. */
-	readonly #channels = new Map<FrameChannel, number>();
+	/** The links of the mesh, opened by either side, with the difference that the last news on each showed. */
+	readonly #channels = new Map<FrameChannel, Mismatch>();
 	#neighbors: readonly HostEntry[] = [];
 	/** The neighbors that this daemon would have if all known hosts were reachable. */
 	#preferredNeighbors: ReadonlySet<string> = new Set();
@@ -87,7 +92,7 @@
 	addChannel(channel: FrameChannel): void {
 		if (!this.#channels.has(channel)) {
 			// The first difference on a new link is no version on its way.
-			this.#channels.set(channel, MISMATCH_LIMIT - 1);
+			this.#channels.set(channel, {...NO_MISMATCH, count: MAX_MISMATCHES - 1});
 			channel.send(this.#buildNewsFrame());
 		}
 	}
@@ -260,22 +265,25 @@
 		this.#compareDigest(digest, channel);
 	}
 
-	#compareDigest(digest: number, channel: FrameChannel): void {
-		const {hosts, nowMs} = this.#parts;
-		const mismatches = this.#channels.get(channel);
-		if (mismatches === undefined || digest === hosts.digest) {
-			if (mismatches !== undefined) {
-				this.#channels.set(channel, 0);
-			}
+	#compareDigest(other: number, channel: FrameChannel): void {
+		const {hosts: {digest: own, revisions}, nowMs} = this.#parts;
+		const last = this.#channels.get(channel);
+		if (last === undefined) {
+			return;
+		}
 
+		if (other === own) {
+			this.#channels.set(channel, NO_MISMATCH);
 			return;
 		}
 
-		const isLimitReached = mismatches + 1 >= MISMATCH_LIMIT && nowMs() - this.#comparedMs >= COMPARISON_INTERVAL_MS;
-		this.#channels.set(channel, isLimitReached ? 0 : mismatches + 1);
-		if (isLimitReached) {
+		const count = last.count + 1;
+		const isStable = last.count > 0 && last.own === own && last.other === other;
+		const isDue = (isStable || count >= MAX_MISMATCHES) && nowMs() - this.#comparedMs >= COMPARISON_INTERVAL_MS;
+		this.#channels.set(channel, isDue ? NO_MISMATCH : {count, own, other});
+		if (isDue) {
 			this.#comparedMs = nowMs();
-			channel.send(buildVersionsFrame(hosts.revisions, true));
+			channel.send(buildVersionsFrame(revisions, true));
 		}
 	}
 
--- a/test/relay/gossip.test.ts
+++ b/test/relay/gossip.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {DirectoryMesh} from '../../fakes/directorymesh.js';
 import {MemoryStore} from '../../fakes/memorystore.js';
+import {FrameTag} from '../../src/relay/peers/frame.js';
 import {HOST_KIND} from '../../src/relay/store/ownentry.js';
 import {createRoute, createSiteSpec} from '../../standins/mesh.js';
 
@@ -97,6 +98,21 @@
 		expect(mesh.countVersions()).toEqual({2: SIZE});
 	});
 
+	it('compare no versions while entries change one after the other, and all know them afterwards', async () => {
+		const mesh = await startMesh();
+		const countComparisons = () => mesh.members.reduce((sum, {sentFrames}) => sum + (sentFrames.get(FrameTag.versions) ?? 0), 0);
+		const before = countComparisons();
+		for (const member of mesh.members.slice(0, 50)) {
+			member.directory.publish({...member.entry, target: undefined});
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			await vi.advanceTimersByTimeAsync(50);
+		}
+
+		expect(countComparisons() - before).toBeLessThan(SIZE / 10);
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(new Set(mesh.members.map(({hosts}) => hosts.digest)).size).toBe(1);
+	});
+
 	it('all hear once of a slow target, and ignore older messages of it', async () => {
 		const mesh = await startMesh();
 		const [slow, other] = mesh.members;
