Accountants: one in each failure domain up to 320 daemons for each

Each daemon reports to each accountant, so more of them mean more frames, and not fewer at each one.

--- a/src/mesh/shares/accountants.ts
+++ b/src/mesh/shares/accountants.ts
@@ -2,8 +2,8 @@
 import {type HostEntry} from '../membership/host.js';
 import {meshPeerOf} from '../membership/meshpeer.js';
 
-/** How many daemons an accountant serves: with their reports it is busy for less than a hundredth of a core. */
-const DAEMONS_PER_ACCOUNTANT = 32;
+/** How many daemons there are for each accountant: all report to each, so that more accountants mean more reports, not fewer at each. */
+const DAEMONS_PER_ACCOUNTANT = 320;
 /** The most accountants of a site: each daemon reports to each. */
 const MAX_ACCOUNTANTS = 16;
 
