--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -63,11 +63,12 @@
 
 	async addHost(name: string, options: MeshTargetOptions, failureDomain = 'a'): Promise<MeshHost> {
 		const ports = await findFreePorts(4);
-		const target = new MeshTarget({...options, outbound: () => ports[0]});
-		await target.listen();
-		const host = await this.startDaemon(name, target, ports, failureDomain);
-		this.hosts.push(host);
-		return host;
+		return this.#addHost(name, new MeshTarget({...options, outbound: () => ports[0]}), ports, failureDomain);
+	}
+
+	/** Adds a host with this target, which doesn't listen yet and makes no nested calls. */
+	async addHostOf(name: string, target: MeshTarget): Promise<MeshHost> {
+		return this.#addHost(name, target, await findFreePorts(4), 'a');
 	}
 
 	/** Adds two hosts: `front`, to which clients connect, and `back`, to whose target the route `x` leads unless `routes` is set. */
@@ -135,6 +136,13 @@
 			await Promise.all([stop(), target.close()]);
 		}));
 	}
+
+	async #addHost(name: string, target: MeshTarget, ports: readonly number[], failureDomain: string): Promise<MeshHost> {
+		await target.listen();
+		const host = await this.startDaemon(name, target, ports, failureDomain);
+		this.hosts.push(host);
+		return host;
+	}
 }
 
 function createSettings(host: string, service: string, targetPort: number, ports: readonly number[], failureDomain: string): RelaySettings {
