A target that has left stays so over a restart of its daemon

Callers saw requests run, and cut, at a target that had deregistered: its daemon, started again while the target still answered health checks, took the answer for a target that is ready, and so did a late announcement of the start that had ended. Cause: which start had ended was known to the daemon's memory alone; the health check after a restart names no start. Now the daemon's entry names the last start that has deregistered (optional; older daemons ignore the field), the store and the peers keep it, and the check of health waits until the entry is known. Without store and peers the target's own announcement still counts.

Ruled out: keeping the target in the entry as draining, as peers would count its host among those that serve. Left: a daemon that dies between the acknowledgement and the write of its entry, before any peer has heard; a store back from an older copy with no peer to ask.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -149,6 +149,10 @@
 		this.gossip.floodNews();
 	}
 
+	override onOwnEntry(): void {
+		// No target leaves here.
+	}
+
 	override onRecords(records: readonly HostRecord[]): void {
 		this.gossip.floodRecords(records);
 	}
--- a/src/mesh/membership/host.ts
+++ b/src/mesh/membership/host.ts
@@ -1,5 +1,5 @@
 import {Digest} from '../../core/index.js';
-import {type TargetState} from './target.js';
+import {type EndedStart, type TargetState} from './target.js';
 
 /** The part of a target's state that its daemon publishes to the other daemons. */
 export type PublishedTarget = {
@@ -19,6 +19,8 @@
 	readonly address: string;
 	/** Absent until the target announces itself to the daemon, and after the target ends. */
 	readonly target?: PublishedTarget;
+	/** The last start of a target here that has deregistered: known to this daemon after a restart, too. */
+	readonly ended?: EndedStart;
 };
 
 /** One version of a host's entry, as daemons tell it to each other. */
--- a/src/mesh/membership/index.ts
+++ b/src/mesh/membership/index.ts
@@ -1,6 +1,8 @@
 export {NO_SIGNALS, type TargetSignals} from './targetsignals.js';
 export {TargetSignalTable} from './targetsignaltable.js';
-export {type Announcement, type Deregistration, type TargetState} from './target.js';
+export {
+	type Announcement, type Deregistration, type EndedStart, type TargetState,
+} from './target.js';
 export {type LifecycleChange, TargetLifecycle, UNKNOWN_START_MS} from './targetlifecycle.js';
 export {
 	type HostEntry, type HostRecord, type PublishedTarget, HostTable,
--- a/src/mesh/membership/target.ts
+++ b/src/mesh/membership/target.ts
@@ -24,3 +24,6 @@
 	/** Absent when the target doesn't name the start that ends: the current one is meant. */
 	readonly bornMs?: number;
 };
+
+/** A start of a target that has deregistered; `bornMs` is when it began at the latest, in Unix ms. */
+export type EndedStart = {readonly id: string; readonly bornMs: number};
--- a/src/mesh/membership/targetlifecycle.ts
+++ b/src/mesh/membership/targetlifecycle.ts
@@ -1,4 +1,4 @@
-import {type Announcement, type Deregistration} from './target.js';
+import {type Announcement, type Deregistration, type EndedStart} from './target.js';
 
 /** The effect of an announcement or deregistration; `stale` means that it was outdated and ignored. */
 export type LifecycleChange = 'none' | 'joined' | 'updated' | 'draining' | 'left' | 'stale';
@@ -17,8 +17,7 @@
 	#current: Announcement | undefined;
 	#lastHeardMs = 0;
 	#drainingSinceMs: number | undefined;
-	#endedBornMs = 0;
-	#endedId = '';
+	#ended: EndedStart | undefined;
 
 	/** @param drainMs how long a draining target may still be given calls after the acknowledgement, in ms */
 	constructor(drainMs: number) {
@@ -38,6 +37,11 @@
 		return this.#lastHeardMs;
 	}
 
+	/** The last start that has deregistered, and with it all earlier ones under its id. */
+	get ended(): EndedStart | undefined {
+		return this.#ended;
+	}
+
 	/** Applies an announcement, unless it is older than the current one or than the end of its start. */
 	announce(next: Announcement, nowMs: number): LifecycleChange {
 		const held = this.#current;
@@ -77,14 +81,24 @@
 			return 'stale';
 		}
 
-		this.#endedId = deregistration.id;
 		// Without a known start, every start under this id that began before now counts as ended.
 		const isKnown = held !== undefined && held.bornMs !== UNKNOWN_START_MS;
-		this.#endedBornMs = deregistration.bornMs ?? (isKnown ? held.bornMs : nowMs);
+		this.#ended = {id: deregistration.id, bornMs: deregistration.bornMs ?? (isKnown ? held.bornMs : nowMs)};
 		this.#drainingSinceMs ??= nowMs;
 		return held === undefined ? 'none' : 'left';
 	}
 
+	/** Takes in which start had deregistered before this daemon's own start. @returns whether it was taken for running until now */
+	restoreEnded(ended: EndedStart): boolean {
+		this.#ended ??= ended;
+		const isEnded = this.#drainingSinceMs === undefined && this.#current !== undefined && this.#hasEnded(this.#current);
+		if (isEnded) {
+			this.forget();
+		}
+
+		return isEnded;
+	}
+
 	/** Discards the current target when another one, or none, answers at its address. */
 	forget(): void {
 		this.#current = undefined;
@@ -101,7 +115,7 @@
 	}
 
 	#isStale(next: Announcement, held: Announcement | undefined): boolean {
-		if (next.id === this.#endedId && next.bornMs <= this.#endedBornMs) {
+		if (this.#hasEnded(next)) {
 			return true;
 		}
 
@@ -111,4 +125,8 @@
 
 		return next.bornMs < held.bornMs || (next.id === held.id && next.bornMs === held.bornMs && next.seq <= held.seq);
 	}
+
+	#hasEnded({id, bornMs}: EndedStart): boolean {
+		return id === this.#ended?.id && bornMs <= this.#ended.bornMs;
+	}
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -299,6 +299,9 @@
 			onStoreRestored: () => {
 				this.#links.gossip.floodNews();
 			},
+			onOwnEntry: (entry: HostEntry | undefined) => {
+				this.#targetMonitor.handleOwnEntry(entry);
+			},
 			onRecords: (records: readonly HostRecord[]) => {
 				this.#links.gossip.floodRecords(records);
 			},
--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -330,7 +330,7 @@
 		const names = new Set(objects.map(({name}) => name));
 		const deleted = hosts.reconcile(names, revision, clock.nowMs()).map(host => ({host, revision}));
 		if (!names.has(ownHost)) {
-			this.#ownEntry.onLost(revision);
+			this.#observeOwn(undefined, revision);
 		}
 
 		this.#tell([...deleted, ...objects.flatMap(object => this.#applyHost(object))]);
@@ -342,8 +342,7 @@
 				return this.#applyHost(object);
 			}
 
-			const record = {host: object.name, revision: object.revision};
-			return this.offerRecords([record]);
+			return this.offerRecords([{host: object.name, revision: object.revision}]);
 		}));
 	}
 
@@ -378,6 +377,7 @@
 	}
 
 	#observeOwn(entry: HostEntry | undefined, revision: number): void {
+		this.#parts.events.onOwnEntry(entry);
 		if (entry === undefined) {
 			this.#ownEntry.onLost(revision);
 			return;
--- a/src/relay/store/hostentry.ts
+++ b/src/relay/store/hostentry.ts
@@ -13,6 +13,7 @@
 		slots: z.int().min(1),
 		state: z.enum(['ready', 'draining']),
 	}).optional(),
+	ended: z.object({id: z.string().min(1), bornMs: z.number()}).optional(),
 });
 
 /** Validates a daemon's entry from the store or from a peer. @throws {DecodeError} when a field is invalid */
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	type Announcement, type Deregistration, type TargetLifecycle, UNKNOWN_START_MS, usableSlots,
+	type Announcement, type Deregistration, type HostEntry, type TargetLifecycle, UNKNOWN_START_MS, usableSlots,
 } from '../../mesh/index.js';
 import {type Adapter, type TargetMessage} from '../adapter.js';
 import {type Directory} from '../store/directory.js';
@@ -30,6 +30,8 @@
 	readonly #parts: TargetMonitorParts;
 	readonly #startMs: number;
 	#probeCount = 0;
+	/** Whether it is known what this daemon published before its start: a target that has left may still answer health checks. */
+	#isOwnEntryKnown = false;
 	#isReportedMissing = false;
 
 	constructor(parts: TargetMonitorParts) {
@@ -51,6 +53,17 @@
 		}
 	}
 
+	/** Takes in this daemon's own entry, which may be of before its start. */
+	handleOwnEntry(entry: HostEntry | undefined): void {
+		const {log, lifecycle, owner} = this.#parts;
+		this.#isOwnEntryKnown = true;
+		if (entry?.ended !== undefined && lifecycle.restoreEnded(entry.ended)) {
+			log.event('target_ended_before', {instance: entry.ended.id, bornMs: entry.ended.bornMs});
+			owner.onTargetGone();
+			this.#publish();
+		}
+	}
+
 	/** Begins the drain of a target that said in an answer that it leaves. */
 	handleLeaving(instance: string): void {
 		const {clock, log, lifecycle} = this.#parts;
@@ -65,7 +78,7 @@
 		const {clock, log, lifecycle, owner} = this.#parts;
 		const {current, lastHeardMs} = lifecycle;
 		if (current === undefined) {
-			if (!this.#parts.settings().isFirstStart && this.#probeCount < MAX_PROBES) {
+			if (this.#isOwnEntryKnown && !this.#parts.settings().isFirstStart && this.#probeCount < MAX_PROBES) {
 				void this.#probe();
 			}
 
@@ -97,7 +110,7 @@
 		const {clock, log, lifecycle} = this.#parts;
 		const change = lifecycle.deregister(deregistration, clock.nowMs());
 		log.event('target_farewell', {instance: deregistration.id, bornMs: deregistration.bornMs ?? 0, change});
-		if (change === 'left') {
+		if (change !== 'stale') {
 			this.#publish();
 		}
 	}
@@ -135,9 +148,11 @@
 	}
 
 	#publish(): void {
-		const {lifecycle: {current, isDraining}, directory} = this.#parts;
+		const {lifecycle: {current, isDraining, ended}, directory} = this.#parts;
 		const {host, failureDomain, listen} = this.#parts.settings();
-		const entry = {host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`};
+		const entry = {
+			host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`, ...(ended && {ended}),
+		};
 		directory.publish(current === undefined
 			? entry
 			: {
--- a/test/mesh/targetlifecycle.test.ts
+++ b/test/mesh/targetlifecycle.test.ts
@@ -63,6 +63,27 @@
 	});
 });
 
+describe('a start of a target that had ended before its daemon restarted', () => {
+	it('is neither taken from a health check nor from an announcement, and no longer served if it was', () => {
+		const lifecycle = new TargetLifecycle(DRAIN_MS);
+		lifecycle.announce(announcement({bornMs: UNKNOWN_START_MS}), 0);
+		expect(lifecycle.restoreEnded({id: 'i', bornMs: 10})).toBe(true);
+		expect(lifecycle.mayServe('i', 1)).toBe(false);
+		expect(lifecycle.announce(announcement({bornMs: UNKNOWN_START_MS, seq: 2}), 2)).toBe('stale');
+		expect(lifecycle.announce(announcement({seq: 9}), 3)).toBe('stale');
+		expect(lifecycle.announce(announcement({bornMs: 11}), 4)).toBe('joined');
+	});
+
+	it('replaces neither a later start nor what is known since', () => {
+		const lifecycle = new TargetLifecycle(DRAIN_MS);
+		lifecycle.announce(announcement({bornMs: 20}), 0);
+		expect(lifecycle.restoreEnded({id: 'i', bornMs: 10})).toBe(false);
+		lifecycle.deregister({id: 'i'}, 30);
+		lifecycle.restoreEnded({id: 'other', bornMs: 10});
+		expect(lifecycle.ended).toEqual({id: 'i', bornMs: 20});
+	});
+});
+
 describe('a target that said in an answer that it leaves', () => {
 	it('drains from then on, although it announces itself as ready', () => {
 		const lifecycle = createJoined();
--- a/test/relay/directory.test.ts
+++ b/test/relay/directory.test.ts
@@ -88,6 +88,10 @@
 		this.seen++;
 	}
 
+	override onOwnEntry(): void {
+		this.seen++;
+	}
+
 	override onRecords(): void {
 		this.seen++;
 	}
