The check of deeply nested frames builds them by their bytes, deeper and for each kind

At a load of 16 the test itself ran out of stack in encoding a list 2000 deep (node at its default stack: 1000 encodes, 1500 does not), so it failed without a fault in the daemon.

--- a/test/failures/malformedmessage.test.ts
+++ b/test/failures/malformedmessage.test.ts
@@ -36,14 +36,8 @@
 	templateArbitrary,
 	fc.jsonValue({maxDepth: 3}),
 );
-const deep = (depth: number) => {
-	let value: unknown = [];
-	for (let index = 0; index < depth; index++) {
-		value = [value];
-	}
-
-	return value;
-};
+/** A frame whose second field is nested this deeply, by its bytes: to encode it would exhaust the stack here. */
+const deepFrame = (tag: number, depth: number) => Buffer.from([0x92, tag, ...Array.from({length: depth}, () => 0x91), 0x90]);
 
 const frameArbitrary = fc.tuple(fc.constantFrom(...Object.values(FrameTag), 99), fc.array(fieldArbitrary, {maxLength: 14})).map(([tag, fields]): unknown[] => [tag, ...fields]);
 /** Calls that are sound up to their template. */
@@ -62,13 +56,14 @@
 		mesh = new Mesh();
 		const {back, port} = await mesh.addPair();
 		const frames = fc.sample(fc.oneof(frameArbitrary, callFrameArbitrary), {seed: SEED, numRuns: FRAMES});
-		for (const frame of [...frames, [FrameTag.floors, deep(2000)], [FrameTag.records, deep(2000)]]) {
+		const deepFrames = [2000, 100_000].flatMap(depth => Object.values(FrameTag).map(tag => deepFrame(tag, depth)));
+		for (const bytes of [...frames.map(frame => pack(frame)), ...deepFrames]) {
 			const socket = new WebSocket(`ws://127.0.0.1:${back.settings.listen.peers.port}${PEER_PATH}`);
 			socket.on('error', () => undefined);
 			// eslint-disable-next-line no-await-in-loop -- one link after the other
 			await new Promise(resolve => {
 				socket.on('open', () => {
-					socket.send(pack(frame));
+					socket.send(bytes);
 					socket.send(Buffer.from([0xC1]));
 					resolve(undefined);
 				});
