A daemon that starts while the one before it drains waits for its end

In a hand-over the successor bound the port of requests as soon as its predecessor had closed it, accepted clients, answered them 503 or cut them, and ended on the port of the peers, which the predecessor holds until its last run is over. Cause: five listeners opened side by side, and a taken address ended the start. Now the address of the peers is bound first and is waited for as long as a predecessor may live (the grace period): who has it owns the target, so never two give it calls. Evidence: test/failures/handover.test.ts, before: EADDRINUSE; after: no accepted request cut, no more runs at once than usable slots, no call run twice, each call that ran answered 200, and the successor serves. Ruled out: telling the predecessor through the store to go, as the store may be away; a lock file, as the address is one already. Not covered: a successor with other addresses beside the same target; a target that goes on with runs whose connections closed when the predecessor was killed.

--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -70,8 +70,9 @@
 		});
 	}
 
-	async listen(address: Address): Promise<void> {
-		await listen(this.#server, address);
+	/** @param waitMs how long another process may keep the address */
+	async listen(address: Address, waitMs: number): Promise<void> {
+		await listen(this.#server, address, waitMs);
 	}
 
 	/** Sends a frame to all daemons that have a link to this one. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -175,10 +175,11 @@
 	}
 
 	async start(): Promise<void> {
-		const {listen} = this.#settings;
+		const {listen, graceMs} = this.#settings;
+		// Who has the peers' address owns the target: a predecessor keeps it to its end, which the grace period bounds.
+		await this.#peerServer.listen(listen.peers, graceMs);
 		await Promise.all([
 			this.#requestServer.listen(listen.requests),
-			this.#peerServer.listen(listen.peers),
 			this.#announcementEndpoint.listen(listen.announcements),
 			this.#readinessEndpoint.listen(listen.readiness),
 			listen.metrics === undefined ? undefined : this.#metricsEndpoint.listen(listen.metrics),
