--- a/src/mesh/balancing/index.ts
+++ b/src/mesh/balancing/index.ts
@@ -1,6 +1,6 @@
-export {
-	type CallToPlace, type LoadReport, type LoadBalancerOptions, LOAD_BALANCING, LoadBalancer,
-} from './loadbalancer.js';
+export {type CallToPlace, LoadBalancer} from './loadbalancer.js';
+export {type LoadBalancerOptions, LOAD_BALANCING} from './loadbalanceroptions.js';
+export {type LoadReport} from './loadreport.js';
 export {UnreachableHosts} from './unreachablehosts.js';
 export {BusyTime} from './busytime.js';
 export {TargetSpeed} from './targetspeed.js';
--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -1,5 +1,6 @@
 import {type HostEntry, type HostTable} from '../membership/host.js';
-import {type LoadBalancer, type LoadReport} from '../balancing/loadbalancer.js';
+import {type LoadBalancer} from '../balancing/loadbalancer.js';
+import {type LoadReport} from '../balancing/loadreport.js';
 import {type Route} from '../routing/route.js';
 import {type TargetSignals} from '../membership/targetsignals.js';
 import {type TargetSignalTable} from '../membership/targetsignaltable.js';
