Balancing: chance doesn't send a call out of its failure domain for a target of unknown load

Cause: the choice compared the least of eight noisy costs nearby with the least of four from elsewhere. What is elsewhere is seldom heard of, so it has the larger addition; the least of several draws of it is near nothing, and its load is taken from a mean that fades to one that costs nothing. Traced over the 2,343 crossings of the short nested route: half went to targets never heard of or not for 2 s, with costs within a few per cent of those nearby (111 for 105, 117 for 132).

Now, when targets are drawn, one of unknown load takes a call out of its failure domain only if it costs less with the whole addition, and none for the addition of those nearby.

--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -33,8 +33,17 @@
 	/** The hosts that the request was sent to before. */
 	readonly tried: readonly string[];
 };
-type Candidate = {entry: HostEntry | undefined; cost: number};
-type Comparison = {readonly best: Candidate; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
+type Candidate = {
+	readonly entry: HostEntry;
+	readonly cost: number;
+	/** The cost with a random addition. */
+	readonly noisyCost: number;
+	/** The cost if the random addition is the highest, unless the load is known. */
+	readonly crossingCost: number;
+};
+/** The best target so far in the daemon's own failure domain, and in the others. */
+type Best = {near: Candidate | undefined; far: Candidate | undefined};
+type Comparison = {readonly best: Best; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
 type DomainSplit = {readonly near: HostEntry[]; readonly far: HostEntry[]};
 
 /** How long a target counts as slow after its daemon said so, in ms; then it gets calls again, which show whether it still is. */
@@ -108,7 +117,7 @@
 	 * @returns the host with the lowest cost among those not yet tried; an unreachable one only if there is no other
 	 */
 	choose(entries: readonly HostEntry[], call: CallToPlace, nowMs: number, isExcluded: (entry: HostEntry) => boolean = () => false): HostEntry | undefined {
-		const best: Candidate = {entry: undefined, cost: Number.POSITIVE_INFINITY};
+		const best: Best = {near: undefined, far: undefined};
 		if (entries.length > MAX_COMPARED) {
 			const {near, far} = this.#domainsOf(entries);
 			this.#compareDrawn(near, NEAR_DRAWS, {
@@ -117,8 +126,9 @@
 			this.#compareDrawn(far, near.length === 0 ? NEAR_DRAWS : FAR_DRAWS, {
 				best, call, nowMs, isExcluded,
 			});
-			if (best.cost < DRAINING_COST * call.objectiveMs) {
-				return best.entry;
+			const drawn = decide(best, true);
+			if (drawn !== undefined && drawn.cost < DRAINING_COST * call.objectiveMs) {
+				return drawn.entry;
 			}
 		}
 
@@ -128,7 +138,7 @@
 			});
 		}
 
-		return best.entry;
+		return decide(best, false)?.entry;
 	}
 
 	onSent(host: string): void {
@@ -247,18 +257,20 @@
 			return;
 		}
 
-		const cost = this.#cost(entry, call.route, call.objectiveMs, nowMs) * (1 + (this.#jitterOf(entry.host, nowMs) * this.#random()));
-		if (cost < best.cost) {
-			best.entry = entry;
-			best.cost = cost;
+		const cost = this.#cost(entry, call.route, call.objectiveMs, nowMs);
+		const {reportedAtMs} = this.#hostState(entry.host);
+		const isKnown = nowMs - reportedAtMs < REPORT_TTL_MS;
+		const {unknownLoadJitter} = this.#options;
+		const noisyCost = cost * (1 + ((isKnown ? COST_JITTER : unknownLoadJitter) * this.#random()));
+		const side = entry.failureDomain === this.#failureDomain ? 'near' : 'far';
+		const candidate = {
+			entry, cost, noisyCost, crossingCost: isKnown ? noisyCost : cost * (1 + unknownLoadJitter),
+		};
+		if (noisyCost < (best[side]?.noisyCost ?? Number.POSITIVE_INFINITY)) {
+			best[side] = candidate;
 		}
 	}
 
-	#jitterOf(host: string, nowMs: number): number {
-		const isKnown = nowMs - this.#hostState(host).reportedAtMs < REPORT_TTL_MS;
-		return isKnown ? COST_JITTER : this.#options.unknownLoadJitter;
-	}
-
 	#cost(entry: HostEntry, route: string, objectiveMs: number, nowMs: number): number {
 		const state = this.#hostState(entry.host);
 		const serviceMs = this.#expectedMs(state, route, nowMs);
@@ -349,3 +361,8 @@
 		return state;
 	}
 }
+
+// The least of several random additions is small: among drawn targets of unknown load, it would send calls out of their failure domain without a reason.
+function decide({near, far}: Best, isDrawn: boolean): Candidate | undefined {
+	return near === undefined || (far !== undefined && (isDrawn ? far.crossingCost : far.noisyCost) < near.cost) ? far : near;
+}
--- a/test/mesh/loadbalancer.test.ts
+++ b/test/mesh/loadbalancer.test.ts
@@ -192,6 +192,20 @@
 		expect(chooseMany(loadBalancer, 100, 60_000).every(host => isNear(host))).toBe(true);
 	});
 
+	it('leaves its failure domain for targets of unknown load only if they cost less by more than chance adds', () => {
+		const countNear = (running: number) => {
+			const loadBalancer = createSeeded();
+			const near = targets.filter(({failureDomain}) => failureDomain === 'a').map(({host}) => host);
+			for (const host of near) {
+				loadBalancer.onReport(host, 'r', createReport(running, 100), 0);
+			}
+
+			return chooseMany(loadBalancer, 200).filter(host => near.includes(host)).length;
+		};
+
+		expect([countNear(11.2), countNear(14)]).toEqual([200, 0]);
+	});
+
 	it('sends calls again to a target that was slow when it was last heard of', () => {
 		const loadBalancer = createSeeded();
 		const near = targets.filter(({failureDomain}) => failureDomain === 'a');
