Balancing: a few calls go to targets that nothing is heard of, so that one that has become fast is found

Seen: test/mesh/load.test.ts, of four copies the slowest names 10 calls a second and gets none in six seconds ("get no more calls than that" has no count to compare).

Cause: not the rate limit. The fastest has three quarters of its slots idle and takes 92 in 100 calls, so the choice itself is right; but nothing is heard of the others, and what was heard fades to a mean of reports, most of which are the fastest one's, with a half-life of 5 s. With a limit its load report does stand above 1 for a moment (running calls over a concurrency of two), which had faded within a second or two. With either part alone the copy got some by chance.

Now, about one choice in 300 in which a near target hasn't been heard of for 2 s goes to the one not heard of for longest, if it is expected in time; targets that are unreachable, draining, failing or known to be slow aren't.

--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -40,9 +40,10 @@
 	readonly noisyCost: number;
 	/** The cost if the random addition is the highest, unless the load is known. */
 	readonly crossingCost: number;
+	readonly reportedAtMs: number;
 };
-/** The best target so far in the daemon's own failure domain, and in the others. */
-type Best = {near: Candidate | undefined; far: Candidate | undefined};
+/** The best targets so far in the daemon's own failure domain and in the others, and the one that nothing was heard of for longest. */
+type Best = {near: Candidate | undefined; far: Candidate | undefined; unheard: Candidate | undefined};
 type Comparison = {readonly best: Best; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
 type DomainSplit = {readonly near: HostEntry[]; readonly far: HostEntry[]};
 
@@ -83,6 +84,8 @@
 /** Targets drawn in the daemon's own failure domain, and in the others, when a service has more. */
 const NEAR_DRAWS = 8;
 const FAR_DRAWS = 4;
+/** One call in about this many goes to a target that nothing was heard of for a while, which may have become fast. */
+const PROBE_INTERVAL = 300;
 /** Maximum random addition to the cost of a target whose load is known, as a share of it: daemons with the same load reports don't all choose the same target. */
 const COST_JITTER = 0.1;
 
@@ -104,6 +107,8 @@
 	/** The targets of a service by failure domain, for each list that was chosen from. */
 	readonly #splits = new WeakMap<readonly HostEntry[], DomainSplit>();
 
+	#choicesUntilProbe = PROBE_INTERVAL;
+
 	constructor(failureDomain: string, options: LoadBalancerOptions, random: () => number) {
 		this.#failureDomain = failureDomain;
 		this.#options = options;
@@ -117,7 +122,7 @@
 	 * @returns the host with the lowest cost among those not yet tried; an unreachable one only if there is no other
 	 */
 	choose(entries: readonly HostEntry[], call: CallToPlace, nowMs: number, isExcluded: (entry: HostEntry) => boolean = () => false): HostEntry | undefined {
-		const best: Best = {near: undefined, far: undefined};
+		const best: Best = {near: undefined, far: undefined, unheard: undefined};
 		if (entries.length > MAX_COMPARED) {
 			const {near, far} = this.#domainsOf(entries);
 			this.#compareDrawn(near, NEAR_DRAWS, {
@@ -126,7 +131,7 @@
 			this.#compareDrawn(far, near.length === 0 ? NEAR_DRAWS : FAR_DRAWS, {
 				best, call, nowMs, isExcluded,
 			});
-			const drawn = decide(best, true);
+			const drawn = this.#decide(best, true);
 			if (drawn !== undefined && drawn.cost < DRAINING_COST * call.objectiveMs) {
 				return drawn.entry;
 			}
@@ -138,7 +143,7 @@
 			});
 		}
 
-		return decide(best, false)?.entry;
+		return this.#decide(best, false)?.entry;
 	}
 
 	onSent(host: string): void {
@@ -252,6 +257,16 @@
 		}
 	}
 
+	// The least of several random additions is small: among drawn targets of unknown load, it would send calls out of their failure domain without a reason.
+	#decide({near, far, unheard}: Best, isDrawn: boolean): Candidate | undefined {
+		if (unheard !== undefined && --this.#choicesUntilProbe <= 0) {
+			this.#choicesUntilProbe = Math.ceil(PROBE_INTERVAL * (0.5 + this.#random()));
+			return unheard;
+		}
+
+		return near === undefined || (far !== undefined && (isDrawn ? far.crossingCost : far.noisyCost) < near.cost) ? far : near;
+	}
+
 	#compare(entry: HostEntry, {best, call, nowMs, isExcluded}: Comparison): void {
 		if (entry.target === undefined || call.tried.includes(entry.host) || isExcluded(entry)) {
 			return;
@@ -264,11 +279,15 @@
 		const noisyCost = cost * (1 + ((isKnown ? COST_JITTER : unknownLoadJitter) * this.#random()));
 		const side = entry.failureDomain === this.#failureDomain ? 'near' : 'far';
 		const candidate = {
-			entry, cost, noisyCost, crossingCost: isKnown ? noisyCost : cost * (1 + unknownLoadJitter),
+			entry, cost, noisyCost, reportedAtMs, crossingCost: isKnown ? noisyCost : cost * (1 + unknownLoadJitter),
 		};
 		if (noisyCost < (best[side]?.noisyCost ?? Number.POSITIVE_INFINITY)) {
 			best[side] = candidate;
 		}
+
+		if (side === 'near' && !isKnown && cost < call.objectiveMs && reportedAtMs < (best.unheard?.reportedAtMs ?? Number.POSITIVE_INFINITY)) {
+			best.unheard = candidate;
+		}
 	}
 
 	#cost(entry: HostEntry, route: string, objectiveMs: number, nowMs: number): number {
@@ -361,8 +380,3 @@
 		return state;
 	}
 }
-
-// The least of several random additions is small: among drawn targets of unknown load, it would send calls out of their failure domain without a reason.
-function decide({near, far}: Best, isDrawn: boolean): Candidate | undefined {
-	return near === undefined || (far !== undefined && (isDrawn ? far.crossingCost : far.noisyCost) < near.cost) ? far : near;
-}
--- a/test/mesh/loadbalancer.test.ts
+++ b/test/mesh/loadbalancer.test.ts
@@ -217,6 +217,22 @@
 		expect(chooseMany(loadBalancer, 200, 30_000, near)).toContain('h0');
 	});
 
+	it('sends few calls to a slow target that nothing is heard of, and none to one that would be late', () => {
+		const countOf = (slowMs: number) => {
+			const loadBalancer = createSeeded();
+			loadBalancer.onReport('slow', 'r', createReport(0, slowMs), 0);
+			const chosen = Array.from({length: 2000}, (_, number) => {
+				loadBalancer.onReport('fast', 'r', createReport(0, 20), 2000 + number);
+				return choose(loadBalancer, [entry('fast'), entry('slow')], 2000 + number);
+			});
+			return chosen.filter(host => host === 'slow').length;
+		};
+
+		expect(countOf(200)).toBeGreaterThan(2);
+		expect(countOf(200)).toBeLessThan(15);
+		expect(countOf(4000)).toBe(0);
+	});
+
 	it('expects a target that is fast for one route to be fast for another', () => {
 		const loadBalancer = createLoadBalancer();
 		for (let number = 0; number < 40; number++) {
