--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -1,39 +1,7 @@
 import {type HostEntry} from '../membership/host.js';
 import {GroupLoad, fade} from './groupload.js';
-
-/** The load of a target, as its owner reports it with each answer. */
-export type LoadReport = {
-	readonly running: number;
-	readonly queued: number;
-	/** The owner's concurrency limit. */
-	readonly limit: number;
-	/** Mean time that this route's calls take at the target, in ms; 0 if unknown. */
-	readonly serviceMs: number;
-	/** Share of the target's last runs that it shed or failed; 0 if it is absent. */
-	readonly failureShare?: number;
-};
-
-/** Settings of the cost by which hosts are compared. */
-export type LoadBalancerOptions = {
-	/** Minimum cost added to a call that leaves its failure domain, in ms. */
-	readonly crossDomainCostMs: number;
-	/** The same cost as a share of the call's objective: an answer that is earlier than the objective gains nothing. */
-	readonly crossDomainCostShare: number;
-	/** Share of its limit in use above which load adds to the cost of a target. */
-	readonly busyShare: number;
-	/** Maximum random addition to the cost of a target whose load isn't known at present, as a share of it: all daemons know the same fast targets, and would fill them up. */
-	readonly unknownLoadJitter: number;
-};
-
-/** The settings that the daemons use. */
-export const LOAD_BALANCING: LoadBalancerOptions = {
-	// Follows from the price of traffic between failure domains.
-	crossDomainCostMs: 60,
-	// An instance that is slow but meets the objective keeps the calls of its own failure domain.
-	crossDomainCostShare: 0.25,
-	busyShare: 0.6,
-	unknownLoadJitter: 0.3,
-};
+import {type LoadBalancerOptions} from './loadbalanceroptions.js';
+import {type LoadReport} from './loadreport.js';
 
 type HostState = {
 	report: LoadReport;
@@ -65,8 +33,18 @@
 	/** The hosts that the request was sent to before. */
 	readonly tried: readonly string[];
 };
-type Candidate = {entry: HostEntry | undefined; cost: number};
-type Comparison = {readonly best: Candidate; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
+type Candidate = {
+	readonly entry: HostEntry;
+	readonly cost: number;
+	/** The cost with a random addition. */
+	readonly noisyCost: number;
+	/** The cost if the random addition is the highest, unless the load is known. */
+	readonly crossingCost: number;
+	readonly reportedAtMs: number;
+};
+/** The best targets so far in the daemon's own failure domain and in the others, and the one that nothing was heard of for longest. */
+type Best = {near: Candidate | undefined; far: Candidate | undefined; unheard: Candidate | undefined};
+type Comparison = {readonly best: Best; readonly call: CallToPlace; readonly nowMs: number; readonly isExcluded: (entry: HostEntry) => boolean};
 type DomainSplit = {readonly near: HostEntry[]; readonly far: HostEntry[]};
 
 /** How long a target counts as slow after its daemon said so, in ms; then it gets calls again, which show whether it still is. */
@@ -106,6 +84,8 @@
 /** Targets drawn in the daemon's own failure domain, and in the others, when a service has more. */
 const NEAR_DRAWS = 8;
 const FAR_DRAWS = 4;
+/** One call in about this many goes to a target that nothing was heard of for a while, which may have become fast. */
+const PROBE_INTERVAL = 300;
 /** Maximum random addition to the cost of a target whose load is known, as a share of it: daemons with the same load reports don't all choose the same target. */
 const COST_JITTER = 0.1;
 
@@ -127,6 +107,8 @@
 	/** The targets of a service by failure domain, for each list that was chosen from. */
 	readonly #splits = new WeakMap<readonly HostEntry[], DomainSplit>();
 
+	#choicesUntilProbe = PROBE_INTERVAL;
+
 	constructor(failureDomain: string, options: LoadBalancerOptions, random: () => number) {
 		this.#failureDomain = failureDomain;
 		this.#options = options;
@@ -140,7 +122,7 @@
 	 * @returns the host with the lowest cost among those not yet tried; an unreachable one only if there is no other
 	 */
 	choose(entries: readonly HostEntry[], call: CallToPlace, nowMs: number, isExcluded: (entry: HostEntry) => boolean = () => false): HostEntry | undefined {
-		const best: Candidate = {entry: undefined, cost: Number.POSITIVE_INFINITY};
+		const best: Best = {near: undefined, far: undefined, unheard: undefined};
 		if (entries.length > MAX_COMPARED) {
 			const {near, far} = this.#domainsOf(entries);
 			this.#compareDrawn(near, NEAR_DRAWS, {
@@ -149,8 +131,9 @@
 			this.#compareDrawn(far, near.length === 0 ? NEAR_DRAWS : FAR_DRAWS, {
 				best, call, nowMs, isExcluded,
 			});
-			if (best.cost < DRAINING_COST * call.objectiveMs) {
-				return best.entry;
+			const drawn = this.#decide(best, true);
+			if (drawn !== undefined && drawn.cost < DRAINING_COST * call.objectiveMs) {
+				return drawn.entry;
 			}
 		}
 
@@ -160,7 +143,7 @@
 			});
 		}
 
-		return best.entry;
+		return this.#decide(best, false)?.entry;
 	}
 
 	onSent(host: string): void {
@@ -274,21 +257,37 @@
 		}
 	}
 
+	// The least of several random additions is small: among drawn targets of unknown load, it would send calls out of their failure domain without a reason.
+	#decide({near, far, unheard}: Best, isDrawn: boolean): Candidate | undefined {
+		if (unheard !== undefined && --this.#choicesUntilProbe <= 0) {
+			this.#choicesUntilProbe = Math.ceil(PROBE_INTERVAL * (0.5 + this.#random()));
+			return unheard;
+		}
+
+		return near === undefined || (far !== undefined && (isDrawn ? far.crossingCost : far.noisyCost) < near.cost) ? far : near;
+	}
+
 	#compare(entry: HostEntry, {best, call, nowMs, isExcluded}: Comparison): void {
 		if (entry.target === undefined || call.tried.includes(entry.host) || isExcluded(entry)) {
 			return;
 		}
 
-		const cost = this.#cost(entry, call.route, call.objectiveMs, nowMs) * (1 + (this.#jitterOf(entry.host, nowMs) * this.#random()));
-		if (cost < best.cost) {
-			best.entry = entry;
-			best.cost = cost;
+		const cost = this.#cost(entry, call.route, call.objectiveMs, nowMs);
+		const {reportedAtMs} = this.#hostState(entry.host);
+		const isKnown = nowMs - reportedAtMs < REPORT_TTL_MS;
+		const {unknownLoadJitter} = this.#options;
+		const noisyCost = cost * (1 + ((isKnown ? COST_JITTER : unknownLoadJitter) * this.#random()));
+		const side = entry.failureDomain === this.#failureDomain ? 'near' : 'far';
+		const candidate = {
+			entry, cost, noisyCost, reportedAtMs, crossingCost: isKnown ? noisyCost : cost * (1 + unknownLoadJitter),
+		};
+		if (noisyCost < (best[side]?.noisyCost ?? Number.POSITIVE_INFINITY)) {
+			best[side] = candidate;
 		}
-	}
 
-	#jitterOf(host: string, nowMs: number): number {
-		const isKnown = nowMs - this.#hostState(host).reportedAtMs < REPORT_TTL_MS;
-		return isKnown ? COST_JITTER : this.#options.unknownLoadJitter;
+		if (side === 'near' && !isKnown && cost < call.objectiveMs && reportedAtMs < (best.unheard?.reportedAtMs ?? Number.POSITIVE_INFINITY)) {
+			best.unheard = candidate;
+		}
 	}
 
 	#cost(entry: HostEntry, route: string, objectiveMs: number, nowMs: number): number {
