Floors shed an organisation that asks for many times its share before the others

Cause: a floor cuts a rank by the hash of the request, and knows no organisation; the owner's fair shares come after it.

The first daemon now gives an organisation's request a place in its rank by what all daemons together are asked for by it, in relation to its limit, so that each keeps up to the same multiple of its limit wherever the order is cut. The accountants of the quotas hear what was asked for, also what was shed, and tell it.

Ruled out: counting what is served instead of asked; the daemon's own view alone.

--- a/src/mesh/admission/loadshedder.ts
+++ b/src/mesh/admission/loadshedder.ts
@@ -1,5 +1,5 @@
 import {
-	MAX_FLOOR, FloorController, type FloorReport, FloorTable, RANK_COUNT, levelOf,
+	LEVELS_PER_RANK, MAX_FLOOR, FloorController, type FloorReport, FloorTable, RANK_COUNT, levelOf,
 } from '../../core/index.js';
 import {AnsweredShare} from './answeredshare.js';
 import {CallCounts} from './callcounts.js';
@@ -22,6 +22,12 @@
 /** A route and the service that the traffic split chose for a request. */
 export type RoutedService = {readonly route: string; readonly service: string};
 
+/** What a root request asks for, and for which organisation, if it is known. */
+export type RootRequest = RoutedService & {readonly organisation?: string | undefined};
+
+/** Returns the place of an organisation's request among all of its rank, from 0 to 1; by itself it would have the place `chance`. */
+export type FairPlace = (organisation: string, chance: number, nowMs: number) => number;
+
 /** How a run ended: `failed-below` if it was a nested call that failed, `lost` if that says nothing of the target. */
 export type RunOutcome = 'answered' | 'failed-below' | 'failed' | 'turned-away' | 'lost';
 
@@ -47,11 +53,13 @@
 	readonly #floors = new FloorTable();
 	readonly #controller = new FloorController();
 	readonly #reached = new Map<string, Set<string>>();
+	readonly #fairPlace: FairPlace;
 	readonly #outcomes: {readonly answered: AnsweredShare; readonly callCounts: CallCounts} | undefined;
 
 	/** @param countsOutcomes whether it learns and reports what share of the calls is answered, and how many calls a request needs */
-	constructor(host: string, countsOutcomes = false) {
+	constructor(host: string, countsOutcomes = false, fairPlace: FairPlace = (_organisation, chance) => chance) {
 		this.#host = host;
+		this.#fairPlace = fairPlace;
 		this.#outcomes = countsOutcomes ? {answered: new AnsweredShare(), callCounts: new CallCounts()} : undefined;
 	}
 
@@ -61,8 +69,14 @@
 	}
 
 	/** @param rank 0 is the highest */
-	priorityOf({route, service}: RoutedService, rank: number, attemptId: string, nowMs: number): Priority {
-		const level = levelOf(RANK_COUNT - 1 - Math.min(RANK_COUNT - 1, Math.max(0, Math.floor(rank))), attemptId, Math.floor(nowMs / LEVEL_EPOCH_MS));
+	priorityOf({route, service, organisation}: RootRequest, rank: number, attemptId: string, nowMs: number): Priority {
+		let level = levelOf(RANK_COUNT - 1 - Math.min(RANK_COUNT - 1, Math.max(0, Math.floor(rank))), attemptId, Math.floor(nowMs / LEVEL_EPOCH_MS));
+		if (organisation !== undefined) {
+			const place = level % LEVELS_PER_RANK;
+			const fairPlace = Math.floor(this.#fairPlace(organisation, place / LEVELS_PER_RANK, nowMs) * LEVELS_PER_RANK);
+			level += Math.min(LEVELS_PER_RANK - 1, Math.max(0, fairPlace)) - place;
+		}
+
 		return {level, floor: this.#floors.highestFloorOf(this.reachedServices({route, service}), nowMs)};
 	}
 
--- a/src/mesh/organisations/index.ts
+++ b/src/mesh/organisations/index.ts
@@ -1,7 +1,7 @@
 export {
 	type Authentication, type AuthenticationRefusal, type Credentials, type RevocationOptions, Authenticator, readBearerKey,
 } from './authenticator.js';
-export {largestOrganisations, quotaLimits} from './quota.js';
+export {entitlementsOf, largestOrganisations, quotaLimits} from './quota.js';
 export {findConflict} from './conflict.js';
 export {type Organisation} from './organisation.js';
 export {OrganisationTable} from './organisationtable.js';
--- a/src/mesh/shares/account.ts
+++ b/src/mesh/shares/account.ts
@@ -133,10 +133,11 @@
 	record({host, view, usages}: UsageReport, nowMs: number): BudgetChange[] {
 		this.#heard.set(host, {heardMs: nowMs, view});
 		const changes: BudgetChange[] = [];
-		for (const {budget, wanted, used} of usages) {
+		for (const usage of usages) {
+			const {budget} = usage;
 			const ledger = this.#openLedger(budget, nowMs);
 			if (ledger !== undefined) {
-				ledger.record(wanted, used, nowMs);
+				ledger.record(usage, nowMs);
 				this.#judge(budget, ledger, changes, nowMs);
 			}
 		}
@@ -163,7 +164,9 @@
 	tell(report: UsageReport | undefined, nowMs: number): AllowanceNews {
 		const listeningMs = (this.#scale < 1 ? LISTENING_INTERVALS : LISTENING_INTERVALS_TO_ALL) * this.#intervalMs;
 		const isReady = this.#listensSinceMs !== undefined && nowMs - this.#listensSinceMs >= listeningMs && this.#scale > 0;
-		const news = {host: this.#host, isReady, isReply: report !== undefined};
+		const news = {
+			host: this.#host, isReady, isReply: report !== undefined, askedPerS: [...this.#ledgers.values()].reduce((sum, {askedPerS}) => sum + askedPerS, 0),
+		};
 		if (!isReady) {
 			return {...news, allowances: []};
 		}
@@ -215,7 +218,7 @@
 		}
 
 		return [{
-			budget, fraction: Math.min(1, ledger.fraction(nowMs)), usedPerS: ledger.usedPerS, spendable: ledger.spendable,
+			budget, fraction: Math.min(1, ledger.fraction(nowMs)), usedPerS: ledger.usedPerS, askedPerS: ledger.askedPerS, spendable: ledger.spendable,
 		}];
 	}
 }
--- a/src/mesh/shares/budget.ts
+++ b/src/mesh/shares/budget.ts
@@ -10,7 +10,13 @@
 }
 
 /** What one daemon was asked for of a budget since its last report, and what it spent of it; what is given back counts as negative in both. */
-export type Usage = {readonly budget: string; readonly wanted: number; readonly used: number};
+export type Usage = {
+	readonly budget: string;
+	readonly wanted: number;
+	readonly used: number;
+	/** What was asked for besides: requests that were shed, and those of an organisation without a limit. */
+	readonly other: number;
+};
 
 /** A daemon's report to an accountant. */
 export type UsageReport = {
@@ -27,6 +33,8 @@
 	readonly fraction: number;
 	/** What all daemons together spend, a second. */
 	readonly usedPerS: number;
+	/** What all daemons together are asked for a second, requests that spend nothing included. */
+	readonly askedPerS: number;
 	/** What all daemons together may spend at once. */
 	readonly spendable: number;
 };
@@ -39,6 +47,8 @@
 	readonly isReady: boolean;
 	/** Whether it replies to a report; otherwise it tells of a budget that has become limited. */
 	readonly isReply: boolean;
+	/** What all daemons together are asked for a second, over all budgets of the accountant. */
+	readonly askedPerS: number;
 	/** All limited budgets of the accountant, and besides, in a reply, those of the report. */
 	readonly allowances: readonly Allowance[];
 };
--- a/src/mesh/shares/budgetsharing.ts
+++ b/src/mesh/shares/budgetsharing.ts
@@ -4,6 +4,7 @@
 import {
 	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type UsageReport, roomOf,
 } from './budget.js';
+import {FairOrder} from './fairorder.js';
 import {type Admission, Share} from './share.js';
 
 /** The time between two reports to an accountant of what has been spent, in ms. */
@@ -41,6 +42,7 @@
  */
 export class BudgetSharing {
 	readonly account: Account;
+	readonly #fairOrder = new FairOrder();
 	readonly #options: BudgetSharingOptions;
 	#limits: ReadonlyMap<string, BudgetLimit> = new Map();
 	#accountants = new Accountants([]);
@@ -72,6 +74,7 @@
 
 	setLimits(limits: ReadonlyMap<string, BudgetLimit>, nowMs: number): void {
 		this.#limits = limits;
+		this.#fairOrder.setLimits(limits);
 		for (const [budget, {share}] of this.#shares) {
 			const limit = limits.get(budget);
 			if (limit === undefined) {
@@ -135,7 +138,7 @@
 			return {isAdmitted: true};
 		}
 
-		const held = this.#shares.get(budget) ?? this.#createShare(budget, limit, nowMs);
+		const held = this.#shareOf(budget, limit, nowMs);
 		const {share, news} = held;
 		if (held.filledReplies !== news.replies) {
 			held.filledReplies = news.replies;
@@ -157,6 +160,19 @@
 		return admission;
 	}
 
+	/** The place of a request among all of its rank, by which it is shed: see `FairOrder`. */
+	placeOf(budget: string, chance: number, nowMs: number): number {
+		return this.#fairOrder.placeOf(budget, chance, nowMs);
+	}
+
+	/** Counts a request that spends nothing, because it is shed or the budget has no limit, so that all daemons know what is asked for. */
+	recordAsked(budget: string, nowMs: number): void {
+		const limit = this.#limits.get(budget);
+		if (limit !== undefined) {
+			this.#shareOf(budget, limit, nowMs).share.onAsked();
+		}
+	}
+
 	/** Gives back what was spent for a request that didn't run. */
 	giveBack(budget: string, nowMs: number): void {
 		this.#shares.get(budget)?.share.giveBack(nowMs);
@@ -173,7 +189,9 @@
 	}
 
 	/** Handles what an accountant tells. */
-	onNews({host, isReady, isReply, allowances}: AllowanceNews, nowMs: number): void {
+	onNews({
+		host, isReady, isReply, askedPerS, allowances,
+	}: AllowanceNews, nowMs: number): void {
 		const news = this.#news.get(host);
 		if (news === undefined || !isReady) {
 			return;
@@ -182,6 +200,11 @@
 		news.heardMs = nowMs;
 		news.limited = new Map(allowances.filter(({fraction}) => fraction < 1).map(allowance => [allowance.budget, allowance]));
 		news.replies += isReply ? 1 : 0;
+		this.#fairOrder.onTotal(host, askedPerS, nowMs);
+		for (const allowance of allowances) {
+			this.#fairOrder.onDemand(allowance.budget, allowance.askedPerS, nowMs);
+		}
+
 		for (const allowance of isReply ? allowances : []) {
 			const held = this.#shares.get(allowance.budget);
 			if (held?.news === news) {
@@ -227,6 +250,10 @@
 		return nowMs - news.heardMs < STALE_INTERVALS * this.intervalMs;
 	}
 
+	#shareOf(budget: string, limit: BudgetLimit, nowMs: number): HeldShare {
+		return this.#shares.get(budget) ?? this.#createShare(budget, limit, nowMs);
+	}
+
 	#createShare(budget: string, limit: BudgetLimit, nowMs: number): HeldShare {
 		const {random, room} = this.#options;
 		const news = this.#newsOf(budget);
@@ -237,7 +264,7 @@
 		const isFresh = this.#isFresh(news, nowMs);
 		if (isFresh) {
 			const calm = {
-				budget, fraction: 1, usedPerS: 0, spendable: limit.burst + (roomOf(limit, room) / 2),
+				budget, fraction: 1, usedPerS: 0, askedPerS: 0, spendable: limit.burst + (roomOf(limit, room) / 2),
 			};
 			share.onAllowance(news.limited.get(budget) ?? calm, this.#context, nowMs);
 		}
--- a/src/mesh/shares/index.ts
+++ b/src/mesh/shares/index.ts
@@ -4,5 +4,6 @@
 	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type Usage, type UsageReport, roomOf,
 } from './budget.js';
 export {BudgetSharing, type BudgetSharingOptions, type DueReport} from './budgetsharing.js';
+export {FairOrder} from './fairorder.js';
 export {Ledger} from './ledger.js';
 export {type Admission, Share} from './share.js';
--- a/src/mesh/shares/ledger.ts
+++ b/src/mesh/shares/ledger.ts
@@ -1,4 +1,6 @@
-import {type BudgetLimit, type BudgetRoom, roomOf} from './budget.js';
+import {
+	type BudgetLimit, type BudgetRoom, type Usage, roomOf,
+} from './budget.js';
 
 /** The time in which a surplus is spent or a debt paid back, in ms: several times as long as news takes. */
 const BALANCE_MS = 1000;
@@ -6,7 +8,7 @@
 const WANTED_MS = 750;
 /** The time that the first reports stand for at least, in ms. */
 const MIN_OPEN_MS = 500;
-/** Time constant of the rate that is spent, in ms. */
+/** Time constant of the rates that are spent and asked for, in ms. */
 const USED_MS = 2000;
 /** The share of the room that is in use while a budget is limited; the rest is for what is spent while news is on its way. */
 const STEADY_SHARE = 0.25;
@@ -26,6 +28,7 @@
 	/** Decays from each report on; too low until the ledger has been open for some time. */
 	#wantedPerS = 0;
 	#usedPerS = 0;
+	#askedPerS = 0;
 	readonly #openedMs: number;
 	#advancedMs: number;
 
@@ -52,6 +55,10 @@
 		return this.#usedPerS;
 	}
 
+	get askedPerS(): number {
+		return this.#askedPerS;
+	}
+
 	/** What all daemons together may spend until they hear more. */
 	get spendable(): number {
 		return Math.max(0, this.#level + (this.#room * SPENDABLE_SHARE * this.#scale));
@@ -73,11 +80,12 @@
 		}
 	}
 
-	record(wanted: number, used: number, nowMs: number): void {
+	record({wanted, used, other}: Omit<Usage, 'budget'>, nowMs: number): void {
 		this.#advance(nowMs);
 		this.#level = Math.max(this.#level - used, -this.#maxDebt);
 		this.#wantedPerS = Math.max(0, this.#wantedPerS + (wanted * 1000 / WANTED_MS));
 		this.#usedPerS = Math.max(0, this.#usedPerS + (used * 1000 / USED_MS));
+		this.#askedPerS = Math.max(0, this.#askedPerS + ((wanted + other) * 1000 / USED_MS));
 	}
 
 	/** The share of what is wanted that may be spent; more than 1 if all of it may. */
@@ -102,5 +110,6 @@
 		this.#level = Math.min(this.#level + (this.#limit.ratePerS * this.#scale * passedMs / 1000), this.#limit.burst * this.#scale);
 		this.#wantedPerS *= Math.exp(-passedMs / WANTED_MS);
 		this.#usedPerS *= Math.exp(-passedMs / USED_MS);
+		this.#askedPerS *= Math.exp(-passedMs / USED_MS);
 	}
 }
--- a/src/mesh/shares/share.ts
+++ b/src/mesh/shares/share.ts
@@ -1,4 +1,4 @@
-import {type Allowance, type BudgetLimit} from './budget.js';
+import {type Allowance, type BudgetLimit, type Usage} from './budget.js';
 
 /** What a daemon may spend of a budget at once without any news of it. */
 const MIN_CAPACITY = 2;
@@ -39,6 +39,7 @@
 	#usedPerS = 0;
 	#wanted = 0;
 	#used = 0;
+	#other = 0;
 
 	/** @param tokens what may be spent before any news */
 	constructor(limit: BudgetLimit, {daemonCount}: ShareContext, {credit, tokens}: {credit: number; tokens: number}, nowMs: number) {
@@ -55,7 +56,7 @@
 	}
 
 	get hasUsage(): boolean {
-		return this.#wanted !== 0 || this.#used !== 0;
+		return this.#wanted !== 0 || this.#used !== 0 || this.#other !== 0;
 	}
 
 	/** Changes the limit; a lower one lowers the share in proportion at once. */
@@ -94,20 +95,27 @@
 		return ADMITTED;
 	}
 
+	/** Counts a request for which no token is asked. */
+	onAsked(): void {
+		this.#other++;
+	}
+
 	/** Gives back what was admitted and not spent. */
 	giveBack(nowMs: number): void {
 		this.#advance(nowMs);
 		this.#tokens = Math.min(this.#tokens + 1, this.#capacity);
 		this.#wanted--;
 		this.#used--;
+		this.#other++;
 		this.#usedPerS = Math.max(0, this.#usedPerS - (1000 / RATE_MS));
 	}
 
 	/** Returns what is to be reported, and counts from zero again. */
-	takeUsage(): {wanted: number; used: number} {
-		const usage = {wanted: this.#wanted, used: this.#used};
+	takeUsage(): Omit<Usage, 'budget'> {
+		const usage = {wanted: this.#wanted, used: this.#used, other: this.#other};
 		this.#wanted = 0;
 		this.#used = 0;
+		this.#other = 0;
 		return usage;
 	}
 
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {
-	Attempts, type LoadReport, type Route, type Priority, type RoutedService, chooseRetryAfterMs,
+	Attempts, type LoadReport, type Route, type Priority, type RootRequest, chooseRetryAfterMs,
 } from '../../mesh/index.js';
 import {
 	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
@@ -33,7 +33,7 @@
 	readonly #parentCall: Call | undefined;
 	readonly #parentRun: ParentRun | undefined;
 	#priority: Priority;
-	readonly #routedService: RoutedService;
+	readonly #routedService: RootRequest;
 	#callHandle: CallHandle | undefined;
 	/** Gives the token of the organisation's quota back. */
 	#giveBack: (() => void) | undefined;
@@ -57,7 +57,7 @@
 		this.#parentCall = options.parentCall;
 		this.#arrivedMs = context.clock.nowMs();
 		this.leftMs = options.leftMs;
-		this.#routedService = {route: this.route.name, service: this.service};
+		this.#routedService = {route: this.route.name, service: this.service, organisation: options.organisation};
 		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
--- a/src/relay/clients/quotagate.ts
+++ b/src/relay/clients/quotagate.ts
@@ -31,9 +31,21 @@
 		this.#largest = largestOrganisations(limits, MAX_SERIES);
 	}
 
+	/** Counts a request that is refused for overload. */
+	onShed(organisation: string | undefined): void {
+		if (organisation !== undefined) {
+			this.#sharing.recordAsked(organisation, this.#clock.nowMs());
+		}
+	}
+
 	/** Takes a token of the organisation's quota. @returns undefined if it has none */
 	tryAdmit(organisation: string | undefined): QuotaDecision | undefined {
-		if (organisation === undefined || !this.#limits.has(organisation)) {
+		if (organisation === undefined) {
+			return undefined;
+		}
+
+		if (!this.#limits.has(organisation)) {
+			this.#sharing.recordAsked(organisation, this.#clock.nowMs());
 			return undefined;
 		}
 
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -214,6 +214,7 @@
 		const length = headers['content-length'];
 		const hasBody = headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
 		if (!exchange.isAdmitted) {
+			this.#options.quotaGate.onShed(organisation?.name);
 			exchange.shed();
 			return;
 		}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,7 @@
 import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
 import {StatsdReporter, EventLog, Logger} from '../log/index.js';
 import {
-	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, quotaLimits,
+	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './target/announcementendpoint.js';
@@ -84,8 +84,13 @@
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
 		this.#loadBalancer = new LoadBalancer(settings.failureDomain, LOAD_BALANCING, random);
+		const sharing = new BudgetSharing({
+			host: settings.host, room: settings.quotaRoom ?? QUOTA_ROOM, random, onLow: () => {
+				this.#shareExchange.onLow();
+			},
+		});
+		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined, (...request) => sharing.placeOf(...request));
 		this.#retryBudget = new RetryBudget(settings.retry);
-		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
@@ -102,11 +107,6 @@
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
-		const sharing = new BudgetSharing({
-			host: settings.host, room: settings.quotaRoom ?? QUOTA_ROOM, random, onLow: () => {
-				this.#shareExchange.onLow();
-			},
-		});
 		this.#quotaGate = new QuotaGate({sharing, clock, log: this.#log});
 		this.#shareExchange = new ShareExchange({
 			host: settings.host, failureDomain: settings.failureDomain, clock, log: this.#log, hosts: this.#hosts, sharing, random, links: () => this.#links,
@@ -281,9 +281,8 @@
 		return {
 			onSite: (site: Site) => {
 				this.#requestServer.applyLimits(site.spec.limits);
-				const limits = quotaLimits(site.organisations?.values() ?? []);
-				this.#quotaGate.setLimits(limits);
-				this.#shareExchange.setLimits(limits);
+				this.#quotaGate.setLimits(quotaLimits(site.organisations?.values() ?? []));
+				this.#shareExchange.setLimits(entitlementsOf(site.organisations));
 				this.#links.gossip.floodNews();
 			},
 			onHost: (entry: HostEntry) => {
--- a/test/relay/quota.test.ts
+++ b/test/relay/quota.test.ts
@@ -100,11 +100,19 @@
 describe('frames of shared budgets', () => {
 	it('are read as they were built', () => {
 		mesh = new Mesh();
-		const report = {host: 'a', view: -5, usages: [{budget: 'x', wanted: 3, used: -1}]};
+		const report = {
+			host: 'a', view: -5, usages: [
+				{
+					budget: 'x', wanted: 3, used: -1, other: 0,
+				}, {
+					budget: 'y', wanted: 0, used: 0, other: 2,
+				},
+			],
+		};
 		expect(readUsage(buildUsageFrame(report))).toEqual(report);
 		const news = {
-			host: 'a', isReady: true, isReply: false, allowances: [{
-				budget: 'x', fraction: 0.25, usedPerS: 1.5, spendable: 12,
+			host: 'a', isReady: true, isReply: false, askedPerS: 7.5, allowances: [{
+				budget: 'x', fraction: 0.25, usedPerS: 1.5, askedPerS: 2.5, spendable: 12,
 			}],
 		};
 		expect(readAllowances(buildAllowanceFrame(news))).toEqual(news);
