Proof of the rate limit: both copies name it, so that the balancer's choice doesn't decide

Cause: of two copies alike, one named the limit and only its requests were counted; which of the two the daemons prefer is decided by a millisecond in the first answers, and it then gets all.

Both copies name the limit now, and the one that gets most counts: with the sabotage it gets at least half of the 200, without it the rule must hold at both under twice the pressure. One limited copy beside a free one is still checked in virtual time (test/mesh/load.test.ts).

--- a/proof/rules/signals.ts
+++ b/proof/rules/signals.ts
@@ -18,7 +18,7 @@
 const BATCH = 40;
 
 /** Adds two hosts for clients, and two copies of the service that the route `x` leads to. */
-async function addHosts(mesh: Mesh): Promise<{clients: MeshHost[]; target: MeshHost['target']}> {
+async function addHosts(mesh: Mesh): Promise<{clients: MeshHost[]; targets: Array<MeshHost['target']>}> {
 	mesh.configure(createSiteSpec([createRoute('x', 'back')]));
 	const hosts: MeshHost[] = [];
 	for (const [name, service] of [['client-1', 'front'], ['client-2', 'front'], ['copy-1', 'back'], ['copy-2', 'back']]) {
@@ -29,7 +29,7 @@
 	}
 
 	await mesh.settle();
-	return {clients: hosts.slice(0, 2), target: hosts[2].target};
+	return {clients: hosts.slice(0, 2), targets: hosts.slice(2).map(({target}) => target)};
 }
 
 /** Sends requests through the hosts by turns. */
@@ -50,12 +50,16 @@
 	{
 		rule: 'LIMIT',
 		async run(mesh) {
-			const {clients, target} = await addHosts(mesh);
-			target.extraHeaders = {[meshHeaders.rateLimit]: String(LIMIT_PER_S)};
+			const {clients, targets} = await addHosts(mesh);
+			for (const target of targets) {
+				target.extraHeaders = {[meshHeaders.rateLimit]: String(LIMIT_PER_S)};
+			}
+
 			await sendAll(1000 / REQUEST_INTERVAL_MS, REQUEST_INTERVAL_MS, clients);
-			const before = target.receivedRequests.length;
+			const before = targets.map(target => target.receivedRequests.length);
 			await sendAll(WINDOW_S * 1000 / REQUEST_INTERVAL_MS, REQUEST_INTERVAL_MS, clients);
-			const received = target.receivedRequests.length - before;
+			// Which of the copies gets more is the balancer's choice.
+			const received = Math.max(...targets.map((target, index) => target.receivedRequests.length - before[index]));
 			return violationIf(received > ALLOWED_REQUESTS, `${received} requests in ${WINDOW_S} s at a target that had named ${LIMIT_PER_S} a second`);
 		},
 		sabotage: {
@@ -66,7 +70,7 @@
 	{
 		rule: 'DRAIN, by answers',
 		async run(mesh) {
-			const {clients, target} = await addHosts(mesh);
+			const {clients, targets: [target]} = await addHosts(mesh);
 			target.extraHeaders = {[meshHeaders.leaving]: '1'};
 			await sendAll(BATCH, 1, clients);
 			await sleep(DRAIN_MS);
