--- a/src/mesh/balancing/index.ts
+++ b/src/mesh/balancing/index.ts
@@ -4,4 +4,5 @@
 export {UnreachableHosts} from './unreachablehosts.js';
 export {BusyTime} from './busytime.js';
 export {TargetSpeed} from './targetspeed.js';
+export {type ObservedRun, MachineLoad} from './machineload.js';
 export {ServiceTimes} from './servicetimes.js';
--- a/src/relay/adapter.ts
+++ b/src/relay/adapter.ts
@@ -46,6 +46,11 @@
 	abstract decodeTargetMessage(method: string, path: string, body: string): TargetMessage;
 	/** Reads the number of calls that a target runs concurrently from the load header of its answer. */
 	abstract parseSlots(load: string): number | undefined;
+	/**
+	 * Reads how long work takes on a target's machine now from the load header of its answer: 1 is as usual, undefined if it isn't told.
+	 * @throws {DecodeError} when it is malformed or no plausible factor
+	 */
+	abstract decodeMachineLoad(load: string): number | undefined;
 	/** Returns the id of the attempt that a nested call belongs to, if the nested call's id contains it. */
 	abstract parseParentAttemptId(attemptId: string): string | undefined;
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -97,6 +97,7 @@
 			onLeaving: instance => {
 				this.#targetMonitor.handleLeaving(instance);
 			},
+			decodeMachineLoad: settings.usesMachineLoad === true ? load => adapter.decodeMachineLoad(load) : undefined,
 			weightOf: organisation => this.#directory.site?.organisations?.weightOf(organisation) ?? 1,
 		});
 		this.#directory = new Directory({
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -49,4 +49,6 @@
 	readonly quotaRoom?: BudgetRoom;
 	/** The memory that requests held for the end of a fault may take, in bytes; without it none is held, and no outcomes are counted. */
 	readonly heldBytes?: number | undefined;
+	/** Whether the daemon reads what its target says of the load of its machine. */
+	readonly usesMachineLoad?: boolean | undefined;
 };
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -25,6 +25,8 @@
 	abstract onMisdirected(owned: OwnedCall): void;
 	/** Called with what the target says of itself in its answer to the call. */
 	abstract onSignals(owned: OwnedCall, signals: TargetSignals): void;
+	/** Called with the load header of the target's answer to the call. */
+	abstract onLoad(owned: OwnedCall, load: string): void;
 	abstract onInvalidSignals(owned: OwnedCall, error: DecodeError): void;
 	abstract onUnknownHeader(owned: OwnedCall, name: string): void;
 }
@@ -40,6 +42,8 @@
 	readonly serviceMs: number;
 	readonly deviationMs: number;
 	startedMs = 0;
+	/** The load of the target's machine when the run began, as the target claims it; undefined if it isn't known. */
+	machineLoad: number | undefined;
 	hasNestedFailure = false;
 	run: Run | undefined;
 	/** When the sender cancelled the call while its run was allowed to finish, in ms on the daemon's clock. */
@@ -192,6 +196,10 @@
 		this.#owner.onSignals(this, signals);
 	}
 
+	onLoad(load: string): void {
+		this.#owner.onLoad(this, load);
+	}
+
 	onInvalidSignals(error: DecodeError): void {
 		this.#owner.onInvalidSignals(this, error);
 	}
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -22,6 +22,8 @@
 	abstract onBodyTaken(bytes: number): void;
 	/** Called with what the target says of itself, before its answer is passed on. */
 	abstract onSignals(signals: TargetSignals): void;
+	/** Called with the load header of the answer. */
+	abstract onLoad(load: string): void;
 	abstract onInvalidSignals(error: DecodeError): void;
 	/** Called with the name of a header that the platform defines and that nothing here reads, once for each name. */
 	abstract onUnknownHeader(name: string): void;
@@ -282,6 +284,11 @@
 		try {
 			const signals = readTargetSignals(headers, this.#names);
 			this.#sink.onSignals(signals);
+			const load = headers[this.#names.load];
+			if (typeof load === 'string') {
+				this.#sink.onLoad(load);
+			}
+
 			return signals;
 		} catch (error) {
 			this.#sink.onInvalidSignals(error as DecodeError);
--- a/src/relay/target/runrecorder.ts
+++ b/src/relay/target/runrecorder.ts
@@ -1,5 +1,8 @@
 import {type EventLog} from '../../log/index.js';
-import {type LoadReport, ServiceTimes, TargetSpeed} from '../../mesh/index.js';
+import {
+	type LoadReport, MachineLoad, ServiceTimes, TargetSpeed,
+} from '../../mesh/index.js';
+import {type DecodeError} from '../error.js';
 import {type OwnedCall} from './ownedcall.js';
 
 /** The share of failed runs from which a target counts as failing, and below which it no longer does; the gap keeps it from alternating. */
@@ -10,6 +13,8 @@
 	readonly log: EventLog;
 	/** Called when peers should hear by what factor the target is slower than usual; 1 if it no longer is. */
 	readonly onSlowness: (slowness: number) => void;
+	/** Reads the load of the target's machine from its load header; absent if it isn't used. */
+	readonly decodeMachineLoad?: ((load: string) => number | undefined) | undefined;
 };
 
 /** Keeps what the runs of the target beside this daemon show of it: how fast it is, and how many fail. */
@@ -17,6 +22,8 @@
 	readonly #options: RunRecorderOptions;
 	readonly #serviceTimes = new ServiceTimes();
 	readonly #targetSpeed = new TargetSpeed();
+	readonly #machineLoad = new MachineLoad();
+	#hasRejectedLoad = false;
 	#failingSinceMs: number | undefined;
 
 	constructor(options: RunRecorderOptions) {
@@ -26,12 +33,14 @@
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	reset(): void {
 		this.#targetSpeed.reset();
+		this.#machineLoad.reset();
+		this.#hasRejectedLoad = false;
 		this.#failingSinceMs = undefined;
 	}
 
-	/** Mean time of a call of the route in ms, for the decision whether it can meet its deadline. */
-	expectedMs(route: string): number {
-		return this.#serviceTimes.expectedMs(route);
+	/** Time of a call of the route that begins now, in ms, for the decision whether it can meet its deadline. */
+	expectedMs(route: string, nowMs: number): number {
+		return this.#machineLoad.expectedMs(route, this.#serviceTimes.expectedMs(route), nowMs);
 	}
 
 	/** Mean deviation from that time, in ms. */
@@ -40,15 +49,46 @@
 	}
 
 	/** The part of a load report that the runs show. */
-	describe(route: string): Pick<LoadReport, 'serviceMs' | 'failureShare'> {
-		return {serviceMs: this.#serviceTimes.knownMs(route), failureShare: this.#targetSpeed.failureShare};
+	describe(route: string, nowMs: number): Pick<LoadReport, 'serviceMs' | 'failureShare'> {
+		return {serviceMs: this.#machineLoad.expectedMs(route, this.#serviceTimes.knownMs(route), nowMs), failureShare: this.#targetSpeed.failureShare};
+	}
+
+	/** The load of the target's machine as the target claims it; undefined if it isn't known. */
+	machineLoadAt(nowMs: number): number | undefined {
+		return this.#machineLoad.claimAt(nowMs);
+	}
+
+	/** Notes what the target says of its load in an answer. */
+	onLoad(instance: string, load: string, nowMs: number): void {
+		const {decodeMachineLoad, log} = this.#options;
+		try {
+			const claim = decodeMachineLoad?.(load);
+			if (claim !== undefined) {
+				this.#machineLoad.onClaim(claim, nowMs);
+			}
+		} catch (error) {
+			if (!this.#hasRejectedLoad) {
+				this.#hasRejectedLoad = true;
+				log.warn('machine_load_rejected', {instance, reason: (error as DecodeError).message});
+			}
+		}
 	}
 
 	/** Records a run that the target answered. */
 	recordRun(owned: OwnedCall, running: number, nowMs: number): void {
 		const {log, onSlowness} = this.#options;
 		const {template: {route}, instance} = owned.call;
-		this.#serviceTimes.record(route, nowMs - owned.startedMs);
+		const spentMs = nowMs - owned.startedMs;
+		if (this.#machineLoad.record({
+			route, spentMs, machineLoad: owned.machineLoad, meanMs: this.#serviceTimes.knownMs(route),
+		})) {
+			const {isBelieved, errors: {claim, mean}} = this.#machineLoad;
+			log.event('machine_load', {
+				instance, isBelieved, claimError: claim.toFixed(2), meanError: mean.toFixed(2),
+			});
+		}
+
+		this.#serviceTimes.record(route, spentMs);
 		const workMs = owned.workMs(nowMs);
 		const sinceMs = this.#targetSpeed.slowSinceMs;
 		if (workMs === undefined) {
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -32,6 +32,8 @@
 	readonly onSlowness: (slowness: number) => void;
 	/** Called when the target says in an answer that it leaves. */
 	readonly onLeaving: (instance: string) => void;
+	/** Reads the load of the target's machine from its load header; absent if it isn't used. */
+	readonly decodeMachineLoad?: ((load: string) => number | undefined) | undefined;
 };
 
 /**
@@ -144,7 +146,7 @@
 	submit(call: Call, sink: CallSink): CallHandle {
 		const nowMs = this.#options.clock.nowMs();
 		const {route} = call.template;
-		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#runRecorder.expectedMs(route), deviationMs: this.#runRecorder.deviationMs(route)});
+		const owned = new OwnedCall(this, call, sink, {nowMs, serviceMs: this.#runRecorder.expectedMs(route, nowMs), deviationMs: this.#runRecorder.deviationMs(route)});
 		const refusal = this.#findRefusal(call, nowMs);
 		if (refusal !== undefined) {
 			this.#refuse(owned, refusal);
@@ -179,7 +181,7 @@
 
 	override getLoadReport(route: string): LoadReport {
 		return {
-			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.concurrency, ...this.#runRecorder.describe(route),
+			running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.concurrency, ...this.#runRecorder.describe(route, this.#options.clock.nowMs()),
 		};
 	}
 
@@ -271,6 +273,12 @@
 		}
 	}
 
+	override onLoad({call: {instance}}: OwnedCall, load: string): void {
+		if (this.#options.lifecycle.current?.id === instance) {
+			this.#runRecorder.onLoad(instance, load, this.#options.clock.nowMs());
+		}
+	}
+
 	override onInvalidSignals({call: {instance, attemptId}}: OwnedCall, error: DecodeError): void {
 		this.#options.log.warn('target_signals_rejected', {instance, attempt: attemptId, reason: error.message});
 	}
@@ -323,6 +331,7 @@
 		this.#periodicCheck.schedule();
 		const {isNested, isRepeat} = owned.call;
 		this.#options.log.registry.count('runs', {kind: isRepeat ? 'repeat' : (isNested ? 'nested' : 'root')});
+		owned.machineLoad = this.#runRecorder.machineLoadAt(nowMs);
 		owned.start(this.#options.targetClient, nowMs);
 	}
 
--- a/standins/meshadapter.ts
+++ b/standins/meshadapter.ts
@@ -56,6 +56,15 @@
 		return Number(load) || undefined;
 	}
 
+	override decodeMachineLoad(load: string): number | undefined {
+		const [, factor] = load.split(' ');
+		if (factor !== undefined && !(Number(factor) > 0)) {
+			throw new DecodeError('target-load: expected a factor');
+		}
+
+		return factor === undefined ? undefined : Number(factor);
+	}
+
 	override parseParentAttemptId(attemptId: string): string | undefined {
 		const dot = attemptId.lastIndexOf('.');
 		return dot === -1 ? undefined : attemptId.slice(0, dot);
--- a/test/relay/targetsignals.test.ts
+++ b/test/relay/targetsignals.test.ts
@@ -53,3 +53,22 @@
 		expect(mesh.logLines.filter(line => line.includes('event=target_header_unknown')).map(line => /header=(\S+)/v.exec(line)![1])).toEqual(['target-mood']);
 	});
 });
+
+describe('the load of a target\'s machine', () => {
+	const mesh = new Mesh({usesMachineLoad: true});
+	afterEach(async () => {
+		await mesh.close();
+	});
+
+	it('changes nothing if it is malformed, and is logged once', async () => {
+		const {back, port} = await mesh.addPair();
+		back.target.extraHeaders = {...back.target.extraHeaders, [meshHeaders.load]: '8 much'};
+		for (const id of ['a1', 'a2', 'a3']) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			const {status} = await call(port, '/x/', {headers: createAttemptHeaders(id)});
+			expect(status).toBe(200);
+		}
+
+		expect(mesh.logLines.filter(line => line.includes('event=machine_load_rejected'))).toHaveLength(1);
+	});
+});
