--- a/bench/placement/main.ts
+++ b/bench/placement/main.ts
@@ -20,6 +20,9 @@
 	{
 		...fleet, name: 'cold-third', coldShare: 0.33, demand: 0.6,
 	},
+	{
+		...fleet, name: 'joining-third', coldShare: 0.33, coldOnesJoin: true, demand: 0.6,
+	},
 	{
 		...fleet, name: 'shedding', sheddingTargets: 6, shedShare: 0.6,
 	},
