--- a/src/mesh/balancing/loadreport.ts
+++ b/src/mesh/balancing/loadreport.ts
@@ -4,7 +4,7 @@
 	readonly queued: number;
 	/** The owner's concurrency limit. */
 	readonly limit: number;
-	/** Mean time that this route's calls take at the target, in ms; 0 if unknown. */
+	/** Time that this route's calls take at the target, in ms: a mean, or that of this moment if the owner can tell; 0 if unknown. */
 	readonly serviceMs: number;
 	/** Share of the target's last runs that it shed or failed; 0 if it is absent. */
 	readonly failureShare?: number;
