An organisation's rank goes before its routes' ranks and no longer replaces them

The ranks in use are divided among the organisations' ranks first and the routes' within them. The reserve of the retry budget was whole from the fifth rank on, as if only the upper half was used; it now spans the ranks in use. Sites whose organisations state no rank, or without any, are as before.

Ruled out: due order and fair shares, which work within a lane; nested calls keep the level of their root.

--- a/src/mesh/organisations/index.ts
+++ b/src/mesh/organisations/index.ts
@@ -4,4 +4,5 @@
 export {largestOrganisations, quotaLimits} from './quota.js';
 export {findConflict} from './conflict.js';
 export {type Organisation} from './organisation.js';
+export {type StatedRanks, RankOrder} from './rankorder.js';
 export {OrganisationTable} from './organisationtable.js';
--- a/src/mesh/retries/retrybudget.ts
+++ b/src/mesh/retries/retrybudget.ts
@@ -1,4 +1,4 @@
-import {MAX_FLOOR} from '../../core/index.js';
+import {MAX_FLOOR, RANK_COUNT} from '../../core/index.js';
 
 /** The site's limits on retries. */
 export type RetryBudgetOptions = {
@@ -17,8 +17,8 @@
 const BURST_MS = 250;
 /** Time constant of the arrival rate, in ms. */
 const RATE_TIME_CONSTANT_MS = 2000;
-/** Growth of the token reserve per share of the level range below the highest level: at 2, the reserve is complete at half of the range, as only the upper ranks are in use. */
-const RESERVE_SLOPE = 2;
+/** The least number of ranks over which the token reserve grows to the whole: as many as most sites use. */
+const MIN_RESERVED_RANKS = 4;
 
 /**
  * Limits the retries that this daemon sends to each service: its share of a
@@ -33,6 +33,7 @@
 	readonly #options: RetryBudgetOptions;
 	readonly #buckets = new Map<string, Bucket>();
 	#daemonCount = 1;
+	#reservedRanks = MIN_RESERVED_RANKS;
 
 	constructor(options: RetryBudgetOptions) {
 		this.#options = options;
@@ -43,6 +44,11 @@
 		this.#daemonCount = Math.max(1, daemonCount);
 	}
 
+	/** Sets how many ranks are in use, from the highest on: with the lowest of them, the reserve is whole. */
+	setRankCount(rankCount: number): void {
+		this.#reservedRanks = Math.max(MIN_RESERVED_RANKS, rankCount);
+	}
+
 	/** Earns tokens for a request that is sent for the first time. */
 	recordFirstSend(service: string, nowMs: number): void {
 		const bucket = this.#bucket(service, nowMs);
@@ -61,7 +67,7 @@
 	 */
 	spend(service: string, level: number, nowMs: number): boolean {
 		const bucket = this.#bucket(service, nowMs);
-		const reserve = (this.#capacity(bucket) - 1) * Math.min(1, (1 - (level / MAX_FLOOR)) * RESERVE_SLOPE);
+		const reserve = (this.#capacity(bucket) - 1) * Math.min(1, (1 - (level / MAX_FLOOR)) * RANK_COUNT / this.#reservedRanks);
 		if (bucket.tokens < 1 + reserve) {
 			return false;
 		}
--- a/src/mesh/routing/site.ts
+++ b/src/mesh/routing/site.ts
@@ -1,5 +1,6 @@
 import {type Organisation} from '../organisations/organisation.js';
 import {OrganisationTable} from '../organisations/organisationtable.js';
+import {RankOrder} from '../organisations/rankorder.js';
 import {type Route, RouteTable} from './route.js';
 
 /** Limits on the size and duration of client requests. */
@@ -33,6 +34,8 @@
 	/** Undefined if requests need no API key. */
 	readonly organisations: OrganisationTable | undefined;
 
+	readonly rankOrder: RankOrder;
+
 	/** The operator's version; a higher one is newer. */
 	get version(): number {
 		return this.spec.version;
@@ -44,5 +47,6 @@
 		this.routeTable = new RouteTable(spec.routes);
 		this.services = new Map(spec.services.map(service => [service.name, service]));
 		this.organisations = spec.organisations && new OrganisationTable(spec.organisations);
+		this.rankOrder = new RankOrder(spec);
 	}
 }
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -200,7 +200,7 @@
 		}
 
 		const {organisation} = authentication;
-		const rank = organisation?.rank ?? route.rank;
+		const rank = site.rankOrder.rankOf(organisation?.rank, route.rank);
 		const service = this.#splitter.choose(route) ?? '';
 		const exchange = new Exchange(this.#context, request, response, {
 			route, service, attemptId, leftMs, parentCall, organisation: organisation?.name, template: this.#createTemplate(request, {site, route, rank}),
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -280,6 +280,7 @@
 		return {
 			onSite: (site: Site) => {
 				this.#requestServer.applyLimits(site.spec.limits);
+				this.#retryBudget.setRankCount(site.rankOrder.count);
 				const limits = quotaLimits(site.organisations?.values() ?? []);
 				this.#quotaGate.setLimits(limits);
 				this.#shareExchange.setLimits(limits);
--- a/test/relay/queue.test.ts
+++ b/test/relay/queue.test.ts
@@ -1,7 +1,8 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {Mesh, createRoute} from '../../standins/mesh.js';
+import {Mesh, createRoute, createSiteSpec} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
 
@@ -31,7 +32,30 @@
 	return pair.back.target.ranAttemptIds.findIndex(id => id.startsWith('hasty'));
 }
 
+/** Has six requests of the lowest rank wait at a target that runs one at a time, and then one of the highest, all of one organisation. @returns the place of the last one among the runs */
+async function findUrgentPlace(): Promise<number> {
+	mesh = new Mesh();
+	const routes = [createRoute('calm', 'back', {rank: 2, timeoutMs: 8000}), createRoute('urgent', 'back', {rank: 0, timeoutMs: 8000})];
+	const pair = await mesh.addPair({routes, back: {slots: 1, workMs: 100}});
+	mesh.configure({
+		...createSiteSpec(routes, 2), organisations: [{
+			name: 'acme', keys: ['key'], burst: 0, rank: 1,
+		}],
+	});
+	await mesh.settle();
+	const send = async (kind: string, number: number) => call(pair.port, `/${kind}/`, {headers: {...createAttemptHeaders(`${kind}${number}`), authorization: 'Bearer key'}});
+	const calm = Array.from({length: 6}, async (_, number) => send('calm', number));
+	await sleep(50);
+	const ended = await Promise.all([...calm, send('urgent', 0)]);
+	expect(ended.map(({status}) => status)).toEqual(Array.from({length: 7}, () => 200));
+	return pair.back.target.ranAttemptIds.indexOf('urgent0');
+}
+
 describe('the queue of an owner', () => {
+	it('serves an urgent route of an organisation before its other routes, though the organisation has a rank of its own', async () => {
+		expect(await findUrgentPlace()).toBeLessThan(3);
+	});
+
 	it('serves a request that is due soon before those of its rank that came earlier and are due later', async () => {
 		expect(await findHastyPlace(false)).toBeLessThan(3);
 	});
