A quota is spent on an organisation's most urgent requests first

Each daemon now divides the fraction that it may admit among the ranks of what is wanted there, the most urgent first; what it admits in sum stays the fraction, so the books, the allowances and the bound of docs/design/quota.md are as they were.

--- a/fakes/sharefleet.ts
+++ b/fakes/sharefleet.ts
@@ -28,6 +28,8 @@
 	readonly perS: (nowMs: number) => number;
 	/** The daemon that the request goes to. */
 	readonly choose: (nowMs: number, random: Random) => FleetMember;
+	/** The ranks of its requests, each as often as it is named. */
+	readonly ranks?: readonly number[];
 };
 
 /** Daemons that share budgets, on a clock of their own. */
@@ -43,6 +45,8 @@
 	/** When each request was admitted, by budget. */
 	readonly admittedMs = new Map<string, number[]>();
 	readonly refusedMs = new Map<string, number[]>();
+	/** How many requests of each rank were admitted and refused. */
+	readonly byRank = new Map<number, {admitted: number; refused: number}>();
 	readonly #byName: ReadonlyMap<string, FleetMember>;
 	readonly #room: BudgetRoom;
 	#limits: ReadonlyMap<string, BudgetLimit>;
@@ -151,20 +155,23 @@
 	}
 
 	/** One request of an organisation at a daemon. @returns whether it was admitted */
-	request(member: FleetMember, budget: string): boolean {
-		const {isAdmitted} = member.sharing.trySpend(budget, this.nowMs);
+	request(member: FleetMember, budget: string, rank = 0): boolean {
+		const {isAdmitted} = member.sharing.trySpend(budget, rank, this.nowMs);
 		const times = isAdmitted ? this.admittedMs : this.refusedMs;
 		times.set(budget, times.get(budget) ?? []);
 		times.get(budget)!.push(this.nowMs);
+		const count = this.byRank.get(rank) ?? {admitted: 0, refused: 0};
+		this.byRank.set(rank, count);
+		count[isAdmitted ? 'admitted' : 'refused']++;
 		return isAdmitted;
 	}
 
-	#arrive({budget, perS, choose}: FleetLoad): void {
+	#arrive({budget, perS, choose, ranks = [0]}: FleetLoad): void {
 		let left = perS(this.nowMs) * STEP_MS / 1000;
 		for (left -= this.random.exponential(1); left > 0; left -= this.random.exponential(1)) {
 			const member = choose(this.nowMs, this.random);
 			if (member.isUp) {
-				this.request(member, budget);
+				this.request(member, budget, ranks.length === 1 ? ranks[0] : this.random.pick(ranks));
 			}
 		}
 	}
--- a/src/mesh/shares/budgetsharing.ts
+++ b/src/mesh/shares/budgetsharing.ts
@@ -128,8 +128,11 @@
 		return this.account.review(nowMs);
 	}
 
-	/** Spends one of a budget if this daemon may. A budget without a limit may always be spent. */
-	trySpend(budget: string, nowMs: number): Admission {
+	/**
+	 * Spends one of a budget if this daemon may. A budget without a limit may always be spent.
+	 * @param rank of what it is spent for; 0 is the highest
+	 */
+	trySpend(budget: string, rank: number, nowMs: number): Admission {
 		const limit = this.#limits.get(budget);
 		if (limit === undefined) {
 			return {isAdmitted: true};
@@ -148,7 +151,7 @@
 		}
 
 		const fraction = news.limited.get(budget)?.fraction ?? 1;
-		const admission = share.trySpend(fraction, nowMs);
+		const admission = share.trySpend(fraction, rank, nowMs);
 		if (isFresh && share.isLow) {
 			this.#low.add(this.#accountants.of(budget)!);
 			this.#options.onLow();
--- a/src/mesh/shares/index.ts
+++ b/src/mesh/shares/index.ts
@@ -5,4 +5,5 @@
 } from './budget.js';
 export {BudgetSharing, type BudgetSharingOptions, type DueReport} from './budgetsharing.js';
 export {Ledger} from './ledger.js';
+export {UrgentFirst} from './urgentfirst.js';
 export {type Admission, Share} from './share.js';
--- a/src/mesh/shares/share.ts
+++ b/src/mesh/shares/share.ts
@@ -1,4 +1,5 @@
 import {type Allowance, type BudgetLimit} from './budget.js';
+import {UrgentFirst} from './urgentfirst.js';
 
 /** What a daemon may spend of a budget at once without any news of it. */
 const MIN_CAPACITY = 2;
@@ -6,10 +7,8 @@
 const SURGE = 2;
 /** The part of what all daemons may spend that one may spend between two replies: requests may move to a daemon that has seen none. */
 const MIN_WEIGHT = 1 / 16;
-/** Time constant of what is wanted and spent here, in ms. */
+/** Time constant of what is spent here, in ms. */
 const RATE_MS = 2000;
-/** The most that a daemon saves up of its fraction. */
-const MAX_CREDIT = 2;
 
 /** Whether a share allows a spending; otherwise after what time it may, in ms. */
 export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number};
@@ -21,21 +20,21 @@
 
 /**
  * One daemon's share of a budget: of what is wanted here, the fraction that the
- * accountant names, and in one interval of reports no more than an allowance.
+ * accountant names, the most urgent first, and in one interval of reports no more than an allowance.
  * Without news, the allowance is filled again only at the rate of the recent
  * spending here, and an equal share of what all daemons left unused.
  */
 export class Share {
 	#limit: BudgetLimit;
-	/** Counts fractions: a spending is admitted for each whole number. Begins at random, as all daemons would otherwise wait for it at the same time. */
-	#credit: number;
+	/** What is left of a limited allowance without news: random, so that all daemons together have the half. */
+	readonly #phase: number;
+	readonly #urgentFirst: UrgentFirst;
 	#tokens: number;
 	#capacity = MIN_CAPACITY;
 	/** The part of the capacity that all daemons may use at the same time. */
 	#staleCapacity = MIN_CAPACITY;
 	#fillPerS: number;
 	#advancedMs: number;
-	#wantedPerS = 0;
 	#usedPerS = 0;
 	#wanted = 0;
 	#used = 0;
@@ -43,7 +42,8 @@
 	/** @param tokens what may be spent before any news */
 	constructor(limit: BudgetLimit, {daemonCount}: ShareContext, {credit, tokens}: {credit: number; tokens: number}, nowMs: number) {
 		this.#limit = limit;
-		this.#credit = credit;
+		this.#phase = credit;
+		this.#urgentFirst = new UrgentFirst(credit);
 		this.#tokens = tokens;
 		this.#fillPerS = limit.ratePerS / daemonCount;
 		this.#advancedMs = nowMs;
@@ -69,25 +69,31 @@
 		this.#tokens = Math.min(this.#tokens, this.#capacity);
 	}
 
-	/** @param fraction the fraction in force; 1 if there is none */
-	trySpend(fraction: number, nowMs: number): Admission {
+	/**
+	 * @param fraction the fraction in force; 1 if there is none
+	 * @param rank 0 is the highest
+	 */
+	trySpend(fraction: number, rank: number, nowMs: number): Admission {
 		this.#advance(nowMs);
 		this.#wanted++;
-		this.#wantedPerS += 1000 / RATE_MS;
+		this.#urgentFirst.record(rank);
 		if (fraction < 1) {
-			this.#credit = Math.min(this.#credit + fraction, MAX_CREDIT);
-			if (this.#credit < 1) {
-				return {isAdmitted: false, retryAfterMs: (1 - this.#credit) * 1000 / (fraction * this.#wantedPerS)};
+			const waitMs = this.#urgentFirst.earn(rank, fraction);
+			if (waitMs > 0) {
+				return {isAdmitted: false, retryAfterMs: waitMs};
 			}
 		} else {
-			this.#credit %= 1;
+			this.#urgentFirst.reset();
 		}
 
 		if (this.#tokens < 1) {
 			return {isAdmitted: false, retryAfterMs: (1 - this.#tokens) * 1000 / this.#fillPerS};
 		}
 
-		this.#credit -= fraction < 1 ? 1 : 0;
+		if (fraction < 1) {
+			this.#urgentFirst.spend(rank);
+		}
+
 		this.#tokens--;
 		this.#used++;
 		this.#usedPerS += 1000 / RATE_MS;
@@ -128,7 +134,7 @@
 	 */
 	onStale(wasLimited: boolean): void {
 		this.#capacity = this.#staleCapacity;
-		this.#tokens = Math.min(this.#tokens, wasLimited ? this.#credit % 1 : this.#capacity);
+		this.#tokens = Math.min(this.#tokens, wasLimited ? this.#phase : this.#capacity);
 	}
 
 	/** Fills the allowance after a reply of the accountant. */
@@ -144,8 +150,7 @@
 
 		this.#advancedMs = nowMs;
 		this.#tokens = Math.min(this.#tokens + (this.#fillPerS * passedMs / 1000), this.#capacity);
-		const decay = Math.exp(-passedMs / RATE_MS);
-		this.#wantedPerS *= decay;
-		this.#usedPerS *= decay;
+		this.#usedPerS *= Math.exp(-passedMs / RATE_MS);
+		this.#urgentFirst.advance(passedMs);
 	}
 }
--- a/src/relay/clients/quotagate.ts
+++ b/src/relay/clients/quotagate.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
+import {RANK_COUNT} from '../../core/index.js';
 import {type BudgetLimit, type BudgetSharing, largestOrganisations} from '../../mesh/index.js';
 
 /** The organisations that metrics tell apart; the others are counted together. */
@@ -31,13 +32,13 @@
 		this.#largest = largestOrganisations(limits, MAX_SERIES);
 	}
 
-	/** Takes a token of the organisation's quota. @returns undefined if it has none */
-	tryAdmit(organisation: string | undefined): QuotaDecision | undefined {
+	/** Takes a token of the organisation's quota. @param rank of the request; 0 is the highest @returns undefined if it has none */
+	tryAdmit(organisation: string | undefined, rank: number): QuotaDecision | undefined {
 		if (organisation === undefined || !this.#limits.has(organisation)) {
 			return undefined;
 		}
 
-		const admission = this.#sharing.trySpend(organisation, this.#clock.nowMs());
+		const admission = this.#sharing.trySpend(organisation, Math.min(RANK_COUNT - 1, Math.max(0, Math.floor(rank))), this.#clock.nowMs());
 		this.#log.registry.count(admission.isAdmitted ? 'quota_admitted' : 'quota_denied', {organisation: this.#largest.has(organisation) ? organisation : OTHER_ORGANISATIONS});
 		if (!admission.isAdmitted) {
 			return {isAdmitted: false, retryAfterMs: Math.min(Math.max(admission.retryAfterMs, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)};
--- a/test/mesh/rankorder.test.ts
+++ b/test/mesh/rankorder.test.ts
@@ -32,7 +32,6 @@
 describe('RankOrder', () => {
 	it('orders by the organisation and then by the route, wherever there are ranks enough, and never the other way round', () => {
 		fc.assert(fc.property(sites, ({routes, organisations}) => {
-			const order = new RankOrder({routes, organisations});
 			expect(findDisorder(routes, organisations)).toBeUndefined();
 		}), {seed: 31});
 	});
