Ranks of routes are told apart within an organisation's also where some routes are public

Now only the combinations that occur have ranks; they are merged only where there are more than eight.

--- a/src/mesh/organisations/rankorder.ts
+++ b/src/mesh/organisations/rankorder.ts
@@ -16,38 +16,43 @@
 export class RankOrder {
 	/** How many ranks are in use, from the highest on. */
 	readonly count: number;
-	readonly #routeRanks: readonly number[];
-	readonly #organisationRanks: readonly number[];
-	/** How many ranks each organisation's rank is divided into; 0 if no organisation states one. */
-	readonly #ranksEach: number;
+	readonly #hasStated: boolean;
+	/** Each combination's rank, by the organisation's rank and then by the route's. */
+	readonly #ranks = new Map<number, Map<number, number>>();
 
 	constructor({routes, organisations = []}: StatedRanks) {
-		const stated = organisations.flatMap(({rank}) => rank ?? []);
-		const hasUnstated = stated.length < organisations.length || routes.some(({isPublic}) => isPublic === true);
-		this.#routeRanks = sorted(routes.map(({rank}) => rank));
-		this.#organisationRanks = sorted([...stated, ...(hasUnstated ? this.#routeRanks : [])]);
-		this.#ranksEach = stated.length === 0 ? 0 : Math.max(1, Math.min(this.#routeRanks.length, Math.floor(RANK_COUNT / this.#organisationRanks.length)));
-		this.count = Math.min(RANK_COUNT, this.#ranksEach === 0 ? this.#routeRanks.length : this.#organisationRanks.length * this.#ranksEach);
+		const stated = distinct(organisations.flatMap(({rank}) => rank ?? []));
+		this.#hasStated = stated.length > 0;
+		const routeRanks = distinct(routes.map(({rank}) => rank));
+		const hasUnstated = organisations.some(({rank}) => rank === undefined);
+		const unstated = routes.filter(({isPublic}) => hasUnstated || isPublic === true).map(({rank}) => rank);
+		const organisationRanks = this.#hasStated ? distinct([...stated, ...unstated]) : [];
+		for (const organisation of organisationRanks) {
+			const those = stated.includes(organisation) ? routeRanks : [organisation];
+			this.#ranks.set(organisation, new Map(those.map(rank => [rank, 0])));
+		}
+
+		const combinations = [...this.#ranks.values()].reduce((sum, {size}) => sum + size, 0);
+		const ranksEach = combinations <= RANK_COUNT ? RANK_COUNT : Math.max(1, Math.floor(RANK_COUNT / organisationRanks.length));
+		let next = 0;
+		for (const ranks of this.#ranks.values()) {
+			const each = Math.min(ranksEach, ranks.size);
+			for (const [place, route] of [...ranks.keys()].entries()) {
+				ranks.set(route, Math.min(RANK_COUNT - 1, next + Math.floor(place * each / ranks.size)));
+			}
+
+			next += each;
+		}
+
+		this.count = Math.min(RANK_COUNT, this.#hasStated ? next : routeRanks.length);
 	}
 
 	/** @param organisationRank the rank that the request's organisation states */
 	rankOf(organisationRank: number | undefined, routeRank: number): number {
-		if (this.#ranksEach === 0) {
-			return routeRank;
-		}
-
-		const organisation = placeOf(organisationRank ?? routeRank, this.#organisationRanks);
-		const route = placeOf(routeRank, this.#routeRanks);
-		const within = Math.floor(route * this.#ranksEach / Math.max(1, this.#routeRanks.length));
-		return Math.min(RANK_COUNT - 1, (organisation * this.#ranksEach) + within);
+		return this.#hasStated ? this.#ranks.get(organisationRank ?? routeRank)?.get(routeRank) ?? RANK_COUNT - 1 : routeRank;
 	}
 }
 
-function sorted(ranks: readonly number[]): number[] {
+function distinct(ranks: readonly number[]): number[] {
 	return [...new Set(ranks)].toSorted((a, b) => a - b);
 }
-
-/** The place of a rank, or of the one next above it. */
-function placeOf(rank: number, ranks: readonly number[]): number {
-	return Math.max(0, ranks.findLastIndex(other => other <= rank));
-}
--- a/test/mesh/rankorder.test.ts
+++ b/test/mesh/rankorder.test.ts
@@ -36,6 +36,13 @@
 		}), {seed: 31});
 	});
 
+	it('tells all apart where they are few enough, though some routes are public', () => {
+		const routes = [{rank: 0, isPublic: true}, {rank: 2}, {rank: 1, isPublic: true}, {rank: 1}, {rank: 0}];
+		const order = new RankOrder({routes, organisations: [{rank: 1}, {rank: 0}]});
+		const ranks = [0, 1].flatMap(organisation => [0, 1, 2].map(route => order.rankOf(organisation, route)));
+		expect([ranks, order.rankOf(undefined, 0), order.rankOf(undefined, 1), order.count]).toEqual([[0, 1, 2, 3, 4, 5], 0, 4, 6]);
+	});
+
 	it('keeps the ranks of routes where no organisation states one', () => {
 		const order = new RankOrder({routes: [{rank: 1}, {rank: 4}], organisations: [{}]});
 		expect([order.rankOf(undefined, 1), order.rankOf(undefined, 4)]).toEqual([1, 4]);
