A request whose deadline passes in another daemon's queue is refused as not run

Callers got 504, which promises nothing, for unsafe requests that waited in the queue of a peer when their deadline passed, and couldn't repeat them: the first daemon ended them by itself, as the owner's refusal comes up to 50 ms after the last useful start, which lies close to the deadline where runs are short. Now it takes the call back first and waits up to 50 ms for the owner's word; the owner answers a cancellation of a call that hasn't run with a refusal. An older owner says nothing, and the answer is 504 as before; an older sender ignores the word.

A rule check with a sabotage (an owner says of a running call that it hasn't run) reports REFUSED.

--- a/proof/rules/answers.ts
+++ b/proof/rules/answers.ts
@@ -9,6 +9,7 @@
 } from './rulecheck.js';
 
 const {onResponseStart, options} = Run.prototype;
+const {cancel} = OwnedCall.prototype;
 
 // Adds a client's host and two hosts whose targets answer with the given behaviour; returns the client host's request port.
 async function startTwoBacks(mesh: Mesh, behaviour: BehaviourOverride) {
@@ -100,4 +101,19 @@
 			}),
 		},
 	},
+	{
+		rule: 'REFUSED',
+		async run(mesh) {
+			const {port, back} = await mesh.addPair({routes: [createRoute('x', 'back', {repeatability: 'unsafe', timeoutMs: 200})], back: {workMs: 1000}});
+			const {status} = await sendAttempt(port, '/x/', 'a1', {method: 'POST'});
+			return violationIf(status === 503 && back.target.receivedRequests.length > 0, 'a request that was running at its deadline was answered 503');
+		},
+		sabotage: {
+			title: 'an owner says of each call that it takes back that it hasn\'t run',
+			apply: () => replaceMethod(OwnedCall.prototype, 'cancel', function (this: OwnedCall) {
+				cancel.call(this);
+				return true;
+			}),
+		},
+	},
 ];
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -98,6 +98,11 @@
 	 * @returns whether it is certain that the call hasn't run and never will
 	 */
 	abstract cancel(): boolean;
+	/**
+	 * Takes the call back, as its time is over: it is refused if it hasn't run, and otherwise goes on until it is cancelled.
+	 * @returns whether its owner may still refuse it
+	 */
+	abstract withdraw(): boolean;
 }
 
 /** The largest body that is sent inline with its call or answer, in bytes; larger ones are streamed. */
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -13,6 +13,7 @@
 import {ParentRun} from './parentrun.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
+import {Withdrawal} from './withdrawal.js';
 
 /** One client's request, from its arrival to its single final answer. */
 export class Exchange extends CallSink {
@@ -32,6 +33,7 @@
 	readonly #arrivedMs: number;
 	readonly #parentCall: Call | undefined;
 	readonly #parentRun: ParentRun | undefined;
+	readonly #withdrawal = new Withdrawal();
 	#priority: Priority;
 	readonly #routedService: RoutedService;
 	#callHandle: CallHandle | undefined;
@@ -116,7 +118,7 @@
 
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
-		if (!this.#isOver && nowMs >= this.deadlineMs) {
+		if (!this.#isOver && nowMs >= this.deadlineMs && !this.#withdrawal.isPending(this.#callHandle, nowMs)) {
 			if (this.#callHandle !== undefined) {
 				this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
 			}
@@ -314,9 +316,8 @@
 	}
 
 	#countAnswer(status: number, nowMs: number): void {
-		const {registry} = this.#context.log;
-		registry.count('answers', {service: this.service, status});
-		registry.observe('answer', {service: this.service, rank: this.#template.rank}, nowMs - this.#arrivedMs);
+		this.#context.log.registry.count('answers', {service: this.service, status});
+		this.#context.log.registry.observe('answer', {service: this.service, rank: this.#template.rank}, nowMs - this.#arrivedMs);
 		this.#context.heldRequests?.onAnswered(this, status);
 	}
 
@@ -328,12 +329,11 @@
 	/** @returns whether it is certain that the request hasn't run and never will */
 	#cancelCall(): boolean {
 		const handle = this.#callHandle;
-		if (handle === undefined) {
-			return !this.#mayHaveRun;
+		if (handle !== undefined) {
+			this.#releaseHost();
+			this.#mayHaveRun ||= !handle.cancel();
 		}
 
-		this.#releaseHost();
-		this.#mayHaveRun ||= !handle.cancel();
 		return !this.#mayHaveRun;
 	}
 
--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -151,6 +151,12 @@
 		}
 	}
 
+	/** Cancels a call at the other side, whose word of it is still awaited. @returns whether the call is in flight */
+	withdrawCall({id}: LinkCall): boolean {
+		this.send([FrameTag.cancel, id]);
+		return this.#calls.has(id);
+	}
+
 	/** Closes the link: unsent calls end as refused because they have not run; the others fail because they may have run. */
 	close(reason: string): void {
 		if (this.#isClosed) {
@@ -316,4 +322,8 @@
 		this.#link.cancelCall(this);
 		return !this.isSent;
 	}
+
+	override withdraw(): boolean {
+		return this.isSent && this.#link.withdrawCall(this);
+	}
 }
--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -177,8 +177,12 @@
 			}
 
 			case FrameTag.cancel: {
-				this.#calls.get(id)?.cancel();
+				const hasNotRun = this.#calls.get(id)?.cancel() === true;
 				this.#calls.delete(id);
+				if (hasNotRun) {
+					this.send([FrameTag.refused, id, 'cancelled' satisfies RefusalReason, null]);
+				}
+
 				break;
 			}
 
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -142,6 +142,11 @@
 		return this.run === undefined;
 	}
 
+	/** Whoever shares the process with the owner learns all from `cancel`. */
+	withdraw(): boolean {
+		return false;
+	}
+
 	// Called by the run at the target.
 
 	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
