Where few of an organisation's requests are admitted, the refused come back late

If fewer than half of a rank's requests have a token, those that come back form a line that only grows; the refused are now told 0.24 to 0.3 of their time, which is what clients honour: they wait for as long as told up to a third (seen at 0.35 of their time where more was named), and come back whatever they are told.

--- a/src/mesh/admission/index.ts
+++ b/src/mesh/admission/index.ts
@@ -5,7 +5,7 @@
 	type QueuedCall, type AdmissionDecision, type AdmissionRefusal, AdmissionQueue, usableSlots,
 } from './admissionqueue.js';
 export {IdleConnectionLimit} from './idleconnectionlimit.js';
-export {type RetryCause, chooseRetryAfterMs} from './retryafter.js';
+export {type RetryCause, chooseRetryAfterMs, latestRetryAfterMs} from './retryafter.js';
 export {
 	type Priority, type RoutedService, type RunOutcome, type TargetLoad, LoadShedder,
 } from './loadshedder.js';
--- a/src/mesh/admission/retryafter.ts
+++ b/src/mesh/admission/retryafter.ts
@@ -9,6 +9,8 @@
 const MAX_DEADLINE_SHARE = 0.3;
 /** Maximum delay as a share of the time left to the objective: the remainder suffices to serve the retry. */
 const MAX_OBJECTIVE_SHARE = 0.6;
+/** Part of the latest delay that is left to chance, so that clients refused at once don't return at once. */
+const LATEST_SPREAD = 0.2;
 /** Minimum delay after a transient fault, as a share of the maximum. */
 const MIN_TRANSIENT_SHARE = 0.6;
 
@@ -29,3 +31,8 @@
 	const earliestMs = Math.min(MIN_OVERLOAD_DELAY_MS, latestMs);
 	return earliestMs + ((latestMs - earliestMs) * random());
 }
+
+/** The latest delay that a refused client honours, in ms, a little spread. */
+export function latestRetryAfterMs(leftMs: number, random: () => number): number {
+	return leftMs * MAX_DEADLINE_SHARE * (1 - (LATEST_SPREAD * random()));
+}
--- a/src/mesh/shares/share.ts
+++ b/src/mesh/shares/share.ts
@@ -10,8 +10,8 @@
 /** Time constant of what is spent here, in ms. */
 const RATE_MS = 2000;
 
-/** Whether a share allows a spending; otherwise after what time it may, in ms. */
-export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number};
+/** Whether a share allows a spending; otherwise after what time it may, in ms, and what part of those that ask may. */
+export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number; readonly fraction: number};
 
 const ADMITTED: Admission = {isAdmitted: true};
 
@@ -80,14 +80,14 @@
 		if (fraction < 1) {
 			const waitMs = this.#urgentFirst.earn(rank, fraction);
 			if (waitMs > 0) {
-				return {isAdmitted: false, retryAfterMs: waitMs};
+				return {isAdmitted: false, retryAfterMs: waitMs, fraction: this.#urgentFirst.fractionOf(rank, fraction)};
 			}
 		} else {
 			this.#urgentFirst.reset();
 		}
 
 		if (this.#tokens < 1) {
-			return {isAdmitted: false, retryAfterMs: (1 - this.#tokens) * 1000 / this.#fillPerS};
+			return {isAdmitted: false, retryAfterMs: (1 - this.#tokens) * 1000 / this.#fillPerS, fraction: 1};
 		}
 
 		if (fraction < 1) {
--- a/src/mesh/shares/urgentfirst.ts
+++ b/src/mesh/shares/urgentfirst.ts
@@ -35,7 +35,7 @@
 
 	/** Earns the fraction for a request. @returns after what time it may be spent, in ms; 0 if at once, infinite if less urgent ones have no part in it */
 	earn(rank: number, fraction: number): number {
-		const own = this.#fractionOf(rank, fraction);
+		const own = this.fractionOf(rank, fraction);
 		this.#credits[rank] = Math.min(this.#credits[rank] + own, MAX_CREDIT);
 		return this.#credits[rank] >= 1 ? 0 : (1 - this.#credits[rank]) * 1000 / (own * this.#wantedPerS[rank]);
 	}
@@ -51,7 +51,8 @@
 		}
 	}
 
-	#fractionOf(rank: number, fraction: number): number {
+	/** The part of what is wanted of a rank that may be spent. */
+	fractionOf(rank: number, fraction: number): number {
 		let above = 0;
 		let sum = 0;
 		for (let other = 0; other < RANK_COUNT; other++) {
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -217,7 +217,7 @@
 		}
 
 		// The root has paid for its nested calls.
-		const decision = parentCall === undefined && route.isPublic !== true ? this.#options.quotaGate.tryAdmit(organisation?.name, rank) : undefined;
+		const decision = parentCall === undefined && route.isPublic !== true ? this.#options.quotaGate.tryAdmit(organisation?.name, rank, leftMs) : undefined;
 		if (decision?.isAdmitted === false) {
 			exchange.deny(decision.retryAfterMs);
 		} else {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -107,7 +107,9 @@
 				this.#shareExchange.onLow();
 			},
 		});
-		this.#quotaGate = new QuotaGate({sharing, clock, log: this.#log});
+		this.#quotaGate = new QuotaGate({
+			sharing, clock, log: this.#log, random,
+		});
 		this.#shareExchange = new ShareExchange({
 			host: settings.host, failureDomain: settings.failureDomain, clock, log: this.#log, hosts: this.#hosts, sharing, random, links: () => this.#links,
 		});
