--- a/src/mesh/shares/index.ts
+++ b/src/mesh/shares/index.ts
@@ -6,4 +6,5 @@
 export {BudgetSharing, type BudgetSharingOptions, type DueReport} from './budgetsharing.js';
 export {FairOrder} from './fairorder.js';
 export {Ledger} from './ledger.js';
+export {UrgentFirst} from './urgentfirst.js';
 export {type Admission, Share} from './share.js';
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -202,7 +202,7 @@
 		}
 
 		const {organisation} = authentication;
-		const rank = organisation?.rank ?? route.rank;
+		const rank = site.rankOrder.rankOf(organisation?.rank, route.rank);
 		const service = this.#splitter.choose(route) ?? '';
 		const exchange = new Exchange(this.#context, request, response, {
 			route, service, attemptId, leftMs, parentCall, organisation: organisation?.name, template: this.#createTemplate(request, {site, route, rank}),
@@ -220,7 +220,7 @@
 		}
 
 		// The root has paid for its nested calls.
-		const decision = parentCall === undefined && route.isPublic !== true ? this.#options.quotaGate.tryAdmit(organisation?.name) : undefined;
+		const decision = parentCall === undefined && route.isPublic !== true ? this.#options.quotaGate.tryAdmit(organisation?.name, rank, leftMs) : undefined;
 		if (decision?.isAdmitted === false) {
 			exchange.deny(decision.retryAfterMs);
 		} else {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -108,7 +108,9 @@
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
-		this.#quotaGate = new QuotaGate({sharing, clock, log: this.#log});
+		this.#quotaGate = new QuotaGate({
+			sharing, clock, log: this.#log, random,
+		});
 		this.#shareExchange = new ShareExchange({
 			host: settings.host, failureDomain: settings.failureDomain, clock, log: this.#log, hosts: this.#hosts, sharing, random, links: () => this.#links,
 		});
@@ -282,6 +284,7 @@
 		return {
 			onSite: (site: Site) => {
 				this.#requestServer.applyLimits(site.spec.limits);
+				this.#retryBudget.setRankCount(site.rankOrder.count);
 				this.#quotaGate.setLimits(quotaLimits(site.organisations?.values() ?? []));
 				this.#shareExchange.setLimits(entitlementsOf(site.organisations));
 				this.#links.gossip.floodNews();
