A run reads the target's answer from undici's own events

It now takes the events that undici itself sends, and reads the raw headers once, in their order (AnswerHeaders). A repeated header of those that a run looks at has its values joined, so an attempt's id, a signature or a rate limit that is there twice still doesn't count as that of the attempt, or as a number. The sabotage of MIXED in proof/rules replaces the new event in place of the old one; the check is as it was.

--- a/proof/rules/answers.ts
+++ b/proof/rules/answers.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Attempts} from '../../src/mesh/index.js';
 import {OwnedCall} from '../../src/relay/target/ownedcall.js';
 import {Run} from '../../src/relay/target/run.js';
@@ -8,7 +9,8 @@
 	type RuleCheck, violationIf, replaceMethod, sendAttempt,
 } from './rulecheck.js';
 
-const {onResponseStart, options} = Run.prototype;
+// eslint-disable-next-line @typescript-eslint/no-deprecated -- the newer event of undici costs more for each answer
+const {onHeaders, options} = Run.prototype;
 
 // Adds a client's host and two hosts whose targets answer with the given behaviour; returns the client host's request port.
 async function startTwoBacks(mesh: Mesh, behaviour: BehaviourOverride) {
@@ -45,8 +47,8 @@
 		},
 		sabotage: {
 			title: 'every answer counts as signed by the target',
-			apply: () => replaceMethod(Run.prototype, 'onResponseStart', function (this: Run, controller, status, headers) {
-				onResponseStart.call(this, controller, status, {...headers, [meshHeaders.signature]: 'any'});
+			apply: () => replaceMethod(Run.prototype, 'onHeaders', function (this: Run, status, rawHeaders, resume) {
+				return onHeaders.call(this, status, [...rawHeaders, Buffer.from(meshHeaders.signature), Buffer.from('any')], resume);
 			}),
 		},
 	},
--- /dev/null
+++ b/src/relay/target/answerheaders.ts
@@ -0,0 +1,80 @@
+import {type Buffer} from 'node:buffer';
+import {HOP_BY_HOP_HEADERS} from '../../wire/index.js';
+import {type HeaderNames} from '../adapter.js';
+
+/** The headers of a target's answer, read once and in their order; values of a header that is repeated are joined. */
+export class AnswerHeaders {
+	/** Those that are passed on; names in lower case and values alternate. */
+	readonly forwarded: string[] = [];
+	/** What the target says of itself, by name. */
+	readonly signals: Record<string, string> = {};
+	signature: string | undefined;
+	attemptId: string | undefined;
+	length: string | undefined;
+	isNotRun = false;
+	isEncoded = false;
+	isTransferEncoded = false;
+
+	constructor(rawHeaders: readonly Buffer[], names: HeaderNames) {
+		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+			this.#read(rawHeaders[index].toString('latin1').toLowerCase(), rawHeaders[index + 1].toString('latin1'), names);
+		}
+	}
+
+	#read(name: string, value: string, names: HeaderNames): void {
+		switch (name) {
+			case names.signature: {
+				this.signature = join(this.signature, value);
+				return;
+			}
+
+			case names.attemptId: {
+				this.attemptId = join(this.attemptId, value);
+				return;
+			}
+
+			case 'content-length': {
+				this.length = join(this.length, value);
+				return;
+			}
+
+			case 'date':
+			case names.load: {
+				return;
+			}
+
+			case names.notRun: {
+				this.isNotRun = true;
+				break;
+			}
+
+			case names.rateLimit:
+			case names.leaving: {
+				this.signals[name] = join(this.signals[name], value);
+				break;
+			}
+
+			case 'content-encoding': {
+				this.isEncoded = true;
+				break;
+			}
+
+			case 'transfer-encoding': {
+				this.isTransferEncoded = true;
+				return;
+			}
+
+			default: {
+				if (HOP_BY_HOP_HEADERS.has(name)) {
+					return;
+				}
+			}
+		}
+
+		this.forwarded.push(name, value);
+	}
+}
+
+function join(before: string | undefined, value: string): string {
+	return before === undefined ? value : `${before}, ${value}`;
+}
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -2,12 +2,12 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type TargetSignals} from '../../mesh/index.js';
-import {HOP_BY_HOP_HEADERS} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
 } from '../call.js';
 import {type DecodeError} from '../error.js';
+import {AnswerHeaders} from './answerheaders.js';
 import {readTargetSignals} from './targetsignals.js';
 import {type UnknownHeaders} from './unknownheaders.js';
 
@@ -45,14 +45,16 @@
 const MAX_HEAD_BYTES = 131_072;
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
 
-/** One call running at the target. */
+/** One call running at the target. It handles undici's own events: its newer ones wrap these, and build objects for each answer. */
 export class Run implements Dispatcher.DispatchHandler {
 	readonly #call: Call;
 	readonly #names: HeaderNames;
 	readonly #sink: RunSink;
 	readonly #connection: RunConnection;
 	readonly #bodyStream: Readable | undefined;
-	#controller: Dispatcher.DispatchController | undefined;
+	/** Set once the request is written to a connection. */
+	#abortRequest: ((error: Error) => void) | undefined;
+	#resumeAnswer: (() => void) | undefined;
 	#head: AnswerHead | undefined;
 	#fault: FailureReason | undefined;
 	#notRunReason: RefusalReason | undefined;
@@ -123,7 +125,7 @@
 	grantCredit(bytes: number): void {
 		this.#creditBytes += bytes;
 		if (this.#creditBytes > 0) {
-			this.#controller?.resume();
+			this.#resumeAnswer?.();
 		}
 	}
 
@@ -145,60 +147,55 @@
 	cancel(): void {
 		if (!this.#isOver) {
 			this.#isOver = true;
-			this.#controller?.abort(new Error('cancelled'));
+			this.#abortRequest?.(new Error('cancelled'));
 			this.#bodyStream?.destroy();
 			this.#connection.release(false);
 		}
 	}
 
-	onRequestStart(controller: Dispatcher.DispatchController): void {
-		this.#controller = controller;
+	onConnect(abort: (error?: Error) => void): void {
+		this.#abortRequest = abort;
 		if (this.#isOver) {
-			controller.abort(new Error('cancelled'));
+			abort(new Error('cancelled'));
 		}
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
 		if (status < 200) {
 			this.#interimAnswers++;
 			if (this.#interimAnswers > MAX_INTERIM_ANSWERS && !this.#isOver) {
 				this.#fail('garbled');
 			}
 
-			return;
-		}
-
-		const signature = headers[this.#names.signature];
-		const echoedAttemptId = headers[this.#names.attemptId];
-		const isOfOther = echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId;
-		// A target signs what it has run, and names the attempt: without that it may be of another.
-		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
-			this.#fault = 'garbled';
-		} else if (headers[this.#names.notRun] !== undefined || status === 421) {
-			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
-		} else if (status < 300 && (signature === undefined || echoedAttemptId === undefined || headers['content-encoding'] !== undefined)) {
-			this.#fault = 'garbled';
+			return true;
 		}
 
+		this.#resumeAnswer = resume;
+		const headers = new AnswerHeaders(rawHeaders, this.#names);
+		const {signature, length} = headers;
+		this.#judge(status, headers);
 		// An answer that doesn't show that this target made it says nothing of the target.
 		const isGenuine = this.#fault === undefined && (signature !== undefined || this.#notRunReason === 'shed-by-target');
-		const length = headers['content-length'];
 		this.#head = {
 			status,
-			headers: this.#forwardedHeaders(headers),
-			signature: signature as string | undefined,
+			headers: headers.forwarded,
+			signature,
 			lengthBytes: length === undefined ? undefined : Number(length),
-			isUnframed: length === undefined && headers['transfer-encoding'] === undefined && status !== 204 && status !== 304,
+			isUnframed: length === undefined && !headers.isTransferEncoded && status !== 204 && status !== 304,
 			reached: [],
 			isFailedBelow: false,
 			signals: isGenuine ? this.#readSignals(headers) : undefined,
 		};
+		this.#reportUnknownHeaders(headers);
 		if (this.#fault !== undefined) {
 			this.#fail(this.#fault);
 		}
+
+		return true;
 	}
 
-	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+	/** @returns whether the answer may go on; otherwise it is paused until it is resumed */
+	onData(chunk: Buffer): boolean {
 		this.#bodyBytes += chunk.length;
 		if (this.#notRunReason !== undefined) {
 			// The body of a refusal is for nobody.
@@ -206,7 +203,7 @@
 				this.#endNotRun(this.#notRunReason);
 			}
 
-			return;
+			return true;
 		}
 
 		if (this.#isStreaming) {
@@ -223,12 +220,10 @@
 			}
 		}
 
-		if (this.#creditBytes <= 0) {
-			controller.pause();
-		}
+		return this.#creditBytes > 0;
 	}
 
-	onResponseEnd(): void {
+	onComplete(): void {
 		if (this.#isOver) {
 			return;
 		}
@@ -250,7 +245,12 @@
 		}
 	}
 
-	onResponseError(_controller: Dispatcher.DispatchController | undefined, _error: Error): void {
+	onError(_error: Error): void {
+		this.onLost();
+	}
+
+	/** Called when the request can't be sent, or its connection ends before the answer does. */
+	onLost(): void {
 		if (this.#isOver) {
 			return;
 		}
@@ -258,7 +258,7 @@
 		this.#isOver = true;
 		this.#bodyStream?.destroy();
 		this.#connection.release(false);
-		if (this.#controller === undefined) {
+		if (this.#abortRequest === undefined) {
 			this.#sink.onNotRun('unreachable');
 		} else {
 			if (this.#head === undefined) {
@@ -269,6 +269,19 @@
 		}
 	}
 
+	// Sets why the answer is none, if it isn't.
+	#judge(status: number, {signature, attemptId: echoedAttemptId, isNotRun, isEncoded}: AnswerHeaders): void {
+		const isOfOther = echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId;
+		// A target signs what it has run, and names the attempt: without that it may be of another.
+		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
+			this.#fault = 'garbled';
+		} else if (isNotRun || status === 421) {
+			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
+		} else if (status < 300 && (signature === undefined || echoedAttemptId === undefined || isEncoded)) {
+			this.#fault = 'garbled';
+		}
+	}
+
 	// The target's connection has accepted all chunks that were pushed so far.
 	#reportTakenBytes(): void {
 		if (this.#unreportedBytes > 0) {
@@ -278,9 +291,9 @@
 		}
 	}
 
-	#readSignals(headers: Record<string, string | string[] | undefined>): TargetSignals | undefined {
+	#readSignals({signals: values}: AnswerHeaders): TargetSignals | undefined {
 		try {
-			const signals = readTargetSignals(headers, this.#names);
+			const signals = readTargetSignals(values, this.#names);
 			this.#sink.onSignals(signals);
 			return signals;
 		} catch (error) {
@@ -291,7 +304,7 @@
 
 	#endNotRun(reason: RefusalReason): void {
 		this.#isOver = true;
-		this.#controller?.abort(new Error(reason));
+		this.#abortRequest?.(new Error(reason));
 		this.#bodyStream?.destroy();
 		this.#connection.release(false);
 		this.#sink.onNotRun(reason);
@@ -299,28 +312,17 @@
 
 	#fail(reason: FailureReason): void {
 		this.#isOver = true;
-		this.#controller?.abort(new Error(reason));
+		this.#abortRequest?.(new Error(reason));
 		this.#bodyStream?.destroy();
 		this.#connection.release(false);
 		this.#sink.onFailed(reason);
 	}
 
-	#forwardedHeaders(headers: Record<string, string | string[] | undefined>): string[] {
-		const forwarded: string[] = [];
-		for (const [name, value] of Object.entries(headers)) {
-			if (value === undefined || HOP_BY_HOP_HEADERS.has(name) || name === 'content-length' || name === 'date' || name === this.#names.signature || name === this.#names.attemptId || name === this.#names.load) {
-				continue;
-			}
-
-			if (this.#connection.unknownHeaders.shouldReport(name)) {
-				this.#sink.onUnknownHeader(name);
-			}
-
-			for (const item of Array.isArray(value) ? value : [value]) {
-				forwarded.push(name, item);
+	#reportUnknownHeaders({forwarded}: AnswerHeaders): void {
+		for (let index = 0; index < forwarded.length; index += 2) {
+			if (this.#connection.unknownHeaders.shouldReport(forwarded[index])) {
+				this.#sink.onUnknownHeader(forwarded[index]);
 			}
 		}
-
-		return forwarded;
 	}
 }
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -80,8 +80,8 @@
 		});
 		try {
 			client.dispatch(run.options(), run);
-		} catch (error) {
-			run.onResponseError(undefined, error as Error);
+		} catch {
+			run.onLost();
 		}
 
 		return run;
