--- a/bench/start/daemon.ts
+++ b/bench/start/daemon.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {writeFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {deployNodeFlags} from '../../scripts/nodeflags.mjs';
 import {READINESS_PATH} from '../../platform/names.js';
 import {type CpuProfile} from './profile.js';
 import {type BenchTarget, HOST} from './site.js';
@@ -51,7 +52,7 @@
 			store: storeAddress,
 			bounds: {},
 		}));
-		this.#child = spawn(process.execPath, ['--max-old-space-size=160', ...nodeFlags, '--require', './bench/start/probe.cjs', `${bundleFolder}/comfreydyke.cjs`], {
+		this.#child = spawn(process.execPath, [...deployNodeFlags, ...nodeFlags, '--require', './bench/start/probe.cjs', `${bundleFolder}/comfreydyke.cjs`], {
 			env: {...process.env, COMFREYDYKE_SETTINGS: settingsFile}, stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
 		});
 		const bornMs = Date.now();
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -12,6 +12,7 @@
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 import {bundleOptions} from './bundle.mjs';
+import {deployNodeFlags} from './nodeflags.mjs';
 
 const resolveHere = name => fileURLToPath(new URL(name, import.meta.url));
 
@@ -59,7 +60,6 @@
 	store: '127.0.0.1:1',
 	bounds: {},
 }));
-// The cache is only valid for the flags of the deploy file.
-execFileSync(process.execPath, ['--max-old-space-size=160', 'target/comfreydyke.cjs', '--write-cache'], {
+execFileSync(process.execPath, [...deployNodeFlags, 'target/comfreydyke.cjs', '--write-cache'], {
 	env: {...process.env, COMFREYDYKE_SETTINGS: 'target/warmup.json'}, stdio: ['ignore', 'ignore', 'inherit'],
 });
