The product's daemon survives errors that nothing expected, and answers HTTP can't carry

One malformed message took a whole daemon of src/daemon down, with all open requests: a peer's answer with status 99, a header value with a line break or an odd list of headers, and any error within the core. Cause: an error in a subscriber of the message bus ends its stream and rejects a promise that nobody has, which ends the process. Now each message is handled by itself; what wasn't expected is logged (unexpected_error), more than 20 in 10 s still end the process, and the request whose input failed is answered 502, may have run. An answer that can't be written becomes that 502. The limit of such errors is one class for both paths now (src/log/errorlimit.ts).

Ruled out: checking each payload where it arrives, as Node's own rules on heads are what counts.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -12,6 +12,12 @@
 async function runDaemon(path: string): Promise<void> {
 	const daemon = new Daemon(parseSettings(await readJson(path)));
 	await daemon.start();
+	// An error that no task expected costs what that task was doing, and not all open requests with it.
+	process.on('uncaughtException', error => {
+		if (!daemon.survivesUnexpectedError(error)) {
+			process.exit(1);
+		}
+	});
 	let isStopping = false;
 	const stop = async () => {
 		if (!isStopping) {
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,5 @@
 export {
-	type Answer, type Outcome, type Payload, type Reason,
+	type Answer, type Outcome, type Payload, type Reason, createUnknownAnswer,
 } from './answer.js';
 export {Catalog, type Operation} from './catalog.js';
 export {SITE_OBJECT_NAME, serviceObjectName} from './configstore.js';
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,8 +1,8 @@
 import {randomInt} from 'node:crypto';
 import {type Clock, SystemClock} from '../clock/index.js';
 import {type Settings} from '../config/index.js';
-import {DaemonCore} from '../core/index.js';
-import {Logger} from '../log/index.js';
+import {DaemonCore, type Input, createUnknownAnswer} from '../core/index.js';
+import {ErrorLimit, Logger} from '../log/index.js';
 import {MessageBus} from './messagebus.js';
 import {ContextTokens} from './contexttokens.js';
 import {Endpoints} from './endpoints.js';
@@ -19,7 +19,13 @@
 
 /** One daemon: connects the decision core to the tasks that own its sockets. */
 export class Daemon {
-	readonly #bus = new MessageBus();
+	readonly #bus = new MessageBus(error => {
+		if (!this.survivesUnexpectedError(error)) {
+			throw error;
+		}
+	});
+
+	readonly #errorLimit = new ErrorLimit();
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #core: DaemonCore;
@@ -66,21 +72,25 @@
 		this.#peerLinks.acceptUpgrades(this.#requestServer.server);
 		this.#platformTask = new PlatformTask(this.#bus, this.#log, platform.url, platform.timeoutMs);
 		this.#metrics = settings.metrics && new Metrics(settings.metrics, id, () => this.#core.status());
-		void this.#bus.outputs('log').observe(({event, fields}) => {
+		this.#bus.handle('log', ({event, fields}) => {
 			this.#log.info(event, fields);
 		});
 		this.#stopped = new Promise(resolve => {
-			void this.#bus.outputs('stopped').observe(() => {
+			this.#bus.handle('stopped', () => {
 				resolve();
 			});
 		});
-		void this.#bus.inputs.observe(input => {
-			for (const output of this.#core.step(input, this.#clock.nowMs())) {
-				this.#bus.publish(output);
-			}
+		this.#bus.handleInputs(input => {
+			this.#handleInput(input);
 		});
 	}
 
+	/** Logs an error that no part has handled. @returns whether the daemon goes on: not after many in a short time */
+	survivesUnexpectedError(error: Error): boolean {
+		this.#log.error('unexpected_error', {reason: error.message, at: (error.stack ?? '').split('\n')[1]?.trim() ?? ''});
+		return this.#errorLimit.record(this.#clock.nowMs());
+	}
+
 	async start(): Promise<void> {
 		await this.#requestServer.listen();
 		this.#tickTimer = setInterval(() => {
@@ -105,4 +115,19 @@
 		await this.#metrics?.close();
 		this.#log.info('stopped');
 	}
+
+	#handleInput(input: Input): void {
+		try {
+			for (const output of this.#core.step(input, this.#clock.nowMs())) {
+				this.#bus.publish(output);
+			}
+		} catch (error) {
+			if (input.type === 'request') {
+				// How far the core came with the request is unknown, and nothing else would answer it.
+				this.#bus.publish({type: 'respond', id: input.id, answer: createUnknownAnswer('lost')});
+			}
+
+			throw error;
+		}
+	}
 }
--- a/src/daemon/messagebus.ts
+++ b/src/daemon/messagebus.ts
@@ -11,20 +11,43 @@
 export class MessageBus {
 	readonly #inputs = new EventEmitter();
 	readonly #outputs = new EventEmitter();
+	readonly #onError: (error: Error) => void;
 
-	get inputs(): Stream<Input> {
-		return fromEvent('input', this.#inputs) as unknown as Stream<Input>;
+	/** @param onError called with an error that the handling of a message didn't expect; later messages are still handled */
+	constructor(onError: (error: Error) => void = rethrow) {
+		this.#onError = onError;
 	}
 
 	send(input: Input): void {
 		this.#inputs.emit('input', input);
 	}
 
-	outputs<T extends Output['type']>(type: T): Stream<OutputOf<T>> {
-		return fromEvent(type, this.#outputs) as unknown as Stream<OutputOf<T>>;
+	handleInputs(handle: (input: Input) => void): void {
+		this.#observe(this.#inputs, 'input', handle);
 	}
 
 	publish(output: Output): void {
 		this.#outputs.emit(output.type, output);
 	}
+
+	/** Handles the outputs of one type. */
+	handle<T extends Output['type']>(type: T, handle: (output: OutputOf<T>) => void): void {
+		this.#observe(this.#outputs, type, handle);
+	}
+
+	// An error within `observe` would end the stream, and with it the process.
+	#observe<T>(emitter: EventEmitter, event: string, handle: (message: T) => void): void {
+		const messages = fromEvent(event, emitter) as unknown as Stream<T>;
+		void messages.observe(message => {
+			try {
+				handle(message);
+			} catch (error) {
+				this.#onError(error as Error);
+			}
+		});
+	}
+}
+
+function rethrow(error: Error): void {
+	throw error;
 }
--- a/src/daemon/peerlinks.ts
+++ b/src/daemon/peerlinks.ts
@@ -34,13 +34,13 @@
 		this.#log = log;
 		this.#id = id;
 		this.#siteKey = siteKey;
-		void bus.outputs('frame').observe(({peer, side, frame}) => {
+		bus.handle('frame', ({peer, side, frame}) => {
 			this.#sendFrame(peer, side, frame);
 		});
-		void bus.outputs('connect').observe(({peer, address}) => {
+		bus.handle('connect', ({peer, address}) => {
 			this.#dial(peer, address);
 		});
-		void bus.outputs('disconnect').observe(({peer}) => {
+		bus.handle('disconnect', ({peer}) => {
 			this.#disconnect(peer);
 		});
 	}
--- a/src/daemon/platformtask.ts
+++ b/src/daemon/platformtask.ts
@@ -24,7 +24,7 @@
 		this.#bus = bus;
 		this.#log = log;
 		this.#client = new PlatformClient(url, timeoutMs);
-		void bus.outputs('platform').observe(({request}) => {
+		bus.handle('platform', ({request}) => {
 			void this.#handle(request);
 		});
 	}
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Answer} from '../core/index.js';
+import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {type HttpMessage, header} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
@@ -53,7 +53,7 @@
 			this.#rejectedRequests++;
 			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
 		});
-		void bus.outputs('respond').observe(({id, answer}) => {
+		bus.handle('respond', ({id, answer}) => {
 			this.#respond(id, answer);
 		});
 	}
@@ -181,6 +181,24 @@
 			headers.push('connection', 'close');
 		}
 
+		try {
+			response.writeHead(status, headers);
+		} catch (error) {
+			this.#writeUnwritable(response, error as Error);
+			return;
+		}
+
+		response.end(body);
+	}
+
+	// A peer or a target may send what HTTP can't carry; what it answers has run.
+	#writeUnwritable(response: ServerResponse, {message}: Error): void {
+		this.#log.warn('answer_unwritable', {reason: message});
+		for (const name of response.getHeaderNames()) {
+			response.removeHeader(name);
+		}
+
+		const {status, headers, body} = buildHttpAnswer(createUnknownAnswer('lost'));
 		response.writeHead(status, headers);
 		response.end(body);
 	}
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -23,10 +23,10 @@
 		this.#bus = bus;
 		this.#contextTokens = contextTokens;
 		this.#maxBodyBytes = maxBodyBytes;
-		void bus.outputs('dispatch').observe(output => {
+		bus.handle('dispatch', output => {
 			this.#dispatch(output);
 		});
-		void bus.outputs('cancel').observe(({id}) => {
+		bus.handle('cancel', ({id}) => {
 			this.#runs.get(id)?.cancel();
 		});
 	}
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,3 +1,4 @@
+export {ErrorLimit} from './errorlimit.js';
 export {Logger, formatRecord, type LogFields} from './logger.js';
 export {type Counter, StatsdReporter, type StatsdOptions} from './statsdreporter.js';
 export {EventLog} from './eventlog.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,5 +1,7 @@
 import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
-import {StatsdReporter, EventLog, Logger} from '../log/index.js';
+import {
+	ErrorLimit, EventLog, Logger, StatsdReporter,
+} from '../log/index.js';
 import {
 	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, quotaLimits,
 } from '../mesh/index.js';
@@ -33,10 +35,6 @@
 /** How long before the end of the lame-duck period a stopping daemon starts to refuse calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
 
-/** How many unexpected errors a daemon survives in this time, in ms. */
-const MAX_UNEXPECTED_ERRORS = 20;
-const UNEXPECTED_ERROR_WINDOW_MS = 10_000;
-
 /** How far requests may go beyond a quota where the operator doesn't say. */
 const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
 
@@ -70,11 +68,10 @@
 	readonly #quotaGate: QuotaGate;
 	readonly #shareExchange: ShareExchange;
 	readonly #targetMonitor: TargetMonitor;
+	readonly #errorLimit = new ErrorLimit();
 	#counterFeed: StatsdReporter | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopping = false;
-	/** When the last unexpected errors occurred, in ms. */
-	#unexpectedErrorTimesMs: number[] = [];
 	#stopped: Promise<void> | undefined;
 
 	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(new SystemClock()), write}: RelayOptions = {}) {
@@ -206,11 +203,9 @@
 
 	/** Logs an error that no part has handled. @returns whether the daemon goes on: not after many in a short time */
 	survivesUnexpectedError(error: Error): boolean {
-		const nowMs = this.#clock.nowMs();
 		this.#log.registry.count('unexpected_errors', {});
 		this.#log.warn('unexpected_error', {reason: error.message, at: (error.stack ?? '').split('\n')[1]?.trim() ?? ''});
-		this.#unexpectedErrorTimesMs = [...this.#unexpectedErrorTimesMs.filter(timeMs => nowMs - timeMs < UNEXPECTED_ERROR_WINDOW_MS), nowMs];
-		return this.#unexpectedErrorTimesMs.length <= MAX_UNEXPECTED_ERRORS;
+		return this.#errorLimit.record(this.#clock.nowMs());
 	}
 
 	/** Stops gracefully: refuses new calls, then waits for open ones to end, both within the grace period. */
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -174,7 +174,8 @@
 
 let nextPort = FIRST_PORT + (Number(process.env.VITEST_POOL_ID ?? 0) * PORTS_PER_WORKER);
 
-async function findFreePorts(count: number): Promise<number[]> {
+/** Finds ports that nothing listens on, apart from those of other test workers. */
+export async function findFreePorts(count: number): Promise<number[]> {
 	const ports: number[] = [];
 	while (ports.length < count) {
 		const port = nextPort++;
--- /dev/null
+++ b/test/failures/productpath.test.ts
@@ -0,0 +1,116 @@
+import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import process from 'node:process';
+import {
+	afterAll, afterEach, beforeAll, describe, expect, it, vi,
+} from 'vitest';
+import {DaemonCore} from '../../src/core/index.js';
+import {DaemonPair} from '../../standins/daemonpair.js';
+
+const MAX_GROWTH_BYTES = 64 * 1024 * 1024;
+const CHUNK = 'x'.repeat(65_536);
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+const SLOW_ANSWER = `${HEAD}content-length: 500\r\n\r\n${'x'.repeat(500)}`;
+
+let pair: DaemonPair;
+beforeAll(async () => {
+	pair = new DaemonPair();
+	await pair.start();
+});
+afterEach(async () => {
+	vi.restoreAllMocks();
+	pair.onRequest = undefined;
+	await untilServes();
+});
+afterAll(async () => {
+	await pair.close();
+});
+
+/** Writes a text again and again, as fast as the other side reads, until the connection closes. */
+function writeForEver(socket: Socket, text: string): void {
+	const write = () => {
+		let isWritable = true;
+		while (isWritable && !socket.destroyed) {
+			isWritable = socket.write(text, 'latin1');
+		}
+	};
+
+	socket.on('drain', write);
+	write();
+}
+
+async function untilServes(): Promise<void> {
+	await expect.poll(async () => pair.call('/back/look'), {timeout: 5000}).toBe(200);
+}
+
+const ENDLESS: Record<string, [head: string, repeated: string]> = {
+	'in the status line': ['HTTP/1.1 200 ', CHUNK],
+	'in one header': [`${HEAD}x: `, CHUNK],
+	'in many headers': [HEAD, 'x: y\r\n'.repeat(1000)],
+	'in interim answers': ['', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)],
+	'in a chunk extension': [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, CHUNK],
+	'in trailers': [`${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`, 'x: y\r\n'.repeat(1000)],
+	'in a body without a length': [`${HEAD}\r\n`, CHUNK],
+};
+
+describe('an answer that never ends', () => {
+	it.each(Object.keys(ENDLESS))('ends in time, and the target serves again: %s', async name => {
+		const [head, repeated] = ENDLESS[name];
+		pair.onRequest = socket => {
+			socket.write(head, 'latin1');
+			writeForEver(socket, repeated);
+		};
+
+		const before = process.memoryUsage().rss;
+		let most = before;
+		const timer = setInterval(() => {
+			most = Math.max(most, process.memoryUsage().rss);
+		}, 20);
+		const statuses = await Promise.all([pair.call('/back/look'), pair.call('/back/submit', 'POST')]);
+		clearInterval(timer);
+		expect(statuses.every(status => status >= 500)).toBe(true);
+		expect(most - before).toBeLessThan(MAX_GROWTH_BYTES);
+	});
+
+	it('and comes a byte at a time ends in time', async () => {
+		pair.onRequest = socket => {
+			let sent = 0;
+			const timer = setInterval(() => {
+				socket.write(SLOW_ANSWER.charAt(sent++));
+			}, 30);
+			socket.on('close', () => {
+				clearInterval(timer);
+			});
+		};
+
+		expect(await Promise.all([pair.call('/back/look'), pair.call('/back/submit', 'POST')])).toEqual([504, 504]);
+	});
+});
+
+describe('an unexpected error', () => {
+	it('in the core ends no daemon', async () => {
+		const {step} = DaemonCore.prototype;
+		let errors = 0;
+		vi.spyOn(DaemonCore.prototype, 'step').mockImplementation(function (this: DaemonCore, input, nowMs) {
+			if (input.type === 'request' && errors++ === 0) {
+				throw new Error('unexpected');
+			}
+
+			return step.call(this, input, nowMs);
+		});
+		expect(await pair.call('/back/look')).toBe(502);
+		expect(errors).toBe(1);
+	});
+
+	it.each([['a status', 99, []], ['a header', 200, ['x', 'a\r\nb']], ['an odd header', 200, ['x']]])('by an answer that HTTP cannot carry ends no daemon: %s', async (_name, status, headers) => {
+		const {step} = DaemonCore.prototype;
+		vi.spyOn(DaemonCore.prototype, 'step').mockImplementation(function (this: DaemonCore, input, nowMs) {
+			const payload = {status, headers, body: Buffer.from('x')};
+			const result = {
+				kind: 'whole', status: 200, claimsNotRun: false, payload,
+			} as const;
+			return step.call(this, input.type === 'target' ? {...input, result} : input, nowMs);
+		});
+		expect(await pair.call('/back/look')).toBe(502);
+	});
+});
