A body in many short chunks takes about its own bytes of the daemon's memory

An endless answer in chunks of one byte took 233 MB of a daemon of src/daemon in half a second, until its limit of 1 MiB was reached: each chunk is a buffer of its own, and a view that keeps the 64 KiB that it was read into. A client's body could do the same. Not tried: the cost of a call, as an ordinary body is one chunk.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -4,6 +4,7 @@
 import {type HttpMessage, header} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
+import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
 import {RequestError} from './requesterror.js';
@@ -104,19 +105,19 @@
 	}
 
 	#readBody(request: IncomingMessage, response: ServerResponse, onBody: (body: Buffer) => void): void {
-		const chunks: Buffer[] = [];
+		const collected = new BodyCollector();
 		let length = 0;
 		request.on('data', (chunk: Buffer) => {
 			length += chunk.length;
 			if (length <= this.#options.bodyBytes) {
-				chunks.push(chunk);
+				collected.add(chunk);
 			} else if (!response.headersSent) {
 				this.#reject(response, new RequestError(413, `body: longer than ${this.#options.bodyBytes} bytes`));
 			}
 		});
 		request.on('end', () => {
 			if (length <= this.#options.bodyBytes) {
-				onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+				onBody(collected.toBuffer());
 			}
 		});
 		request.on('error', () => {
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -1,7 +1,8 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Dispatcher, Pool} from 'undici';
 import {type Output} from '../core/index.js';
 import {type HttpMessage, filterForwardableHeaders, header} from '../wire/index.js';
+import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
 
@@ -89,8 +90,7 @@
 class Run implements Dispatcher.DispatchHandler {
 	readonly #maxBodyBytes: number;
 	readonly #reportResult: ReportResult;
-	readonly #chunks: Buffer[] = [];
-	#bodyBytes = 0;
+	readonly #body = new BodyCollector();
 	#status = 0;
 	#headers: string[] = [];
 	#claimsNotRun = false;
@@ -119,18 +119,16 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		this.#bodyBytes += chunk.length;
-		if (this.#bodyBytes > this.#maxBodyBytes) {
+		if (this.#body.length + chunk.length > this.#maxBodyBytes) {
 			controller.abort(new Error('response body is too long'));
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		this.#body.add(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
-		const payload: HttpMessage = {status: this.#status, headers: this.#headers, body};
+		const payload: HttpMessage = {status: this.#status, headers: this.#headers, body: this.#body.toBuffer()};
 		this.#finish({
 			kind: 'whole', status: this.#status, payload, claimsNotRun: this.#claimsNotRun,
 		});
--- a/test/failures/productpath.test.ts
+++ b/test/failures/productpath.test.ts
@@ -51,6 +51,7 @@
 	'in a chunk extension': [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, CHUNK],
 	'in trailers': [`${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`, 'x: y\r\n'.repeat(1000)],
 	'in a body without a length': [`${HEAD}\r\n`, CHUNK],
+	'in chunks': [`${HEAD}transfer-encoding: chunked\r\n\r\n`, '1\r\nx\r\n'.repeat(1000)],
 };
 
 describe('an answer that never ends', () => {
