A target that echoes the context of its request is never taken to answer another

On the product's own path a second copy of an answer, late, on a connection in use again, was the answer to the next caller: it had nothing by which to tell them apart. The context that the daemon sends with each request is one of its own for each; a target may echo it now, and an answer with another one counts as broken. Evidence: test/failures/productpath.test.ts, before: /look/1 answered with /look/0, for 200 and 500; after: own answers or failures. Left: a target that doesn't echo isn't protected, as nothing in HTTP/1.1 numbers answers; not to use its connections again would cost a connection for each call.

--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -49,7 +49,8 @@
 
 	#dispatch(output: Dispatch): void {
 		const {id} = output;
-		const run = new Run(this.#maxBodyBytes, result => {
+		const context = this.#contextTokens.encode(id);
+		const run = new Run(context, this.#maxBodyBytes, result => {
 			this.#runs.delete(id);
 			this.#bus.send({type: 'target', id, result});
 		});
@@ -63,16 +64,16 @@
 		this.#pool.dispatch({
 			path: message.path ?? '/',
 			method: (message.method ?? 'GET'),
-			headers: this.#buildHeaders(output, message),
+			headers: this.#buildHeaders(output, message, context),
 			body: message.body.length > 0 ? message.body : null,
 		}, run);
 	}
 
-	#buildHeaders(output: Dispatch, message: HttpMessage): string[] {
+	#buildHeaders(output: Dispatch, message: HttpMessage, context: string): string[] {
 		const headers = [
 			...message.headers,
 			header.CONTEXT,
-			this.#contextTokens.encode(output.id),
+			context,
 			header.BUDGET_MS,
 			String(Math.max(1, Math.floor(output.budgetMs))),
 		];
@@ -88,6 +89,7 @@
 
 /** One request to the target: collects the whole response, or reports whether the request was sent before it failed. */
 class Run implements Dispatcher.DispatchHandler {
+	readonly #context: string;
 	readonly #maxBodyBytes: number;
 	readonly #reportResult: ReportResult;
 	readonly #body = new BodyCollector();
@@ -98,7 +100,8 @@
 	#isReported = false;
 	#controller: Dispatcher.DispatchController | undefined;
 
-	constructor(maxBodyBytes: number, reportResult: ReportResult) {
+	constructor(context: string, maxBodyBytes: number, reportResult: ReportResult) {
+		this.#context = context;
 		this.#maxBodyBytes = maxBodyBytes;
 		this.#reportResult = reportResult;
 	}
@@ -113,6 +116,12 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		const echoed = headers[header.CONTEXT];
+		if (echoed !== undefined && echoed !== this.#context) {
+			controller.abort(new Error('answer to another request'));
+			return;
+		}
+
 		this.#status = status;
 		this.#claimsNotRun = headers[header.OUTCOME] === 'not-run';
 		this.#headers = filterForwardableHeaders(flattenHeaders(headers));
--- a/test/failures/productpath.test.ts
+++ b/test/failures/productpath.test.ts
@@ -88,6 +88,31 @@
 	});
 });
 
+describe('a second copy of an answer on a connection in use again', () => {
+	it.each([200, 500])('is no answer to the next caller if the target echoes the context: %i', async status => {
+		const previous = new WeakMap<Socket, string>();
+		let copies = 0;
+		pair.onRequest = (socket, text) => {
+			const path = /^\w+ (?<path>\S+)/v.exec(text)?.groups?.path ?? '';
+			const context = /^comfreydyke-context: (?<context>\S+)/imv.exec(text)?.groups?.context ?? '';
+			const answer = `HTTP/1.1 ${status} OK\r\ncomfreydyke-context: ${context}\r\ncontent-length: ${path.length}\r\n\r\n${path}`;
+			const copy = previous.get(socket);
+			previous.set(socket, answer);
+			copies += copy === undefined ? 0 : 1;
+			socket.write(`${copy ?? ''}${answer}`);
+		};
+
+		for (let index = 0; index < 8; index++) {
+			const path = `/look/${index}`;
+			// eslint-disable-next-line no-await-in-loop -- each uses the connection of the one before
+			const {status: received, text} = await pair.fetch(`/back${path}`, 'GET');
+			expect(received === status ? text : path).toBe(path);
+		}
+
+		expect(copies).toBeGreaterThan(0);
+	});
+});
+
 describe('an unexpected error', () => {
 	it('in the core ends no daemon', async () => {
 		const {step} = DaemonCore.prototype;
