The limit of an organisation while its accountant moves between daemons that all live

Around a hand-over two processes may both act: here both lend. The accountant moves to and fro, as the first one restarts, and as half of the daemons are cut off and heal, twelve times within overlapping windows at 7.5 times the usual load. No fault found.

--- a/test/mesh/sharedbudgets.test.ts
+++ b/test/mesh/sharedbudgets.test.ts
@@ -1,7 +1,10 @@
 import * as fc from 'fast-check';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import {type FleetLoad, type FleetMember, ShareFleet} from '../../fakes/sharefleet.js';
 import {type BudgetLimit, roomOf} from '../../src/mesh/index.js';
+import {Ledger} from '../../src/mesh/shares/ledger.js';
 
 const ROOM = {windowMs: 5000, over: 0.1, slack: 20};
 /** How much more than usual a hot organisation sends. */
@@ -134,6 +137,42 @@
 		expect(fleet.mostInWindow('a', ROOM.windowMs)).toBeLessThanOrEqual(allowed(limit));
 	});
 
+	/** The accountant moves to and fro between daemons, each while some still report to the one before. */
+	const moveAccountant = () => {
+		const fleet = createFleet(60, {a: limit});
+		const accountantOf = (member: FleetMember) => fleet.members.find(({name}) => name === member.sharing.accountants.of('a'))!;
+		fleet.run(6000, hot(fleet));
+		const first = accountantOf(fleet.members[1]);
+		const seen = new Set<string>();
+		for (let round = 0; round < 6; round++) {
+			fleet.kill(first);
+			fleet.run(1500 + (round * 400), hot(fleet));
+			fleet.restart(first);
+			fleet.run(1500, hot(fleet));
+			fleet.cut(half(fleet), round % 2);
+			fleet.run(1200, hot(fleet));
+			for (const member of fleet.members) {
+				seen.add(accountantOf(member).name);
+			}
+		}
+
+		fleet.run(6000, hot(fleet));
+		return {most: fleet.mostInWindow('a', ROOM.windowMs), accountants: seen.size};
+	};
+
+	it('while the accountant moves to and fro between daemons that all live', () => {
+		const {most, accountants} = moveAccountant();
+		expect(accountants).toBeGreaterThan(1);
+		expect(most).toBeLessThanOrEqual(allowed(limit));
+	});
+
+	it('which is reported as broken if each accountant lends as if all daemons reported to it', () => {
+		vi.spyOn(Ledger.prototype, 'setScale').mockImplementation(() => undefined);
+		const {most} = moveAccountant();
+		vi.restoreAllMocks();
+		expect(most).toBeGreaterThan(allowed(limit));
+	});
+
 	it('if the limit is lowered far below what is sent, within a window; and a raised one is used', () => {
 		const low = {ratePerS: 8, burst: 8};
 		const fleet = createFleet(60, {a: limit});
