A planned stop of the product's daemon ends under load, and reads to its end what was accepted

A daemon of src/daemon that was told to stop while clients kept sending never ended (4 s and on in the test): the core stops once no request is open, and there was always one; the platform would have killed it with all that was open. Now each answer closes its connection from the start of the drain; once the own target is idle (its nested calls need the listener) the daemon accepts until a turn has accepted none, then closes the listener only; what is half read is read for 200 ms more, and answered as not run if the core has stopped.

Sabotage: all connections are closed at once. Left: src/relay's RequestServer.drain closes its listener in the same way; the lead is at that file.

--- a/src/core/daemoncore.ts
+++ b/src/core/daemoncore.ts
@@ -23,7 +23,7 @@
 /** Time since the last tick from which the core assumes that its process was paused, in ms. */
 const PAUSE_THRESHOLD_MS = 250;
 /** Least duration of the lame-duck state, in ms: the daemon still accepts requests and routes them to other hosts. */
-const LAME_DUCK_MS = 500;
+export const LAME_DUCK_MS = 500;
 /** How long the record of a member that left or died is kept, in ms. */
 const TOMBSTONE_LIFETIME_MS = 7_200_000;
 /** Most entries of the ledger, unless the options set another number. */
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,5 @@
 export {
-	type Answer, type Outcome, type Payload, type Reason, createUnknownAnswer,
+	type Answer, type Outcome, type Payload, type Reason, REFUSED_RETRY_AFTER_MS, createUnknownAnswer,
 } from './answer.js';
 export {Catalog, type Operation} from './catalog.js';
 export {SITE_OBJECT_NAME, serviceObjectName} from './configstore.js';
@@ -19,7 +19,7 @@
 export {
 	type MeshPeer, chooseByRendezvous, chooseNeighbors, electForDuty, isElectedForDuty,
 } from './neighbors.js';
-export {DaemonCore} from './daemoncore.js';
+export {DaemonCore, LAME_DUCK_MS} from './daemoncore.js';
 export {type CoreOptions} from './coreoptions.js';
 export {
 	type ClassSpec, type ConfigObject, type OperationSpec, type ServiceSpec, type SiteSpec,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,7 +1,9 @@
 import {randomInt} from 'node:crypto';
-import {type Clock, SystemClock} from '../clock/index.js';
+import {type Clock, SystemClock, sleep} from '../clock/index.js';
 import {type Settings} from '../config/index.js';
-import {DaemonCore, type Input, createUnknownAnswer} from '../core/index.js';
+import {
+	DaemonCore, type Input, LAME_DUCK_MS, REFUSED_RETRY_AFTER_MS, createUnknownAnswer,
+} from '../core/index.js';
 import {ErrorLimit, Logger} from '../log/index.js';
 import {MessageBus} from './messagebus.js';
 import {ContextTokens} from './contexttokens.js';
@@ -36,6 +38,8 @@
 	readonly #metrics: Metrics | undefined;
 	readonly #stopped: Promise<void>;
 	#tickTimer: NodeJS.Timeout | undefined;
+	/** Whether the core answers no more. */
+	#isCoreStopped = false;
 
 	constructor(settings: Settings, clock: Clock = new SystemClock()) {
 		const {id, listen, region, failureDomain, limits, platform} = settings;
@@ -102,13 +106,16 @@
 	/** Drains the daemon: refuses new work, waits until the running requests finish, then closes the connections. */
 	async stop(): Promise<void> {
 		this.#bus.send({type: 'drain'});
+		this.#requestServer.closeAfterResponses();
+		await this.#waitForTarget();
+		// The core stops once no request is open, which clients that keep sending would put off for ever.
+		await this.#requestServer.stopAccepting();
 		await this.#stopped;
 		clearInterval(this.#tickTimer);
-		this.#requestServer.stopAccepting();
 		await this.#requestServer.waitForResponses();
-		await new Promise(resolve => {
-			setTimeout(resolve, CLOSE_DELAY_MS);
-		});
+		// What is half read by now is read to its end.
+		await sleep(CLOSE_DELAY_MS);
+		await this.#requestServer.waitForResponses();
 		this.#peerLinks.close();
 		this.#platformTask.close();
 		await this.#targetClient.close();
@@ -116,9 +123,28 @@
 		this.#log.info('stopped');
 	}
 
+	/** Waits for the end of the lame-duck time and of the calls at the own target, whose nested calls come to the request server. */
+	async #waitForTarget(): Promise<void> {
+		for (let waitedMs = 0; waitedMs < LAME_DUCK_MS || !this.#isTargetIdle(); waitedMs += TICK_MS) {
+			// eslint-disable-next-line no-await-in-loop -- looks again after each tick
+			await sleep(TICK_MS);
+		}
+	}
+
+	#isTargetIdle(): boolean {
+		const {running, queued} = this.#core.status();
+		return running === 0 && queued === 0;
+	}
+
 	#handleInput(input: Input): void {
+		if (this.#isCoreStopped && input.type === 'request') {
+			this.#bus.publish({type: 'respond', id: input.id, answer: {outcome: 'not-run', reason: 'draining', retryAfterMs: REFUSED_RETRY_AFTER_MS}});
+			return;
+		}
+
 		try {
 			for (const output of this.#core.step(input, this.#clock.nowMs())) {
+				this.#isCoreStopped ||= output.type === 'stopped';
 				this.#bus.publish(output);
 			}
 		} catch (error) {
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {type HttpMessage, header} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
@@ -12,6 +14,8 @@
 
 const MAX_HEADER_BYTES = 32_768;
 const IDLE_TIMEOUT_MS = 65_000;
+/** Limits the turns of the event loop in which a stop waits for connections that the kernel has taken. */
+const MAX_ACCEPT_TURNS = 2000;
 
 /** Where a request server listens, and its limits. */
 export type RequestServerOptions = {
@@ -39,6 +43,7 @@
 	#nextId = 1;
 	#isClosing = false;
 	#rejectedRequests = 0;
+	#acceptedConnections = 0;
 
 	constructor(bus: MessageBus, contextTokens: ContextTokens, log: Logger, options: RequestServerOptions) {
 		this.#bus = bus;
@@ -50,6 +55,9 @@
 		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
+		this.server.on('connection', () => {
+			this.#acceptedConnections++;
+		});
 		this.server.on('clientError', (error, socket) => {
 			this.#rejectedRequests++;
 			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
@@ -75,16 +83,27 @@
 		});
 	}
 
-	/** Accepts no new connections. Each response from now on closes its connection. */
-	stopAccepting(): void {
+	/** Each response from now on closes its connection. */
+	closeAfterResponses(): void {
 		this.#isClosing = true;
-		this.server.close();
-		this.server.closeIdleConnections();
+	}
+
+	/** Accepts no new connections; those that are open are still read, as a request may be on its way on each. */
+	async stopAccepting(): Promise<void> {
+		// The event loop accepts one connection a turn, and the kernel resets those that it hasn't accepted at the close.
+		let acceptedBefore: number | undefined;
+		for (let turn = 0; turn < MAX_ACCEPT_TURNS && this.#acceptedConnections !== acceptedBefore; turn++) {
+			acceptedBefore = this.#acceptedConnections;
+			// eslint-disable-next-line no-await-in-loop -- until a turn has accepted none
+			await setImmediate();
+		}
+
+		// The HTTP server's own method would destroy connections whose request hasn't wholly arrived.
+		NetServer.prototype.close.call(this.server);
 	}
 
 	/** Resolves when all open responses are closed. */
 	async waitForResponses(): Promise<void> {
-		this.server.closeIdleConnections();
 		await Promise.all([...this.#openResponses.values()].map(async response => new Promise(resolve => {
 			response.once('close', resolve);
 		})));
--- /dev/null
+++ b/test/failures/productstop.test.ts
@@ -0,0 +1,105 @@
+import {type Socket, connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {RequestServer} from '../../src/daemon/requestserver.js';
+import {DaemonPair} from '../../standins/daemonpair.js';
+
+/** The stop must end within this time, whatever clients send, in ms. */
+const MAX_STOP_MS = 4000;
+
+let pair: DaemonPair;
+beforeEach(async () => {
+	pair = new DaemonPair();
+	await pair.start();
+});
+afterEach(async () => {
+	vi.restoreAllMocks();
+	await pair.close();
+});
+
+const HEAD = 'GET /back/look HTTP/1.1\r\nhost: back\r\n';
+const POST = 'POST /back/submit HTTP/1.1\r\nhost: back\r\ncontent-length: 6\r\n\r\n';
+
+type Result = 'refused' | 'answered' | 'cut' | 'unread';
+
+/** Sends the parts of one request, with pauses. @returns `unread` if the connection closed before the last part was sent */
+async function send(port: number, parts: readonly string[], pauseMs = 0): Promise<Result> {
+	return new Promise(resolve => {
+		let sent = 0;
+		const socket: Socket = connect(port, '127.0.3.1', () => {
+			void (async () => {
+				for (const part of parts) {
+					if (!socket.destroyed) {
+						socket.write(part);
+						sent++;
+					}
+
+					// eslint-disable-next-line no-await-in-loop -- one part after the other
+					await sleep(pauseMs);
+				}
+			})();
+		});
+		socket.on('data', () => {
+			resolve('answered');
+			socket.destroy();
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			resolve(sent === 0 ? 'refused' : (sent < parts.length ? 'unread' : 'cut'));
+		});
+	});
+}
+
+/** Stops the first daemon while clients keep sending, until it has stopped. @returns how many requests ended in each way */
+async function stopUnderLoad(): Promise<Record<Result, number>> {
+	pair.onRequest = socket => {
+		setTimeout(() => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+		}, 30);
+	};
+
+	let isStopped = false;
+	const stopped = (async () => {
+		await pair.daemons[0].stop();
+		isStopped = true;
+	})();
+	const startMs = Date.now();
+	const results: Array<Promise<Result>> = [];
+	// eslint-disable-next-line no-unmodified-loop-condition -- the stop ends it
+	while (!isStopped && Date.now() - startMs < MAX_STOP_MS) {
+		results.push(send(pair.port, [`${HEAD}\r\n`]), send(pair.port, [HEAD, '\r\n'], 60), send(pair.port, [`${POST}abc`, 'def'], 60));
+		// eslint-disable-next-line no-await-in-loop -- for as long as the load lasts
+		await sleep(5);
+	}
+
+	expect(isStopped).toBe(true);
+	await stopped;
+	const outcomes = await Promise.all(results);
+	const counts = {
+		refused: 0, answered: 0, cut: 0, unread: 0,
+	};
+	for (const outcome of outcomes) {
+		counts[outcome]++;
+	}
+
+	return counts;
+}
+
+describe('a planned stop of a daemon of the product\'s own path under load', () => {
+	it('ends, and answers every request that it has accepted', async () => {
+		const counts = await stopUnderLoad();
+		expect(counts).toMatchObject({cut: 0, unread: 0});
+		expect(counts.answered).toBeGreaterThan(50);
+	});
+
+	it('is reported if it closes at once', async () => {
+		vi.spyOn(RequestServer.prototype, 'stopAccepting').mockImplementation(async function (this: RequestServer) {
+			this.server.close();
+			this.server.closeAllConnections();
+		});
+		const {cut, unread} = await stopUnderLoad();
+		expect(cut + unread).toBeGreaterThan(0);
+	});
+});
