--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,8 +1,10 @@
 import {randomInt} from 'node:crypto';
-import {type Clock, SystemClock} from '../clock/index.js';
+import {type Clock, SystemClock, sleep} from '../clock/index.js';
 import {type Settings} from '../config/index.js';
-import {DaemonCore} from '../core/index.js';
-import {Logger} from '../log/index.js';
+import {
+	DaemonCore, type Input, LAME_DUCK_MS, REFUSED_RETRY_AFTER_MS, createUnknownAnswer,
+} from '../core/index.js';
+import {ErrorLimit, Logger} from '../log/index.js';
 import {MessageBus} from './messagebus.js';
 import {ContextTokens} from './contexttokens.js';
 import {Endpoints} from './endpoints.js';
@@ -19,7 +21,13 @@
 
 /** One daemon: connects the decision core to the tasks that own its sockets. */
 export class Daemon {
-	readonly #bus = new MessageBus();
+	readonly #bus = new MessageBus(error => {
+		if (!this.survivesUnexpectedError(error)) {
+			throw error;
+		}
+	});
+
+	readonly #errorLimit = new ErrorLimit();
 	readonly #clock: Clock;
 	readonly #log: Logger;
 	readonly #core: DaemonCore;
@@ -30,6 +38,8 @@
 	readonly #metrics: Metrics | undefined;
 	readonly #stopped: Promise<void>;
 	#tickTimer: NodeJS.Timeout | undefined;
+	/** Whether the core answers no more. */
+	#isCoreStopped = false;
 
 	constructor(settings: Settings, clock: Clock = new SystemClock()) {
 		const {id, listen, region, failureDomain, limits, platform} = settings;
@@ -66,21 +76,25 @@
 		this.#peerLinks.acceptUpgrades(this.#requestServer.server);
 		this.#platformTask = new PlatformTask(this.#bus, this.#log, platform.url, platform.timeoutMs);
 		this.#metrics = settings.metrics && new Metrics(settings.metrics, id, () => this.#core.status());
-		void this.#bus.outputs('log').observe(({event, fields}) => {
+		this.#bus.handle('log', ({event, fields}) => {
 			this.#log.info(event, fields);
 		});
 		this.#stopped = new Promise(resolve => {
-			void this.#bus.outputs('stopped').observe(() => {
+			this.#bus.handle('stopped', () => {
 				resolve();
 			});
 		});
-		void this.#bus.inputs.observe(input => {
-			for (const output of this.#core.step(input, this.#clock.nowMs())) {
-				this.#bus.publish(output);
-			}
+		this.#bus.handleInputs(input => {
+			this.#handleInput(input);
 		});
 	}
 
+	/** Logs an error that no part has handled. @returns whether the daemon goes on: not after many in a short time */
+	survivesUnexpectedError(error: Error): boolean {
+		this.#log.error('unexpected_error', {reason: error.message, at: (error.stack ?? '').split('\n')[1]?.trim() ?? ''});
+		return this.#errorLimit.record(this.#clock.nowMs());
+	}
+
 	async start(): Promise<void> {
 		await this.#requestServer.listen();
 		this.#tickTimer = setInterval(() => {
@@ -92,17 +106,54 @@
 	/** Drains the daemon: refuses new work, waits until the running requests finish, then closes the connections. */
 	async stop(): Promise<void> {
 		this.#bus.send({type: 'drain'});
+		this.#requestServer.closeAfterResponses();
+		await this.#waitForTarget();
+		// The core stops once no request is open, which clients that keep sending would put off for ever.
+		await this.#requestServer.stopAccepting();
 		await this.#stopped;
 		clearInterval(this.#tickTimer);
-		this.#requestServer.stopAccepting();
 		await this.#requestServer.waitForResponses();
-		await new Promise(resolve => {
-			setTimeout(resolve, CLOSE_DELAY_MS);
-		});
+		// What is half read by now is read to its end.
+		await sleep(CLOSE_DELAY_MS);
+		await this.#requestServer.waitForResponses();
 		this.#peerLinks.close();
 		this.#platformTask.close();
 		await this.#targetClient.close();
 		await this.#metrics?.close();
 		this.#log.info('stopped');
 	}
+
+	/** Waits for the end of the lame-duck time and of the calls at the own target, whose nested calls come to the request server. */
+	async #waitForTarget(): Promise<void> {
+		for (let waitedMs = 0; waitedMs < LAME_DUCK_MS || !this.#isTargetIdle(); waitedMs += TICK_MS) {
+			// eslint-disable-next-line no-await-in-loop -- looks again after each tick
+			await sleep(TICK_MS);
+		}
+	}
+
+	#isTargetIdle(): boolean {
+		const {running, queued} = this.#core.status();
+		return running === 0 && queued === 0;
+	}
+
+	#handleInput(input: Input): void {
+		if (this.#isCoreStopped && input.type === 'request') {
+			this.#bus.publish({type: 'respond', id: input.id, answer: {outcome: 'not-run', reason: 'draining', retryAfterMs: REFUSED_RETRY_AFTER_MS}});
+			return;
+		}
+
+		try {
+			for (const output of this.#core.step(input, this.#clock.nowMs())) {
+				this.#isCoreStopped ||= output.type === 'stopped';
+				this.#bus.publish(output);
+			}
+		} catch (error) {
+			if (input.type === 'request') {
+				// How far the core came with the request is unknown, and nothing else would answer it.
+				this.#bus.publish({type: 'respond', id: input.id, answer: createUnknownAnswer('lost')});
+			}
+
+			throw error;
+		}
+	}
 }
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Answer} from '../core/index.js';
-import {type HttpMessage, header} from '../wire/index.js';
+import {type Answer, createUnknownAnswer} from '../core/index.js';
+import {type HttpMessage, header, stopListening} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
+import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
 import {RequestError} from './requesterror.js';
@@ -57,7 +57,7 @@
 			this.#rejectedRequests++;
 			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
 		});
-		void bus.outputs('respond').observe(({id, answer}) => {
+		bus.handle('respond', ({id, answer}) => {
 			this.#respond(id, answer);
 		});
 	}
@@ -78,29 +78,21 @@
 		});
 	}
 
-	/** Accepts no new connections. Each response from now on closes its connection. */
-	stopAccepting(): void {
+	/** Each response from now on closes its connection. */
+	closeAfterResponses(): void {
 		this.#isClosing = true;
-		// Node would take connections for idle whose answers have ended but aren't written.
-		this.server.closeIdleConnections = () => undefined;
-		this.server.close();
 	}
 
-	/** Resolves when all open responses are written or broken off, or clients take too long to read them. */
-	async waitForResponses(): Promise<void> {
-		const endMs = performance.now() + MAX_WRITE_MS;
-		while (this.#openResponses.size > 0 && performance.now() < endMs) {
-			// eslint-disable-next-line no-await-in-loop -- others may have come meanwhile
-			await Promise.race([sleep(endMs - performance.now(), undefined, {ref: false}), this.#waitForOpenResponses()]);
-		}
-
-		this.server.closeAllConnections();
+	/** Accepts no new connections; those that are open are still read, as a request may be on its way on each. */
+	async stopAccepting(): Promise<void> {
+		await stopListening(this.server);
 	}
 
-	async #waitForOpenResponses(): Promise<void> {
-		await Promise.all([...this.#openResponses.values()].map(async response => new Promise(resolve => {
+	/** Resolves when all open responses are written or broken off, or clients take too long to read them. */
+	async waitForResponses(): Promise<void> {
+		await Promise.race([sleep(MAX_WRITE_MS, undefined, {ref: false}), Promise.all([...this.#openResponses.values()].map(async response => new Promise(resolve => {
 			response.once('close', resolve);
-		})));
+		})))]);
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -118,19 +110,19 @@
 	}
 
 	#readBody(request: IncomingMessage, response: ServerResponse, onBody: (body: Buffer) => void): void {
-		const chunks: Buffer[] = [];
+		const collected = new BodyCollector();
 		let length = 0;
 		request.on('data', (chunk: Buffer) => {
 			length += chunk.length;
 			if (length <= this.#options.bodyBytes) {
-				chunks.push(chunk);
+				collected.add(chunk);
 			} else if (!response.headersSent) {
 				this.#reject(response, new RequestError(413, `body: longer than ${this.#options.bodyBytes} bytes`));
 			}
 		});
 		request.on('end', () => {
 			if (length <= this.#options.bodyBytes) {
-				onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+				onBody(collected.toBuffer());
 			}
 		});
 		request.on('error', () => {
@@ -195,6 +187,24 @@
 			headers.push('connection', 'close');
 		}
 
+		try {
+			response.writeHead(status, headers);
+		} catch (error) {
+			this.#writeUnwritable(response, error as Error);
+			return;
+		}
+
+		response.end(body);
+	}
+
+	// A peer or a target may send what HTTP can't carry; what it answers has run.
+	#writeUnwritable(response: ServerResponse, {message}: Error): void {
+		this.#log.warn('answer_unwritable', {reason: message});
+		for (const name of response.getHeaderNames()) {
+			response.removeHeader(name);
+		}
+
+		const {status, headers, body} = buildHttpAnswer(createUnknownAnswer('lost'));
 		response.writeHead(status, headers);
 		response.end(body);
 	}
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -1,7 +1,8 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Dispatcher, Pool} from 'undici';
 import {type Output} from '../core/index.js';
 import {type HttpMessage, filterForwardableHeaders, header} from '../wire/index.js';
+import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
 
@@ -23,10 +24,10 @@
 		this.#bus = bus;
 		this.#contextTokens = contextTokens;
 		this.#maxBodyBytes = maxBodyBytes;
-		void bus.outputs('dispatch').observe(output => {
+		bus.handle('dispatch', output => {
 			this.#dispatch(output);
 		});
-		void bus.outputs('cancel').observe(({id}) => {
+		bus.handle('cancel', ({id}) => {
 			this.#runs.get(id)?.cancel();
 		});
 	}
@@ -48,7 +49,8 @@
 
 	#dispatch(output: Dispatch): void {
 		const {id} = output;
-		const run = new Run(this.#maxBodyBytes, result => {
+		const context = this.#contextTokens.encode(id);
+		const run = new Run(context, this.#maxBodyBytes, result => {
 			this.#runs.delete(id);
 			this.#bus.send({type: 'target', id, result});
 		});
@@ -62,16 +64,16 @@
 		this.#pool.dispatch({
 			path: message.path ?? '/',
 			method: (message.method ?? 'GET'),
-			headers: this.#buildHeaders(output, message),
+			headers: this.#buildHeaders(output, message, context),
 			body: message.body.length > 0 ? message.body : null,
 		}, run);
 	}
 
-	#buildHeaders(output: Dispatch, message: HttpMessage): string[] {
+	#buildHeaders(output: Dispatch, message: HttpMessage, context: string): string[] {
 		const headers = [
 			...message.headers,
 			header.CONTEXT,
-			this.#contextTokens.encode(output.id),
+			context,
 			header.BUDGET_MS,
 			String(Math.max(1, Math.floor(output.budgetMs))),
 		];
@@ -87,10 +89,10 @@
 
 /** One request to the target: collects the whole response, or reports whether the request was sent before it failed. */
 class Run implements Dispatcher.DispatchHandler {
+	readonly #context: string;
 	readonly #maxBodyBytes: number;
 	readonly #reportResult: ReportResult;
-	readonly #chunks: Buffer[] = [];
-	#bodyBytes = 0;
+	readonly #body = new BodyCollector();
 	#status = 0;
 	#headers: string[] = [];
 	#claimsNotRun = false;
@@ -98,7 +100,8 @@
 	#isReported = false;
 	#controller: Dispatcher.DispatchController | undefined;
 
-	constructor(maxBodyBytes: number, reportResult: ReportResult) {
+	constructor(context: string, maxBodyBytes: number, reportResult: ReportResult) {
+		this.#context = context;
 		this.#maxBodyBytes = maxBodyBytes;
 		this.#reportResult = reportResult;
 	}
@@ -113,24 +116,28 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		const echoed = headers[header.CONTEXT];
+		if (echoed !== undefined && echoed !== this.#context) {
+			controller.abort(new Error('answer to another request'));
+			return;
+		}
+
 		this.#status = status;
 		this.#claimsNotRun = headers[header.OUTCOME] === 'not-run';
 		this.#headers = filterForwardableHeaders(flattenHeaders(headers));
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		this.#bodyBytes += chunk.length;
-		if (this.#bodyBytes > this.#maxBodyBytes) {
+		if (this.#body.length + chunk.length > this.#maxBodyBytes) {
 			controller.abort(new Error('response body is too long'));
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		this.#body.add(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
-		const payload: HttpMessage = {status: this.#status, headers: this.#headers, body};
+		const payload: HttpMessage = {status: this.#status, headers: this.#headers, body: this.#body.toBuffer()};
 		this.#finish({
 			kind: 'whole', status: this.#status, payload, claimsNotRun: this.#claimsNotRun,
 		});
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -6,7 +6,7 @@
 import {
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
-import {HOP_BY_HOP_HEADERS} from '../../wire/index.js';
+import {HOP_BY_HOP_HEADERS, stopListening} from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
 import {listen} from '../listen.js';
 import {type Address} from '../settings.js';
@@ -90,8 +90,6 @@
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (request, response) => {
 			this.#onRequest(request, response);
 		});
-		// When the server closes, Node would take connections for idle whose answers have ended but aren't written.
-		this.#server.closeIdleConnections = () => undefined;
 		this.#server.on('connection', (socket: Socket) => {
 			const connection = new ClientConnection(socket, options.clock.nowMs());
 			this.#connections.set(socket, connection);
@@ -133,9 +131,9 @@
 	}
 
 	/** Accepts no more connections, and no more requests on idle ones: all others close after their next answer. */
-	drain(): void {
+	async drain(): Promise<void> {
 		this.#isStopping = true;
-		this.#server.close();
+		await stopListening(this.#server);
 		const nowMs = this.#options.clock.nowMs();
 		for (const [socket, connection] of this.#connections) {
 			if (!connection.isInUse(nowMs)) {
--- a/src/relay/target/answerheaders.ts
+++ b/src/relay/target/answerheaders.ts
@@ -9,6 +9,7 @@
 	/** What the target says of itself, by name. */
 	readonly signals: Record<string, string> = {};
 	signature: string | undefined;
+	load: string | undefined;
 	attemptId: string | undefined;
 	length: string | undefined;
 	isNotRun = false;
@@ -38,8 +39,12 @@
 				return;
 			}
 
-			case 'date':
 			case names.load: {
+				this.load = join(this.load, value);
+				return;
+			}
+
+			case 'date': {
 				return;
 			}
 
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -293,12 +293,11 @@
 		}
 	}
 
-	#readSignals({signals: values}: AnswerHeaders): TargetSignals | undefined {
+	#readSignals({signals: values, load}: AnswerHeaders): TargetSignals | undefined {
 		try {
 			const signals = readTargetSignals(values, this.#names);
 			this.#sink.onSignals(signals);
-			const load = headers[this.#names.load];
-			if (typeof load === 'string') {
+			if (load !== undefined) {
 				this.#sink.onLoad(load);
 			}
 
