explain and status show what is in force for an organisation on a daemon, and who refused what

Why a caller got 401 or 429 had to be pieced together from the logs of several daemons. A daemon's metrics address now also answers what it has in force: for a name or a key the organisation, the configuration's version and how long ago it was confirmed, the limit, the fraction admitted, what this daemon was lent and uses, the books if it keeps them, and its refusals by reason and host; for status the eight organisations with the highest limits and the rest summed up, as the metrics have it (these existed). The command sends the beginning of a hash of what is asked for, since it may be a key; keys are shown by the same.

Refusals are counted by organisation, at most 24 kinds and one for the rest, and forgotten with the organisation. The path of a request pays one entry of a map, and only if it ends in a refusal.

At an address that doesn't know the new path, explain asks as before.

--- a/src/cli/sitecommands.ts
+++ b/src/cli/sitecommands.ts
@@ -8,8 +8,12 @@
 	SITE_OBJECT_NAME, type Explanation, type ServiceSpec, type SiteSpec, type DaemonStatus, serviceObjectName,
 } from '../core/index.js';
 import {ConfigWriter, PlatformClient, PlatformError} from '../platform/index.js';
+import {
+	type OrganisationAnswer, type RelayStatus, ORGANISATION_PATH, STATUS_PATH, hashPrefixOf,
+} from '../relay/index.js';
 import {readJson, formatJson} from './file.js';
 import {formatExplanation, formatStatus} from './format.js';
+import {formatOrganisation, formatRelayStatus} from './relayformat.js';
 
 const REQUEST_TIMEOUT_MS = 3000;
 const DEFAULT_PLATFORM = 'http://127.0.0.1:7000';
@@ -29,7 +33,7 @@
 	cli.command('status <...addresses>', 'Show the status of the daemons at the addresses HOST:PORT')
 		.option('--json', 'Print the full status as JSON')
 		.action(status);
-	cli.command('explain <address> <service> [requestPath]', 'Show what would happen to a request at the daemon at HOST:PORT')
+	cli.command('explain <address> <subject> [requestPath]', 'Show what would happen to a request for a service at the daemon at HOST:PORT; or, at a metrics address, what is in force for the organisation with this name or key')
 		.option('--method <method>', 'The HTTP method of the request', {default: 'GET'})
 		.option('--key <key>', 'The idempotency key of the request')
 		.option('--json', 'Print the explanation as JSON')
@@ -69,12 +73,20 @@
 }
 
 async function status(addresses: string[], {json}: {json?: boolean}): Promise<void> {
-	const all = await Promise.all(addresses.map(async address => fetchJson<DaemonStatus>(address, '/_comfreydyke/status')));
-	console.log(json === true ? JSON.stringify(all, undefined, 2) : all.map(daemonStatus => formatStatus(daemonStatus)).join('\n\n'));
+	const all = await Promise.all(addresses.map(async address => fetchJson<DaemonStatus | RelayStatus>(address, STATUS_PATH)));
+	console.log(json === true ? JSON.stringify(all, undefined, 2) : all.map(one => 'accountants' in one ? formatRelayStatus(one) : formatStatus(one)).join('\n\n'));
 }
 
-async function explain(address: string, service: string, requestPath: string | undefined, options: {method: string; key?: string; json?: boolean}): Promise<void> {
-	const query = new URLSearchParams({service, method: options.method, path: requestPath ?? '/'});
+async function explain(address: string, subject: string, requestPath: string | undefined, options: {method: string; key?: string; json?: boolean}): Promise<void> {
+	// Only the beginning of a hash leaves this process: the subject may be a key.
+	const hash = hashPrefixOf(subject);
+	const organisationAnswer = await fetchJson<OrganisationAnswer | {readonly isByKey?: undefined}>(address, `${ORGANISATION_PATH}?hash=${hash}`);
+	if (organisationAnswer.isByKey !== undefined) {
+		console.log(options.json === true ? JSON.stringify(organisationAnswer, undefined, 2) : formatOrganisation(organisationAnswer, hash));
+		return;
+	}
+
+	const query = new URLSearchParams({service: subject, method: options.method, path: requestPath ?? '/'});
 	if (options.key !== undefined) {
 		query.set('key', options.key);
 	}
--- a/src/mesh/shares/budgetsharing.ts
+++ b/src/mesh/shares/budgetsharing.ts
@@ -4,6 +4,7 @@
 import {
 	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type UsageReport, roomOf,
 } from './budget.js';
+import {type BudgetState} from './budgetstate.js';
 import {type Admission, Share} from './share.js';
 
 /** The time between two reports to an accountant of what has been spent, in ms. */
@@ -162,6 +163,29 @@
 		this.#shares.get(budget)?.share.giveBack(nowMs);
 	}
 
+	/** Describes a budget as far as this daemon knows it. @returns undefined if the budget has no limit */
+	stateOf(budget: string, nowMs: number): BudgetState | undefined {
+		const limit = this.#limits.get(budget);
+		if (limit === undefined) {
+			return undefined;
+		}
+
+		const news = this.#newsOf(budget);
+		const ledger = this.account.ledgerOf(budget);
+		return {
+			limit,
+			accountant: this.#accountants.of(budget),
+			newsAgeMs: Number.isFinite(news.heardMs) ? nowMs - news.heardMs : undefined,
+			fraction: news.limited.get(budget)?.fraction ?? 1,
+			share: this.#shares.get(budget)?.share.stateAt(nowMs),
+			books: ledger === undefined
+				? undefined
+				: {
+					wantedPerS: ledger.wantedPerS, usedPerS: ledger.usedPerS, level: ledger.level, spendable: ledger.spendable, scale: this.account.scale,
+				},
+		};
+	}
+
 	/** Returns the reports that are due. @param canSend whether a report would reach that host now; otherwise it waits */
 	takeReports(canSend: (host: string) => boolean, nowMs: number): DueReport[] {
 		return this.#takeReports(this.#accountants.hosts, canSend, nowMs);
--- a/src/mesh/shares/index.ts
+++ b/src/mesh/shares/index.ts
@@ -3,6 +3,7 @@
 export {
 	type Allowance, type AllowanceNews, type BudgetLimit, type BudgetRoom, type Usage, type UsageReport, roomOf,
 } from './budget.js';
+export {type BudgetBooks, type BudgetState} from './budgetstate.js';
 export {BudgetSharing, type BudgetSharingOptions, type DueReport} from './budgetsharing.js';
 export {Ledger} from './ledger.js';
-export {type Admission, Share} from './share.js';
+export {type Admission, Share, type ShareState} from './share.js';
--- a/src/mesh/shares/share.ts
+++ b/src/mesh/shares/share.ts
@@ -16,6 +16,9 @@
 
 const ADMITTED: Admission = {isAdmitted: true};
 
+/** What a share holds now: what may be spent at once, at most and after how long, and what is wanted and spent here. */
+export type ShareState = {readonly tokens: number; readonly capacity: number; readonly fillPerS: number; readonly wantedPerS: number; readonly usedPerS: number};
+
 /** What a share needs to know of the fleet. */
 export type ShareContext = {readonly daemonCount: number; readonly intervalMs: number};
 
@@ -58,6 +61,13 @@
 		return this.#wanted !== 0 || this.#used !== 0;
 	}
 
+	stateAt(nowMs: number): ShareState {
+		this.#advance(nowMs);
+		return {
+			tokens: this.#tokens, capacity: this.#capacity, fillPerS: this.#fillPerS, wantedPerS: this.#wantedPerS, usedPerS: this.#usedPerS,
+		};
+	}
+
 	/** Changes the limit; a lower one lowers the share in proportion at once. */
 	setLimit(limit: BudgetLimit): void {
 		const factor = Math.min(1, limit.ratePerS / this.#limit.ratePerS);
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -8,6 +8,7 @@
 } from '../call.js';
 import {type Exchange} from './exchange.js';
 import {type HeldRequests} from './heldrequests.js';
+import {type RefusalCounts} from './refusalcounts.js';
 import {type ResponseWriterContext} from './responsewriter.js';
 
 /** What an exchange needs of its request server. */
@@ -15,6 +16,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly loadShedder: LoadShedder;
+	readonly refusalCounts: RefusalCounts;
 	/** Holds requests that wait for the end of a fault; absent unless the settings allow it memory. */
 	readonly heldRequests?: HeldRequests | undefined;
 	readonly random: () => number;
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
@@ -14,6 +13,7 @@
 import {ClientConnection} from './clientconnection.js';
 import {type ExchangeContext} from './exchangecontext.js';
 import {Exchange} from './exchange.js';
+import {hashPrefixOf} from './keyhash.js';
 import {type QuotaGate} from './quotagate.js';
 
 /** The largest header block accepted from a client, in bytes; the configuration can't raise it. */
@@ -24,8 +24,6 @@
 /** The Retry-After value of a request whose organisation can't be told at present, in s. */
 const UNAUTHENTICATED_RETRY_AFTER_S = '0.4';
 const AUTHORIZATION_HEADER = 'authorization';
-/** How much of an unknown key's hash is logged, in characters: enough to tell keys apart, too little to try keys out. */
-const KEY_HASH_LENGTH = 6;
 
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
@@ -240,7 +238,7 @@
 	#refuseUnauthenticated(response: ServerResponse, reason: AuthenticationRefusal, {route, attemptId, site}: {route: Route; attemptId: string; site: Site}): void {
 		const {authorization} = response.req.headers;
 		this.#options.log.event('unauthenticated', {
-			attempt: attemptId, route: route.name, reason, siteVersion: site.version, keyHash: authorization === undefined ? 'none' : hashPrefixOf(authorization),
+			attempt: attemptId, route: route.name, reason, siteVersion: site.version, keyHash: authorization === undefined ? 'none' : hashPrefixOf(readBearerKey(authorization) ?? ''),
 		});
 		if (reason === 'unknown-key') {
 			this.#sendEmpty(response, 401, reason, ['www-authenticate', 'Bearer']);
@@ -313,8 +311,3 @@
 		return this.#exchanges.size > 0;
 	}
 }
-
-/** The beginning of a hash of the key in an Authorization header. */
-function hashPrefixOf(authorization: string): string {
-	return createHash('sha256').update(readBearerKey(authorization) ?? '').digest('hex').slice(0, KEY_HASH_LENGTH);
-}
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -8,3 +8,6 @@
 export {
 	type StoreChanges, type StoreEpoch, type Freshness, type StoreListing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
 } from './store/store.js';
+export {hashPrefixOf} from './clients/keyhash.js';
+export {type OrganisationAnswer, type OrganisationReport, type RelayStatus} from './operators/relayreport.js';
+export {ORGANISATION_PATH, STATUS_PATH} from './operators/metricsendpoint.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -10,11 +10,13 @@
 import {type DirectoryEvents} from './store/directoryevents.js';
 import {QuotaGate} from './clients/quotagate.js';
 import {HeldRequests} from './clients/heldrequests.js';
+import {RefusalCounts} from './clients/refusalcounts.js';
 import {RequestServer} from './clients/requestserver.js';
 import {FrameTag} from './peers/frame.js';
 import {Links} from './peers/links.js';
 import {ShareExchange} from './peers/shareexchange.js';
 import {MetricsEndpoint} from './operators/metricsendpoint.js';
+import {RelayReporter} from './operators/relayreport.js';
 import {TargetMonitor} from './target/targetmonitor.js';
 import {TargetOwner} from './target/targetowner.js';
 import {PeerServer} from './peers/peerserver.js';
@@ -68,6 +70,7 @@
 	readonly #metricsEndpoint: MetricsEndpoint;
 	readonly #links: Links;
 	readonly #quotaGate: QuotaGate;
+	readonly #refusalCounts = new RefusalCounts();
 	readonly #shareExchange: ShareExchange;
 	readonly #targetMonitor: TargetMonitor;
 	#counterFeed: StatsdReporter | undefined;
@@ -133,6 +136,7 @@
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#directory.site,
 			quotaGate: this.#quotaGate,
+			refusalCounts: this.#refusalCounts,
 			revocation: settings.revocation,
 			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
@@ -165,7 +169,9 @@
 		this.#announcementEndpoint = new AnnouncementEndpoint(adapter, this.#log, message => {
 			this.#targetMonitor.handleMessage(message);
 		});
-		this.#metricsEndpoint = new MetricsEndpoint(this.#log.registry);
+		this.#metricsEndpoint = new MetricsEndpoint(this.#log.registry, new RelayReporter({
+			host: settings.host, site: () => this.#directory.site, confirmationAgeMs: () => this.#directory.confirmationAgeMs, revocation: settings.revocation, sharing, refusalCounts: this.#refusalCounts, nowMs,
+		}));
 		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
 
@@ -283,6 +289,7 @@
 				const limits = quotaLimits(site.organisations?.values() ?? []);
 				this.#quotaGate.setLimits(limits);
 				this.#shareExchange.setLimits(limits);
+				this.#refusalCounts.retain(new Set([...site.organisations?.values() ?? []].map(({name}) => name)));
 				this.#links.gossip.floodNews();
 			},
 			onHost: (entry: HostEntry) => {
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -62,7 +62,7 @@
 	}
 
 	async addHost(name: string, options: MeshTargetOptions, failureDomain = 'a'): Promise<MeshHost> {
-		const ports = await findFreePorts(4);
+		const ports = await findFreePorts(5);
 		const target = new MeshTarget({...options, outbound: () => ports[0]});
 		await target.listen();
 		const host = await this.startDaemon(name, target, ports, failureDomain);
@@ -145,7 +145,7 @@
 		service,
 		target: at(targetPort),
 		listen: {
-			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
+			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]), ...(ports.length > 4 && {metrics: at(ports[4])}),
 		},
 		seeds: [],
 		isFirstStart: true,
