--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -1,3 +1,4 @@
+import {type Buffer} from 'node:buffer';
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
@@ -44,6 +45,8 @@
 	process: ChildProcess | undefined;
 	/** Whether clients send to it: not once they have noticed that it stops, or while it is away. */
 	isOffered: boolean;
+	/** Whether its daemon has begun to listen: a process that is told to stop before has accepted nothing. */
+	isListening: boolean;
 	/** Whether its daemon is being stopped or killed, or started again. */
 	isRestarting: boolean;
 };
@@ -77,7 +80,7 @@
 			// eslint-disable-next-line no-await-in-loop
 			await target.listen();
 			this.hosts.push({
-				index, ports, target, process: undefined, isOffered: true, isRestarting: false,
+				index, ports, target, process: undefined, isOffered: true, isListening: false, isRestarting: false,
 			});
 			this.#timers.push(setInterval(() => {
 				void target.announce(ports[3]);
@@ -171,6 +174,7 @@
 			}
 
 			case 'stop': {
+				const {isListening} = host;
 				child.kill('SIGTERM');
 				const exited = once(child, 'exit');
 				// As long as clients take to notice, some send on.
@@ -183,12 +187,12 @@
 				this.#startDaemon(host, false);
 				record('stopped');
 				const wasFrozen = this.history.isDisturbed(['frozen'], fromMs, Date.now(), index);
-				return code === 0 || wasFrozen ? undefined : `host ${index} ended with ${String(code)} ${tookMs} ms after SIGTERM`;
+				return code === 0 || wasFrozen || !isListening ? undefined : `host ${index} ended with ${String(code)} ${tookMs} ms after SIGTERM`;
 			}
 		}
 	}
 
-	async close(): Promise<void> {
+	close(): void {
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -230,7 +234,11 @@
 		const log = createWriteStream(path.join(this.#folder, `host-${index}.log`), {flags: 'a'});
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
+		child.stdout.on('data', (lines: Buffer) => {
+			host.isListening ||= lines.includes('event=started');
+		});
 		host.process = child;
+		host.isListening = false;
 		host.isOffered = true;
 		host.isRestarting = false;
 	}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -30,6 +30,13 @@
 /** Plays a plan. @returns what broke a promise */
 async function play(plan: SoakPlan, folder: string): Promise<{record: SoakRecord; violations: Violation[]}> {
 	const fleet = new Fleet(plan, folder);
+	// The daemons would outlive this process.
+	const end = () => {
+		fleet.close();
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit -- ended by hand
+	};
+
+	process.once('SIGTERM', end).once('SIGINT', end);
 	try {
 		await fleet.start(USUAL_ORGANISATIONS);
 		await sleep(SETTLING_MS);
@@ -54,7 +61,8 @@
 		const stopViolations = stops.filter(detail => detail !== undefined).map((detail): Violation => ({promise: 'a stop ends in time', detail}));
 		return {record, violations: [...stopViolations, ...findViolations(record)]};
 	} finally {
-		await fleet.close();
+		process.off('SIGTERM', end).off('SIGINT', end);
+		fleet.close();
 	}
 }
 
