--- a/fakes/loadsimulation.ts
+++ b/fakes/loadsimulation.ts
@@ -204,7 +204,7 @@
 		};
 
 		const start = () => {
-			const priority = host.loadShedder.priorityOf(routedService, {rank: route.rank, attemptId: id}, this.#nowMs);
+			const priority = host.loadShedder.priorityOf(routedService, route.rank, id, this.#nowMs);
 			if ((this.#options.overrides?.shedsByFloors ?? true) && !host.loadShedder.isAdmitted(priority)) {
 				onEnd('refused');
 				return;
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -8,7 +8,7 @@
 export {MAX_KEY_LENGTH} from './idempotencykey.js';
 export {type LoadView, FloorController} from './floorcontroller.js';
 export {
-	LEVELS_PER_RANK, MAX_FLOOR, RANK_COUNT, admittedShareOf, levelOf, rankOf,
+	LEVELS_PER_RANK, MAX_FLOOR, RANK_COUNT, levelOf, rankOf,
 } from './level.js';
 export {type FloorReport, FloorTable} from './floortable.js';
 export {type Member} from './member.js';
--- a/src/mesh/admission/index.ts
+++ b/src/mesh/admission/index.ts
@@ -1,4 +1,3 @@
-export {FairLevels} from './fairlevels.js';
 export {FairShares} from './fairshares.js';
 export {IndexedHeap} from './indexedheap.js';
 export {RateLimiter} from './ratelimiter.js';
@@ -8,7 +7,7 @@
 export {IdleConnectionLimit} from './idleconnectionlimit.js';
 export {type RetryCause, chooseRetryAfterMs} from './retryafter.js';
 export {
-	type Priority, type RootRequest, type RoutedService, type RunOutcome, type TargetLoad, LoadShedder,
+	type Priority, type RoutedService, type RunOutcome, type TargetLoad, LoadShedder,
 } from './loadshedder.js';
 export {type PatientRequest, PatientAdmission, type WaitDecision} from './patientadmission.js';
 export {type WaitingRequest} from './waitingroom.js';
--- a/src/mesh/admission/loadshedder.ts
+++ b/src/mesh/admission/loadshedder.ts
@@ -3,7 +3,6 @@
 } from '../../core/index.js';
 import {AnsweredShare} from './answeredshare.js';
 import {CallCounts} from './callcounts.js';
-import {FairLevels} from './fairlevels.js';
 
 /** How long an attempt keeps its level within its rank, in ms: one that is sent again later gets another level, and with it another chance. */
 const LEVEL_EPOCH_MS = 2000;
@@ -23,9 +22,6 @@
 /** A route and the service that the traffic split chose for a request. */
 export type RoutedService = {readonly route: string; readonly service: string};
 
-/** What decides on the priority of a root request; a rank of 0 is the highest. */
-export type RootRequest = {readonly rank: number; readonly attemptId: string; readonly organisation?: string | undefined};
-
 /** How a run ended: `failed-below` if it was a nested call that failed, `lost` if that says nothing of the target. */
 export type RunOutcome = 'answered' | 'failed-below' | 'failed' | 'turned-away' | 'lost';
 
@@ -53,15 +49,9 @@
 	readonly #reached = new Map<string, Set<string>>();
 	readonly #outcomes: {readonly answered: AnsweredShare; readonly callCounts: CallCounts} | undefined;
 
-	readonly #fairLevels: FairLevels;
-
-	/**
-	 * @param countsOutcomes whether it learns and reports what share of the calls is answered, and how many calls a request needs
-	 * @param weightOf what an organisation is entitled to, in relation to the others
-	 */
-	constructor(host: string, countsOutcomes = false, weightOf: (organisation: string) => number = () => 1) {
+	/** @param countsOutcomes whether it learns and reports what share of the calls is answered, and how many calls a request needs */
+	constructor(host: string, countsOutcomes = false) {
 		this.#host = host;
-		this.#fairLevels = new FairLevels(weightOf);
 		this.#outcomes = countsOutcomes ? {answered: new AnsweredShare(), callCounts: new CallCounts()} : undefined;
 	}
 
@@ -70,16 +60,10 @@
 		return this.#controller.floor;
 	}
 
-	priorityOf(routedService: RoutedService, {rank, attemptId, organisation}: RootRequest, nowMs: number): Priority {
+	/** @param rank 0 is the highest */
+	priorityOf({route, service}: RoutedService, rank: number, attemptId: string, nowMs: number): Priority {
 		const level = levelOf(RANK_COUNT - 1 - Math.min(RANK_COUNT - 1, Math.max(0, Math.floor(rank))), attemptId, Math.floor(nowMs / LEVEL_EPOCH_MS));
-		const services = this.reachedServices(routedService);
-		const floor = this.#floors.highestFloorOf(services, nowMs);
-		if (organisation === undefined || floor === 0) {
-			return {level, floor};
-		}
-
-		const service = services.find(one => this.#floors.meanFloorOf(one, nowMs) === floor)!;
-		return {level: this.#fairLevels.place(level, floor, {organisation, service}, nowMs), floor};
+		return {level, floor: this.#floors.highestFloorOf(this.reachedServices({route, service}), nowMs)};
 	}
 
 	isAdmitted({level, floor}: Priority): boolean {
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -58,7 +58,7 @@
 		this.#arrivedMs = context.clock.nowMs();
 		this.leftMs = options.leftMs;
 		this.#routedService = {route: this.route.name, service: this.service};
-		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, {rank: this.#template.rank, attemptId: this.attemptId, organisation: options.organisation}, this.#arrivedMs);
+		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
 			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
@@ -106,7 +106,7 @@
 
 	/** Starts the request after it was held. */
 	resume(): void {
-		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, {rank: this.#template.rank, attemptId: this.attemptId, organisation: this.#organisation}, this.#context.clock.nowMs());
+		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#context.clock.nowMs());
 		if (this.isAdmitted) {
 			this.#sendOrWait();
 		} else {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -88,7 +88,7 @@
 		const nowMs = () => clock.nowMs();
 		this.#loadBalancer = new LoadBalancer(settings.failureDomain, LOAD_BALANCING, random);
 		this.#retryBudget = new RetryBudget(settings.retry);
-		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined, organisation => this.#weightOf(organisation));
+		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
@@ -100,7 +100,7 @@
 			onLeaving: instance => {
 				this.#targetMonitor.handleLeaving(instance);
 			},
-			weightOf: organisation => this.#weightOf(organisation),
+			weightOf: organisation => this.#directory.site?.organisations?.weightOf(organisation) ?? 1,
 		});
 		this.#directory = new Directory({
 			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
@@ -262,10 +262,6 @@
 		await this.#directory.close();
 	}
 
-	#weightOf(organisation: string): number {
-		return this.#directory.site?.organisations?.weightOf(organisation) ?? 1;
-	}
-
 	#createHeldRequests(random: () => number): HeldRequests | undefined {
 		const {heldBytes: maxBytes} = this.#settings;
 		const options = {
