--- a/src/mesh/shares/urgentfirst.ts
+++ b/src/mesh/shares/urgentfirst.ts
@@ -21,6 +21,11 @@
 		this.#credits.fill(phase);
 	}
 
+	/** What is wanted of all ranks together. */
+	get wantedPerS(): number {
+		return this.#wantedPerS.reduce((sum, perS) => sum + perS, 0);
+	}
+
 	/** Counts what is wanted. */
 	record(rank: number): void {
 		this.#wantedPerS[rank] += 1000 / RATE_MS;
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -62,13 +62,13 @@
 	}
 
 	async addHost(name: string, options: MeshTargetOptions, failureDomain = 'a'): Promise<MeshHost> {
-		const ports = await findFreePorts(4);
+		const ports = await findFreePorts(5);
 		return this.#addHost(name, new MeshTarget({...options, outbound: () => ports[0]}), ports, failureDomain);
 	}
 
 	/** Adds a host with this target, which doesn't listen yet and makes no nested calls. */
 	async addHostOf(name: string, target: MeshTarget): Promise<MeshHost> {
-		return this.#addHost(name, target, await findFreePorts(4), 'a');
+		return this.#addHost(name, target, await findFreePorts(5), 'a');
 	}
 
 	/** Adds two hosts: `front`, to which clients connect, and `back`, to whose target the route `x` leads unless `routes` is set. */
@@ -153,7 +153,7 @@
 		service,
 		target: at(targetPort),
 		listen: {
-			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
+			requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]), ...(ports.length > 4 && {metrics: at(ports[4])}),
 		},
 		seeds: [],
 		isFirstStart: true,
