Owner: finds how many calls at once its target bears, if the load of its machine is read

Load: 42 targets that are 1.5 times slower with more than 0.85 of their slots in use, at 0.7 of what they serve otherwise.

The owner compares runs that began with 0.87 or more of its limit in use with those that began with 0.5 to 0.87. If they take 1.2 times as long (20 runs each), the limit sinks by a tenth, to 0.6 at the least; after 20 s it is tried a step higher. The times are divided by what the target says of its machine: a target on a slow one fills up, and would look like one that is slow because it is full. So it works only with usesMachineLoad, for targets that name their machine's load, and is off otherwise.

--- a/bench/placement/main.ts
+++ b/bench/placement/main.ts
@@ -29,6 +29,9 @@
 	{
 		...fleet, name: 'full', fullFactor: 1.5, demand: 0.7,
 	},
+	{
+		...fleet, name: 'full-knee', fullFactor: 1.5, demand: 0.7, findsKnee: true,
+	},
 	{
 		...fleet, name: 'kinds', kinds: [0.1, 0.2, 0.5, 1, 2, 3], demand: 0.7,
 	},
--- a/fakes/placementsimulation.ts
+++ b/fakes/placementsimulation.ts
@@ -1,5 +1,5 @@
 import {
-	type HostEntry, LOAD_BALANCING, LoadBalancer, type LoadReport, ServiceTimes, TargetSpeed,
+	type HostEntry, Knee, LOAD_BALANCING, LoadBalancer, type LoadReport, ServiceTimes, TargetSpeed,
 } from '../src/mesh/index.js';
 import {Random} from './random.js';
 import {Scheduler} from './scheduler.js';
@@ -54,6 +54,8 @@
 	readonly shedShare?: number;
 	/** Factor by which a target is slower when more than 0.85 of its slots are in use. */
 	readonly fullFactor?: number;
+	/** Whether owners find the concurrency from which their target is slower. */
+	readonly findsKnee?: boolean;
 };
 
 /** What callers of a run saw. */
@@ -68,6 +70,9 @@
 type PlacedCall = Arrival & {readonly target: Target; startedMs: number};
 type Target = {
 	readonly index: number; readonly entry: HostEntry; readonly speed: number; readonly queue: PlacedCall[]; readonly times: ServiceTimes; readonly targetSpeed: TargetSpeed;
+	readonly knee: Knee;
+	/** Times of runs over the claimed load of the machine. */
+	readonly bases: ServiceTimes;
 	running: number; isNoisy: boolean;
 };
 
@@ -107,6 +112,8 @@
 			queue: [],
 			times: new ServiceTimes(),
 			targetSpeed: new TargetSpeed(),
+			knee: new Knee(),
+			bases: new ServiceTimes(),
 			running: 0,
 			isNoisy: false,
 		}));
@@ -213,9 +220,13 @@
 		return coldOnesJoin && index < coldShare * targets && this.#nowMs < 8000;
 	}
 
+	#limitOf({knee}: Target): number {
+		return Math.max(1, Math.floor(this.#scenario.slots * knee.share));
+	}
+
 	#startQueued(target: Target): void {
-		const {slots, workMs, deadlineMs} = this.#scenario;
-		while (target.running < slots && target.queue.length > 0) {
+		const {workMs, deadlineMs} = this.#scenario;
+		while (target.running < this.#limitOf(target) && target.queue.length > 0) {
 			const call = target.queue.shift()!;
 			if (this.#nowMs > call.arrivedMs + deadlineMs) {
 				this.#finish(call, false);
@@ -224,9 +235,16 @@
 
 			target.running++;
 			call.startedMs = this.#nowMs;
+			const load = target.running / this.#limitOf(target);
+			const claim = target.isNoisy ? this.#scenario.noiseFactor ?? 1 : 1;
 			this.#scheduler.schedule(workMs * (this.#scenario.kinds?.[call.kind] ?? 1) * this.#random.between(0.5, 1.5) * this.#factorOf(target), () => {
 				target.running--;
 				const spentMs = this.#nowMs - call.startedMs;
+				if (this.#scenario.findsKnee === true) {
+					target.knee.record(load, spentMs / claim / Math.max(1, target.bases.knownMs(routeOf(call.kind))), this.#nowMs);
+				}
+
+				target.bases.record(routeOf(call.kind), spentMs / claim);
 				target.times.record(routeOf(call.kind), spentMs);
 				target.targetSpeed.record(routeOf(call.kind), spentMs, this.#nowMs);
 				target.targetSpeed.recordOutcome(false);
@@ -252,7 +270,7 @@
 	#report(daemon: number, target: Target, kind: number): void {
 		const route = routeOf(kind);
 		const report: LoadReport = {
-			running: target.running, queued: target.queue.length, limit: this.#scenario.slots, serviceMs: target.times.knownMs(route), failureShare: target.targetSpeed.failureShare,
+			running: target.running, queued: target.queue.length, limit: this.#limitOf(target), serviceMs: target.times.knownMs(route), failureShare: target.targetSpeed.failureShare,
 		};
 		this.#inFlight[daemon][target.index]--;
 		this.#reports[daemon].set(target.index, report);
--- a/src/mesh/balancing/index.ts
+++ b/src/mesh/balancing/index.ts
@@ -5,4 +5,5 @@
 export {BusyTime} from './busytime.js';
 export {TargetSpeed} from './targetspeed.js';
 export {type ObservedRun, MachineLoad} from './machineload.js';
+export {Knee} from './knee.js';
 export {ServiceTimes} from './servicetimes.js';
--- a/src/mesh/balancing/machineload.ts
+++ b/src/mesh/balancing/machineload.ts
@@ -56,6 +56,12 @@
 		return nowMs - this.#claimedAtMs < CLAIM_TTL_MS ? this.#claim : undefined;
 	}
 
+	/** How long a run took compared to the route's usual, the load of the machine aside; undefined if it isn't known. */
+	relativeTimeOf({route, spentMs, machineLoad}: ObservedRun): number | undefined {
+		const baseMs = this.#basesMs.get(route);
+		return machineLoad === undefined || baseMs === undefined ? undefined : spentMs / machineLoad / Math.max(1, baseMs);
+	}
+
 	/** @returns whether the claims have begun to count, or no longer do */
 	record({route, spentMs, machineLoad, meanMs}: ObservedRun): boolean {
 		if (machineLoad === undefined) {
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -44,6 +44,8 @@
 	startedMs = 0;
 	/** The load of the target's machine when the run began, as the target claims it; undefined if it isn't known. */
 	machineLoad: number | undefined;
+	/** The share of the concurrency limit in use when the run began. */
+	usedShare = 0;
 	hasNestedFailure = false;
 	run: Run | undefined;
 	/** When the sender cancelled the call while its run was allowed to finish, in ms on the daemon's clock. */
--- a/src/relay/target/runrecorder.ts
+++ b/src/relay/target/runrecorder.ts
@@ -1,6 +1,6 @@
 import {type EventLog} from '../../log/index.js';
 import {
-	type LoadReport, MachineLoad, ServiceTimes, TargetSpeed,
+	Knee, type LoadReport, MachineLoad, ServiceTimes, TargetSpeed,
 } from '../../mesh/index.js';
 import {type DecodeError} from '../error.js';
 import {type OwnedCall} from './ownedcall.js';
@@ -23,6 +23,7 @@
 	readonly #serviceTimes = new ServiceTimes();
 	readonly #targetSpeed = new TargetSpeed();
 	readonly #machineLoad = new MachineLoad();
+	readonly #knee = new Knee();
 	#hasRejectedLoad = false;
 	#failingSinceMs: number | undefined;
 
@@ -34,6 +35,7 @@
 	reset(): void {
 		this.#targetSpeed.reset();
 		this.#machineLoad.reset();
+		this.#knee.reset();
 		this.#hasRejectedLoad = false;
 		this.#failingSinceMs = undefined;
 	}
@@ -74,14 +76,25 @@
 		}
 	}
 
+	/** The share of its usual limit that the target should run at once. */
+	get limitShare(): number {
+		return this.#knee.share;
+	}
+
 	/** Records a run that the target answered. */
 	recordRun(owned: OwnedCall, running: number, nowMs: number): void {
 		const {log, onSlowness} = this.#options;
 		const {template: {route}, instance} = owned.call;
 		const spentMs = nowMs - owned.startedMs;
-		if (this.#machineLoad.record({
+		const observed = {
 			route, spentMs, machineLoad: owned.machineLoad, meanMs: this.#serviceTimes.knownMs(route),
-		})) {
+		};
+		const relativeTime = this.#machineLoad.relativeTimeOf(observed);
+		if (relativeTime !== undefined && this.#knee.record(owned.usedShare, relativeTime, nowMs)) {
+			log.event('concurrency_share', {instance, share: this.#knee.share.toFixed(2), running});
+		}
+
+		if (this.#machineLoad.record(observed)) {
 			const {isBelieved, errors: {claim, mean}} = this.#machineLoad;
 			log.event('machine_load', {
 				instance, isBelieved, claimError: claim.toFixed(2), meanError: mean.toFixed(2),
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -58,6 +58,8 @@
 
 	/** What the target said of itself last; undefined until it has answered a call. */
 	#signals: TargetSignals | undefined;
+	/** How many calls the target runs at once if that doesn't slow it down. */
+	#usualLimit = 1;
 	#unreachableUntilMs = 0;
 	#isStopping = false;
 	#isStartingQueued = false;
@@ -109,7 +111,8 @@
 
 	/** Sets how many calls the target runs at once. */
 	setConcurrencyLimit(calls: number): void {
-		this.#queue.limit = calls;
+		this.#usualLimit = calls;
+		this.#updateLimit();
 		this.#startQueued();
 	}
 
@@ -210,6 +213,7 @@
 		const spentMs = nowMs - owned.startedMs;
 		if (isServed) {
 			this.#runRecorder.recordRun(owned, this.#queue.running, nowMs);
+			this.#updateLimit();
 		}
 
 		this.#queue.release(spentMs, isServed);
@@ -332,6 +336,7 @@
 		const {isNested, isRepeat} = owned.call;
 		this.#options.log.registry.count('runs', {kind: isRepeat ? 'repeat' : (isNested ? 'nested' : 'root')});
 		owned.machineLoad = this.#runRecorder.machineLoadAt(nowMs);
+		owned.usedShare = this.#queue.running / this.#queue.limit;
 		owned.start(this.#options.targetClient, nowMs);
 	}
 
@@ -352,6 +357,10 @@
 		this.#isStartingQueued = false;
 	}
 
+	#updateLimit(): void {
+		this.#queue.limit = Math.floor(this.#usualLimit * this.#runRecorder.limitShare);
+	}
+
 	#logFloorChange(previousFloor: number): void {
 		const {floor} = this.#options.loadShedder;
 		if ((previousFloor === 0) !== (floor === 0)) {
--- a/test/mesh/placement.test.ts
+++ b/test/mesh/placement.test.ts
@@ -27,6 +27,18 @@
 		expect(p99Ms).toBeLessThan(play(joining, 'two-choices').p99Ms * 0.75);
 	});
 
+	it('serve all in time though they slow down when nearly full, as their owners find out how many calls at once they bear', () => {
+		const full = {...fleet, fullFactor: 1.5, demand: 0.7};
+		const [found, usual] = [true, false].map(findsKnee => new PlacementSimulation({...full, findsKnee}, 'load-balancer', 5).run(20_000));
+		expect(found.inTimeShare).toBeGreaterThan(0.99);
+		expect(found.p99Ms).toBeLessThan(usual.p99Ms * 0.6);
+	});
+
+	it('run as many calls at once as before while their machines are slow for a moment', () => {
+		const noise = {noiseShare: 0.17, noiseFactor: 2.5};
+		expect(play({...noise, findsKnee: true}).p99Ms).toBeLessThan(play(noise).p99Ms * 1.1);
+	});
+
 	it('aren\'t drawn to those that shed at once', () => {
 		const shedding = {sheddingTargets: 6, shedShare: 0.6};
 		expect(play(shedding).shedShare).toBeLessThan(play(shedding, 'two-choices').shedShare / 4);
