--- a/bench/placement/main.ts
+++ b/bench/placement/main.ts
@@ -20,12 +20,18 @@
 	{
 		...fleet, name: 'cold-third', coldShare: 0.33, demand: 0.6,
 	},
+	{
+		...fleet, name: 'joining-third', coldShare: 0.33, coldOnesJoin: true, demand: 0.6,
+	},
 	{
 		...fleet, name: 'shedding', sheddingTargets: 6, shedShare: 0.6,
 	},
 	{
 		...fleet, name: 'full', fullFactor: 1.5, demand: 0.7,
 	},
+	{
+		...fleet, name: 'full-knee', fullFactor: 1.5, demand: 0.7, findsKnee: true,
+	},
 	{
 		...fleet, name: 'kinds', kinds: [0.1, 0.2, 0.5, 1, 2, 3], demand: 0.7,
 	},
