--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,4 +1,5 @@
 export {Relay} from './relay.js';
+export {type DaemonSettings, type DaemonOptions, runRelay} from './runrelay.js';
 export {type Address, type RelaySettings} from './settings.js';
 export {
 	Adapter, type ConfigurationKey, type HeaderNames, type TargetMessage,
