status and explain name no limit for an organisation that has none

Since floors order organisations by what all daemons are asked for, those without a quota have an entitlement in the exchange, and both commands showed it as a limit in force. Found on reading; the new line of operators.test.ts fails without the change (0 of 7 small organisations with 'no limit'), and its three tests pass with it.

--- a/src/relay/operators/relayreport.ts
+++ b/src/relay/operators/relayreport.ts
@@ -100,7 +100,12 @@
 		return organisation === undefined
 			? undefined
 			: {
-				name, keyHashes: organisation.keys.map(key => hashPrefixOf(key)), rank: organisation.rank, weight: table!.weightOf(name), budget: sharing.stateOf(name, nowMs()), refusals: refusalCounts.of(name),
+				name,
+				keyHashes: organisation.keys.map(key => hashPrefixOf(key)),
+				rank: organisation.rank,
+				weight: table!.weightOf(name),
+				budget: organisation.ratePerS === undefined ? undefined : sharing.stateOf(name, nowMs()),
+				refusals: refusalCounts.of(name),
 			};
 	}
 }
--- a/test/relay/operators.test.ts
+++ b/test/relay/operators.test.ts
@@ -79,6 +79,7 @@
 		expect(unknown).toContain(`  no organisation has this name, or a key with the hash ${hashPrefixOf('withdrawn-key')}: requests with such a key get 401 (unknown-key)`);
 		// Acme and seven of the small ones are named; the one that was refused is not.
 		expect(status.filter(line => line.includes('limit'))).toHaveLength(8);
+		expect(status.filter(line => line.includes('no limit'))).toHaveLength(7);
 		expect(status.at(-1)).toBe('  4 others: refused here 1');
 		expect([...byName, ...byKey, ...status, ...unknown].join('\n')).not.toMatch(/key-of-acme|withdrawn-key/v);
 	}, 20_000);
