--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -233,16 +233,22 @@
 			this.#peerServer.broadcast([FrameTag.leaving, this.#settings.host]);
 			this.#targetOwner.refuseNewCalls();
 		}, Math.max(0, this.#settings.lameDuckMs - LAST_CALLS_MS));
+		let isDrained = false;
+		const drain = async () => {
+			await this.#requestServer.drain();
+			isDrained = true;
+		};
+
 		// Clients that don't notice the stop would send requests until the end, and the last ones would be aborted.
 		setTimeout(() => {
-			void this.#requestServer.drain();
+			void drain();
 		}, this.#settings.lameDuckMs);
 		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
 		await new Promise<void>(resolve => {
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
 				const isIdle = !this.#requestServer.isInUse && !this.#peerServer.isSending && this.#targetOwner.running === 0;
-				if ((isIdle && nowMs - startMs >= this.#settings.lameDuckMs) || nowMs >= endMs) {
+				if ((isDrained && isIdle) || nowMs >= endMs) {
 					clearInterval(timer);
 					resolve();
 				}
