--- a/src/mesh/balancing/machineload.ts
+++ b/src/mesh/balancing/machineload.ts
@@ -19,8 +19,8 @@
 };
 
 /**
- * Works out from a target's claim how long work takes on its machine now, compared to
- * usual, how long a call takes there now. The claim counts only while it predicts the
+ * Works out how long a call takes at a target now from the target's claim of how long
+ * work takes on its machine, compared to usual. The claim counts only while it predicts the
  * times of runs better than their mean does, so that a wrong one changes nothing.
  * Handles the load pattern in which targets share their machines, and become
  * slower and faster within fewer runs than a mean needs to follow.
