--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -17,6 +17,9 @@
 /** How long a daemon takes to find that a link has gone silent, in ms. */
 const SILENCE_MS = 1200;
 
+/** Called for each frame that a daemon sends to another. */
+type OnSend = (frame: Frame, from: MeshMember, to: MeshMember) => void;
+
 /** Reads the time of the test's timers. */
 class TimerClock extends Clock {
 	override nowMs(): number {
@@ -47,6 +50,7 @@
 	override send(frame: Frame): void {
 		const [tag] = frame;
 		this.#from.sentFrames.set(tag, (this.#from.sentFrames.get(tag) ?? 0) + 1);
+		this.#from.onSend(frame, this.#from, this.#to);
 		this.#from.deliver(() => {
 			if (this.#from.reaches(this.#to)) {
 				this.#to.gossip.handleFrame(frame, this.#reverse!);
@@ -76,10 +80,12 @@
 	readonly sentFrames = new Map<number, number>();
 	/** Runs an action after the delay of a link. */
 	readonly deliver: (action: () => void) => void;
+	readonly onSend: OnSend;
 
-	constructor(name: string, failureDomain: string, store: ObjectStore, {random, deliver}: {random: Random; deliver: (action: () => void) => void}) {
+	constructor(name: string, failureDomain: string, store: ObjectStore, {random, deliver, onSend}: {random: Random; deliver: (action: () => void) => void; onSend: OnSend}) {
 		super();
 		this.deliver = deliver;
+		this.onSend = onSend;
 		this.name = name;
 		this.failureDomain = failureDomain;
 		const clock = new TimerClock();
@@ -233,12 +239,14 @@
 	readonly #store: MemoryStore;
 	readonly #random: Random;
 	readonly #domainCount: number;
+	readonly #onSend: OnSend;
 	#deliveries: Array<() => void> = [];
 
-	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1} = {}) {
+	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1, onSend = () => undefined}: {domainCount?: number; seed?: number; onSend?: OnSend} = {}) {
 		this.#store = store;
 		this.#random = new Random(seed);
 		this.#domainCount = domainCount;
+		this.#onSend = onSend;
 		for (let index = 0; index < count; index++) {
 			this.add(`h${index}`);
 		}
@@ -307,6 +315,7 @@
 			deliver: action => {
 				this.#deliver(action);
 			},
+			onSend: this.#onSend,
 		});
 		this.#stores.set(member, store);
 		member.directory.start();
