Gossip: only three gateways of a failure domain link to other domains

Cause: each daemon kept two or three links into other domains, so that each version, each configuration and each news crossed on some 800 links at 300 daemons, most of them heard there already: entries times links is the square of the machines.

Now the daemons of a domain form a mesh of their own (ring and two more), and rendezvous hashing elects three gateways in each domain, linked in a ring with those of each other domain. A daemon that starts asks a peer of its own domain for the configuration first.

--- a/src/mesh/membership/index.ts
+++ b/src/mesh/membership/index.ts
@@ -9,4 +9,5 @@
 } from './host.js';
 export {type FreshnessLeaseOptions, FreshnessLease} from './freshnesslease.js';
 export {meshPeerOf} from './meshpeer.js';
+export {chooseMeshNeighbors} from './meshneighbors.js';
 export {type StoreWatchers, electStoreWatchers} from './storewatchers.js';
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -1,7 +1,6 @@
-import {chooseNeighbors} from '../../core/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	type HostEntry, type HostRecord, type HostTable, type StoreWatchers, electStoreWatchers, meshPeerOf,
+	type HostEntry, type HostRecord, type HostTable, type StoreWatchers, chooseMeshNeighbors, electStoreWatchers,
 } from '../../mesh/index.js';
 import {type Directory} from '../store/directory.js';
 import {
@@ -13,7 +12,7 @@
 const FLOOD_DELAY_MS = 40;
 /** How long a peer may take to send a version that it offered before another is asked, in ms. */
 const RECORD_REQUEST_TIMEOUT_MS = 300;
-/** The delay in ms before a peer outside the mesh is asked for its newer configuration, because the mesh mostly delivers it first. */
+/** The delay in ms before a peer outside the mesh or in another failure domain is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
 /** Consecutive news with a different digest from one peer after which the versions are compared even if they still change. */
 const MAX_MISMATCHES = 12;
@@ -154,7 +153,7 @@
 	handleFrame(frame: Frame, channel: FrameChannel): boolean {
 		switch (frame[0]) {
 			case FrameTag.hello: {
-				this.#onHello(frame[1] as number, channel);
+				this.#onHello(frame, channel);
 				return true;
 			}
 
@@ -232,10 +231,9 @@
 		const self = {host, failureDomain};
 		const others = hosts.entries.filter(entry => entry.host !== host);
 		const reachable = others.filter(entry => !isUnreachable(entry.host));
-		const choose = (entries: readonly HostEntry[]) => new Set(chooseNeighbors(meshPeerOf(self), entries.map(entry => meshPeerOf(entry))).map(({id}) => id));
-		const chosen = choose(reachable);
+		const chosen = chooseMeshNeighbors(self, reachable);
 		this.#neighbors = reachable.filter(entry => chosen.has(entry.host));
-		this.#preferredNeighbors = reachable.length === others.length ? chosen : choose(others);
+		this.#preferredNeighbors = reachable.length === others.length ? chosen : chooseMeshNeighbors(self, others);
 		this.#watchers = electStoreWatchers(self, reachable);
 	}
 
@@ -356,16 +354,21 @@
 		}
 	}
 
-	#onHello(version: number, channel: FrameChannel): void {
+	#onHello([, offered, host]: Frame, channel: FrameChannel): void {
+		const {hosts, failureDomain} = this.#parts;
+		const version = offered as number;
 		if (version <= this.#siteVersion) {
 			return;
 		}
 
+		// Mostly a peer in the own failure domain offers it too, from which it costs less.
+		const isNear = (hosts.get(String(host))?.failureDomain ?? failureDomain) === failureDomain;
+
 		setTimeout(() => {
 			if (version > this.#siteVersion) {
 				this.#siteRequester.request({channel, version});
 			}
-		}, this.#siteVersion === 0 ? 0 : SITE_REQUEST_DELAY_MS);
+		}, this.#siteVersion === 0 && isNear ? 0 : SITE_REQUEST_DELAY_MS);
 	}
 
 	#sendSite(channel: FrameChannel): void {
