Gossip: a version that a peer offered and never sent is requested from the next

A daemon that asked a peer for a version ignored the offers of others for 300 ms, and never came back to them: if the peer died or its link broke in between, only a comparison of versions brought the entry, which needs news from the store. RecordRequester keeps who else has offered and asks one after the other, as SiteRequester does for configurations.

--- a/bench/gossip/main.ts
+++ b/bench/gossip/main.ts
@@ -65,6 +65,8 @@
 			const name = tagNames.get(frame[0])!;
 			traffic.set(name, (traffic.get(name) ?? 0) + bytes);
 		}
+
+		return false;
 	};
 
 	const mesh = new DirectoryMesh(store, daemonCount, {domainCount, onSend});
--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -17,8 +17,8 @@
 /** How long a daemon takes to find that a link has gone silent, in ms. */
 const SILENCE_MS = 1200;
 
-/** Called for each frame that a daemon sends to another. */
-type OnSend = (frame: Frame, from: MeshMember, to: MeshMember) => void;
+/** Called for each frame that a daemon sends to another. @returns whether the frame is lost on its way */
+type OnSend = (frame: Frame, from: MeshMember, to: MeshMember) => boolean;
 
 /** Reads the time of the test's timers. */
 class TimerClock extends Clock {
@@ -50,9 +50,9 @@
 	override send(frame: Frame): void {
 		const [tag] = frame;
 		this.#from.sentFrames.set(tag, (this.#from.sentFrames.get(tag) ?? 0) + 1);
-		this.#from.onSend(frame, this.#from, this.#to);
+		const isLost = this.#from.onSend(frame, this.#from, this.#to);
 		this.#from.deliver(() => {
-			if (this.#from.reaches(this.#to)) {
+			if (!isLost && this.#from.reaches(this.#to)) {
 				this.#to.gossip.handleFrame(frame, this.#reverse!);
 			}
 		});
@@ -242,7 +242,7 @@
 	readonly #onSend: OnSend;
 	#deliveries: Array<() => void> = [];
 
-	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1, onSend = () => undefined}: {domainCount?: number; seed?: number; onSend?: OnSend} = {}) {
+	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1, onSend = () => false}: {domainCount?: number; seed?: number; onSend?: OnSend} = {}) {
 		this.#store = store;
 		this.#random = new Random(seed);
 		this.#domainCount = domainCount;
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -6,12 +6,11 @@
 import {
 	type Frame, type FrameChannel, FrameTag, type TargetSlowness, buildOffersFrame, buildRecordsFrame, buildSlownessFrame, buildVersionsFrame, readNews, readOffers, readRecords, readSlowness, readVersions,
 } from './frame.js';
+import {RecordRequester} from './recordrequester.js';
 import {SiteRequester} from './siterequester.js';
 
 /** How long versions and slow targets are collected before they are passed on, in ms, so that many at once cost few frames. */
 const FLOOD_DELAY_MS = 40;
-/** How long a peer may take to send a version that it offered before another is asked, in ms. */
-const RECORD_REQUEST_TIMEOUT_MS = 300;
 /** The delay in ms before a peer outside the mesh or in another failure domain is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
 /** Consecutive news with a different digest from one peer after which the versions are compared even if they still change. */
@@ -53,7 +52,7 @@
 	#watchers: StoreWatchers = {isElected: false, count: 1};
 	#areNeighborsStale = true;
 	readonly #pendingRecords = new Map<string, {revision: number; from: FrameChannel | undefined}>();
-	readonly #askedRecords = new Map<string, {revision: number; atMs: number}>();
+	readonly #recordRequester: RecordRequester;
 	#pendingTimer: NodeJS.Timeout | undefined;
 	readonly #slowness = new Map<string, TargetSlowness>();
 	readonly #pendingSlowness = new Map<string, {slowness: TargetSlowness; from: FrameChannel | undefined}>();
@@ -62,6 +61,8 @@
 
 	constructor(parts: GossipParts) {
 		this.#parts = parts;
+		const {nowMs, hosts} = parts;
+		this.#recordRequester = new RecordRequester({nowMs, revisionOf: host => hosts.revisionOf(host)});
 	}
 
 	/** The hosts that this daemon keeps links to. */
@@ -192,7 +193,7 @@
 			}
 
 			case FrameTag.offers: {
-				this.#onOffers(frame, channel);
+				this.#recordRequester.request(readOffers(frame), channel);
 				return true;
 			}
 
@@ -215,6 +216,7 @@
 	close(): void {
 		clearTimeout(this.#pendingTimer);
 		this.#siteRequester.close();
+		this.#recordRequester.close();
 	}
 
 	get #siteVersion(): number {
@@ -329,23 +331,6 @@
 		}
 	}
 
-	// Requests the versions that are new here, each from one peer at a time.
-	#onOffers(frame: Frame, channel: FrameChannel): void {
-		const {hosts, nowMs} = this.#parts;
-		const wanted = [...readOffers(frame)].filter(([host, revision]) => {
-			const asked = this.#askedRecords.get(host);
-			const isAsked = asked !== undefined && asked.revision >= revision && nowMs() - asked.atMs < RECORD_REQUEST_TIMEOUT_MS;
-			return revision > (hosts.revisionOf(host) ?? 0) && !isAsked;
-		});
-		for (const [host, revision] of wanted) {
-			this.#askedRecords.set(host, {revision, atMs: nowMs()});
-		}
-
-		if (wanted.length > 0) {
-			channel.send([FrameTag.recordRequest, wanted.map(([host]) => host)]);
-		}
-	}
-
 	#sendRecords(hosts: unknown, channel: FrameChannel): void {
 		const names = Array.isArray(hosts) ? hosts.filter(host => typeof host === 'string') : [];
 		const records = this.#parts.hosts.recordsOf(names);
