--- a/test/mesh/meshneighbors.test.ts
+++ b/test/mesh/meshneighbors.test.ts
@@ -41,6 +41,27 @@
 		expect([gateways.size, countGroups(running, links)]).toEqual([3, 1]);
 	});
 
+	it('lead from any of 240 hosts to any other in five steps', () => {
+		const hosts = createHosts(240, 3);
+		const linked = new Map(hosts.map(({host}) => [host, new Set([host])]));
+		for (const [{host: from}, {host: to}] of linksOf(hosts)) {
+			linked.get(from)!.add(to);
+			linked.get(to)!.add(from);
+		}
+
+		const countSteps = (start: string) => {
+			let reached = new Set([start]);
+			let steps = 0;
+			for (; reached.size < hosts.length; steps++) {
+				reached = new Set([...reached].flatMap(host => [...linked.get(host)!]));
+			}
+
+			return steps;
+		};
+
+		expect(Math.max(...hosts.map(({host}) => countSteps(host)))).toBeLessThanOrEqual(5);
+	});
+
 	it('cross between failure domains as often with 480 hosts as with 96, and at each host at most once to each other domain', () => {
 		const hosts = createHosts(480, 8);
 		expect(countAcross(hosts)).toBe(countAcross(createHosts(96, 8)));
