Gossip: a link that is no neighbor's any more takes no part in the mesh

While a fleet starts, each daemon knows few others, takes itself for a gateway and opens links to other domains. These stayed in the mesh until they closed as idle after 20 s, in which all news went over them too; the other side never heard of it. Now the side that opened a link says so (frame subscribe with false; a daemon of an older version takes it for a subscription, as before), once all its neighbors' links are open, so that news always has a way.

--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -5,7 +5,9 @@
 } from '../src/mesh/index.js';
 import {Directory} from '../src/relay/store/directory.js';
 import {DirectoryEvents} from '../src/relay/store/directoryevents.js';
-import {type Frame, FrameChannel, type TargetSlowness} from '../src/relay/peers/frame.js';
+import {
+	type Frame, FrameChannel, FrameTag, type TargetSlowness,
+} from '../src/relay/peers/frame.js';
 import {Gossip} from '../src/relay/peers/gossip.js';
 import {ObjectStore, type StoredObject} from '../src/relay/index.js';
 import {MeshAdapter} from '../standins/meshadapter.js';
@@ -364,7 +366,8 @@
 			}
 		}
 
-		for (const {host} of member.gossip.neighbors) {
+		const {neighbors} = member.gossip;
+		for (const {host} of neighbors) {
 			const peer = this.members.find(one => one.name === host);
 			if (peer !== undefined && !member.links.has(host) && member.reaches(peer)) {
 				const [forth, back] = FakeChannel.connect(member, peer);
@@ -373,5 +376,20 @@
 				peer.gossip.addChannel(back);
 			}
 		}
+
+		if (neighbors.every(({host}) => member.links.has(host))) {
+			this.#dropOtherLinks(member);
+		}
+	}
+
+	#dropOtherLinks(member: MeshMember): void {
+		const names = new Set(member.gossip.neighbors.map(({host}) => host));
+		for (const [name, channel] of member.links) {
+			if (!names.has(name)) {
+				channel.send([FrameTag.subscribe, false]);
+				member.gossip.removeChannel(channel);
+				member.links.delete(name);
+			}
+		}
 	}
 }
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -34,7 +34,7 @@
 	siteRequest: 10,
 	/** List of floor reports. */
 	floors: 11,
-	/** No fields; makes the link part of the mesh. */
+	/** Whether the link is part of the mesh from now on; if absent, it is. */
 	subscribe: 12,
 	/** Version of the configuration, ms since the store confirmed it (null if it hasn't), digest of the hosts' versions, epoch of the store (null if unknown). */
 	news: 13,
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -159,7 +159,12 @@
 			}
 
 			case FrameTag.subscribe: {
-				this.addChannel(channel);
+				if (frame[1] === false) {
+					this.removeChannel(channel);
+				} else {
+					this.addChannel(channel);
+				}
+
 				return true;
 			}
 
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -123,10 +123,6 @@
 
 		const {neighbors} = this.#gossip;
 		const names = new Set(neighbors.map(({host}) => host));
-		for (const link of this.#links.values()) {
-			link.isKept &&= names.has(link.host);
-		}
-
 		for (const entry of neighbors) {
 			const link = this.linkTo(entry);
 			if (!link.isKept) {
@@ -136,6 +132,15 @@
 				}
 			}
 		}
+
+		// Only once the others are open, so that news always has a way.
+		if (neighbors.every(({host}) => this.#links.get(host)?.isOpen === true)) {
+			for (const link of this.#links.values()) {
+				if (link.isKept && !names.has(link.host)) {
+					this.#unsubscribe(link);
+				}
+			}
+		}
 	}
 
 	/** Reconnects to unreachable hosts, and removes the store entries of those that stay unreachable. */
@@ -292,10 +297,16 @@
 	}
 
 	#subscribe(link: Link): void {
-		link.send([FrameTag.subscribe]);
+		link.send([FrameTag.subscribe, true]);
 		this.#gossip.addChannel(link);
 	}
 
+	#unsubscribe(link: Link): void {
+		link.isKept = false;
+		link.send([FrameTag.subscribe, false]);
+		this.#gossip.removeChannel(link);
+	}
+
 	#redialHost(host: string, nowMs: number): void {
 		const {hosts, loadBalancer} = this.#parts;
 		const entry = hosts.get(host);
--- a/test/relay/gateways.test.ts
+++ b/test/relay/gateways.test.ts
@@ -71,6 +71,20 @@
 		expect(many.changes).toBeLessThan(few.changes * 2);
 	});
 
+	it('send nothing over links that only their start has needed', async () => {
+		const mesh = await startMesh();
+		const linked = new Set<string>();
+		isLost = ({from, to}) => {
+			linked.add([from.name, to.name].toSorted().join(' '));
+			return false;
+		};
+
+		configure(2);
+		await vi.advanceTimersByTimeAsync(1000);
+		const chosen = new Set(mesh.members.flatMap(({name, gossip}) => gossip.neighbors.map(({host}) => [name, host].toSorted().join(' '))));
+		expect([...linked].filter(link => !chosen.has(link))).toEqual([]);
+	});
+
 	it('all know a configuration in time that one domain alone can read, and an entry, while all gateways of it have just died', async () => {
 		const mesh = await startMesh();
 		const first = mesh.members.filter(({failureDomain}) => failureDomain === 'd0');
