--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -9,8 +9,8 @@
 import {RecordRequester} from './recordrequester.js';
 import {SiteRequester} from './siterequester.js';
 
-/** How long versions and slow targets are collected before they are passed on, in ms, so that many at once cost few frames. */
-const FLOOD_DELAY_MS = 40;
+/** The shortest time between two frames with versions or slow targets, in ms, so that many in a row cost few frames; the first goes out at once. */
+const FLOOD_INTERVAL_MS = 40;
 /** The delay in ms before a peer outside the mesh or in another failure domain is asked for its newer configuration, because the mesh mostly delivers it first. */
 const SITE_REQUEST_DELAY_MS = 150;
 /** Consecutive news with a different digest from one peer after which the versions are compared even if they still change. */
@@ -54,6 +54,7 @@
 	readonly #pendingRecords = new Map<string, {revision: number; from: FrameChannel | undefined}>();
 	readonly #recordRequester: RecordRequester;
 	#pendingTimer: NodeJS.Timeout | undefined;
+	#floodedMs = Number.NEGATIVE_INFINITY;
 	readonly #slowness = new Map<string, TargetSlowness>();
 	readonly #pendingSlowness = new Map<string, {slowness: TargetSlowness; from: FrameChannel | undefined}>();
 	readonly #siteRequester = new SiteRequester(() => this.#siteVersion);
@@ -306,11 +307,14 @@
 	}
 
 	#schedulePending(): void {
+		const {nowMs} = this.#parts;
+		const sinceMs = nowMs() - this.#floodedMs;
 		this.#pendingTimer ??= setTimeout(() => {
 			this.#pendingTimer = undefined;
+			this.#floodedMs = nowMs();
 			this.#offerPendingRecords();
 			this.#sendPendingSlowness();
-		}, FLOOD_DELAY_MS);
+		}, Math.max(0, FLOOD_INTERVAL_MS - sinceMs));
 	}
 
 	#sendPendingSlowness(): void {
