--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -5,7 +5,9 @@
 } from '../src/mesh/index.js';
 import {Directory} from '../src/relay/store/directory.js';
 import {DirectoryEvents} from '../src/relay/store/directoryevents.js';
-import {type Frame, FrameChannel, type TargetSlowness} from '../src/relay/peers/frame.js';
+import {
+	type Frame, FrameChannel, FrameTag, type TargetSlowness,
+} from '../src/relay/peers/frame.js';
 import {Gossip} from '../src/relay/peers/gossip.js';
 import {ObjectStore, type StoredObject} from '../src/relay/index.js';
 import {MeshAdapter} from '../standins/meshadapter.js';
@@ -17,8 +19,8 @@
 /** How long a daemon takes to find that a link has gone silent, in ms. */
 const SILENCE_MS = 1200;
 
-/** Called for each frame that a daemon sends to another. */
-type OnSend = (frame: Frame, from: MeshMember, to: MeshMember) => void;
+/** Called for each frame that a daemon sends to another. @returns whether the frame is lost on its way */
+type OnSend = (frame: Frame, from: MeshMember, to: MeshMember) => boolean;
 
 /** Reads the time of the test's timers. */
 class TimerClock extends Clock {
@@ -50,9 +52,9 @@
 	override send(frame: Frame): void {
 		const [tag] = frame;
 		this.#from.sentFrames.set(tag, (this.#from.sentFrames.get(tag) ?? 0) + 1);
-		this.#from.onSend(frame, this.#from, this.#to);
+		const isLost = this.#from.onSend(frame, this.#from, this.#to);
 		this.#from.deliver(() => {
-			if (this.#from.reaches(this.#to)) {
+			if (!isLost && this.#from.reaches(this.#to)) {
 				this.#to.gossip.handleFrame(frame, this.#reverse!);
 			}
 		});
@@ -242,7 +244,7 @@
 	readonly #onSend: OnSend;
 	#deliveries: Array<() => void> = [];
 
-	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1, onSend = () => undefined}: {domainCount?: number; seed?: number; onSend?: OnSend} = {}) {
+	constructor(store: MemoryStore, count: number, {domainCount = 5, seed = 1, onSend = () => false}: {domainCount?: number; seed?: number; onSend?: OnSend} = {}) {
 		this.#store = store;
 		this.#random = new Random(seed);
 		this.#domainCount = domainCount;
@@ -364,7 +366,8 @@
 			}
 		}
 
-		for (const {host} of member.gossip.neighbors) {
+		const {neighbors} = member.gossip;
+		for (const {host} of neighbors) {
 			const peer = this.members.find(one => one.name === host);
 			if (peer !== undefined && !member.links.has(host) && member.reaches(peer)) {
 				const [forth, back] = FakeChannel.connect(member, peer);
@@ -373,5 +376,20 @@
 				peer.gossip.addChannel(back);
 			}
 		}
+
+		if (neighbors.every(({host}) => member.links.has(host))) {
+			this.#dropOtherLinks(member);
+		}
+	}
+
+	#dropOtherLinks(member: MeshMember): void {
+		const names = new Set(member.gossip.neighbors.map(({host}) => host));
+		for (const [name, channel] of member.links) {
+			if (!names.has(name)) {
+				channel.send([FrameTag.subscribe, false]);
+				member.gossip.removeChannel(channel);
+				member.links.delete(name);
+			}
+		}
 	}
 }
