A run that was cancelled at its deadline is answered as such, not as cancelled by its caller

Callers saw 503 'cancelled' with a Retry-After for a request whose time was over, where 504 'deadline' is true; the outcome 'unknown' was right in both. Cause: the daemon beside the target cancels the run at the same deadline as the first daemon; if its answer arrives first, it said that the caller had left. Ruled out: a false 'has not run'. test/core/admissioncontroller.test.ts, before: both runs 'cancelled'; after: the one at its deadline 'deadline'.

--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -13,7 +13,7 @@
 import {PriorityQueue} from './priorityqueue.js';
 import {TimerWheel} from './timerwheel.js';
 import {
-	type AdmissionParts, type AnswerSink, type Origin, type QueueBounds, type ReceivedCall, answerFromResult, expiryReasonOf,
+	type AdmissionParts, type AnswerSink, type CancelReason, type Origin, type QueueBounds, type ReceivedCall, answerFromResult, expiryReasonOf,
 } from './receivedcall.js';
 
 const MIN_QUEUE_CALLS = 4;
@@ -172,7 +172,7 @@
 	cancel(origin: Origin): void {
 		for (const received of this.#receivedCalls.values()) {
 			if (received.origin.peer === origin.peer && received.origin.callId === origin.callId) {
-				this.#cancelReceived(received);
+				this.#cancelReceived(received, 'cancelled');
 				return;
 			}
 		}
@@ -182,7 +182,7 @@
 	cancelCallsFrom(peer: string): void {
 		for (const received of this.#receivedCalls.values()) {
 			if (received.origin.peer === peer) {
-				this.#cancelReceived(received);
+				this.#cancelReceived(received, 'cancelled');
 			}
 		}
 	}
@@ -216,7 +216,7 @@
 			hasMadeChildCall: false,
 			hasFailedChild: false,
 			childMayHaveRun: false,
-			cancelled: false,
+			cancelReason: undefined,
 			mayHaveWaitedInPause: this.#context.pausedMs > 0,
 		};
 	}
@@ -330,7 +330,7 @@
 		if (received.startedMs === 0) {
 			this.#expireQueued(received, nowMs);
 		} else if (received.deadlineMs <= nowMs) {
-			this.#cancelReceived(received);
+			this.#cancelReceived(received, 'deadline');
 		}
 	}
 
@@ -345,12 +345,12 @@
 		}
 	}
 
-	#cancelReceived(received: ReceivedCall): void {
+	#cancelReceived(received: ReceivedCall, reason: CancelReason): void {
 		if (received.startedMs === 0) {
 			this.#queue.remove(received);
-			this.#refuse(received, 'cancelled');
-		} else if (received.call.idempotent && !received.childMayHaveRun && !received.cancelled) {
-			received.cancelled = true;
+			this.#refuse(received, reason);
+		} else if (received.call.idempotent && !received.childMayHaveRun && received.cancelReason === undefined) {
+			received.cancelReason = reason;
 			this.#context.emit({type: 'cancel', id: received.id});
 		}
 	}
--- a/src/core/receivedcall.ts
+++ b/src/core/receivedcall.ts
@@ -14,6 +14,9 @@
 	readonly callId: number;
 };
 
+/** Why a run is cancelled: its caller no longer waits, or its time is over. */
+export type CancelReason = 'cancelled' | 'deadline';
+
 /** A call that this daemon has received for its target, and that is queued, running or about to be decided on. */
 export type ReceivedCall = QueueEntry & {
 	readonly id: number;
@@ -34,7 +37,8 @@
 	hasFailedChild: boolean;
 	/** Whether a non-idempotent child call may have run. */
 	childMayHaveRun: boolean;
-	cancelled: boolean;
+	/** Why its run was cancelled; undefined while nobody has cancelled it. */
+	cancelReason: CancelReason | undefined;
 	/** Whether it may have waited in a socket buffer while this process was paused. */
 	readonly mayHaveWaitedInPause: boolean;
 };
@@ -69,9 +73,9 @@
 
 	// Each failure is retried by one hop only: the one next to where it arose.
 	const isClean = received.call.idempotent && !received.childMayHaveRun;
-	const retryable = isClean && !received.hasFailedChild && !received.cancelled;
+	const retryable = isClean && !received.hasFailedChild && received.cancelReason === undefined;
 	if (result.kind === 'broken') {
-		return {...createUnknownAnswer(received.cancelled ? 'cancelled' : 'target-failed'), retryable};
+		return {...createUnknownAnswer(received.cancelReason ?? 'target-failed'), retryable};
 	}
 
 	if (result.claimsNotRun && !received.hasMadeChildCall) {
--- a/test/core/admissioncontroller.test.ts
+++ b/test/core/admissioncontroller.test.ts
@@ -1,6 +1,7 @@
 import {expect, it} from 'vitest';
 import {AdmissionController} from '../../src/core/admissioncontroller.js';
 import {type Call} from '../../src/core/frame.js';
+import {type Answer} from '../../src/core/answer.js';
 import {CoreContext} from '../../src/core/corecontext.js';
 import {Ledger} from '../../src/core/ledger.js';
 
@@ -20,3 +21,33 @@
 	admission.admit({peer: 'q', callId: 1}, call(0));
 	expect(ledger.begin('k', {attempt: 2, tie: 'b'}, 2000).verdict).toBe('running');
 });
+
+it('tells the caller of a run that was cancelled at its deadline so, and of one that he cancelled likewise', () => {
+	const answers: Answer[] = [];
+	const context = new CoreContext(1, 1);
+	const admission = new AdmissionController({
+		coreContext: context, ledger: new Ledger(0, 10), bounds: () => undefined, onEnded: () => undefined,
+		answer(_origin, answer) {
+			answers.push(answer);
+		},
+	});
+	admission.announce({
+		service: 's', slots: 2, connections: 2, cold: false,
+	});
+	for (const callId of [1, 2]) {
+		admission.admit({peer: 'p', callId}, {
+			...call(1000), idempotent: true, key: undefined, ballot: undefined,
+		});
+	}
+
+	admission.cancel({peer: 'p', callId: 1});
+	context.nowMs = 1100;
+	admission.tick();
+	for (const output of context.takeOutputs()) {
+		if (output.type === 'cancel') {
+			admission.onResult(output.id, {kind: 'broken'});
+		}
+	}
+
+	expect(answers.map(({outcome, reason}) => [outcome, reason])).toEqual([['unknown', 'cancelled'], ['unknown', 'deadline']]);
+});
