A strict daemon that lost touch says 503, not 401, of a key that it doesn't know

A client with a new key got 401 from a daemon with strict revocation whose configuration nobody had confirmed for longer than it may be: an answer that ends his try for good, though the key may have been added since. docs/design/authentication.md says never 401 there; the code asked for the key's holder first. Test first: 'new' under strict said 'unknown-key'; now 'unconfirmed'. Without a key it stays 401, as no configuration can allow that.

--- a/src/mesh/organisations/authenticator.ts
+++ b/src/mesh/organisations/authenticator.ts
@@ -59,12 +59,16 @@
 			return {isAccepted: true, organisation};
 		}
 
-		if (organisation === undefined) {
-			return {isAccepted: false, reason: isNested && key === undefined ? 'orphaned' : 'unknown-key'};
+		if (key === undefined) {
+			return {isAccepted: false, reason: isNested ? 'orphaned' : 'unknown-key'};
 		}
 
-		const isUnconfirmed = this.#revocation?.isStrict === true && confirmationAgeMs > this.#revocation.maxAgeMs;
-		return isUnconfirmed ? {isAccepted: false, reason: 'unconfirmed'} : {isAccepted: true, organisation};
+		// A key that nobody holds here may have been added since the last confirmation.
+		if (this.#revocation?.isStrict === true && confirmationAgeMs > this.#revocation.maxAgeMs) {
+			return {isAccepted: false, reason: 'unconfirmed'};
+		}
+
+		return organisation === undefined ? {isAccepted: false, reason: 'unknown-key'} : {isAccepted: true, organisation};
 	}
 }
 
