The load balancer keeps nothing of hosts that are gone

Records of unknown hosts are now dropped with each removal, as a mark may come before the first choice and mustn't be lost.

--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -214,8 +214,18 @@
 		return Math.max(reported, state.inFlight) / limit;
 	}
 
-	forget(host: string): void {
-		this.#hosts.delete(host);
+	/** Forgets the hosts that are gone, also those that the end of a call has brought back since. */
+	retain(isKnown: (host: string) => boolean): void {
+		for (const host of this.#hosts.keys()) {
+			if (!isKnown(host)) {
+				this.#hosts.delete(host);
+			}
+		}
+	}
+
+	/** The number of hosts of which something is kept. */
+	get size(): number {
+		return this.#hosts.size;
 	}
 
 	#domainsOf(entries: readonly HostEntry[]): DomainSplit {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -106,7 +106,8 @@
 			weightOf: organisation => this.#directory.site?.organisations?.weightOf(organisation) ?? 1,
 		});
 		this.#directory = new Directory({
-			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host, configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
+			adapter, clock, log: this.#log, hosts: this.#hosts, events: this.#directoryEvents(), host: settings.host,
+			configMs: settings.configMs, settlingMs: settings.settlingMs, random, electWatchers: () => this.#links.gossip.watchers,
 		});
 		this.#quotaGate = new QuotaGate({
 			sharing, clock, log: this.#log, random,
@@ -170,7 +171,8 @@
 			this.#targetMonitor.handleMessage(message);
 		});
 		this.#metricsEndpoint = new MetricsEndpoint(this.#log.registry, new RelayReporter({
-			host: settings.host, site: () => this.#directory.site, confirmationAgeMs: () => this.#directory.confirmationAgeMs, revocation: settings.revocation, sharing, refusalCounts: this.#refusalCounts, nowMs,
+			host: settings.host, site: () => this.#directory.site, confirmationAgeMs: () => this.#directory.confirmationAgeMs,
+			revocation: settings.revocation, sharing, refusalCounts: this.#refusalCounts, nowMs,
 		}));
 		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
@@ -301,7 +303,7 @@
 				this.#links.onHostNews(entry.host);
 			},
 			onHostRemoved: (host: string) => {
-				this.#loadBalancer.forget(host);
+				this.#loadBalancer.retain(known => this.#hosts.get(known) !== undefined);
 				this.#targetSignals.forget(host);
 				this.#links.removeHost(host);
 			},
--- a/test/mesh/loadbalancer.test.ts
+++ b/test/mesh/loadbalancer.test.ts
@@ -45,6 +45,24 @@
 		expect(choose(loadBalancer, [entry('near'), entry('far', 'b')])).toBe('far');
 	});
 
+	it('keeps nothing of hosts that are gone, though their last calls end later', () => {
+		const loadBalancer = createLoadBalancer();
+		const live = new Set(['a', 'b', 'other']);
+		for (const host of live) {
+			loadBalancer.onSent(host);
+		}
+
+		for (const gone of ['a', 'b']) {
+			live.delete(gone);
+			loadBalancer.retain(host => live.has(host));
+			expect(loadBalancer.size).toBe(live.size);
+			loadBalancer.onEnded(gone);
+		}
+
+		loadBalancer.retain(host => live.has(host));
+		expect(loadBalancer.size).toBe(1);
+	});
+
 	it('avoids a target that fails calls until the failures are old', () => {
 		const loadBalancer = createLoadBalancer();
 		for (let number = 0; number < 10; number++) {
