--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -262,7 +262,7 @@
 	}
 
 	// A call that would expire in the queue is refused at once, so that its callers
-	// hold no slots meanwhile; but never while a call of a lower rank is queued.
+	// hold no slots meanwhile; but never while a call of a lower rank is queued, so all that wait go before it.
 	#wouldExpireInQueue({level}: ReceivedCall): boolean {
 		const rank = rankOf(level);
 		const {lowestLevel = 0, length} = this.#queue;
