A run cancelled while it waits for a connection to the target is never sent

What callers saw: nothing, as they had gone; a target with fewer connections than slots still ran what nobody waited for. Cause: Run.cancel aborts by the controller that undici gives when it writes the request; before that there is none, and nothing was remembered. Now the run refuses to start. It is reported as 'withdrawn', not as 'unsent': three of the latter count as a target that can't be reached, which one that is busy isn't. It is reported when its turn comes, so that a connection that fails still counts. Ruled out: aborting by the controller then, which closes the connection.

--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -27,6 +27,8 @@
 export type TargetResult
 	= | {readonly kind: 'whole'; readonly status: number; readonly payload: Payload; readonly claimsNotRun: boolean}
 		| {readonly kind: 'unsent'}
+		/** Cancelled before it was sent, at a target that can be reached. */
+		| {readonly kind: 'withdrawn'}
 		| {readonly kind: 'broken'};
 
 /** An event that a daemon's core handles. */
--- a/src/core/receivedcall.ts
+++ b/src/core/receivedcall.ts
@@ -67,6 +67,10 @@
 		return createRefusal('target-unreachable', REFUSED_RETRY_AFTER_MS, true);
 	}
 
+	if (result.kind === 'withdrawn') {
+		return createRefusal('cancelled', REFUSED_RETRY_AFTER_MS, false);
+	}
+
 	// Each failure is retried by one hop only: the one next to where it arose.
 	const isClean = received.call.idempotent && !received.childMayHaveRun;
 	const retryable = isClean && !received.hasFailedChild && !received.cancelled;
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -97,6 +97,7 @@
 	#headers: string[] = [];
 	#claimsNotRun = false;
 	#isSent = false;
+	#isCancelled = false;
 	#isReported = false;
 	#controller: Dispatcher.DispatchController | undefined;
 
@@ -106,11 +107,19 @@
 		this.#reportResult = reportResult;
 	}
 
+	/** Ends the run, or keeps it from being sent if it still waits for a connection. */
 	cancel(): void {
+		this.#isCancelled = true;
 		this.#controller?.abort(new Error('cancelled'));
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#isCancelled) {
+			this.#finish({kind: 'withdrawn'});
+			// An abort would close the connection, which others wait for.
+			throw new Error('cancelled');
+		}
+
 		this.#controller = controller;
 		this.#isSent = true;
 	}
