Three tests that failed on a busy machine no longer depend on how fast it is

Cause (logged): the first runs of 30 ms take 450 ms of wall time; the owner learns that and refuses as 'full' what would miss the objective of 1 s, which is right. The check's claim holds only for a target of the speed named. Now no run ends before all 20 are let through, and objective and deadline are far off; every status is compared, and runs at once as before. Now it sends until the peer hears of each; the numbers are in targetspeed.test.ts.

--- a/test/failures/plannedstop.test.ts
+++ b/test/failures/plannedstop.test.ts
@@ -9,6 +9,9 @@
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 
 const ROUTES = [createRoute('x', 'back', {repeatability: 'unsafe'})];
+/** Longer than a busy machine takes for all requests of a client. */
+const LONG_MS = 20_000;
+const LONG_ROUTES = [createRoute('x', 'back', {repeatability: 'unsafe', timeoutMs: LONG_MS, objectiveMs: LONG_MS})];
 /** The rest of a request comes well within the time in which a stopping daemon still reads. */
 const REST_AFTER_MS = 120;
 const LAME_DUCK_MS = 300;
@@ -20,7 +23,10 @@
 	await mesh.close();
 });
 
-const headOf = (id: string, more = '') => `POST /x/ HTTP/1.1\r\n${Object.entries(createAttemptHeaders(id)).map(([name, value]) => `${name}: ${value}\r\n`).join('')}${more}\r\n`;
+const headOf = (id: string, more = '', deadlineMs?: number) => {
+	const fields = Object.entries(createAttemptHeaders(id, deadlineMs)).map(([name, value]) => `${name}: ${value}\r\n`);
+	return `POST /x/ HTTP/1.1\r\n${fields.join('')}${more}\r\n`;
+};
 
 /** Sends the parts of a request with a pause between them. @returns all that comes back until the connection closes */
 async function exchange(port: number, parts: readonly string[], pauseMs: number): Promise<string> {
@@ -96,13 +102,12 @@
 describe('a planned stop of a daemon whose clients are slow', () => {
 	it('waits until all answers are written', async () => {
 		mesh = new Mesh();
-		const {front, back, port} = await mesh.addPair({routes: ROUTES, back: {slots: 100, bodyBytes: ANSWER_BYTES}});
+		const {front, back, port} = await mesh.addPair({routes: LONG_ROUTES, back: {slots: 100, bodyBytes: ANSWER_BYTES}});
 		const socket = connect(port, '127.0.0.1');
 		socket.pause();
 		// All are read at once, and the buffers of the two sockets don't hold the answers.
-		socket.write(Array.from({length: REQUESTS}, (_, number) => headOf(`slow-${number}`, 'content-length: 0\r\n')).join(''));
-		await sleep(700);
-		expect(back.target.ranAttemptIds).toHaveLength(REQUESTS);
+		socket.write(Array.from({length: REQUESTS}, (_, number) => headOf(`slow-${number}`, 'content-length: 0\r\n', LONG_MS)).join(''));
+		await expect.poll(() => back.target.ranAttemptIds.length, {timeout: 10_000}).toBe(REQUESTS);
 		let isStopped = false;
 		const stopped = (async () => {
 			await front.stop();
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -7,6 +7,9 @@
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
 
+/** Many times what a run of 10 ms takes on a busy machine. */
+const SLOW_MS = 600;
+
 let mesh: Mesh;
 afterEach(async () => {
 	await mesh.close();
@@ -66,18 +69,26 @@
 			}
 		};
 
+		const eventsOf = (name: string) => mesh.logLines.filter(line => line.includes(`daemon=${name}`)).join('\n');
+		// How many runs that takes on a busy machine isn't known; `targetspeed.test.ts` has the numbers.
+		const sendUntilHeard = async (slowness: RegExp) => {
+			const before = eventsOf(front.name).length;
+			await expect.poll(async () => {
+				await sendAll(1);
+				return eventsOf(front.name).slice(before);
+			}, {timeout: 20_000}).toMatch(slowness);
+		};
+
 		await sendAll(20);
 		back.target.behaviourOverride = ({headers}, response) => {
 			setTimeout(() => {
 				back.target.answer(response, String(headers[meshHeaders.attemptId]));
-			}, 150);
+			}, SLOW_MS);
 		};
 
-		await sendAll(8);
+		await sendUntilHeard(/event=slowness_heard host=back slowness=(?:[2-9]|\d\d)/v);
 		back.target.behaviourOverride = undefined;
-		await sendAll(20);
-		await sleep(100);
-		const eventsOf = (name: string) => mesh.logLines.filter(line => line.includes(`daemon=${name}`)).join('\n');
+		await sendUntilHeard(/event=slowness_heard host=back slowness=1\.0/v);
 		expect(eventsOf('back')).toMatch(/event=target_slow instance=i-back slowness=[\d.]+ route=x workMs=\d+.*\n.*event=target_recovered instance=i-back slowForMs=\d+/v);
 		expect(eventsOf(front.name)).toMatch(/event=slowness_heard host=back slowness=[\d.]+.*\n(?:.*\n)*.*event=slowness_heard host=back slowness=1\.0/v);
 	});
--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -8,7 +8,9 @@
 } from 'vitest';
 import {type HostEntry} from '../../src/mesh/index.js';
 import {HOST_KIND} from '../../src/relay/store/ownentry.js';
-import {Mesh, createRoute, createSiteSpec} from '../../standins/mesh.js';
+import {
+	Mesh, type MeshHost, createRoute, createSiteSpec,
+} from '../../standins/mesh.js';
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {type BehaviourOverride, call} from '../../standins/meshtarget.js';
 
@@ -27,6 +29,15 @@
 	return headers[meshHeaders.signature];
 };
 
+/** Longer than a busy machine takes. */
+const LONG_MS = 20_000;
+
+/** How many calls a daemon has sent to targets. */
+const sentCount = async ({settings}: MeshHost) => {
+	const {body} = await call(settings.listen.metrics!.port, '/metrics');
+	return Number(/sent_total\{[^\}]*\} (?<count>\d+)/v.exec(body.toString())?.groups?.count);
+};
+
 const target = (id: string, service: string, more = {}) => ({
 	id, service, slots: 4, workMs: 5, ...more,
 });
@@ -64,10 +75,37 @@
 
 	it('never exceeds a target\'s concurrency limit, and still serves all requests', async () => {
 		mesh = new Mesh();
-		const {front, back} = await mesh.addPair({back: {workMs: 30}});
-		const answers = await Promise.all(Array.from({length: 20}, async (_, number) => call(front.settings.listen.requests.port, '/x/', {headers: createAttemptHeaders(`a${number}`)})));
-		expect(new Set(answers.map(({status}) => status))).toEqual(new Set([200]));
-		expect(back.target.maxRunningCount).toBeLessThanOrEqual(4);
+		const {front, back, port} = await mesh.addPair({routes: [createRoute('x', 'back', {timeoutMs: LONG_MS, objectiveMs: LONG_MS})]});
+		// No run ends before all requests have been let through: on a busy machine the first runs would make the target a slow one, which sheds load.
+		const held: Array<() => void> = [];
+		let isOpen = false;
+		let running = 0;
+		let maxRunning = 0;
+		back.target.behaviourOverride = ({headers}, response) => {
+			const finish = () => {
+				running--;
+				back.target.answer(response, String(headers[meshHeaders.attemptId]));
+			};
+
+			maxRunning = Math.max(maxRunning, ++running);
+			if (isOpen) {
+				setTimeout(finish, 30);
+			} else {
+				held.push(finish);
+			}
+		};
+
+		const answers = Array.from({length: 20}, async (_, number) => call(port, '/x/', {headers: createAttemptHeaders(`a${number}`, LONG_MS)}));
+		await expect.poll(async () => sentCount(front), {timeout: LONG_MS}).toBe(20);
+		await expect.poll(() => held.length, {timeout: LONG_MS}).toBeGreaterThan(0);
+		isOpen = true;
+		for (const finish of held) {
+			finish();
+		}
+
+		const whole = await Promise.all(answers);
+		expect(whole.map(({status}) => status)).toEqual(whole.map(() => 200));
+		expect(maxRunning).toBeLessThanOrEqual(4);
 	});
 
 	it('ends a request at its route\'s timeout and cancels its run at the target', async () => {
