Tests of the product's own path: nothing that was dropped or had left is used again after a restart

A route that was dropped, with the platform slow, refusing and back with an older copy; a target that had left, after a restart of its daemon or of another one. Sabotages: what the platform sends last counts as the newest; the daemon doesn't take the target back. A restart of the target's own daemon has no sabotage of its own: that daemon knows only of targets that announce themselves after its start. What isn't covered: an announcement that arrives after the target has said that it leaves is believed until its lease of 3 s ends.

--- a/standins/daemonpair.ts
+++ b/standins/daemonpair.ts
@@ -9,13 +9,16 @@
 import {ConfigWriter, PlatformClient} from '../src/platform/index.js';
 import {header} from '../src/wire/index.js';
 import {findFreePorts} from './mesh.js';
-import {PlatformStandIn} from './platform.js';
+import {type PlatformFaults, PlatformStandIn} from './platform.js';
 
 const PLATFORM_HOST = '127.0.0.1';
 const FRONT = '127.0.3.1';
 const BACK = '127.0.3.2';
+const HOSTS = [FRONT, BACK];
+const IDS = ['front', 'back'];
 const ANNOUNCE_INTERVAL_MS = 500;
-const SLOTS = 4;
+/** How many requests the target runs at once. */
+export const SLOTS = 4;
 const WAIT_MS = 800;
 
 /** Handles what arrives on a connection to the target. */
@@ -51,6 +54,12 @@
 	});
 
 	#timer: NodeJS.Timeout | undefined;
+	#platformUrl = '';
+
+	/** The faults of the platform. */
+	get faults(): PlatformFaults {
+		return this.#platform.faults;
+	}
 
 	get front(): string {
 		return `http://${FRONT}:${this.port}`;
@@ -63,24 +72,17 @@
 	async start(): Promise<void> {
 		const platformPort = await this.#platform.listen(PLATFORM_HOST, 0);
 		[this.port] = await findFreePorts(1);
-		const url = `http://${PLATFORM_HOST}:${platformPort}`;
-		await writeConfiguration(url);
+		this.#platformUrl = `http://${PLATFORM_HOST}:${platformPort}`;
+		await this.configure(['look', 'submit']);
 		await new Promise<void>(resolve => {
 			this.#target.listen(0, BACK, resolve);
 		});
-		for (const [id, host] of [['front', FRONT], ['back', BACK]]) {
-			const daemon = new Daemon(parseSettings({
-				id, region: 'r', failureDomain: id, listen: {host, port: this.port}, platform: {url}, siteKey: 'a-key-of-the-tests', log: {level: 'error'},
-			}));
+		for (const index of IDS.keys()) {
 			// eslint-disable-next-line no-await-in-loop -- one after the other
-			await daemon.start();
-			this.#daemons.push(daemon);
+			await this.startDaemon(index);
 		}
 
-		this.#timer = setInterval(() => {
-			void this.#announce();
-		}, ANNOUNCE_INTERVAL_MS);
-		await this.#announce();
+		await this.comeBack();
 		// eslint-disable-next-line no-await-in-loop -- until the daemons know each other
 		while (await this.call('/back/look') !== 200) {
 			// eslint-disable-next-line no-await-in-loop -- until the daemons know each other
@@ -88,6 +90,44 @@
 		}
 	}
 
+	/** Writes a configuration in which the target has these requests. */
+	async configure(names: ReadonlyArray<'look' | 'submit'>): Promise<void> {
+		await writeConfiguration(this.#platformUrl, names);
+	}
+
+	/** Starts the first or the second daemon, in place of the one that ran under its id before. */
+	async startDaemon(index: number): Promise<void> {
+		const [id, host] = [IDS[index], HOSTS[index]];
+		const other = 1 - index;
+		const daemon = new Daemon(parseSettings({
+			id,
+			region: 'r',
+			failureDomain: id,
+			listen: {host, port: this.port},
+			platform: {url: this.#platformUrl},
+			seeds: [{id: IDS[other], host: HOSTS[other], port: this.port}],
+			siteKey: 'a-key-of-the-tests',
+			log: {level: 'error'},
+		}));
+		await daemon.start();
+		this.#daemons[index] = daemon;
+	}
+
+	/** The target says that it leaves, and announces itself no more. */
+	async leave(): Promise<void> {
+		clearInterval(this.#timer);
+		const {body} = await request(this.#targetUrl, {method: 'DELETE', dispatcher: this.#agent});
+		await body.dump();
+	}
+
+	/** The target announces itself from now on. */
+	async comeBack(): Promise<void> {
+		this.#timer = setInterval(() => {
+			void this.#announce();
+		}, ANNOUNCE_INTERVAL_MS);
+		await this.#announce();
+	}
+
 	/** Sends a request to the first daemon. @returns its status; 0 if the connection broke */
 	async call(path: string, method: 'GET' | 'POST' = 'GET'): Promise<number> {
 		const {status} = await this.fetch(path, method);
@@ -116,9 +156,13 @@
 		await this.#agent.close();
 	}
 
+	get #targetUrl(): string {
+		return `http://${BACK}:${this.port}${header.TARGET_PATH}`;
+	}
+
 	async #announce(): Promise<void> {
 		try {
-			const {body} = await request(`http://${BACK}:${this.port}${header.TARGET_PATH}`, {
+			const {body} = await request(this.#targetUrl, {
 				method: 'PUT', dispatcher: this.#agent, body: JSON.stringify({
 					service: 'back', port: (this.#target.address() as AddressInfo).port, slots: SLOTS, connections: SLOTS,
 				}),
@@ -130,17 +174,12 @@
 	}
 }
 
-async function writeConfiguration(url: string): Promise<void> {
+async function writeConfiguration(url: string, names: ReadonlyArray<'look' | 'submit'>): Promise<void> {
 	const {site, services} = generateConfiguration({
 		site: 'test', callers: {resendForMs: 1000, clockErrorMs: 1}, services: [{
-			name: 'back', upstreams: 1, slots: SLOTS, connections: SLOTS, requests: [
-				{
-					name: 'look', kind: 'lookup', method: 'GET', path: '/look', waitMs: WAIT_MS, calls: [],
-				},
-				{
-					name: 'submit', kind: 'submission', method: 'POST', path: '/submit', waitMs: WAIT_MS, calls: [],
-				},
-			],
+			name: 'back', upstreams: 1, slots: SLOTS, connections: SLOTS, requests: names.map(name => ({
+				name, path: `/${name}`, waitMs: WAIT_MS, calls: [], ...(name === 'look' ? {kind: 'lookup', method: 'GET'} : {kind: 'submission', method: 'POST'}),
+			})),
 		}],
 	});
 	const writer = new ConfigWriter(new PlatformClient(url, 2000));
