The request to a target names no host to check for an IPv6 address

A young daemon's first requests to its target were dear: for each request undici looks whether its host header is an IP address, with a regular expression for IPv6 that costs about 9 ms to compile, though the name is used for TLS only. A name given with the request spares the look.

Ruled out: net.connect, which finds an IPv4 address first.

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -41,6 +41,9 @@
 	readonly release: (isReusable: boolean) => void;
 };
 
+/** The name for TLS, which isn't used here: without one the HTTP client checks each request's host header for an IPv6 address. */
+const UNUSED_SERVERNAME = 'target';
+
 /** Limits the interim answers (1xx) before an answer. */
 const MAX_INTERIM_ANSWERS = 32;
 /** Limits what the target sends beside the body of an answer, in bytes: its head, and for each byte of the body what its framing may take. */
@@ -86,7 +89,7 @@
 		}
 	}
 
-	options(): Dispatcher.DispatchOptions {
+	options(): Dispatcher.DispatchOptions & {readonly servername: string} {
 		const {
 			template, attemptId, path, instance, leftMs, body, organisation,
 		} = this.#call;
@@ -103,7 +106,7 @@
 			...(organisation === undefined ? [] : [this.#names.organisation, organisation]),
 		];
 		return {
-			path, method: template.method, headers, body: this.#bodyStream ?? (body.length > 0 ? body : null),
+			path, method: template.method, headers, body: this.#bodyStream ?? (body.length > 0 ? body : null), servername: UNUSED_SERVERNAME,
 		};
 	}
 
