--- a/bench/start/daemon.ts
+++ b/bench/start/daemon.ts
@@ -52,7 +52,7 @@
 			store: storeAddress,
 			bounds: {},
 		}));
-		this.#child = spawn(process.execPath, [...deployNodeFlags, ...nodeFlags, '--require', './bench/start/probe.cjs', `${bundleFolder}/comfreydyke.cjs`], {
+		this.#child = spawn(process.execPath, [...deployNodeFlags, ...nodeFlags, '--require', './bench/start/probe.cjs', '--snapshot-blob', `${bundleFolder}/daemon.blob`, 'daemon'], {
 			env: {PATH: process.env.PATH, HOME: process.env.HOME, COMFREYDYKE_SETTINGS: settingsFile}, stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
 		});
 		const bornMs = Date.now();
--- a/bench/start/profile.ts
+++ b/bench/start/profile.ts
@@ -7,9 +7,6 @@
 /** A profile as V8 writes it; times in µs. */
 export type CpuProfile = {readonly nodes: readonly ProfileNode[]; readonly samples: readonly number[]; readonly timeDeltas: readonly number[]};
 
-/** The length of what the loader puts before the bundle's first line. */
-const WRAPPER_LENGTH = '(function (exports, require, module, __filename, __dirname) { '.length;
-
 /** The part of a daemon to which code belongs, by its file; the first that matches counts. */
 const PARTS: ReadonlyArray<readonly [RegExp, string]> = [
 	[/node_modules\/undici/v, 'HTTP out'],
@@ -62,7 +59,7 @@
 			return url;
 		}
 
-		const entry = this.#map.findEntry(lineNumber, columnNumber - (lineNumber === 0 ? WRAPPER_LENGTH : 0));
+		const entry = this.#map.findEntry(lineNumber, columnNumber);
 		return 'originalSource' in entry ? entry.originalSource.replace(/^(?:\.\.\/)+/v, '') : url;
 	}
 }
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,13 +1,13 @@
 /* eslint-disable require-unicode-regexp -- esbuild's filters accept no flags */
 
 /**
- * Bundles the daemon for the users' platform into `target/`. Hundreds of them
- * start at once, and each is charged for loading its code: the bundle has no
- * source map and no part of a library that the daemon doesn't use, and lies
- * beside a cache of its compiled code.
+ * Bundles the daemon for the users' platform and builds the snapshot in
+ * `target/` (or the folder given) from which it starts: hundreds of daemons start at once, and each is
+ * charged for loading its code. The snapshot holds all modules as they are once
+ * loaded, and no part of a library that the daemon doesn't use. It is valid for
+ * the `node` and the flags that built it.
  */
 import {execFileSync} from 'node:child_process';
-import {copyFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
@@ -16,23 +16,33 @@
 
 const resolveHere = name => fileURLToPath(new URL(name, import.meta.url));
 
+/** Where everything is written. */
+const folder = process.argv[2] ?? 'target';
+
 /** What stands in the bundle for a module that another imports, by the pattern of its path. */
 const replacements = [
 	[/^undici$/, 'undicisubset.cjs'],
 	[/^hdr-histogram-js$/, 'hdrhistogramsubset.cjs'],
 	[/^\.\/formatters$/, 'hdrformatters.cjs'],
+	[/^(?:node:)?http$/, 'late/http.cjs'],
+	[/^(?:node:)?https$/, 'late/https.cjs'],
+	[/^(?:node:)?tls$/, 'late/tls.cjs'],
 ];
 
 const replaceModules = {
 	name: 'replace-modules',
 	setup(bundler) {
 		for (const [filter, file] of replacements) {
-			bundler.onResolve({filter}, () => ({path: resolveHere(file)}));
+			const replacement = resolveHere(file);
+			bundler.onResolve({filter}, ({path, importer}) => importer === replacement ? {path, external: true} : {path: replacement});
 		}
+
+		// The library goes without it, as it does where `node` lacks it.
+		bundler.onResolve({filter: /^node:http2$/}, ({path}) => ({path, namespace: 'excluded'}));
 	},
 };
 
-const options = bundleOptions('platform/main.ts', 'cjs');
+const options = bundleOptions('platform/snapshot.ts', 'iife');
 await build({
 	...options,
 	plugins: [...options.plugins, replaceModules],
@@ -40,26 +50,9 @@
 	minifyWhitespace: true,
 	minifySyntax: true,
 	legalComments: 'none',
-	outfile: 'target/daemon.cjs',
+	outfile: `${folder}/daemon.cjs`,
 });
-copyFileSync(resolveHere('loader.cjs'), 'target/comfreydyke.cjs');
-
-// The daemon that fills the cache listens on ports of the loopback address that the system chooses, and finds no store.
-const anyPort = '127.0.0.1:0';
-writeFileSync('target/warmup.json', JSON.stringify({
-	host: 'warmup',
-	failureDomain: 'a',
-	service: 's',
-	target: anyPort,
-	listen: {
-		requests: anyPort, peers: anyPort, readiness: anyPort, announcements: anyPort, metrics: anyPort,
-	},
-	isFirstStart: true,
-	seeds: [],
-	announceIntervalMs: 1500,
-	store: '127.0.0.1:1',
-	bounds: {},
-}));
-execFileSync(process.execPath, [...deployNodeFlags, 'target/comfreydyke.cjs', '--write-cache'], {
-	env: {...process.env, COMFREYDYKE_SETTINGS: 'target/warmup.json'}, stdio: ['ignore', 'ignore', 'inherit'],
+// Of each built-in module that the snapshot holds `node` warns that not all of its uses were verified.
+execFileSync(process.execPath, [...deployNodeFlags, '--snapshot-blob', `${folder}/daemon.blob`, '--build-snapshot', `${folder}/daemon.cjs`], {
+	env: {...process.env, NODE_NO_WARNINGS: '1'}, stdio: 'inherit',
 });
