A call whose frame a blocked link still holds is refused as not run

Callers got 502 or 504, which promise nothing, for calls whose link ended while their frames were in the socket's buffer: once given to the socket, a frame can't be taken back, and of those in one write nobody can tell how much has left. Now a link gives its socket a call only while the socket holds nothing back; other calls wait in the link, with the frames behind them in order. If the link ends, or their time does, they are refused as not run: they go elsewhere, or are answered 503. The objective's time is now also reduced by the wait, as the deadline's was.

Evidence: 240 calls to a peer that has stopped to read, on real sockets; the link is cut, then the peer reads whatever has left. With it none of those refused is among those that the peer reads, and at most one more fails than it has read. Sabotage: counting handed frames as unsent is caught.

--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -7,6 +7,7 @@
 import {
 	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
+import {UnsentFrames} from './unsentframes.js';
 
 /** The URL path on which a daemon accepts links from its peers. */
 export const PEER_PATH = '/peer';
@@ -48,7 +49,7 @@
 	readonly #callTemplates = new TemplateWriter();
 	readonly #answerTemplates = new TemplateReader<AnswerTemplate>();
 	readonly #nowMs: () => number;
-	#unsentCalls: LinkCall[] = [];
+	readonly #unsent = new UnsentFrames<LinkCall>();
 	#nextId = 1;
 	#lastHeardMs: number;
 	#lastCallMs: number;
@@ -83,6 +84,11 @@
 		});
 	}
 
+	/** Whether a call can be handed to the operating system at once: what the socket holds back can't be taken back, nor told from what has left. */
+	get #canSend(): boolean {
+		return this.isOpen && this.#unsent.isEmpty && this.#socket.bufferedAmount === 0;
+	}
+
 	get inFlight(): number {
 		return this.#calls.size;
 	}
@@ -107,29 +113,37 @@
 
 		this.#lastCallMs = this.#nowMs();
 		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#lastCallMs);
-		if (this.#isClosed || this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+		if (this.#isClosed || this.#socket.bufferedAmount + this.#unsent.bytes > MAX_BUFFERED_BYTES) {
 			sink.onRefused('unreachable', undefined);
 			return linkCall;
 		}
 
 		this.#calls.set(linkCall.id, linkCall);
-		if (this.#socket.readyState === WebSocket.OPEN) {
+		if (this.#canSend) {
 			this.#sendCall(linkCall);
 		} else {
-			this.#unsentCalls.push(linkCall);
+			this.#unsent.push(linkCall);
 		}
 
 		return linkCall;
 	}
 
 	override send(frame: Frame): void {
-		if (this.isOpen) {
-			this.#socket.send(encodeFrame(frame));
+		if (!this.isOpen) {
+			return;
+		}
+
+		const bytes = encodeFrame(frame);
+		if (this.#unsent.isEmpty) {
+			this.#socket.send(bytes, this.#onWritten);
+		} else {
+			this.#unsent.push(bytes);
 		}
 	}
 
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
 	checkLiveness(nowMs: number): void {
+		this.#sendUnsent();
 		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
 			this.#checkQuiet(nowMs);
 		} else if (this.#calls.size === 0) {
@@ -166,7 +180,7 @@
 		this.#isClosed = true;
 		this.#socket.terminate();
 		const calls = [...this.#calls.values()];
-		this.#unsentCalls = [];
+		this.#unsent.clear();
 		this.#events.onClosed(this, reason);
 		this.#calls.clear();
 		for (const {sink, isSent} of calls) {
@@ -187,24 +201,33 @@
 		}
 	}
 
+	readonly #onWritten = (): void => {
+		this.#sendUnsent();
+	};
+
 	#onOpen(): void {
 		this.#lastHeardMs = this.#nowMs();
 		this.#events.onOpen(this);
-		const unsentCalls = this.#unsentCalls;
-		this.#unsentCalls = [];
-		for (const linkCall of unsentCalls) {
-			if (this.#calls.has(linkCall.id)) {
-				this.#sendCall(linkCall);
-			}
-		}
+		this.#sendUnsent();
 	}
 
 	#sendCall(linkCall: LinkCall): void {
 		linkCall.isSent = true;
-		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#nowMs()), this.#callTemplates)));
+		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#nowMs()), this.#callTemplates)), this.#onWritten);
 		linkCall.flush();
 	}
 
+	#sendUnsent(): void {
+		while (!this.#unsent.isEmpty && this.isOpen && this.#socket.bufferedAmount === 0) {
+			const item = this.#unsent.shift()!;
+			if (!(item instanceof LinkCall)) {
+				this.#socket.send(item, this.#onWritten);
+			} else if (this.#calls.has(item.id)) {
+				this.#sendCall(item);
+			}
+		}
+	}
+
 	#onMessage(data: Buffer): void {
 		this.#lastHeardMs = this.#nowMs();
 		try {
@@ -292,10 +315,15 @@
 		this.#createdMs = nowMs;
 	}
 
-	/** Returns the call with its remaining time reduced by the time that it waited for the link to open. */
+	get bodyBytes(): number {
+		return this.#call.body.length;
+	}
+
+	/** Returns the call with its remaining times reduced by the time that it waited to be sent. */
 	withRemainingTime(nowMs: number): Call {
 		const waitedMs = nowMs - this.#createdMs;
-		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: this.#call.leftMs - waitedMs};
+		const {leftMs, objectiveLeftMs} = this.#call;
+		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: leftMs - waitedMs, objectiveLeftMs: objectiveLeftMs && Math.max(0, objectiveLeftMs - waitedMs)};
 	}
 
 	flush(): void {
--- /dev/null
+++ b/test/relay/unsentcalls.test.ts
@@ -0,0 +1,141 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {type WebSocket, WebSocketServer} from 'ws';
+import {type Call, type CallHandle, CallSink} from '../../src/relay/call.js';
+import {FrameTag, decodeFrame} from '../../src/relay/peers/frame.js';
+import {Link, LinkEvents} from '../../src/relay/peers/link.js';
+
+const CALLS = 240;
+const BODY = Buffer.alloc(64_000);
+
+class Outcome extends CallSink {
+	readonly ends: string[] = [];
+	override onRefused(reason: string): void {
+		this.ends.push(`refused ${reason}`);
+	}
+
+	override onFailed(reason: string): void {
+		this.ends.push(`failed ${reason}`);
+	}
+
+	override onAnswer(): void {
+		this.ends.push('answered');
+	}
+
+	override onChunk(): void {
+		// No answer comes.
+	}
+
+	override onCredit(): void {
+		// No body is streamed.
+	}
+}
+
+class NoEvents extends LinkEvents {
+	override onOpen(): void {
+		// Nothing is sent besides calls.
+	}
+
+	override onFrame(): void {
+		// The peer says nothing.
+	}
+
+	override onClosed(): void {
+		// The test closes the link itself.
+	}
+}
+
+const call: Call = {
+	template: {
+		route: 'x', rank: 0, repeatability: 'unsafe', method: 'POST', callerService: 'front', headers: [],
+	},
+	attemptId: 'a', path: '/x/', instance: 'i', leftMs: 5000, objectiveLeftMs: 1000,
+	priority: {level: 0, floor: 0}, isNested: false, body: BODY, isRepeat: false, rateLimitPerS: undefined, hasMoreBody: false,
+};
+
+let server: WebSocketServer;
+let link: Link;
+let peer: WebSocket;
+let receivedIds: number[];
+beforeEach(async () => {
+	server = new WebSocketServer({host: '127.0.0.1', port: 0});
+	await once(server, 'listening');
+	receivedIds = [];
+	server.on('connection', socket => {
+		peer = socket;
+		socket.on('error', () => undefined);
+		socket.on('message', (data: Buffer) => {
+			const [tag, id] = decodeFrame(data);
+			if (tag === FrameTag.call) {
+				receivedIds.push(id as number);
+			}
+		});
+	});
+	link = new Link('peer', `127.0.0.1:${(server.address() as AddressInfo).port}`, new NoEvents(), () => performance.now());
+	await vi.waitUntil(() => link.isOpen && peer !== undefined);
+});
+afterEach(() => {
+	server.close();
+});
+
+/** Sends calls to a peer that has stopped to read, cuts the link, then lets the peer read whatever has left. Calls are numbered from 1. */
+async function cutBehindPausedReader(sabotage: (handle: CallHandle) => void = () => undefined): Promise<{refusedIds: number[]; failedIds: number[]; wrongIds: number[]}> {
+	peer.pause();
+	const outcomes = Array.from({length: CALLS}, () => new Outcome());
+	for (const [index, outcome] of outcomes.entries()) {
+		if (index % 40 === 20) {
+			// eslint-disable-next-line no-await-in-loop -- what the socket holds back is written in between
+			await sleep(5);
+		}
+
+		sabotage(link.call(call, outcome));
+	}
+
+	link.close('cut');
+	peer.resume();
+	await once(peer, 'close');
+	expect(outcomes.map(({ends}) => ends.length)).toEqual(outcomes.map(() => 1));
+	const idsOf = (end: string) => outcomes.flatMap(({ends}, index) => ends[0] === end ? [index + 1] : []);
+	const refusedIds = idsOf('refused unreachable');
+	return {refusedIds, failedIds: idsOf('failed link-lost'), wrongIds: refusedIds.filter(id => receivedIds.includes(id))};
+}
+
+describe('calls on a link that is cut while its peer doesn\'t read', () => {
+	it('are refused as not run if their frames never left, and only then', async () => {
+		const {refusedIds, failedIds, wrongIds} = await cutBehindPausedReader();
+		expect(wrongIds).toEqual([]);
+		expect([refusedIds.length > 10, receivedIds.length > 0]).toEqual([true, true]);
+		expect(failedIds.length).toBeLessThanOrEqual(receivedIds.length + 1);
+	});
+
+	it('are refused though they have left if a frame that was handed over counts as unsent', async () => {
+		const {wrongIds} = await cutBehindPausedReader(handle => {
+			Object.defineProperty(handle, 'isSent', {
+				get: () => false,
+				set() {
+					// A frame that leaves changes nothing.
+				},
+			});
+		});
+		expect(wrongIds.length).toBeGreaterThan(0);
+	});
+
+	it('go out in order once the peer reads on', async () => {
+		peer.pause();
+		const outcomes = Array.from({length: CALLS}, () => new Outcome());
+		for (const outcome of outcomes) {
+			link.call(call, outcome);
+		}
+
+		peer.resume();
+		await vi.waitUntil(() => receivedIds.length === CALLS, 5000);
+		expect(receivedIds).toEqual(Array.from({length: CALLS}, (_, index) => index + 1));
+		expect(outcomes.flatMap(({ends}) => ends)).toEqual([]);
+		link.close('over');
+	});
+});
