--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -7,6 +7,7 @@
 import {
 	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
+import {StallDetector} from './stalldetector.js';
 import {UnsentFrames} from './unsentframes.js';
 
 /** The URL path on which a daemon accepts links from its peers. */
@@ -17,6 +18,8 @@
 export const LIVENESS_INTERVAL_MS = 400;
 /** The silence in ms after which a link with calls in flight is pinged: most calls end within it, and a ping wakes both daemons twice. */
 const PING_SILENCE_MS = 600;
+/** The silence in ms after which a further call on a link with calls in flight is followed by a ping. */
+const ASK_SILENCE_MS = 100;
 /** Limits the silence of a link with calls in flight, in ms; after that it counts as dead. */
 const SILENCE_TIMEOUT_MS = 1200;
 /** The idle timeout of a link without calls, in ms; reopening a link costs a round trip. */
@@ -34,6 +37,10 @@
 	abstract onOpen(link: Link): void;
 	/** Handles a frame that belongs to no call. */
 	abstract onFrame(link: Link, frame: Frame): void;
+	/** Called when the peer owes a sign of life, and again at intervals while it does. */
+	abstract onStalled(link: Link): void;
+	/** Called when the peer of a stalled link is heard again. */
+	abstract onResumed(link: Link): void;
 	abstract onClosed(link: Link, reason: string): void;
 }
 
@@ -50,6 +57,11 @@
 	readonly #answerTemplates = new TemplateReader<AnswerTemplate>();
 	readonly #nowMs: () => number;
 	readonly #unsent = new UnsentFrames<LinkCall>();
+	readonly #stallDetector = new StallDetector(() => {
+		this.#events.onStalled(this);
+		this.#refuseUnsent();
+	});
+
 	#nextId = 1;
 	#lastHeardMs: number;
 	#lastCallMs: number;
@@ -74,7 +86,7 @@
 			this.#onMessage(data);
 		});
 		this.#socket.on('pong', () => {
-			this.#lastHeardMs = this.#nowMs();
+			this.#onHeard();
 		});
 		this.#socket.on('error', error => {
 			this.close(error.message);
@@ -84,11 +96,6 @@
 		});
 	}
 
-	/** Whether a call can be handed to the operating system at once: what the socket holds back can't be taken back, nor told from what has left. */
-	get #canSend(): boolean {
-		return this.isOpen && this.#unsent.isEmpty && this.#socket.bufferedAmount === 0;
-	}
-
 	get inFlight(): number {
 		return this.#calls.size;
 	}
@@ -119,12 +126,17 @@
 		}
 
 		this.#calls.set(linkCall.id, linkCall);
-		if (this.#canSend) {
+		// What the socket holds back can't be taken back, nor told from what has left.
+		if (this.isOpen && this.#unsent.isEmpty && this.#socket.bufferedAmount === 0) {
 			this.#sendCall(linkCall);
 		} else {
 			this.#unsent.push(linkCall);
 		}
 
+		if (this.#lastCallMs - this.#lastHeardMs >= ASK_SILENCE_MS && !this.#stallDetector.isAsking) {
+			this.#ping();
+		}
+
 		return linkCall;
 	}
 
@@ -144,6 +156,10 @@
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
 	checkLiveness(nowMs: number): void {
 		this.#sendUnsent();
+		if (this.#stallDetector.isStalled) {
+			this.#events.onStalled(this);
+		}
+
 		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
 			this.#checkQuiet(nowMs);
 		} else if (this.#calls.size === 0) {
@@ -153,8 +169,8 @@
 			}
 		} else if (nowMs - this.#lastHeardMs > SILENCE_TIMEOUT_MS) {
 			this.close('silent');
-		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
-			this.#socket.ping();
+		} else if (nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
+			this.#ping();
 		}
 	}
 
@@ -178,6 +194,7 @@
 		}
 
 		this.#isClosed = true;
+		this.#stallDetector.onHeard();
 		this.#socket.terminate();
 		const calls = [...this.#calls.values()];
 		this.#unsent.clear();
@@ -192,17 +209,44 @@
 		}
 	}
 
+	#ping(): void {
+		if (this.isOpen) {
+			this.#socket.ping(undefined, undefined, this.#onWritten);
+			this.#stallDetector.onAsked();
+		}
+	}
+
+	#onHeard(): void {
+		this.#lastHeardMs = this.#nowMs();
+		if (this.#stallDetector.onHeard()) {
+			this.#events.onResumed(this);
+		}
+	}
+
+	/** Ends the calls that wait here, so that they go elsewhere. */
+	#refuseUnsent(): void {
+		for (const linkCall of this.#calls.values()) {
+			if (!linkCall.isSent) {
+				this.#calls.delete(linkCall.id);
+				linkCall.sink.onRefused('unreachable', undefined);
+			}
+		}
+	}
+
 	#checkQuiet(nowMs: number): void {
 		const silentMs = nowMs - this.#lastHeardMs;
 		if (silentMs > QUIET_TIMEOUT_MS) {
 			this.close('silent');
-		} else if (silentMs >= QUIET_PING_MS && this.isOpen) {
-			this.#socket.ping();
+		} else if (silentMs >= QUIET_PING_MS) {
+			this.#ping();
 		}
 	}
 
 	readonly #onWritten = (): void => {
-		this.#sendUnsent();
+		if (!this.#unsent.isEmpty) {
+			this.#stallDetector.onProgress();
+			this.#sendUnsent();
+		}
 	};
 
 	#onOpen(): void {
@@ -229,7 +273,7 @@
 	}
 
 	#onMessage(data: Buffer): void {
-		this.#lastHeardMs = this.#nowMs();
+		this.#onHeard();
 		try {
 			this.#handleFrame(decodeFrame(data));
 		} catch (error) {
@@ -300,6 +344,7 @@
 class LinkCall extends CallHandle {
 	readonly id: number;
 	readonly sink: CallSink;
+	readonly bodyBytes: number;
 	isSent = false;
 	readonly #link: Link;
 	readonly #call: Call;
@@ -311,14 +356,11 @@
 		this.#link = link;
 		this.id = id;
 		this.#call = call;
+		this.bodyBytes = call.body.length;
 		this.sink = sink;
 		this.#createdMs = nowMs;
 	}
 
-	get bodyBytes(): number {
-		return this.#call.body.length;
-	}
-
 	/** Returns the call with its remaining times reduced by the time that it waited to be sent. */
 	withRemainingTime(nowMs: number): Call {
 		const waitedMs = nowMs - this.#createdMs;
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -232,6 +232,16 @@
 		this.handleFrame(frame, link);
 	}
 
+	override onStalled({host}: Link): void {
+		const {log, loadBalancer, clock} = this.#parts;
+		log.registry.count('link_stalled', {host});
+		loadBalancer.markUnreachable(host, clock.nowMs());
+	}
+
+	override onResumed({host}: Link): void {
+		this.#parts.loadBalancer.clearMarks(host);
+	}
+
 	override onClosed(link: Link, reason: string): void {
 		this.removeChannel(link);
 		if (reason.includes(CONNECTION_REFUSED)) {
--- a/test/relay/unsentcalls.test.ts
+++ b/test/relay/unsentcalls.test.ts
@@ -36,7 +36,8 @@
 	}
 }
 
-class NoEvents extends LinkEvents {
+class SeenEvents extends LinkEvents {
+	readonly seen: string[] = [];
 	override onOpen(): void {
 		// Nothing is sent besides calls.
 	}
@@ -45,6 +46,14 @@
 		// The peer says nothing.
 	}
 
+	override onStalled(): void {
+		this.seen.push('stalled');
+	}
+
+	override onResumed(): void {
+		this.seen.push('resumed');
+	}
+
 	override onClosed(): void {
 		// The test closes the link itself.
 	}
@@ -59,6 +68,7 @@
 };
 
 let server: WebSocketServer;
+let events: SeenEvents;
 let link: Link;
 let peer: WebSocket;
 let receivedIds: number[];
@@ -66,6 +76,7 @@
 	server = new WebSocketServer({host: '127.0.0.1', port: 0});
 	await once(server, 'listening');
 	receivedIds = [];
+	events = new SeenEvents();
 	server.on('connection', socket => {
 		peer = socket;
 		socket.on('error', () => undefined);
@@ -76,7 +87,7 @@
 			}
 		});
 	});
-	link = new Link('peer', `127.0.0.1:${(server.address() as AddressInfo).port}`, new NoEvents(), () => performance.now());
+	link = new Link('peer', `127.0.0.1:${(server.address() as AddressInfo).port}`, events, () => performance.now());
 	await vi.waitUntil(() => link.isOpen && peer !== undefined);
 });
 afterEach(() => {
@@ -125,6 +136,35 @@
 		expect(wrongIds.length).toBeGreaterThan(0);
 	});
 
+	it('avoid a peer that owes a sign of life until it is heard again, while those that have left stay in flight', async () => {
+		peer.pause();
+		const outcomes = [new Outcome(), new Outcome()];
+		const small = {...call, body: Buffer.alloc(0)};
+		link.call(small, outcomes[0]);
+		await sleep(150);
+		expect(events.seen).toEqual([]);
+		link.call(small, outcomes[1]);
+		await vi.waitUntil(() => events.seen.includes('stalled'), 5000);
+		peer.resume();
+		await vi.waitUntil(() => events.seen.includes('resumed'), 5000);
+		expect([outcomes.map(({ends}) => ends), events.seen, link.isOpen]).toEqual([[[], []], ['stalled', 'resumed'], true]);
+		link.close('over');
+	});
+
+	it('that have not left go elsewhere when their peer stalls', async () => {
+		peer.pause();
+		const outcomes = Array.from({length: CALLS}, () => new Outcome());
+		for (const outcome of outcomes) {
+			link.call(call, outcome);
+		}
+
+		await sleep(150);
+		link.call(call, new Outcome());
+		await vi.waitUntil(() => outcomes.at(-1)!.ends.length > 0, 5000);
+		expect([outcomes[0].ends, outcomes.at(-1)!.ends, link.isOpen]).toEqual([[], ['refused unreachable'], true]);
+		link.close('over');
+	});
+
 	it('go out in order once the peer reads on', async () => {
 		peer.pause();
 		const outcomes = Array.from({length: CALLS}, () => new Outcome());
