Metrics tell the longest time that a request was held before it was refused or failed

The times that calls were held at an owner had a 0.999 quantile, and none was told of the whole time from a request's arrival to its refusal, quota and overload included. Now each summary has the quantile 1, the longest, and `refused_after` and `failed_after` count at the first daemon, by reason.

--- a/src/log/metricsregistry.ts
+++ b/src/log/metricsregistry.ts
@@ -7,7 +7,8 @@
 /** Longest duration that the histograms tell apart, in ms. Clients wait no longer than this. */
 const MAX_TRACKABLE_MS = 60_000;
 const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [0.5, 0.9, 0.99, 0.999];
+/** The last is the longest. */
+const QUANTILES = [0.5, 0.9, 0.99, 0.999, 1];
 const PREFIX = 'comfreydyke';
 
 type CounterSeries = {readonly tags: Readonly<Record<string, string>>; count: number};
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -363,6 +363,7 @@
 		const event = status === 503 ? 'refused' : (status === 429 ? 'quota_denied' : 'failed');
 		this.#logEvent(event, reason, {status});
 		this.#context.log.registry.count(event === 'quota_denied' ? 'refused' : event, {service: this.service, rank: this.#template.rank, reason});
+		this.#context.log.registry.observe(event === 'failed' ? 'failed_after' : 'refused_after', {reason}, this.#context.clock.nowMs() - this.#arrivedMs);
 		this.#context.refusalCounts.record(this.#organisation, reason, this.#attempts.host);
 		this.#responseWriter.sendEmpty(status, headers);
 	}
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -36,6 +36,7 @@
 		const text = registry.formatPrometheus();
 		expect(text).toContain('# TYPE comfreydyke_refused_total counter\ncomfreydyke_refused_total{service="s",reason="full"} 2\n');
 		expect(text).toContain('comfreydyke_answer_seconds{rank="0",quantile="0.5"} 0.25');
+		expect(text).toContain('comfreydyke_answer_seconds{rank="0",quantile="1"} 0.25');
 		expect(text).toContain('comfreydyke_answer_seconds_count{rank="0"} 1');
 	});
 });
--- a/test/relay/notrun.test.ts
+++ b/test/relay/notrun.test.ts
@@ -31,6 +31,8 @@
 		const {status} = await first;
 		expect(status).toBe(200);
 		expect(target.ranAttemptIds).toEqual(['first']);
+		const metrics = await fetch(`http://127.0.0.1:${settings.listen.metrics!.port}/metrics`);
+		expect(await metrics.text()).toMatch(/refused_after_seconds\{reason="\w+",quantile="1"\} 0\.\d/v);
 	});
 
 	it('is refused as not run while it waits in the queue of another daemon, whose target usually is so quick that a wait seems worth it to the last', async () => {
