--- a/test/failures/lostanswer.test.ts
+++ b/test/failures/lostanswer.test.ts
@@ -2,9 +2,12 @@
 import {
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
-import {Attempts, HostTable, type Route} from '../../src/mesh/index.js';
+import {
+	Attempts, HostTable, LoadBalancer, type Route,
+} from '../../src/mesh/index.js';
 import {Exchange} from '../../src/relay/clients/exchange.js';
 import {Link} from '../../src/relay/peers/link.js';
+import {Links} from '../../src/relay/peers/links.js';
 import {type CutAction, CutProxy, type Direction} from '../../standins/cutproxy.js';
 import {
 	Mesh, type MeshHost, createRoute, createSiteSpec,
@@ -174,6 +177,34 @@
 	});
 });
 
+describe('a link that falls silent', () => {
+	it('gets no more calls while the peer owes a sign of life, before it ends', async () => {
+		await startMesh('unsafe');
+		await untilServes();
+		const avoided = vi.spyOn(LoadBalancer.prototype, 'markUnreachable');
+		const stalled = vi.spyOn(Links.prototype, 'onStalled');
+		const send = async (id: string) => call(proxies.client[0].port, '/x/', {method: 'POST', headers: createAttemptHeaders(id, DEADLINE_MS)});
+		const cut = {
+			direction: 'request', text: 'early', action: 'silent', isDone: false,
+		} as const;
+		for (const proxy of proxies.peers) {
+			proxy.cut = cut;
+		}
+
+		const early: Array<ReturnType<typeof send>> = [];
+		while (stalled.mock.calls.length === 0) {
+			early.push(send(`early-${early.length}`));
+			// eslint-disable-next-line no-await-in-loop -- one call after the other, until the link has been silent for long enough
+			await sleep(20);
+		}
+
+		expect(avoided.mock.calls.map(([host]) => host)).toContain(stalled.mock.calls[0][0].host);
+		const answers = await Promise.all(Array.from({length: 8}, async (_, index) => send(`late-${index}`)));
+		expect(answers.map(({status}) => status)).toEqual(answers.map(() => 200));
+		await Promise.all(early);
+	}, 10_000);
+});
+
 describe('the check of lost answers reports', () => {
 	it.each(['peers', 'target'] as const)('unsafe work that is sent again: %s', async hop => {
 		const hosts = await startMesh('unsafe');
