--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -2,11 +2,12 @@
 import {WebSocket} from 'ws';
 import {MAX_FRAME_BYTES} from '../../wire/index.js';
 import {
-	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {
-	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
+	type Frame, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
+import {CallCarrier, LinkCall} from './linkcall.js';
 import {StallDetector} from './stalldetector.js';
 import {UnsentFrames} from './unsentframes.js';
 
@@ -45,7 +46,7 @@
 }
 
 /** One WebSocket connection to the daemon beside a target; it multiplexes the calls that this daemon sends there. */
-export class Link extends FrameChannel {
+export class Link extends CallCarrier {
 	readonly host: string;
 	readonly address: string;
 	/** Whether the link stays open and is watched while it carries no calls, though it isn't part of the mesh. */
@@ -174,15 +175,13 @@
 		}
 	}
 
-	/** Removes a call that its sender has cancelled, and tells the other side if the call was sent. */
-	cancelCall(linkCall: LinkCall): void {
+	override cancelCall(linkCall: LinkCall): void {
 		if (this.#calls.delete(linkCall.id) && linkCall.isSent) {
 			this.send([FrameTag.cancel, linkCall.id]);
 		}
 	}
 
-	/** Cancels a call at the other side, whose word of it is still awaited. @returns whether the call is in flight */
-	withdrawCall({id}: LinkCall): boolean {
+	override withdrawCall({id}: LinkCall): boolean {
 		this.send([FrameTag.cancel, id]);
 		return this.#calls.has(id);
 	}
@@ -343,61 +342,3 @@
 		linkCall.sink.onAnswer(head, (body as Buffer | null) ?? Buffer.alloc(0), isWhole === true, readLoadReport(report)!);
 	}
 }
-
-/** One call in flight on a link. */
-class LinkCall extends CallHandle {
-	readonly id: number;
-	readonly sink: CallSink;
-	readonly bodyBytes: number;
-	isSent = false;
-	readonly #link: Link;
-	readonly #call: Call;
-	readonly #createdMs: number;
-	#unsentChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
-
-	constructor(link: Link, id: number, call: Call, sink: CallSink, nowMs: number) {
-		super();
-		this.#link = link;
-		this.id = id;
-		this.#call = call;
-		this.bodyBytes = call.body.length;
-		this.sink = sink;
-		this.#createdMs = nowMs;
-	}
-
-	/** Returns the call with its remaining times reduced by the time that it waited to be sent. */
-	withRemainingTime(nowMs: number): Call {
-		const waitedMs = nowMs - this.#createdMs;
-		const {leftMs, objectiveLeftMs} = this.#call;
-		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: leftMs - waitedMs, objectiveLeftMs: objectiveLeftMs && Math.max(0, objectiveLeftMs - waitedMs)};
-	}
-
-	flush(): void {
-		for (const {bytes, isLast} of this.#unsentChunks) {
-			this.write(bytes, isLast);
-		}
-
-		this.#unsentChunks = [];
-	}
-
-	override write(bytes: Buffer, isLast: boolean): void {
-		if (this.isSent) {
-			this.#link.send([FrameTag.chunk, this.id, bytes.length > 0 ? bytes : null, isLast]);
-		} else {
-			this.#unsentChunks.push({bytes, isLast});
-		}
-	}
-
-	override grantCredit(bytes: number): void {
-		this.#link.send([FrameTag.credit, this.id, bytes]);
-	}
-
-	override cancel(): boolean {
-		this.#link.cancelCall(this);
-		return !this.isSent;
-	}
-
-	override withdraw(): boolean {
-		return this.isSent && this.#link.withdrawCall(this);
-	}
-}
