A peer that takes bytes while this process is held up isn't taken for stalled

The stall detector judged after its sockets were served, but a write that went on in that moment only started its time again and didn't undo the judgement that was due: calls that waited in the link were refused though the peer took them. Seen once in the test of a peer that reads on (load average 22). A write now also clears what is due. The test with a process held up for 0.4 s fails without this.

--- a/src/relay/peers/stalldetector.ts
+++ b/src/relay/peers/stalldetector.ts
@@ -8,6 +8,8 @@
  */
 export class StallDetector {
 	#timer: NodeJS.Timeout | undefined;
+	/** Whether the time is over and the sockets are being served. */
+	#isDue = false;
 	#isStalled = false;
 	readonly #onStalled: () => void;
 
@@ -27,9 +29,11 @@
 	/** Records that the peer was asked for a sign of life. */
 	onAsked(): void {
 		this.#timer ??= setTimeout(() => {
-			// If this process itself was held up, its sockets are read before it is judged.
+			this.#isDue = true;
+			// If this process itself was held up, its sockets are served before it is judged.
 			setImmediate(() => {
-				if (this.isAsking) {
+				if (this.#isDue) {
+					this.#isDue = false;
 					this.#isStalled = true;
 					this.#onStalled();
 				}
@@ -40,6 +44,7 @@
 	/** Records that the peer takes what was sent, if slowly: the ping may be behind it. */
 	onProgress(): void {
 		if (!this.#isStalled) {
+			this.#isDue = false;
 			this.#timer?.refresh();
 		}
 	}
@@ -49,6 +54,7 @@
 		const wasStalled = this.#isStalled;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
+		this.#isDue = false;
 		this.#isStalled = false;
 		return wasStalled;
 	}
--- a/test/relay/unsentcalls.test.ts
+++ b/test/relay/unsentcalls.test.ts
@@ -9,6 +9,7 @@
 import {type Call, type CallHandle, CallSink} from '../../src/relay/call.js';
 import {FrameTag, decodeFrame} from '../../src/relay/peers/frame.js';
 import {Link, LinkEvents} from '../../src/relay/peers/link.js';
+import {StallDetector} from '../../src/relay/peers/stalldetector.js';
 
 const CALLS = 240;
 const BODY = Buffer.alloc(64_000);
@@ -165,6 +166,30 @@
 		link.close('over');
 	});
 
+	it('aren\'t taken for stalled when this process itself was held up, if the peer has answered meanwhile or takes bytes', async () => {
+		const stalls: string[] = [];
+		for (const sign of ['onHeard', 'onProgress'] as const) {
+			const detector = new StallDetector(() => {
+				stalls.push(sign);
+			});
+			detector.onAsked();
+			// What is served between the timer and its judgement.
+			setTimeout(() => {
+				detector[sign]();
+			}, 200);
+			const heldUpUntilMs = performance.now() + 400;
+			while (performance.now() < heldUpUntilMs) {
+				// Nothing else runs.
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			await sleep(20);
+			detector.onHeard();
+		}
+
+		expect(stalls).toEqual([]);
+	});
+
 	it('go out in order once the peer reads on', async () => {
 		peer.pause();
 		const outcomes = Array.from({length: CALLS}, () => new Outcome());
