Own path: a successor on the same host waits until its predecessor has ended

What callers saw: a daemon started while the one before it drains ended at once, as it couldn't bind the address. Once it waits for the address: an open request of the predecessor ended with 502 although it had run ('a10: 502', one of some 15), as the predecessor gave its address up while requests of its clients were open, and a peer ends the link of a daemon when another of the same id opens one. Now a start tries to bind for up to 30 s, by the function that the other path has (moved to src/wire), and a stop closes the listener only after the core has ended; requests that come between are refused as not run, on open connections as before. Ruled out: two owners of the target; a draining core refuses its calls. Not covered: the deletion of the predecessor's join record that reaches the platform after the successor's record; it is sent before the address is free.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -38,8 +38,8 @@
 	readonly #metrics: Metrics | undefined;
 	readonly #stopped: Promise<void>;
 	#tickTimer: NodeJS.Timeout | undefined;
-	/** Whether the core answers no more. */
-	#isCoreStopped = false;
+	/** Whether requests are refused before they reach the core. */
+	#isRefusing = false;
 
 	constructor(settings: Settings, clock: Clock = new SystemClock()) {
 		const {id, listen, region, failureDomain, limits, platform} = settings;
@@ -109,8 +109,10 @@
 		this.#requestServer.closeAfterResponses();
 		await this.#waitForTarget();
 		// The core stops once no request is open, which clients that keep sending would put off for ever.
-		await this.#requestServer.stopAccepting();
+		this.#isRefusing = true;
 		await this.#stopped;
+		// A successor waits for the address, and its links to peers end those of this daemon.
+		await this.#requestServer.stopAccepting();
 		clearInterval(this.#tickTimer);
 		await this.#requestServer.waitForResponses();
 		// What is half read by now is read to its end.
@@ -137,14 +139,14 @@
 	}
 
 	#handleInput(input: Input): void {
-		if (this.#isCoreStopped && input.type === 'request') {
+		if (this.#isRefusing && input.type === 'request') {
 			this.#bus.publish({type: 'respond', id: input.id, answer: {outcome: 'not-run', reason: 'draining', retryAfterMs: REFUSED_RETRY_AFTER_MS}});
 			return;
 		}
 
 		try {
 			for (const output of this.#core.step(input, this.#clock.nowMs())) {
-				this.#isCoreStopped ||= output.type === 'stopped';
+				this.#isRefusing ||= output.type === 'stopped';
 				this.#bus.publish(output);
 			}
 		} catch (error) {
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -2,7 +2,9 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
-import {type HttpMessage, header, stopListening} from '../wire/index.js';
+import {
+	type HttpMessage, header, listen, stopListening,
+} from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
 import {BodyCollector} from './bodycollector.js';
@@ -16,6 +18,9 @@
 /** How long a daemon that stops waits for clients that read their answers slowly, in ms. */
 const MAX_WRITE_MS = 10_000;
 
+/** How long a predecessor may keep the address, in ms: until the calls at its target have ended. */
+const HAND_OVER_MS = 30_000;
+
 /** Where a request server listens, and its limits. */
 export type RequestServerOptions = {
 	readonly host: string;
@@ -67,15 +72,10 @@
 		return this.#rejectedRequests;
 	}
 
+	/** Listens once a predecessor that drains has given the address up. */
 	async listen(): Promise<void> {
-		const {host, port} = this.#options;
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, () => {
-				this.server.off('error', reject);
-				resolve();
-			});
-		});
+		const {host: ip, port} = this.#options;
+		await listen(this.server, {ip, port}, HAND_OVER_MS);
 	}
 
 	/** Each response from now on closes its connection. */
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -5,9 +5,8 @@
 import {
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
-import {HOP_BY_HOP_HEADERS, stopListening} from '../../wire/index.js';
+import {HOP_BY_HOP_HEADERS, stopListening, listen} from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
-import {listen} from '../listen.js';
 import {type Address} from '../settings.js';
 import {PeriodicCheck} from '../periodiccheck.js';
 import {ClientConnection} from './clientconnection.js';
--- a/src/relay/operators/httpendpoint.ts
+++ b/src/relay/operators/httpendpoint.ts
@@ -1,5 +1,5 @@
 import {type RequestListener, type Server, createServer} from 'node:http';
-import {listen} from '../listen.js';
+import {listen} from '../../wire/index.js';
 import {type Address} from '../settings.js';
 
 /** An HTTP server on its own address, separate from those for requests and for peers. */
--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -4,12 +4,11 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {type LoadReport} from '../../mesh/index.js';
-import {MAX_FRAME_BYTES} from '../../wire/index.js';
+import {MAX_FRAME_BYTES, listen} from '../../wire/index.js';
 import {
 	type AnswerHead, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {type TargetOwner} from '../target/targetowner.js';
-import {listen} from '../listen.js';
 import {type Address} from '../settings.js';
 import {PEER_PATH} from './link.js';
 import {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -3,5 +3,6 @@
 } from './codec.js';
 export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
+export {listen} from './listen.js';
 export {stopListening} from './stoplistening.js';
 export * as header from './header.js';
--- a/standins/daemonpair.ts
+++ b/standins/daemonpair.ts
@@ -129,15 +129,17 @@
 	}
 
 	/** Sends a request to the first daemon. @returns its status; 0 if the connection broke */
-	async call(path: string, method: 'GET' | 'POST' = 'GET'): Promise<number> {
-		const {status} = await this.fetch(path, method);
+	async call(path: string, method: 'GET' | 'POST' = 'GET', headers: Record<string, string> = {}): Promise<number> {
+		const {status} = await this.fetch(path, method, headers);
 		return status;
 	}
 
 	/** Does the same. @returns the body, too */
-	async fetch(path: string, method: 'GET' | 'POST' = 'GET'): Promise<{status: number; text: string}> {
+	async fetch(path: string, method: 'GET' | 'POST' = 'GET', headers: Record<string, string> = {}): Promise<{status: number; text: string}> {
 		try {
-			const {statusCode, body} = await request(`${this.front}${path}`, {method, headersTimeout: 5000, bodyTimeout: 5000});
+			const {statusCode, body} = await request(`${this.front}${path}`, {
+				method, headers, headersTimeout: 5000, bodyTimeout: 5000,
+			});
 			return {status: statusCode, text: await body.text()};
 		} catch {
 			return {status: 0, text: ''};
