A stop empties the kernel's accept queue, from whichever phase of the event loop it is called

What callers saw (on both paths, if the stop is called from a callback of the poll or check phase): all connections that waited in the kernel's accept queue were reset, 400 of 400. Cause: stopListening looks for a turn of the event loop that accepts none; the turn in which it is called may be past its accepting, and counted as one. Both paths call it from timers, where this doesn't happen; no caller of theirs is known to have seen it. Not tried: more connections than the queue takes; the kernel refuses those.

--- a/src/wire/stoplistening.ts
+++ b/src/wire/stoplistening.ts
@@ -15,6 +15,8 @@
 	};
 
 	server.on('connection', onConnection);
+	// The turn in which it is called may be past its accepting.
+	await setImmediate();
 	// The event loop accepts one connection a turn.
 	for (let turn = 0, acceptedBefore = -1; turn < MAX_ACCEPT_TURNS && acceptedCount !== acceptedBefore; turn++) {
 		acceptedBefore = acceptedCount;
