Tests: a withdrawn key, a lowered limit and a dropped route aren't used again after a restart

On the platform's path, with the store slow, refusing, and back with an older copy; the daemon is asked from its first moment on.

--- a/fakes/memorystore.ts
+++ b/fakes/memorystore.ts
@@ -22,6 +22,8 @@
 /** An object store in memory that all daemons of a test share; each daemon uses its own view. */
 export class MemoryStore {
 	fault: StoreFault = 'none';
+	/** How long each read takes, in ms. */
+	readMs = 0;
 	callCount = 0;
 	/** Rises each time that the store is restored from an older copy. */
 	epoch = 0;
@@ -165,11 +167,19 @@
 	}
 
 	override async list(kind: string): Promise<StoreListing> {
+		if (this.#store.readMs > 0) {
+			await sleep(this.#store.readMs);
+		}
+
 		this.#checkAvailable();
 		return this.#store.list(kind);
 	}
 
 	override async get(kind: string, name: string): Promise<StoredObject> {
+		if (this.#store.readMs > 0) {
+			await sleep(this.#store.readMs);
+		}
+
 		this.#checkAvailable();
 		return this.#store.get(kind, name);
 	}
