Test: a second copy of an answer between two daemons is no answer to another call

Each answer frame on the link is sent again before the next one, for calls one after the other and several at once.

--- a/test/failures/latecopy.test.ts
+++ b/test/failures/latecopy.test.ts
@@ -1,9 +1,13 @@
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Socket, connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
+import {WebSocket} from 'ws';
+import {FrameTag} from '../../src/relay/peers/frame.js';
+import {pack, unpack} from '../../src/wire/index.js';
 import {Mesh, createRoute} from '../../standins/mesh.js';
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
@@ -12,6 +16,7 @@
 
 let mesh: Mesh;
 afterEach(async () => {
+	vi.restoreAllMocks();
 	await mesh.close();
 });
 
@@ -122,3 +127,51 @@
 		}
 	});
 });
+
+/** Sends each answer between two daemons a second time, before the next one. @returns how many callers got an answer that isn't their own */
+async function countStrayAnswers(copyOf: (previous: unknown[], next: unknown[]) => unknown[]): Promise<number> {
+	mesh = new Mesh();
+	const {port} = await mesh.addPair({back: {slots: 40, workMs: 20}});
+	let previous: unknown[] | undefined;
+	let copies = 0;
+	const send = WebSocket.prototype.send as (this: WebSocket, data: Buffer) => void;
+	vi.spyOn(WebSocket.prototype, 'send').mockImplementation(function (this: WebSocket, data) {
+		const frame = unpack(data as Buffer) as unknown[];
+		if (frame[0] === FrameTag.answer) {
+			if (previous !== undefined) {
+				copies++;
+				send.call(this, pack(copyOf(previous, frame)));
+			}
+
+			previous = frame;
+		}
+
+		send.call(this, data as Buffer);
+	});
+	// One after the other, then several at once.
+	const ids = Array.from({length: 20}, (_, number) => `s${number}`);
+	const ask = async (id: string) => {
+		const {status, headers} = await call(port, '/x/', {headers: createAttemptHeaders(id)});
+		return status !== 200 || headers[meshHeaders.signature] === `i-back/${id}`;
+	};
+
+	let strays = 0;
+	for (const id of ids.slice(0, 10)) {
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		strays += await ask(id) ? 0 : 1;
+	}
+
+	const others = await Promise.all(ids.slice(10).map(async id => ask(id)));
+	expect(copies).toBeGreaterThan(ids.length / 2);
+	return strays + others.filter(isOwn => !isOwn).length;
+}
+
+describe('a second copy of an answer between two daemons', () => {
+	it('is no answer to another call on the link', async () => {
+		expect(await countStrayAnswers(previous => previous)).toBe(0);
+	});
+
+	it('is reported if call ids are given twice', async () => {
+		expect(await countStrayAnswers((previous, next) => previous.with(1, next[1]))).toBeGreaterThan(0);
+	});
+});
