--- a/bench/start/main.ts
+++ b/bench/start/main.ts
@@ -2,7 +2,8 @@
  * Starts daemons of the bundle as the deploy file does and prints what a call
  * costs them as a function of the calls that each has served since its start;
  * the start and the idle second stand apart. All figures are processor time.
- * With `--profile` it also prints the self time by part and function.
+ * With `--profile` it also prints the self time by part and function, and with
+ * `--idle` of the idle seconds alone, without any call; `--daemons=N` for each service.
  */
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -16,13 +17,14 @@
 	BenchCallers, BenchTarget, SERVICES, SITE,
 } from './site.js';
 
-const DAEMONS_PER_SERVICE = 2;
 const IDLE_SECONDS = 4;
 /** The calls served since the start, a daemon, at which the cost is read, by the calls a second. */
 const STAGES: ReadonlyMap<number, readonly number[]> = new Map([[50, [100, 1000]], [150, [100, 1000, 3000]], [500, [100, 1000, 3000, 10_000]]]);
 
 const rates = process.argv.filter(text => /^\d+$/v.test(text)).map(Number);
 const isProfiling = process.argv.includes('--profile');
+const isIdle = process.argv.includes('--idle');
+const daemonsPerService = Number(process.argv.find(text => text.startsWith('--daemons='))?.slice('--daemons='.length) ?? 2);
 /** The folder of the bundle, so that two can be measured in turn. */
 const bundleFolder = process.argv.find(text => text.startsWith('--bundle='))?.slice('--bundle='.length) ?? 'target';
 /** The numbers of calls at which the cost is read, in place of the usual ones. */
@@ -48,26 +50,41 @@
 	await store.listen();
 	store.put('config', 'main', SITE);
 	const folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-bench-'));
-	const targets = SERVICES.flatMap(service => Array.from({length: DAEMONS_PER_SERVICE}, (_, index) => new BenchTarget(`${service}-${index}`, service)));
+	const targets = SERVICES.flatMap(service => Array.from({length: daemonsPerService}, (_, index) => new BenchTarget(`${service}-${index}`, service)));
 	await Promise.all(targets.map(async target => target.listen()));
 	const daemons = targets.map(target => new BenchDaemon(target, folder));
 	await Promise.all(daemons.map(async daemon => daemon.start(store.address, bundleFolder, nodeFlags)));
 	const started = await readUsage(daemons);
 	// The first moments of a mesh, in which links open, belong to neither the start nor the idle second.
-	await sleep(2000);
+	await sleep(isIdle ? 10_000 : 2000);
+	const table = new ProfileTable(`${bundleFolder}/daemon.cjs.map`);
+	const startProfiles = async () => Promise.all(daemons.map(async daemon => daemon.startProfile()));
+	const addProfiles = async () => {
+		for (const profile of await Promise.all(daemons.map(async daemon => daemon.stopProfile()))) {
+			table.add(profile);
+		}
+	};
+
+	if (isIdle && isProfiling) {
+		await startProfiles();
+	}
+
 	let last = await readUsage(daemons);
 	await sleep(IDLE_SECONDS * 1000);
 	const idle = await readUsage(daemons);
+	if (isIdle && isProfiling) {
+		await addProfiles();
+	}
+
 	const idleMsPerSecond = (idle.totalMs - last.totalMs) / daemons.length / IDLE_SECONDS;
 	console.log(`rate=${rate} start_ms=${(started.totalMs / daemons.length).toFixed(0)} idle_ms_per_s=${idleMsPerSecond.toFixed(2)}`);
 	const callers = new BenchCallers(daemons.filter(({target}) => target.service === SERVICES[0]).map(({requestsPort}) => requestsPort));
-	const table = new ProfileTable(`${bundleFolder}/daemon.cjs.map`);
 	let served = 0;
 	last = idle;
-	for (const stage of stages) {
+	for (const stage of isIdle ? [] : stages) {
 		if (isProfiling) {
 			// eslint-disable-next-line no-await-in-loop -- one stage after another
-			await Promise.all(daemons.map(async daemon => daemon.startProfile()));
+			await startProfiles();
 			// eslint-disable-next-line no-await-in-loop
 			last = await readUsage(daemons);
 		}
@@ -89,19 +106,18 @@
 		].join(' '));
 		if (isProfiling) {
 			// eslint-disable-next-line no-await-in-loop
-			for (const profile of await Promise.all(daemons.map(async daemon => daemon.stopProfile()))) {
-				table.add(profile);
-			}
+			await addProfiles();
 		}
 
 		served = stage;
 		last = usage;
 	}
 
-	const calls = served * daemons.length;
-	const print = (kind: string, sums: ReadonlyMap<string, number>, count: number) => {
-		for (const [name, ms] of [...sums].toSorted(([, a], [, b]) => b - a).slice(0, count)) {
-			console.log(`${kind} us_per_call=${(ms * 1000 / calls).toFixed(1).padStart(6)} ${name}`);
+	const unit = isIdle ? 's' : 'call';
+	const count = (isIdle ? IDLE_SECONDS : served) * daemons.length;
+	const print = (kind: string, sums: ReadonlyMap<string, number>, lines: number) => {
+		for (const [name, ms] of [...sums].toSorted(([, a], [, b]) => b - a).slice(0, lines)) {
+			console.log(`${kind} us_per_${unit}=${(ms * 1000 / count).toFixed(1).padStart(6)} ${name}`);
 		}
 	};
 
