--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -2,11 +2,14 @@
 import {WebSocket} from 'ws';
 import {MAX_FRAME_BYTES} from '../../wire/index.js';
 import {
-	type Call, CallHandle, type CallSink, type FailureReason, type RefusalReason,
+	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {
-	type Frame, FrameChannel, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
+	type Frame, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
+import {CallCarrier, LinkCall} from './linkcall.js';
+import {StallDetector} from './stalldetector.js';
+import {UnsentFrames} from './unsentframes.js';
 
 /** The URL path on which a daemon accepts links from its peers. */
 export const PEER_PATH = '/peer';
@@ -16,6 +19,8 @@
 export const LIVENESS_INTERVAL_MS = 400;
 /** The silence in ms after which a link with calls in flight is pinged: most calls end within it, and a ping wakes both daemons twice. */
 const PING_SILENCE_MS = 600;
+/** The silence in ms after which a further call on a link with calls in flight is followed by a ping. */
+const ASK_SILENCE_MS = 100;
 /** Limits the silence of a link with calls in flight, in ms; after that it counts as dead. */
 const SILENCE_TIMEOUT_MS = 1200;
 /** The idle timeout of a link without calls, in ms; reopening a link costs a round trip. */
@@ -33,11 +38,15 @@
 	abstract onOpen(link: Link): void;
 	/** Handles a frame that belongs to no call. */
 	abstract onFrame(link: Link, frame: Frame): void;
+	/** Called when the peer owes a sign of life, and again at intervals while it does. */
+	abstract onStalled(link: Link): void;
+	/** Called when the peer of a stalled link is heard again. */
+	abstract onResumed(link: Link): void;
 	abstract onClosed(link: Link, reason: string): void;
 }
 
 /** One WebSocket connection to the daemon beside a target; it multiplexes the calls that this daemon sends there. */
-export class Link extends FrameChannel {
+export class Link extends CallCarrier {
 	readonly host: string;
 	readonly address: string;
 	/** Whether the link stays open and is watched while it carries no calls, though it isn't part of the mesh. */
@@ -48,7 +57,12 @@
 	readonly #callTemplates = new TemplateWriter();
 	readonly #answerTemplates = new TemplateReader<AnswerTemplate>();
 	readonly #nowMs: () => number;
-	#unsentCalls: LinkCall[] = [];
+	readonly #unsent = new UnsentFrames<LinkCall>();
+	readonly #stallDetector = new StallDetector(() => {
+		this.#events.onStalled(this);
+		this.#refuseUnsent();
+	});
+
 	#nextId = 1;
 	#lastHeardMs: number;
 	#lastCallMs: number;
@@ -73,7 +87,7 @@
 			this.#onMessage(data);
 		});
 		this.#socket.on('pong', () => {
-			this.#lastHeardMs = this.#nowMs();
+			this.#onHeard();
 		});
 		this.#socket.on('error', error => {
 			this.close(error.message);
@@ -107,29 +121,46 @@
 
 		this.#lastCallMs = this.#nowMs();
 		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#lastCallMs);
-		if (this.#isClosed || this.#socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+		if (this.#isClosed || this.#socket.bufferedAmount + this.#unsent.bytes > MAX_BUFFERED_BYTES) {
 			sink.onRefused('unreachable', undefined);
 			return linkCall;
 		}
 
 		this.#calls.set(linkCall.id, linkCall);
-		if (this.#socket.readyState === WebSocket.OPEN) {
+		// What the socket holds back can't be taken back, nor told from what has left.
+		if (this.isOpen && this.#unsent.isEmpty && this.#socket.bufferedAmount === 0) {
 			this.#sendCall(linkCall);
 		} else {
-			this.#unsentCalls.push(linkCall);
+			this.#unsent.push(linkCall);
+		}
+
+		if (this.#lastCallMs - this.#lastHeardMs >= ASK_SILENCE_MS && !this.#stallDetector.isAsking) {
+			this.#ping();
 		}
 
 		return linkCall;
 	}
 
 	override send(frame: Frame): void {
-		if (this.isOpen) {
-			this.#socket.send(encodeFrame(frame));
+		if (!this.isOpen) {
+			return;
+		}
+
+		const bytes = encodeFrame(frame);
+		if (this.#unsent.isEmpty) {
+			this.#socket.send(bytes, this.#onWritten);
+		} else {
+			this.#unsent.push(bytes);
 		}
 	}
 
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
 	checkLiveness(nowMs: number): void {
+		this.#sendUnsent();
+		if (this.#stallDetector.isStalled) {
+			this.#events.onStalled(this);
+		}
+
 		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
 			this.#checkQuiet(nowMs);
 		} else if (this.#calls.size === 0) {
@@ -139,20 +170,18 @@
 			}
 		} else if (nowMs - this.#lastHeardMs > SILENCE_TIMEOUT_MS) {
 			this.close('silent');
-		} else if (this.#socket.readyState === WebSocket.OPEN && nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
-			this.#socket.ping();
+		} else if (nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
+			this.#ping();
 		}
 	}
 
-	/** Removes a call that its sender has cancelled, and tells the other side if the call was sent. */
-	cancelCall(linkCall: LinkCall): void {
+	override cancelCall(linkCall: LinkCall): void {
 		if (this.#calls.delete(linkCall.id) && linkCall.isSent) {
 			this.send([FrameTag.cancel, linkCall.id]);
 		}
 	}
 
-	/** Cancels a call at the other side, whose word of it is still awaited. @returns whether the call is in flight */
-	withdrawCall({id}: LinkCall): boolean {
+	override withdrawCall({id}: LinkCall): boolean {
 		this.send([FrameTag.cancel, id]);
 		return this.#calls.has(id);
 	}
@@ -164,9 +193,10 @@
 		}
 
 		this.#isClosed = true;
+		this.#stallDetector.onHeard();
 		this.#socket.terminate();
 		const calls = [...this.#calls.values()];
-		this.#unsentCalls = [];
+		this.#unsent.clear();
 		this.#events.onClosed(this, reason);
 		this.#calls.clear();
 		for (const {sink, isSent} of calls) {
@@ -178,35 +208,71 @@
 		}
 	}
 
+	#ping(): void {
+		if (this.isOpen) {
+			this.#socket.ping(undefined, undefined, this.#onWritten);
+			this.#stallDetector.onAsked();
+		}
+	}
+
+	#onHeard(): void {
+		this.#lastHeardMs = this.#nowMs();
+		if (this.#stallDetector.onHeard()) {
+			this.#events.onResumed(this);
+		}
+	}
+
+	/** Ends the calls that wait here, so that they go elsewhere. */
+	#refuseUnsent(): void {
+		for (const linkCall of this.#calls.values()) {
+			if (!linkCall.isSent) {
+				this.#calls.delete(linkCall.id);
+				linkCall.sink.onRefused('unreachable', undefined);
+			}
+		}
+	}
+
 	#checkQuiet(nowMs: number): void {
 		const silentMs = nowMs - this.#lastHeardMs;
 		if (silentMs > QUIET_TIMEOUT_MS) {
 			this.close('silent');
-		} else if (silentMs >= QUIET_PING_MS && this.isOpen) {
-			this.#socket.ping();
+		} else if (silentMs >= QUIET_PING_MS) {
+			this.#ping();
 		}
 	}
 
+	readonly #onWritten = (): void => {
+		if (!this.#unsent.isEmpty) {
+			this.#stallDetector.onProgress();
+			this.#sendUnsent();
+		}
+	};
+
 	#onOpen(): void {
 		this.#lastHeardMs = this.#nowMs();
 		this.#events.onOpen(this);
-		const unsentCalls = this.#unsentCalls;
-		this.#unsentCalls = [];
-		for (const linkCall of unsentCalls) {
-			if (this.#calls.has(linkCall.id)) {
-				this.#sendCall(linkCall);
-			}
-		}
+		this.#sendUnsent();
 	}
 
 	#sendCall(linkCall: LinkCall): void {
 		linkCall.isSent = true;
-		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#nowMs()), this.#callTemplates)));
+		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#nowMs()), this.#callTemplates)), this.#onWritten);
 		linkCall.flush();
 	}
 
+	#sendUnsent(): void {
+		while (!this.#unsent.isEmpty && this.isOpen && this.#socket.bufferedAmount === 0) {
+			const item = this.#unsent.shift()!;
+			if (!(item instanceof LinkCall)) {
+				this.#socket.send(item, this.#onWritten);
+			} else if (this.#calls.has(item.id)) {
+				this.#sendCall(item);
+			}
+		}
+	}
+
 	#onMessage(data: Buffer): void {
-		this.#lastHeardMs = this.#nowMs();
+		this.#onHeard();
 		try {
 			this.#handleFrame(decodeFrame(data));
 		} catch (error) {
@@ -266,64 +332,13 @@
 			this.#calls.delete(linkCall.id);
 		}
 
+		const {
+			status, headers, isUnframed, reached, isFailedBelow, signals,
+		} = template;
+		// Each field by name, as a spread of a decoded object takes several times as long.
 		const head = {
-			...template, signals: readSignals(template.signals), signature: (signature as string | null) ?? undefined, lengthBytes: (lengthBytes as number | null) ?? undefined,
+			status, headers, isUnframed, reached, isFailedBelow, signals: readSignals(signals), signature: (signature as string | null) ?? undefined, lengthBytes: (lengthBytes as number | null) ?? undefined,
 		};
 		linkCall.sink.onAnswer(head, (body as Buffer | null) ?? Buffer.alloc(0), isWhole === true, readLoadReport(report)!);
 	}
 }
-
-/** One call in flight on a link. */
-class LinkCall extends CallHandle {
-	readonly id: number;
-	readonly sink: CallSink;
-	isSent = false;
-	readonly #link: Link;
-	readonly #call: Call;
-	readonly #createdMs: number;
-	#unsentChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
-
-	constructor(link: Link, id: number, call: Call, sink: CallSink, nowMs: number) {
-		super();
-		this.#link = link;
-		this.id = id;
-		this.#call = call;
-		this.sink = sink;
-		this.#createdMs = nowMs;
-	}
-
-	/** Returns the call with its remaining time reduced by the time that it waited for the link to open. */
-	withRemainingTime(nowMs: number): Call {
-		const waitedMs = nowMs - this.#createdMs;
-		return waitedMs < 1 ? this.#call : {...this.#call, leftMs: this.#call.leftMs - waitedMs};
-	}
-
-	flush(): void {
-		for (const {bytes, isLast} of this.#unsentChunks) {
-			this.write(bytes, isLast);
-		}
-
-		this.#unsentChunks = [];
-	}
-
-	override write(bytes: Buffer, isLast: boolean): void {
-		if (this.isSent) {
-			this.#link.send([FrameTag.chunk, this.id, bytes.length > 0 ? bytes : null, isLast]);
-		} else {
-			this.#unsentChunks.push({bytes, isLast});
-		}
-	}
-
-	override grantCredit(bytes: number): void {
-		this.#link.send([FrameTag.credit, this.id, bytes]);
-	}
-
-	override cancel(): boolean {
-		this.#link.cancelCall(this);
-		return !this.isSent;
-	}
-
-	override withdraw(): boolean {
-		return this.isSent && this.#link.withdrawCall(this);
-	}
-}
