Decoders of peers' frames refuse load, offers and versions of another type, and lists of no lists, by field and reason

They took them by cast: a load report of strings or gaps went into the balancing, an offer or version whose revision is no number into the table of versions; floors, slowness and records whose items are no lists threw a TypeError, which ended the link with a reason that names no field.

--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -196,11 +196,7 @@
 
 /** @throws {FrameError} when the list of reports is missing or a field has the wrong type */
 export function readFloorReports([, packed]: Frame): FloorReport[] {
-	if (!Array.isArray(packed)) {
-		throw new FrameError('floors: expected a list of reports');
-	}
-
-	return (packed as unknown[][]).map(([service, upstream, floor, ageMs, answeredPercent]) => {
+	return readItems('floors', packed).map(([service, upstream, floor, ageMs, answeredPercent]) => {
 		const numbers = answeredPercent === undefined ? [floor, ageMs] : [floor, ageMs, answeredPercent];
 		const areNumbers = numbers.every(field => typeof field === 'number' && field >= 0);
 		if (typeof service !== 'string' || typeof upstream !== 'string' || !areNumbers || (answeredPercent as number) > 100) {
@@ -225,12 +221,17 @@
 	return failedPercent === 0 ? [running, queued, limit, Math.round(serviceMs)] : [running, queued, limit, Math.round(serviceMs), failedPercent];
 }
 
+/** @throws {FrameError} when a field has the wrong type */
 export function readLoadReport(packed: unknown): LoadReport | undefined {
 	if (!Array.isArray(packed)) {
 		return undefined;
 	}
 
 	const [running, queued, limit, serviceMs, failedPercent = 0] = packed as number[];
+	if (![running, queued, limit, serviceMs, failedPercent].every(field => typeof field === 'number')) {
+		throw new FrameError('load: expected four or five numbers');
+	}
+
 	return {
 		running, queued, limit, serviceMs, failureShare: failedPercent / 100,
 	};
@@ -280,12 +281,8 @@
  * invalid ones are logged and left out. @throws {FrameError} when the list is missing
  */
 export function readRecords([, packed]: Frame, revisions: ReadonlyMap<string, number>, log: EventLog): HostRecord[] {
-	if (!Array.isArray(packed)) {
-		throw new FrameError('records: expected a list');
-	}
-
 	// Each version arrives over several links, and only its first copy is decoded.
-	const unknown = (packed as unknown[][]).filter(([host, revision]) => !((revision as number) <= (revisions.get(host as string) ?? 0)));
+	const unknown = readItems('records', packed).filter(([host, revision]) => !((revision as number) <= (revisions.get(host as string) ?? 0)));
 	return unknown.flatMap(([host, revision, value]) => {
 		try {
 			const entry = value === null ? undefined : decodeHostEntry(value);
@@ -311,22 +308,14 @@
 	return [FrameTag.offers, revisions];
 }
 
-/** @throws {FrameError} when the list is missing */
+/** @throws {FrameError} when the list is missing or a revision has the wrong type */
 export function readOffers([, packed]: Frame): ReadonlyArray<[string, number]> {
-	if (!Array.isArray(packed)) {
-		throw new FrameError('offers: expected a list');
-	}
-
-	return packed as Array<[string, number]>;
+	return readRevisions('offers', packed);
 }
 
-/** @throws {FrameError} when the list is missing */
+/** @throws {FrameError} when the list is missing or a revision has the wrong type */
 export function readVersions([, packed, wantsReply]: Frame): {revisions: ReadonlyMap<string, number>; wantsReply: boolean} {
-	if (!Array.isArray(packed)) {
-		throw new FrameError('versions: expected a list');
-	}
-
-	return {revisions: new Map(packed as Array<[string, number]>), wantsReply: wantsReply === true};
+	return {revisions: new Map(readRevisions('versions', packed)), wantsReply: wantsReply === true};
 }
 
 /** By what factor a host's target is slower than usual (1 if it isn't), and when its daemon measured that, in ms since 1970. */
@@ -339,11 +328,7 @@
 
 /** @throws {FrameError} when the list is missing or a field has the wrong type */
 export function readSlowness([, packed]: Frame): TargetSlowness[] {
-	if (!Array.isArray(packed)) {
-		throw new FrameError('slowness: expected a list');
-	}
-
-	return (packed as unknown[][]).map(([host, slowness, measuredMs]) => {
+	return readItems('slowness', packed).map(([host, slowness, measuredMs]) => {
 		if (typeof host !== 'string' || typeof slowness !== 'number' || typeof measuredMs !== 'number') {
 			throw new FrameError('slowness: expected a host, a factor and a time');
 		}
@@ -351,3 +336,20 @@
 		return {host, slowness, measuredMs};
 	});
 }
+
+function readItems(field: string, packed: unknown): unknown[][] {
+	if (!Array.isArray(packed) || !packed.every(item => Array.isArray(item))) {
+		throw new FrameError(`${field}: expected a list of lists`);
+	}
+
+	return packed;
+}
+
+function readRevisions(field: string, packed: unknown): Array<[string, number]> {
+	const items = readItems(field, packed);
+	if (!items.every(([host, revision]) => typeof host === 'string' && typeof revision === 'number')) {
+		throw new FrameError(`${field}: expected hosts and revisions`);
+	}
+
+	return items as Array<[string, number]>;
+}
