--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -430,11 +430,11 @@
 describe('pipelined requests', () => {
 	it('are answered in order, and cancelled when their connection closes', async () => {
 		mesh = new Mesh();
-		mesh.configure(createSiteSpec([createRoute('x', 'front')]));
+		mesh.configure(createSiteSpec([createRoute('x', 'front', {timeoutMs: LONG_MS, objectiveMs: LONG_MS})]));
 		const front = await mesh.addHost('front', target('i-front', 'front'));
 		await mesh.settle();
 		const send = (socket: Socket, id: string) => {
-			socket.write(`GET /x/ HTTP/1.1\r\nHost: site\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.deadlineMs}: 2000\r\n\r\n`);
+			socket.write(`GET /x/ HTTP/1.1\r\nHost: site\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.deadlineMs}: ${LONG_MS}\r\n\r\n`);
 		};
 
 		const socket = connect(front.settings.listen.requests.port, '127.0.0.1');
@@ -446,15 +446,16 @@
 			send(socket, id);
 		}
 
-		await sleep(200);
-		expect([...text.matchAll(/signature: i-front\/(?<id>p\d)/gv)].map(({groups}) => groups!.id)).toEqual(['p1', 'p2', 'p3']);
+		const answeredIds = () => [...text.matchAll(/signature: i-front\/(?<id>p\d)/gv)].map(({groups}) => groups!.id);
+		await expect.poll(() => answeredIds().length, {timeout: LONG_MS}).toBe(3);
+		expect(answeredIds()).toEqual(['p1', 'p2', 'p3']);
 		const hung = front.target.hang();
 		send(socket, 'p4');
 		send(socket, 'p5');
-		await sleep(100);
+		await expect.poll(() => hung.begun, {timeout: LONG_MS}).toBe(2);
+		expect(hung.closed).toBe(0);
 		socket.destroy();
-		await sleep(200);
-		expect(hung.closed).toBe(2);
+		await expect.poll(() => hung.closed, {timeout: LONG_MS}).toBe(2);
 	});
 });
 
