A link that stalls, and one that is heard again, is logged; a stop that was announced isn't forgotten

Now link_stalled (with the calls in flight) and link_resumed are logged and a stall is counted once. A peer that was heard again lost its mark of shutting down, too, so that it got calls that it refuses: markReachable clears what a stall had set, and no more.

--- a/src/mesh/balancing/loadbalancer.ts
+++ b/src/mesh/balancing/loadbalancer.ts
@@ -195,8 +195,13 @@
 
 	/** Stops avoiding a host, as news from it shows that it is usable again. */
 	clearMarks(host: string): void {
+		this.#hostState(host).drainingUntilMs = 0;
+		this.markReachable(host);
+	}
+
+	/** Stops avoiding a host as unreachable, as it was heard; it may be shutting down all the same. */
+	markReachable(host: string): void {
 		const state = this.#hostState(host);
-		state.drainingUntilMs = 0;
 		state.unreachableUntilMs = 0;
 		state.unreachableCount = 0;
 	}
--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -38,8 +38,8 @@
 	abstract onOpen(link: Link): void;
 	/** Handles a frame that belongs to no call. */
 	abstract onFrame(link: Link, frame: Frame): void;
-	/** Called when the peer owes a sign of life, and again at intervals while it does. */
-	abstract onStalled(link: Link): void;
+	/** Called when the peer owes a sign of life, and again at intervals while it does, then with `isNew` false. */
+	abstract onStalled(link: Link, isNew: boolean): void;
 	/** Called when the peer of a stalled link is heard again. */
 	abstract onResumed(link: Link): void;
 	abstract onClosed(link: Link, reason: string): void;
@@ -59,7 +59,7 @@
 	readonly #nowMs: () => number;
 	readonly #unsent = new UnsentFrames<LinkCall>();
 	readonly #stallDetector = new StallDetector(() => {
-		this.#events.onStalled(this);
+		this.#events.onStalled(this, true);
 		this.#refuseUnsent();
 	});
 
@@ -158,7 +158,7 @@
 	checkLiveness(nowMs: number): void {
 		this.#sendUnsent();
 		if (this.#stallDetector.isStalled) {
-			this.#events.onStalled(this);
+			this.#events.onStalled(this, false);
 		}
 
 		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -237,14 +237,19 @@
 		this.handleFrame(frame, link);
 	}
 
-	override onStalled({host}: Link): void {
+	override onStalled({host, inFlight}: Link, isNew: boolean): void {
 		const {log, loadBalancer, clock} = this.#parts;
-		log.registry.count('link_stalled', {host});
+		if (isNew) {
+			log.event('link_stalled', {host, inFlight});
+			log.registry.count('link_stalled', {host});
+		}
+
 		loadBalancer.markUnreachable(host, clock.nowMs());
 	}
 
 	override onResumed({host}: Link): void {
-		this.#parts.loadBalancer.clearMarks(host);
+		this.#parts.log.event('link_resumed', {host});
+		this.#parts.loadBalancer.markReachable(host);
 	}
 
 	override onClosed(link: Link, reason: string): void {
