--- a/src/core/receivedcall.ts
+++ b/src/core/receivedcall.ts
@@ -72,7 +72,7 @@
 	}
 
 	if (result.kind === 'withdrawn') {
-		return createRefusal('cancelled', REFUSED_RETRY_AFTER_MS, false);
+		return createRefusal(received.cancelReason ?? 'cancelled', REFUSED_RETRY_AFTER_MS);
 	}
 
 	// Each failure is retried by one hop only: the one next to where it arose.
--- a/test/core/admissioncontroller.test.ts
+++ b/test/core/admissioncontroller.test.ts
@@ -22,7 +22,7 @@
 	expect(ledger.begin('k', {attempt: 2, tie: 'b'}, 2000).verdict).toBe('running');
 });
 
-it('tells the caller of a run that was cancelled at its deadline so, and of one that he cancelled likewise', () => {
+it.each(['broken', 'withdrawn'] as const)('tells the caller of a run that was cancelled at its deadline so, and of one that he cancelled likewise: %s', kind => {
 	const answers: Answer[] = [];
 	const context = new CoreContext(1, 1);
 	const admission = new AdmissionController({
@@ -45,9 +45,9 @@
 	admission.tick();
 	for (const output of context.takeOutputs()) {
 		if (output.type === 'cancel') {
-			admission.onResult(output.id, {kind: 'broken'});
+			admission.onResult(output.id, {kind});
 		}
 	}
 
-	expect(answers.map(({outcome, reason}) => [outcome, reason])).toEqual([['unknown', 'cancelled'], ['unknown', 'deadline']]);
+	expect(answers.map(({outcome, reason}) => [outcome, reason])).toEqual(['cancelled', 'deadline'].map(reason => [kind === 'broken' ? 'unknown' : 'not-run', reason]));
 });
