--- a/bench/start/main.ts
+++ b/bench/start/main.ts
@@ -9,7 +9,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {StoreStandin} from '../../test/platform/storestandin.js';
+import {StoreStandin} from '../../standins/store.js';
 import {BenchDaemon, type Usage} from './daemon.js';
 import {ProfileTable} from './profile.js';
 import {
--- /dev/null
+++ b/soak/checks.ts
@@ -0,0 +1,177 @@
+import {type SentRequest} from './callers.js';
+import {CONFIG_MS, MAX_AGE_MS, QUOTA_ROOM} from './fleet.js';
+import {type History} from './history.js';
+import {LIMITED} from './plan.js';
+
+/** A request that a target received; `hasRun` is false for one that it shed. */
+export type Receipt = {readonly attemptId: string; readonly path: string; readonly organisation: string | undefined; readonly hasAuthorization: boolean; readonly atMs: number; readonly hasRun: boolean};
+
+/** What callers and targets saw in a run, and what was done to the site. */
+export type SoakRecord = {
+	readonly requests: readonly SentRequest[];
+	readonly receipts: readonly Receipt[];
+	readonly history: History;
+	readonly isStrict: boolean;
+	/** The end of the run, after the faults: since when nothing is disturbed, and when the requests end. */
+	readonly calmFromMs: number;
+	readonly calmUntilMs: number;
+};
+
+/** A promise that was broken, and the request that shows it, if it is one. */
+export type Violation = {readonly promise: string; readonly detail: string; readonly attemptId?: string};
+
+type Check = (record: SoakRecord) => Iterable<Violation>;
+
+/** What a busy machine may add to a bound, in ms. */
+const MARGIN_MS = 1000;
+/** The part of its limit that an organisation must get while nothing is disturbed, and the part of the small ones' requests that are answered. */
+const MIN_USED_PART = 0.7;
+const MIN_SMALL_PART = 0.8;
+const UNREPEATABLE = /^\/(?:work|page)\//v;
+/** Errors of a connection that no daemon has accepted. */
+const REFUSED = 'ECONNREFUSED';
+
+const isRoot = (attemptId: string) => !attemptId.includes('.');
+
+function * checkOnce({receipts}: SoakRecord): Iterable<Violation> {
+	const runs = new Map<string, number>();
+	for (const {attemptId, path, hasRun} of receipts) {
+		if (hasRun && UNREPEATABLE.test(path)) {
+			runs.set(attemptId, (runs.get(attemptId) ?? 0) + 1);
+		}
+	}
+
+	for (const [attemptId, count] of runs) {
+		if (count > 1) {
+			yield {promise: 'at most once', attemptId, detail: `ran ${count} times`};
+		}
+	}
+}
+
+function * checkAnswers({requests}: SoakRecord): Iterable<Violation> {
+	for (const {attemptId, status, answeredAttemptId, isWhole} of requests) {
+		if (status === 200 && answeredAttemptId !== attemptId) {
+			yield {promise: 'right answer', attemptId, detail: `got the answer of ${String(answeredAttemptId)}`};
+		}
+
+		if (status !== 0 && !isWhole) {
+			yield {promise: 'whole answer', attemptId, detail: `${status} broke off`};
+		}
+	}
+}
+
+function * checkNotRun({requests, receipts}: SoakRecord): Iterable<Violation> {
+	const ran = new Set(receipts.filter(({hasRun}) => hasRun).map(({attemptId}) => attemptId));
+	for (const {attemptId, status, isNotRun} of requests) {
+		if (ran.has(attemptId) && (isNotRun || status === 401 || status === 429)) {
+			yield {promise: 'has not run', attemptId, detail: `${status} said so, and it ran`};
+		}
+	}
+}
+
+function * checkAnswered({requests, history}: SoakRecord): Iterable<Violation> {
+	for (const {attemptId, status, error, host, sentMs, endedMs, isOnUsedConnection} of requests) {
+		const isExcused = error === REFUSED || history.isDisturbed(['killed'], sentMs, endedMs, host)
+			// A process that stood still has less of its grace left.
+			|| (history.isDisturbed(['stopped'], sentMs, endedMs, host) && history.isDisturbed(['frozen'], sentMs - CONFIG_MS, endedMs, host));
+		if (status === 0 && !isExcused) {
+			yield {promise: 'every accepted request is answered', attemptId, detail: `${String(error)} after ${endedMs - sentMs} ms at host ${host}${isOnUsedConnection ? ', on a kept connection' : ''}`};
+		}
+	}
+}
+
+function * checkKeys({requests, receipts, history, isStrict}: SoakRecord): Iterable<Violation> {
+	const organisations = new Map(receipts.filter(({attemptId, hasRun}) => hasRun && isRoot(attemptId)).map(({attemptId, organisation}) => [attemptId, organisation]));
+	for (const {attemptId, key, path, status, sentMs, endedMs} of requests) {
+		const staleMs = history.staleSince(sentMs, CONFIG_MS + MARGIN_MS);
+		const holders = key === undefined ? new Set([undefined]) : history.holdersOf(key, staleMs, endedMs);
+		if (status === 401 && (!holders.has(undefined) || path === '/open/')) {
+			yield {promise: '401 only without a known key', attemptId, detail: `its key was held by ${[...holders].join(', ')}`};
+		}
+
+		const confirmed = key !== undefined && isStrict ? history.holdersOf(key, Math.max(staleMs, sentMs - MAX_AGE_MS - MARGIN_MS), endedMs) : holders;
+		if (organisations.has(attemptId) && !confirmed.has(organisations.get(attemptId))) {
+			yield {promise: 'withdrawn keys aren\'t in use', attemptId, detail: `ran for ${String(organisations.get(attemptId))}, its key was held by ${[...confirmed].map(String).join(', ')}`};
+		}
+
+		if (organisations.has(attemptId) && organisations.get(attemptId) === undefined && path !== '/open/') {
+			yield {promise: 'nothing runs unasked', attemptId, detail: 'ran for nobody'};
+		}
+	}
+
+	for (const {attemptId, hasAuthorization} of receipts) {
+		if (hasAuthorization) {
+			yield {promise: 'no key reaches a target', attemptId, detail: 'its Authorization header did'};
+		}
+	}
+}
+
+function * checkRefusals({requests, history}: SoakRecord): Iterable<Violation> {
+	for (const {attemptId, key, status, retryAfter, sentMs, endedMs} of requests) {
+		if (status === 429) {
+			const holders = key === undefined ? new Set() : history.holdersOf(key, history.staleSince(sentMs, CONFIG_MS + MARGIN_MS), endedMs);
+			if (!holders.has(LIMITED)) {
+				yield {promise: '429 only above a quota', attemptId, detail: `its key was held by ${[...holders].map(String).join(', ')}`};
+			}
+
+			if (retryAfter === undefined) {
+				yield {promise: '429 says when to come back', attemptId, detail: 'it had no Retry-After'};
+			}
+		}
+	}
+}
+
+/** The most requests that the limits of this time allow in one window. */
+export function allowedInWindow(history: History, fromMs: number, untilMs: number): number {
+	const ratesPerS = history.sitesBetween(history.staleSince(fromMs, CONFIG_MS + MARGIN_MS), untilMs).map(({organisations}) => organisations.find(({name}) => name === LIMITED)!);
+	const most = Math.max(...ratesPerS.map(({ratePerS, burst}) => (ratePerS! * QUOTA_ROOM.windowMs / 1000) + burst));
+	return (most * (1 + QUOTA_ROOM.over)) + QUOTA_ROOM.slack;
+}
+
+function * checkQuota({receipts, history}: SoakRecord): Iterable<Violation> {
+	const firstMs = new Map<string, number>();
+	for (const {attemptId, organisation, atMs, hasRun} of receipts) {
+		if (hasRun && organisation === LIMITED && isRoot(attemptId)) {
+			firstMs.set(attemptId, Math.min(firstMs.get(attemptId) ?? atMs, atMs));
+		}
+	}
+
+	const times = [...firstMs.values()].toSorted((a, b) => a - b);
+	let first = 0;
+	for (const [index, timeMs] of times.entries()) {
+		while (times[first] <= timeMs - QUOTA_ROOM.windowMs) {
+			first++;
+		}
+
+		const allowed = allowedInWindow(history, times[first], timeMs);
+		if (index - first + 1 > allowed) {
+			yield {promise: 'quota in any window', detail: `${index - first + 1} requests ran from ${times[first]} to ${timeMs}, ${allowed} may`};
+			return;
+		}
+	}
+}
+
+function * checkRecovery({requests, calmFromMs, calmUntilMs, history}: SoakRecord): Iterable<Violation> {
+	const calm = requests.filter(({sentMs}) => sentMs >= calmFromMs);
+	const served = (stream: string) => calm.filter(one => one.stream === stream && one.status === 200).length;
+	const limit = history.sites.at(-1)!.organisations.find(({name}) => name === LIMITED)!;
+	const usable = limit.ratePerS! * (calmUntilMs - calmFromMs) / 1000;
+	if (served(LIMITED) < usable * MIN_USED_PART) {
+		yield {promise: 'a quota can be used', detail: `${served(LIMITED)} served of ${usable} that the limit allows after the faults`};
+	}
+
+	for (const stream of ['small-a', 'small-b']) {
+		const sent = calm.filter(one => one.stream === stream).length;
+		if (served(stream) < sent * MIN_SMALL_PART) {
+			yield {promise: 'a hot organisation starves nobody', detail: `${served(stream)} of ${sent} requests of ${stream} were served after the faults`};
+		}
+	}
+}
+
+/** All checks of a run. */
+export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkKeys, checkRefusals, checkQuota, checkRecovery];
+
+/** Checks what callers and targets saw against the promises. */
+export function findViolations(record: SoakRecord): Violation[] {
+	return CHECKS.flatMap(check => [...check(record)]);
+}
--- /dev/null
+++ b/soak/fleet.ts
@@ -0,0 +1,237 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Organisation} from '../src/mesh/index.js';
+import {type RelaySettings} from '../src/relay/index.js';
+import {createRoute, createSiteSpec, findFreePorts} from '../standins/mesh.js';
+import {meshHeaders} from '../standins/meshadapter.js';
+import {MeshTarget} from '../standins/meshtarget.js';
+import {type StoreFault, StoreStandin} from '../standins/store.js';
+import {type DaemonFault, HOST_SERVICES, type SoakPlan} from './plan.js';
+import {History} from './history.js';
+
+const ANNOUNCE_INTERVAL_MS = 500;
+const WORK_MS = 40;
+const SLOTS = 2;
+/** How many times as long a slow copy takes. */
+const SLOW = 5;
+const DRAIN_MS = 1000;
+const GRACE_MS = 6000;
+/** How long a stopping daemon still accepts requests; clients stay away before its end. */
+export const LAME_DUCK_MS = 1500;
+/** Within which time a configuration must be in force while nothing is disturbed. */
+export const CONFIG_MS = 2000;
+/** How long a key may live without a confirmation, where the operator is strict. */
+export const MAX_AGE_MS = 3000;
+export const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
+const FAILURE_DOMAINS = ['a', 'b', 'c'];
+
+const ROUTES = [
+	createRoute('work', 'back', {repeatability: 'unsafe'}),
+	createRoute('read', 'back', {attempts: 3}),
+	createRoute('page', 'front', {repeatability: 'unsafe'}),
+	createRoute('open', 'back', {isPublic: true}),
+];
+
+/** A host of the fleet: a daemon's process, and a target in the process of the soak. */
+export type FleetHost = {
+	readonly index: number;
+	readonly ports: readonly number[];
+	readonly target: MeshTarget;
+	process: ChildProcess | undefined;
+	/** Whether clients send to it: not once they have noticed that it stops, or while it is away. */
+	isOffered: boolean;
+	/** Whether its daemon is being stopped or killed, or started again. */
+	isRestarting: boolean;
+};
+
+/** Real daemons beside stand-ins of targets, with a stand-in of the store. */
+export class Fleet {
+	readonly hosts: FleetHost[] = [];
+	readonly history = new History();
+	readonly #store = new StoreStandin();
+	readonly #plan: SoakPlan;
+	readonly #folder: string;
+	readonly #timers: NodeJS.Timeout[] = [];
+	#version = 0;
+
+	/** @param folder where the logs and settings are written */
+	constructor(plan: SoakPlan, folder: string) {
+		this.#plan = plan;
+		this.#folder = folder;
+	}
+
+	async start(organisations: readonly Organisation[]): Promise<void> {
+		mkdirSync(this.#folder, {recursive: true});
+		await this.#store.listen();
+		this.configure(organisations);
+		for (const [index, service] of HOST_SERVICES.entries()) {
+			// eslint-disable-next-line no-await-in-loop -- ports are taken in turn
+			const ports = await findFreePorts(4);
+			const target = new MeshTarget({
+				id: `i-${index}`, service, slots: SLOTS, workMs: service === 'back' ? WORK_MS : 5, outbound: () => ports[0], calls: {'/page/': [{path: '/work/nested', times: 1}]},
+			});
+			// eslint-disable-next-line no-await-in-loop
+			await target.listen();
+			this.hosts.push({
+				index, ports, target, process: undefined, isOffered: true, isRestarting: false,
+			});
+			this.#timers.push(setInterval(() => {
+				void target.announce(ports[3]);
+			}, ANNOUNCE_INTERVAL_MS));
+		}
+
+		for (const host of this.hosts) {
+			this.#startDaemon(host, true);
+		}
+	}
+
+	configure(organisations: readonly Organisation[]): void {
+		this.#version++;
+		this.history.sites.push({atMs: Date.now(), organisations});
+		this.#store.put('site', 'main', {...createSiteSpec(ROUTES, this.#version), organisations});
+	}
+
+	async disturbStore(fault: StoreFault, forMs: number): Promise<void> {
+		this.#store.fault = fault;
+		const fromMs = Date.now();
+		await sleep(forMs);
+		this.history.disturbances.push({fromMs, untilMs: Date.now(), what: 'store'});
+		this.#store.fault = 'none';
+	}
+
+	async disturbTarget(index: number, behaviour: 'slow' | 'shedding', forMs: number): Promise<void> {
+		const {target} = this.hosts[index];
+		const fromMs = Date.now();
+		if (behaviour === 'slow') {
+			target.slowness = SLOW;
+		} else {
+			target.behaviourOverride = (request, response) => {
+				response.writeHead(503, {[meshHeaders.attemptId]: String(request.headers[meshHeaders.attemptId]), [meshHeaders.notRun]: '1', 'content-length': 0});
+				response.end();
+			};
+		}
+
+		await sleep(forMs);
+		target.slowness = 1;
+		target.behaviourOverride = undefined;
+		this.history.disturbances.push({
+			fromMs, untilMs: Date.now(), what: 'target', host: index,
+		});
+	}
+
+	/** Plays a fault of a daemon's process, if it runs. @returns what broke a promise, if anything did */
+	async disturbDaemon(index: number, fault: DaemonFault, forMs: number): Promise<string | undefined> {
+		const host = this.hosts[index];
+		const child = host.process;
+		if (child === undefined || (host.isRestarting && fault === 'kill')) {
+			return undefined;
+		}
+
+		if (host.isRestarting && fault === 'stop') {
+			child.kill('SIGTERM');
+			return undefined;
+		}
+
+		host.isRestarting ||= fault === 'stop' || fault === 'kill';
+
+		const fromMs = Date.now();
+		const record = (what: 'killed' | 'stopped' | 'frozen') => {
+			this.history.disturbances.push({
+				fromMs, untilMs: Date.now(), what, host: index,
+			});
+		};
+
+		switch (fault) {
+			case 'reload': {
+				child.kill('SIGHUP');
+				return undefined;
+			}
+
+			case 'freeze': {
+				child.kill('SIGSTOP');
+				await sleep(forMs);
+				child.kill('SIGCONT');
+				record('frozen');
+				return undefined;
+			}
+
+			case 'kill': {
+				host.isOffered = false;
+				host.process = undefined;
+				child.kill('SIGKILL');
+				await once(child, 'exit');
+				await sleep(forMs);
+				this.#startDaemon(host, false);
+				record('killed');
+				return undefined;
+			}
+
+			case 'stop': {
+				child.kill('SIGTERM');
+				const exited = once(child, 'exit');
+				// As long as clients take to notice, some send on.
+				await sleep(LAME_DUCK_MS / 2);
+				host.isOffered = false;
+				const [code] = await exited as [number | null];
+				const tookMs = Date.now() - fromMs;
+				host.process = undefined;
+				await sleep(forMs);
+				this.#startDaemon(host, false);
+				record('stopped');
+				const wasFrozen = this.history.isDisturbed(['frozen'], fromMs, Date.now(), index);
+				return code === 0 || wasFrozen ? undefined : `host ${index} ended with ${String(code)} ${tookMs} ms after SIGTERM`;
+			}
+		}
+	}
+
+	async close(): Promise<void> {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		for (const {process: child, target} of this.hosts) {
+			child?.kill('SIGKILL');
+			void target.close();
+		}
+
+		this.#store.close();
+	}
+
+	#startDaemon(host: FleetHost, isFirstStart: boolean): void {
+		const {index, ports, target} = host;
+		const at = (port: number) => ({ip: '127.0.0.1', port});
+		const relay: RelaySettings = {
+			host: `host-${index}`,
+			failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
+			service: HOST_SERVICES[index],
+			target: at(target.port),
+			listen: {
+				requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
+			},
+			seeds: [],
+			isFirstStart,
+			announceIntervalMs: ANNOUNCE_INTERVAL_MS,
+			configMs: CONFIG_MS,
+			settlingMs: 0,
+			drainMs: DRAIN_MS,
+			graceMs: GRACE_MS,
+			lameDuckMs: LAME_DUCK_MS,
+			retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
+			revocation: {isStrict: this.#plan.isStrict, maxAgeMs: MAX_AGE_MS},
+			quotaRoom: QUOTA_ROOM,
+		};
+		const file = path.join(this.#folder, `host-${index}.json`);
+		writeFileSync(file, JSON.stringify({relay, storeAddress: this.#store.address}));
+		const child = spawn(process.execPath, [path.resolve('.build/soak/daemon.mjs')], {env: {...process.env, COMFREYDYKE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
+		const log = createWriteStream(path.join(this.#folder, `host-${index}.log`), {flags: 'a'});
+		child.stdout.pipe(log, {end: false});
+		child.stderr.pipe(log, {end: false});
+		host.process = child;
+		host.isOffered = true;
+		host.isRestarting = false;
+	}
+}
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -166,7 +166,8 @@
 
 let nextPort = FIRST_PORT + (Number(process.env.VITEST_POOL_ID ?? 0) * PORTS_PER_WORKER);
 
-async function findFreePorts(count: number): Promise<number[]> {
+/** Finds ports of this machine that nobody listens on. */
+export async function findFreePorts(count: number): Promise<number[]> {
 	const ports: number[] = [];
 	while (ports.length < count) {
 		const port = nextPort++;
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {PlatformStore} from '../../platform/store.js';
-import {StoreStandin} from './storestandin.js';
+import {StoreStandin} from '../../standins/store.js';
 
 const KIND = 'things';
 let standin: StoreStandin;
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,92 @@
+import {describe, expect, it} from 'vitest';
+import {type SentRequest} from '../soak/callers.js';
+import {type Receipt, type SoakRecord, findViolations} from '../soak/checks.js';
+import {History} from '../soak/history.js';
+import {USUAL_ORGANISATIONS, createPlan} from '../soak/plan.js';
+
+const BEGIN_MS = 1_000_000;
+const CALM_MS = BEGIN_MS + 50_000;
+const AFTER_MS = 20_000;
+
+const request = (attemptId: string, more: Partial<SentRequest> = {}): SentRequest => ({
+	attemptId, stream: 'hot', path: '/work/', key: 'key-hot-0', host: 1, sentMs: BEGIN_MS + AFTER_MS, endedMs: BEGIN_MS + AFTER_MS + 50, status: 200, isWhole: true, isNotRun: false, answeredAttemptId: attemptId, retryAfter: undefined, isOnUsedConnection: false, ...more,
+});
+const receipt = (attemptId: string, more: Partial<Receipt> = {}): Receipt => ({
+	attemptId, path: '/work/', organisation: 'hot', hasAuthorization: false, atMs: BEGIN_MS + AFTER_MS + 10, hasRun: true, ...more,
+});
+
+/** A run in which all went well: also the part after the faults. */
+function createRecord(requests: readonly SentRequest[] = [], receipts: readonly Receipt[] = [], more: Partial<SoakRecord> = {}): SoakRecord {
+	const history = new History();
+	history.sites.push({atMs: BEGIN_MS, organisations: USUAL_ORGANISATIONS});
+	const calm = ['limited', 'small-a', 'small-b'].flatMap(stream => Array.from({length: 60}, (_, index) => request(`${stream}-${index}`, {
+		stream, key: `key-${stream}-0`, sentMs: CALM_MS + index, endedMs: CALM_MS + index + 9,
+	})));
+	return {
+		requests: [...requests, ...calm], receipts, history, isStrict: true, calmFromMs: CALM_MS, calmUntilMs: CALM_MS + 4000, ...more,
+	};
+}
+
+const brokenBy = (record: SoakRecord) => new Set(findViolations(record).map(({promise}) => promise));
+const refused = (status: number, more: Partial<SentRequest> = {}) => request('r', {status, answeredAttemptId: undefined, ...more});
+
+/** Writes a site in which nobody holds the key. */
+function withdraw(record: SoakRecord, key: string, atMs: number): SoakRecord {
+	record.history.sites.push({atMs, organisations: USUAL_ORGANISATIONS.map(organisation => ({...organisation, keys: organisation.keys.filter(one => one !== key)}))});
+	return record;
+}
+
+describe('a plan', () => {
+	it('is the same for the same seed, and another for another', () => {
+		expect(createPlan(5, 8000)).toEqual(createPlan(5, 8000));
+		expect(createPlan(5, 8000)).not.toEqual(createPlan(6, 8000));
+	});
+
+	it('plays all kinds of events and both ways of revocation within a few seeds', () => {
+		const plans = Array.from({length: 20}, (_, seed) => createPlan(seed, 8000));
+		expect(new Set(plans.flatMap(({events}) => events.map(({type}) => type)))).toEqual(new Set(['daemon', 'store', 'site', 'target', 'heat']));
+		expect(new Set(plans.map(({isStrict}) => isStrict))).toEqual(new Set([true, false]));
+	});
+});
+
+describe('the checks of the soak', () => {
+	it('find nothing where nothing is broken', () => {
+		const killed = createRecord([refused(0, {isWhole: false, error: 'ECONNRESET'}), refused(429, {attemptId: 'l', key: 'key-limited-0', retryAfter: '1'}), refused(401, {attemptId: 'u', key: 'nobody-s-key'})]);
+		killed.history.disturbances.push({
+			fromMs: BEGIN_MS + AFTER_MS - 10, untilMs: BEGIN_MS + AFTER_MS + 1000, what: 'killed', host: 1,
+		});
+		expect(findViolations(killed)).toEqual([]);
+		expect(findViolations(createRecord([request('r')], [receipt('r'), receipt('r.0')]))).toEqual([]);
+	});
+
+	it('hold a key against the sites that may be in force: late by the time of an outage where the operator isn\'t strict', () => {
+		const used = (isStrict: boolean) => withdraw(createRecord([request('r')], [receipt('r')], {isStrict}), 'key-hot-0', BEGIN_MS + AFTER_MS - 6000);
+		const away = used(false);
+		away.history.disturbances.push({fromMs: BEGIN_MS + AFTER_MS - 7000, untilMs: BEGIN_MS + AFTER_MS - 1000, what: 'store'});
+		expect(findViolations(away)).toEqual([]);
+		const strict = used(true);
+		strict.history.disturbances.push(...away.history.disturbances);
+		expect(brokenBy(strict)).toEqual(new Set(['withdrawn keys aren\'t in use']));
+	});
+
+	it.each<[string, () => SoakRecord]>([
+		['at most once', () => createRecord([request('r')], [receipt('r'), receipt('r')])],
+		['right answer', () => createRecord([request('r', {answeredAttemptId: 'other'})])],
+		['whole answer', () => createRecord([request('r', {isWhole: false})])],
+		['has not run', () => createRecord([refused(503, {isNotRun: true})], [receipt('r')])],
+		['has not run', () => createRecord([refused(401, {key: 'nobody-s-key'})], [receipt('r', {organisation: undefined, path: '/open/'})])],
+		['every accepted request is answered', () => createRecord([refused(0, {isWhole: false, error: 'ECONNRESET'})])],
+		['401 only without a known key', () => createRecord([refused(401)])],
+		['withdrawn keys aren\'t in use', () => withdraw(createRecord([request('r')], [receipt('r')]), 'key-hot-0', BEGIN_MS + 1000)],
+		['withdrawn keys aren\'t in use', () => createRecord([request('r')], [receipt('r', {organisation: 'small-a'})])],
+		['nothing runs unasked', () => createRecord([request('r', {key: undefined})], [receipt('r', {organisation: undefined})])],
+		['no key reaches a target', () => createRecord([request('r')], [receipt('r', {hasAuthorization: true})])],
+		['429 only above a quota', () => createRecord([refused(429, {retryAfter: '1'})])],
+		['429 says when to come back', () => createRecord([refused(429, {key: 'key-limited-0'})])],
+		['quota in any window', () => createRecord([], Array.from({length: 130}, (_, index) => receipt(`q-${index}`, {organisation: 'limited', atMs: BEGIN_MS + AFTER_MS + (index * 30)})))],
+		['a quota can be used', () => ({...createRecord(), calmUntilMs: CALM_MS + 8000})],
+		['a hot organisation starves nobody', () => createRecord(Array.from({length: 30}, (_, index) => refused(503, {attemptId: `s${index}`, stream: 'small-a', sentMs: CALM_MS + index})))],
+	])('report that "%s" is broken', (promise, create) => {
+		expect(brokenBy(create())).toContain(promise);
+	});
+});
