--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -28,7 +28,7 @@
 type Stream = {readonly name: string; readonly keys: ReadonlyArray<string | undefined>; readonly perS: number; readonly paths: readonly string[]};
 
 const SMALL_PER_S = 8;
-const PATHS = ['/work/', '/read/', '/page/'];
+const PATHS = ['/orders/', '/read/', '/page/'];
 const keysOf = (name: string) => [`key-${name}-0`, `key-${name}-1`];
 
 /** The name of the stream that heat concerns. */
@@ -38,7 +38,7 @@
 		name: 'limited', keys: keysOf('limited'), perS: 40, paths: ['/read/'],
 	},
 	{
-		name: HOT_STREAM, keys: keysOf('hot'), perS: 30, paths: ['/work/'],
+		name: HOT_STREAM, keys: keysOf('hot'), perS: 30, paths: ['/orders/'],
 	},
 	...['small-a', 'small-b'].map(name => ({
 		name, keys: keysOf(name), perS: SMALL_PER_S, paths: PATHS,
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -27,7 +27,7 @@
 /** The part of its limit that an organisation must get while nothing is disturbed, and the part of the small ones' requests that are answered. */
 const MIN_USED_PART = 0.7;
 const MIN_SMALL_PART = 0.8;
-const UNREPEATABLE = /^\/(?:work|page)\//v;
+const UNREPEATABLE = /^\/(?:orders|page)\//v;
 /** Errors of a connection that no daemon has accepted. */
 const REFUSED = 'ECONNREFUSED';
 
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -31,7 +31,7 @@
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
 
 const ROUTES = [
-	createRoute('work', 'back', {repeatability: 'unsafe'}),
+	createRoute('orders', 'back', {repeatability: 'unsafe'}),
 	createRoute('read', 'back', {attempts: 3}),
 	createRoute('page', 'front', {repeatability: 'unsafe'}),
 	createRoute('open', 'back', {isPublic: true}),
@@ -75,7 +75,7 @@
 			// eslint-disable-next-line no-await-in-loop -- ports are taken in turn
 			const ports = await findFreePorts(4);
 			const target = new MeshTarget({
-				id: `i-${index}`, service, slots: SLOTS, workMs: service === 'back' ? WORK_MS : 5, outbound: () => ports[0], calls: {'/page/': [{path: '/work/nested', times: 1}]},
+				id: `i-${index}`, service, slots: SLOTS, workMs: service === 'back' ? WORK_MS : 5, outbound: () => ports[0], calls: {'/page/': [{path: '/orders/nested', times: 1}]},
 			});
 			// eslint-disable-next-line no-await-in-loop
 			await target.listen();
