--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	AdmissionQueue, NO_SIGNALS, type RunOutcome, type TargetLifecycle, type TargetSignals, type LoadReport, type LoadShedder,
+	AdmissionQueue, type RunOutcome, type TargetLifecycle, type TargetSignals, type LoadReport, type LoadShedder,
 } from '../../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -9,6 +9,7 @@
 import {type DecodeError} from '../error.js';
 import {PeriodicCheck} from '../periodiccheck.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
+import {OwnSignals} from './ownsignals.js';
 import {logRefusal} from './refusallog.js';
 import {RunRecorder} from './runrecorder.js';
 import {type TargetClient} from './targetclient.js';
@@ -46,6 +47,7 @@
 	readonly #options: TargetOwnerOptions;
 	readonly #queue: AdmissionQueue<OwnedCall>;
 	readonly #runRecorder: RunRecorder;
+	readonly #ownSignals: OwnSignals;
 	readonly #running = new Set<OwnedCall>();
 	readonly #runningByAttempt = new Map<string, OwnedCall>();
 	readonly #periodicCheck = new PeriodicCheck(() => {
@@ -56,8 +58,6 @@
 		return this.#queue.queued > 0 || this.#running.size > 0;
 	});
 
-	/** What the target said of itself last; undefined until it has answered a call. */
-	#signals: TargetSignals | undefined;
 	/** How many calls the target runs at once if that doesn't slow it down. */
 	#usualLimit = 1;
 	#unreachableUntilMs = 0;
@@ -69,6 +69,7 @@
 		this.#options = options;
 		this.#queue = new AdmissionQueue(1, options.weightOf);
 		this.#runRecorder = new RunRecorder(options);
+		this.#ownSignals = new OwnSignals({...options, queue: this.#queue});
 	}
 
 	get running(): number {
@@ -87,8 +88,7 @@
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
 		this.#runRecorder.reset();
-		this.#signals = undefined;
-		this.#queue.setRateLimit(undefined, this.#options.clock.nowMs());
+		this.#ownSignals.reset();
 	}
 
 	/** When the objective of the root request that the run with this attempt id is made for ends, in ms; undefined if it is unknown. */
@@ -156,7 +156,7 @@
 			return owned;
 		}
 
-		this.#adoptRateLimit(call, nowMs);
+		this.#ownSignals.adoptRateLimit(call, nowMs);
 		this.#options.loadShedder.onArrival(call.priority, owned.serviceMs);
 		const {verdict, evicted} = this.#queue.admit(owned, nowMs);
 		this.#updateFloor(nowMs);
@@ -252,29 +252,7 @@
 
 	/** Applies what the target says of itself in an answer, that to a health check included. */
 	applySignals(instance: string, signals: TargetSignals): void {
-		const {log, lifecycle, onLeaving} = this.#options;
-		if (lifecycle.current?.id !== instance) {
-			return;
-		}
-
-		const {rateLimitPerS, isLeaving} = this.#signals ?? NO_SIGNALS;
-		const isFirst = this.#signals === undefined;
-		const hasChanged = signals.rateLimitPerS !== rateLimitPerS || signals.isLeaving !== isLeaving;
-		this.#signals = signals;
-		if (isFirst || hasChanged) {
-			this.#queue.setRateLimit(signals.rateLimitPerS, this.#options.clock.nowMs());
-		}
-
-		if (!hasChanged) {
-			return;
-		}
-
-		log.event('target_signals', {
-			instance, rateLimitPerS: signals.rateLimitPerS ?? 'none', isLeaving: signals.isLeaving, running: this.#queue.running, queued: this.#queue.queued,
-		});
-		if (signals.isLeaving) {
-			onLeaving(instance);
-		}
+		this.#ownSignals.apply(instance, signals);
 	}
 
 	override onLoad({call: {instance}}: OwnedCall, load: string): void {
@@ -302,14 +280,6 @@
 		this.onRunEnded(owned, false);
 	}
 
-	// After a restart, the limit is known from callers that have passed it on before the target answers a call or a health check.
-	#adoptRateLimit({rateLimitPerS, instance}: Call, nowMs: number): void {
-		if (this.#signals === undefined && rateLimitPerS !== undefined && rateLimitPerS < this.#queue.ratePerS) {
-			this.#queue.setRateLimit(rateLimitPerS, nowMs);
-			this.#options.log.event('rate_limit_from_peer', {instance, rateLimitPerS});
-		}
-	}
-
 	#findRefusal(call: Call, nowMs: number): RefusalReason | undefined {
 		if (this.#isStopping) {
 			return 'stopping';
