A target's crash is told from a connection that it closes, and logged with what it was running

The owner knows: all runs in flight are lost, and then the target refuses a connection or announces another start.

--- /dev/null
+++ b/src/relay/fingerprint.ts
@@ -0,0 +1,21 @@
+import {createHash} from 'node:crypto';
+import {type Call, MAX_INLINE_BODY_BYTES} from './call.js';
+
+/** The length of a fingerprint in bytes; it is written as twice as many hexadecimal digits. */
+export const FINGERPRINT_BYTES = 8;
+
+const FIELD_END = '\n';
+
+/**
+ * Computes what identifies a request whenever and wherever it is sent again: method, host, path, caller, organisation and body.
+ * Of a streamed body only the first part counts, as the rest isn't there when the call is decided on.
+ */
+export function fingerprintOf({template: {method, callerService, headers}, path, organisation = '', body}: Call): string {
+	const hostIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
+	const hash = createHash('sha256');
+	for (const field of [method, headers[hostIndex + 1], path, callerService, organisation]) {
+		hash.update(field).update(FIELD_END);
+	}
+
+	return hash.update(body.subarray(0, MAX_INLINE_BODY_BYTES)).digest('hex').slice(0, FINGERPRINT_BYTES * 2);
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -95,7 +95,7 @@
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
 		this.#targetOwner = new TargetOwner({
-			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, loadShedder: this.#loadShedder,
+			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, target: settings.target, loadShedder: this.#loadShedder,
 			onSlowness: slowness => {
 				this.#links.gossip.floodSlowness({host: settings.host, slowness, measuredMs: clock.nowMs()});
 			},
--- /dev/null
+++ b/src/relay/target/crashdetector.ts
@@ -0,0 +1,116 @@
+import {type Socket, connect} from 'node:net';
+import {type Address} from '../settings.js';
+import {type OwnedCall} from './ownedcall.js';
+
+/** How soon the target is looked for after a run was lost, in ms: a crash breaks all connections within it. */
+const CHECK_DELAY_MS = 2;
+/** How long the target may take to accept a connection, in ms; it is on the same host. */
+const CONNECT_TIMEOUT_MS = 300;
+/** How long lost runs wait for a sign that the target has crashed, in ms: longer than a target takes to start again. */
+const PENDING_MS = 15_000;
+/** How long after the loss answers may still arrive that a crashed target had sent, in ms. */
+const LATE_ANSWERS_MS = 50;
+/** The most runs of one crash that are remembered; in more, the ones that began last count. */
+const MAX_LOST = 256;
+
+/** What showed that the target has crashed: it refused a connection, or announced another start. */
+export type CrashSign = 'refused' | 'restarted';
+
+/** A run that was lost, with how long it had lasted in ms. */
+export type LostRun = {readonly owned: OwnedCall; readonly ranMs: number};
+
+export type CrashDetectorOptions = {
+	readonly target: Address;
+	/** Whether a run that began before this time is still in flight. */
+	readonly hasRunsFrom: (beforeMs: number) => boolean;
+	readonly onCrash: (lost: readonly LostRun[], sign: CrashSign) => void;
+};
+
+/**
+ * Tells a crash of the target from a connection that it closed: all runs in flight are lost,
+ * and then it refuses connections or comes back as another start.
+ */
+export class CrashDetector {
+	readonly #options: CrashDetectorOptions;
+	#lost: LostRun[] = [];
+	#lostMs = 0;
+	#isCheckDue = false;
+	#socket: Socket | undefined;
+
+	constructor(options: CrashDetectorOptions) {
+		this.#options = options;
+	}
+
+	/** Records that the connection of a run broke before its answer was whole. */
+	onRunLost(owned: OwnedCall, nowMs: number): void {
+		if (nowMs - this.#lostMs > PENDING_MS) {
+			this.#lost = [];
+		}
+
+		if (this.#lost.length === 0) {
+			this.#lostMs = nowMs;
+		}
+
+		this.#lost.push({owned, ranMs: nowMs - owned.startedMs});
+		this.#scheduleCheck();
+	}
+
+	/** Records that the target has answered a run, so it hasn't crashed. */
+	onServed(nowMs: number): void {
+		if (this.#lost.length > 0 && nowMs - this.#lostMs > LATE_ANSWERS_MS) {
+			this.#lost = [];
+		}
+	}
+
+	/** Records that the target refused a connection. */
+	onRefused(): void {
+		this.#confirm('refused');
+	}
+
+	/** Records that another start of the target has announced itself. */
+	onRestarted(nowMs: number): void {
+		if (nowMs - this.#lostMs <= PENDING_MS) {
+			this.#confirm('restarted');
+		}
+	}
+
+	#scheduleCheck(): void {
+		if (this.#isCheckDue) {
+			return;
+		}
+
+		this.#isCheckDue = true;
+		setTimeout(() => {
+			this.#isCheckDue = false;
+			if (this.#lost.length > 0 && !this.#options.hasRunsFrom(this.#lostMs)) {
+				this.#connect();
+			}
+		}, CHECK_DELAY_MS);
+	}
+
+	#connect(): void {
+		const {ip, port} = this.#options.target;
+		this.#socket?.destroy();
+		const socket = connect({host: ip, port, timeout: CONNECT_TIMEOUT_MS});
+		this.#socket = socket;
+		socket.on('connect', () => {
+			socket.destroy();
+		});
+		socket.on('timeout', () => {
+			socket.destroy();
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			if (error.code === 'ECONNREFUSED') {
+				this.onRefused();
+			}
+		});
+	}
+
+	#confirm(sign: CrashSign): void {
+		if (this.#lost.length > 0) {
+			const lost = this.#lost.toSorted((a, b) => a.ranMs - b.ranMs).slice(0, MAX_LOST);
+			this.#lost = [];
+			this.#options.onCrash(lost, sign);
+		}
+	}
+}
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -6,6 +6,7 @@
 	type AnswerHead, type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason, BODY_WINDOW_BYTES,
 } from '../call.js';
 import {type DecodeError} from '../error.js';
+import {fingerprintOf} from '../fingerprint.js';
 import {RunSink, type Run} from './run.js';
 import {type TargetClient} from './targetclient.js';
 
@@ -50,6 +51,7 @@
 	run: Run | undefined;
 	/** When the sender cancelled the call while its run was allowed to finish, in ms on the daemon's clock. */
 	abandonedAtMs: number | undefined;
+	#fingerprint: string | undefined;
 	#sink: CallSink | undefined;
 	readonly #owner: CallOwner;
 	readonly #arrivedMs: number;
@@ -78,6 +80,12 @@
 		return this.call.organisation;
 	}
 
+	/** What identifies the request whenever it is sent again. */
+	get fingerprint(): string {
+		this.#fingerprint ??= fingerprintOf(this.call);
+		return this.#fingerprint;
+	}
+
 	/** What the body takes at most until the run begins: a streamed one arrives within its window. */
 	get bodyBytes(): number {
 		return this.call.body.length + (this.call.hasMoreBody ? BODY_WINDOW_BYTES : 0);
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -8,6 +8,9 @@
 } from '../call.js';
 import {type DecodeError} from '../error.js';
 import {PeriodicCheck} from '../periodiccheck.js';
+import {type Address} from '../settings.js';
+import {CrashDetector} from './crashdetector.js';
+import {logCrash} from './crashlog.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
 import {OwnSignals} from './ownsignals.js';
 import {logRefusal} from './refusallog.js';
@@ -26,6 +29,8 @@
 	readonly log: EventLog;
 	readonly lifecycle: TargetLifecycle;
 	readonly targetClient: TargetClient;
+	/** The address of the target. */
+	readonly target: Address;
 	readonly loadShedder: LoadShedder;
 	/** What an organisation is entitled to, in relation to the others. */
 	readonly weightOf: (organisation: string) => number;
@@ -48,6 +53,7 @@
 	readonly #queue: AdmissionQueue<OwnedCall>;
 	readonly #runRecorder: RunRecorder;
 	readonly #ownSignals: OwnSignals;
+	readonly #crashDetector: CrashDetector;
 	readonly #running = new Set<OwnedCall>();
 	readonly #runningByAttempt = new Map<string, OwnedCall>();
 	readonly #periodicCheck = new PeriodicCheck(() => {
@@ -70,6 +76,15 @@
 		this.#queue = new AdmissionQueue(1, options.weightOf);
 		this.#runRecorder = new RunRecorder(options);
 		this.#ownSignals = new OwnSignals({...options, queue: this.#queue});
+		this.#crashDetector = new CrashDetector({
+			target: options.target,
+			hasRunsFrom: beforeMs => [...this.#running].some(({startedMs}) => startedMs < beforeMs),
+			onCrash: (lost, sign) => {
+				logCrash(options.log, lost, {
+					sign, running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.limit,
+				});
+			},
+		});
 	}
 
 	get running(): number {
@@ -87,6 +102,7 @@
 
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
+		this.#crashDetector.onRestarted(this.#options.clock.nowMs());
 		this.#runRecorder.reset();
 		this.#ownSignals.reset();
 	}
@@ -212,6 +228,7 @@
 		this.#options.loadShedder.onRunEnded(attemptId, {route, service: this.#options.lifecycle.current?.service ?? ''}, outcome, nowMs);
 		const spentMs = nowMs - owned.startedMs;
 		if (isServed) {
+			this.#crashDetector.onServed(nowMs);
 			this.#runRecorder.recordRun(owned, this.#queue.running, nowMs);
 			this.#updateLimit();
 		}
@@ -226,14 +243,19 @@
 
 	override onRunFailed(owned: OwnedCall, reason: FailureReason): void {
 		const {call, startedMs} = owned;
+		const nowMs = this.#options.clock.nowMs();
 		this.onOutcome(owned, true);
 		this.#options.log.event('run_failed', {
-			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
+			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(nowMs - startedMs), leftMs: Math.round(call.leftMs),
 		});
+		if (reason === 'broken') {
+			this.#crashDetector.onRunLost(owned, nowMs);
+		}
 	}
 
 	override onUnreachable(owned: OwnedCall): void {
 		this.#unreachableUntilMs = this.#options.clock.nowMs() + UNREACHABLE_PAUSE_MS;
+		this.#crashDetector.onRefused();
 		this.#options.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
 		this.#refuseQueued('unreachable');
 	}
