--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -104,7 +104,7 @@
 			},
 		});
 		const announce = async () => {
-			if (target.options.isSilent !== true) {
+			if (target.options.isSilent !== true && target.isRunning) {
 				await target.announce(ports[3]);
 			}
 		};
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -9,12 +9,19 @@
 /** The path of health checks. */
 export const HEALTH_PATH = '/health';
 
+/** How long a target runs a request that crashes it, and how long it is down then, in ms. */
+const CRASH_AFTER_MS = 20;
+const CRASHED_MS = 400;
+
 /** A nested call that a target makes while it runs a request; `times` is how often it makes it. */
 export type NestedCall = {readonly path: string; readonly times: number};
 
 /** Handles a request in place of the usual run and answer. */
 export type BehaviourOverride = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 
+/** Tells whether a request crashes the target. */
+export type CrashRule = (request: IncomingMessage, body: Buffer) => boolean;
+
 /** Options of a target; `workMs` is the service time of its own work. */
 export type MeshTargetOptions = {
 	readonly id: string;
@@ -47,10 +54,16 @@
 	/** Connections opened to the target since its start, the closed ones included. */
 	openedConnectionCount = 0;
 	behaviourOverride: BehaviourOverride | undefined;
+	/** Tells which requests crash the target, a moment after it began to run them. */
+	crashesOn: CrashRule | undefined;
+	/** How often the target has crashed. */
+	crashCount = 0;
 	readonly options: MeshTargetOptions;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	#seq = 0;
+	#port = 0;
+	#start = 0;
 
 	constructor(options: MeshTargetOptions) {
 		this.options = options;
@@ -68,7 +81,7 @@
 	}
 
 	get port(): number {
-		return (this.#server.address() as AddressInfo).port;
+		return (this.#server.address() as AddressInfo | null)?.port ?? this.#port;
 	}
 
 	get openConnectionCount(): number {
@@ -94,19 +107,57 @@
 		});
 	}
 
+	/** Ends like a process that crashes: every connection breaks, and none is accepted until `restart`. */
+	crash(): void {
+		this.crashCount++;
+		this.runningCount = 0;
+		this.#port = this.port;
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/** Crashes unless it is down already, and starts again after a while. */
+	async crashAndRestart(downMs = CRASHED_MS): Promise<void> {
+		if (this.isRunning) {
+			this.crash();
+			await sleep(downMs);
+			await this.restart();
+		}
+	}
+
+	/** Listens again after a crash, as another instance. */
+	async restart(): Promise<void> {
+		this.#start++;
+		await new Promise<void>(resolve => {
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
+		});
+	}
+
+	get isRunning(): boolean {
+		return this.#server.listening;
+	}
+
+	/** The id of the present start. */
+	get id(): string {
+		return this.#start === 0 ? this.options.id : `${this.options.id}-${this.#start}`;
+	}
+
 	async close(): Promise<void> {
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
 
 	/** Sends an announcement to the daemon beside the target. @returns the answer's status */
-	async announce(port: number, state: 'ready' | 'draining' = 'ready', bornMs = 1): Promise<number> {
+	async announce(port: number, state: 'ready' | 'draining' = 'ready', bornMs = this.#start + 1): Promise<number> {
 		return this.announceAs(this.port, port, state, bornMs);
 	}
 
 	/** Does the same as `announce`, for a target that listens on another port. */
-	async announceAs(targetPort: number, port: number, state: 'ready' | 'draining' = 'ready', bornMs = 1): Promise<number> {
-		const {id, service, slots} = this.options;
+	async announceAs(targetPort: number, port: number, state: 'ready' | 'draining' = 'ready', bornMs = this.#start + 1): Promise<number> {
+		const {id} = this;
+		const {service, slots} = this.options;
 		const announcement = {
 			id, bornMs, seq: ++this.#seq, service, failureDomain: 'a', address: `127.0.0.1:${targetPort}`, slots, state, warmUpLeftMs: 0,
 		};
@@ -114,13 +165,13 @@
 	}
 
 	async deregister(port: number): Promise<number> {
-		return post(port, {type: 'farewell', farewell: {id: this.options.id}});
+		return post(port, {type: 'farewell', farewell: {id: this.id}});
 	}
 
 	/** Sends an answer that carries the instance's signature. */
 	answer(response: ServerResponse, attemptId: string, status = 200, body = Buffer.alloc(this.options.bodyBytes ?? 10, 'x')): void {
 		response.writeHead(status, {
-			...this.extraHeaders, [meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.options.id}/${attemptId}`, 'content-length': body.length,
+			...this.extraHeaders, [meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.id}/${attemptId}`, 'content-length': body.length,
 		});
 		response.end(body);
 	}
@@ -134,13 +185,13 @@
 		const body = Buffer.concat(chunks);
 		const attemptId = String(request.headers[meshHeaders.attemptId]);
 		if (request.url === HEALTH_PATH) {
-			const {id, slots} = this.options;
+			const {id, options: {slots}} = this;
 			response.writeHead(200, {...this.extraHeaders, [meshHeaders.instance]: id, [meshHeaders.load]: String(slots)});
 			response.end();
 			return;
 		}
 
-		if (request.headers[meshHeaders.expectedInstance] !== this.options.id) {
+		if (request.headers[meshHeaders.expectedInstance] !== this.id) {
 			response.writeHead(421);
 			response.end();
 			return;
@@ -154,6 +205,12 @@
 			return;
 		}
 
+		if (this.crashesOn?.(request, body) === true) {
+			setTimeout(() => {
+				void this.crashAndRestart();
+			}, CRASH_AFTER_MS);
+		}
+
 		this.ranAttemptIds.push(attemptId);
 		this.runningCount++;
 		this.maxRunningCount = Math.max(this.maxRunningCount, this.runningCount);
