--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -114,6 +114,7 @@
 			hosts: this.hosts,
 			directory: this.directory,
 			isUnreachable: host => this.unreachable.has(host),
+			onChannelAdded: () => undefined,
 			onSlowness: slowness => {
 				this.slowness.push(slowness);
 			},
--- a/src/mesh/admission/admissionqueue.ts
+++ b/src/mesh/admission/admissionqueue.ts
@@ -57,6 +57,8 @@
  * Handles the load pattern in which demand of several ranks exceeds the target's capacity.
  */
 export class AdmissionQueue<Call extends QueuedCall> {
+	/** Whether calls only wait; those that `takeSlot` admits run all the same. */
+	isPaused = false;
 	readonly #lanes: Array<QueueLane<Call> | undefined> = Array.from({length: RANK_COUNT * 2});
 	readonly #waiting = new Map<Call, WaitingItem<Call>>();
 	readonly #byCheck = new IndexedHeap<WaitingItem<Call>>(CHECK_SLOT, (a, b) => a.checkMs < b.checkMs);
@@ -118,7 +120,7 @@
 			return EXPIRED;
 		}
 
-		if (this.#running < this.#limit && this.queued === 0 && this.#rateLimiter.tryTake(nowMs)) {
+		if (!this.isPaused && this.#running < this.#limit && this.queued === 0 && this.#rateLimiter.tryTake(nowMs)) {
 			this.#running++;
 			return RUN;
 		}
@@ -138,6 +140,13 @@
 		return {verdict: 'wait', evicted};
 	}
 
+	/** Counts a call as running that doesn't wait in the queue. @returns whether the rate limit allows it now */
+	takeSlot(nowMs: number): boolean {
+		const isAllowed = this.#rateLimiter.tryTake(nowMs);
+		this.#running += isAllowed ? 1 : 0;
+		return isAllowed;
+	}
+
 	/**
 	 * Frees the slot of a call that held it for `spentMs`, or that never ran if that is undefined.
 	 * @param isServed whether the target answered; one that turns calls away at once isn't a fast one
@@ -163,7 +172,7 @@
 			return {call: hopeless, expired: true};
 		}
 
-		if (this.#running >= this.#limit) {
+		if (this.isPaused || this.#running >= this.#limit) {
 			return undefined;
 		}
 
--- /dev/null
+++ b/src/mesh/quarantine/crashreport.ts
@@ -0,0 +1,35 @@
+/** A crash of a target, as its daemon tells the others. Requests are named by their fingerprints. */
+export type CrashReport = {
+	/** Chosen at random by the daemon beside the target. */
+	readonly id: number;
+	readonly service: string;
+	/** How long ago the target crashed, in ms. */
+	readonly ageMs: number;
+	/** The requests that the target was running. */
+	readonly requests: readonly string[];
+	/** The only suspect among them; undefined if there was none, or more than one. */
+	readonly suspect?: string | undefined;
+	/** The chance that the target would have crashed without the suspect; 1 without one. */
+	readonly chance: number;
+};
+
+/** A request that a target has answered after it was in flight at crashes: it had no part in these. */
+export type Survival = {readonly request: string; readonly crashes: readonly number[]};
+
+/** What was in flight at a crash, as far as it counts for the proof. */
+export type CrashScene = {
+	/** How long the suspect had run, in ms. */
+	readonly ranMs: number;
+	/** The number of other requests that were running. */
+	readonly others: number;
+	/** How often the targets of the service crash, for each target and ms. */
+	readonly crashesPerMs: number;
+};
+
+/** The chance that an ordinary request is one that crashes targets. */
+const GUILT_OF_OTHERS = 0.0001;
+
+/** The chance that a target would have crashed without the suspect: by itself while that ran, or by another request. */
+export function chanceWithout({ranMs, others, crashesPerMs}: CrashScene): number {
+	return Math.min(1, (ranMs * crashesPerMs) + (others * GUILT_OF_OTHERS));
+}
--- /dev/null
+++ b/src/mesh/quarantine/index.ts
@@ -0,0 +1,11 @@
+export {
+	type CrashReport, type CrashScene, type Survival, chanceWithout,
+} from './crashreport.js';
+export {
+	type HeldRequest, type Hold, holdMs, maxHoldMs,
+} from './hold.js';
+export {type Inquiry, type LostRequest, findSingleSuspect} from './inquiry.js';
+export {
+	type CrashFinding, type QuarantineNews, type QuarantineVerdict, type SingleSuspect, Quarantine,
+} from './quarantine.js';
+export {type TrialStep, TrialSchedule} from './trialschedule.js';
--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -1,3 +1,4 @@
+import {chooseByRendezvous} from '../../core/index.js';
 import {type HostEntry, type HostTable} from '../membership/host.js';
 import {type LoadBalancer} from '../balancing/loadbalancer.js';
 import {type LoadReport} from '../balancing/loadreport.js';
@@ -10,6 +11,8 @@
 const MAX_REFUSALS = 4;
 /** Minimum share of the latency objective that must be left for a retry: with less, the answer would hardly come in time. */
 const MIN_RESEND_SHARE = 0.3;
+/** Number of targets that may crash while they run a request before it isn't sent again. */
+const MAX_CRASHES = 2;
 export type AttemptsParts = {
 	readonly hosts: HostTable;
 	readonly loadBalancer: LoadBalancer;
@@ -52,6 +55,7 @@
 	/** Sends that reached a target or may have reached one. */
 	#sends = 0;
 	#refusals = 0;
+	#crashes = 0;
 
 	constructor(parts: AttemptsParts, request: RequestToPlace, timeLimits: TimeLimits) {
 		this.#parts = parts;
@@ -78,14 +82,18 @@
 		return this.#request.isForRetriedRun || this.#sends > 0;
 	}
 
-	/** Chooses the next host and counts the request as in flight there. */
-	chooseNextHost(nowMs: number): HostEntry | undefined {
+	/**
+	 * Chooses the next host and counts the request as in flight there.
+	 * @param suspect what identifies a request that may crash targets: all daemons send it to the same one, which tries it once
+	 */
+	chooseNextHost(nowMs: number, suspect?: string): HostEntry | undefined {
 		const {
 			hosts, loadBalancer, retryBudget, targetSignals,
 		} = this.#parts;
 		const {route, service, isForRetriedRun} = this.#request;
 		const call = {route: route.name, objectiveMs: route.objectiveMs, tried: this.#triedHosts};
-		const entry = loadBalancer.choose(hosts.serving(service), call, nowMs, candidate => targetSignals.hasLeft(candidate, nowMs));
+		const entry = (suspect === undefined ? undefined : this.#chooseForTrial(suspect, nowMs))
+			?? loadBalancer.choose(hosts.serving(service), call, nowMs, candidate => targetSignals.hasLeft(candidate, nowMs));
 		if (entry !== undefined) {
 			if (this.#triedHosts.length === 0) {
 				retryBudget.recordFirstSend(service, nowMs);
@@ -134,6 +142,11 @@
 			&& (!reachedTarget || (this.#sends < this.#request.route.attempts && this.#trySpendBudget(nowMs)));
 	}
 
+	/** Counts a crash of the target that ran the request. */
+	recordCrash(): void {
+		this.#crashes++;
+	}
+
 	/**
 	 * Decides on a retry after a failure in which the target may have run the request.
 	 * @returns whether the request may go to another host; the retry is then already charged to the budget
@@ -141,12 +154,20 @@
 	mayResend(nowMs: number): boolean {
 		const {isForRetriedRun, route: {objectiveMs, attempts, repeatability}} = this.#request;
 		const leftMs = Math.min(this.#timeLimits.deadlineMs, this.#timeLimits.objectiveEndMs) - nowMs;
-		const isAllowed = repeatability === 'safe' && !isForRetriedRun && this.#sends + 1 < attempts
+		const isAllowed = repeatability === 'safe' && this.#crashes < MAX_CRASHES && !isForRetriedRun && this.#sends + 1 < attempts
 			&& leftMs > objectiveMs * MIN_RESEND_SHARE && this.#hasCapacityElsewhere(false, nowMs) && this.#trySpendBudget(nowMs);
 		this.#sends += isAllowed ? 1 : 0;
 		return isAllowed;
 	}
 
+	#chooseForTrial(suspect: string, nowMs: number): HostEntry | undefined {
+		const {hosts, loadBalancer, targetSignals} = this.#parts;
+		const candidates = targetSignals.withoutLeft(hosts.serving(this.#request.service), nowMs).filter(({host, target}) =>
+			target?.state === 'ready' && !this.#triedHosts.includes(host) && !loadBalancer.isMarkedUnreachable(host, nowMs));
+		const chosen = chooseByRendezvous(suspect, candidates.map(({host}) => host));
+		return candidates.find(({host}) => host === chosen);
+	}
+
 	#trySpendBudget(nowMs: number): boolean {
 		const {service, level} = this.#request;
 		const isGranted = this.#parts.retryBudget.spend(service, level, nowMs);
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -70,10 +70,11 @@
 		| 'shed-by-target'
 		| 'misdirected'
 		| 'unreachable'
+		| 'quarantined'
 		| 'cancelled';
 
 /** Why a call that may have run failed. */
-export type FailureReason = 'broken' | 'garbled' | 'deadline' | 'unframed' | 'link-lost' | 'cancelled';
+export type FailureReason = 'broken' | 'crashed' | 'garbled' | 'deadline' | 'unframed' | 'link-lost' | 'cancelled';
 
 /** Receives the outcome of one call: one answer, refusal or failure. */
 export abstract class CallSink {
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -5,12 +5,14 @@
 	Attempts, type LoadReport, type Route, type Priority, type RootRequest, chooseRetryAfterMs,
 } from '../../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
+	type AnswerHead, type Call, type CallHandle, CallSink, type FailureReason, type RefusalReason,
 } from '../call.js';
 import {type ExchangeContext} from './exchangecontext.js';
+import {ExchangeLog} from './exchangelog.js';
 import {type ExchangeOptions} from './exchangeoptions.js';
 import {type EndReason, judgeRefusal, recordRefusal} from './refusals.js';
 import {ParentRun} from './parentrun.js';
+import {QuarantineCheck} from './quarantinecheck.js';
 import {ResponseWriter} from './responsewriter.js';
 import {RequestBody} from './requestbody.js';
 import {Withdrawal} from './withdrawal.js';
@@ -28,12 +30,12 @@
 	readonly #responseWriter: ResponseWriter;
 	readonly #body: RequestBody;
 	readonly #attempts: Attempts;
-	readonly #template: CallTemplate;
-	readonly #organisation: string | undefined;
+	readonly #options: ExchangeOptions;
 	readonly #arrivedMs: number;
-	readonly #parentCall: Call | undefined;
 	readonly #parentRun: ParentRun | undefined;
 	readonly #withdrawal = new Withdrawal();
+	readonly #log: ExchangeLog;
+	readonly #quarantineCheck: QuarantineCheck;
 	#priority: Priority;
 	readonly #routedService: RootRequest;
 	#callHandle: CallHandle | undefined;
@@ -54,25 +56,27 @@
 		this.attemptId = options.attemptId;
 		this.#body = new RequestBody(request);
 		this.#responseWriter = new ResponseWriter(context, request, response, options.attemptId);
-		this.#template = options.template;
-		this.#organisation = options.organisation;
-		this.#parentCall = options.parentCall;
+		this.#options = options;
 		this.#arrivedMs = context.clock.nowMs();
 		this.leftMs = options.leftMs;
 		this.#routedService = {route: this.route.name, service: this.service, organisation: options.organisation};
-		this.#priority = this.#parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#arrivedMs);
+		this.#priority = this.#options.parentCall?.priority ?? context.loadShedder.priorityOf(this.#routedService, this.#options.template.rank, this.attemptId, this.#arrivedMs);
 		this.#attempts = new Attempts(context, {
-			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#parentCall?.isRepeat === true, level: this.#priority.level,
+			attemptId: this.attemptId, route: this.route, service: this.service, isForRetriedRun: this.#options.parentCall?.isRepeat === true, level: this.#priority.level,
 		}, this);
 		this.#parentRun = options.parentCall && new ParentRun(context, options.parentCall);
-		this.#parentRun?.begin(this.#template.callerService, [this.service, ...context.loadShedder.reachedServices(this.#routedService).filter(service => service !== this.service)]);
+		this.#parentRun?.begin(this.#options.template.callerService, [this.service, ...context.loadShedder.reachedServices(this.#routedService).filter(service => service !== this.service)]);
 		this.deadlineMs = this.#arrivedMs + Math.min(options.leftMs, options.route.timeoutMs);
 		this.objectiveEndMs = this.#arrivedMs + options.route.objectiveMs;
+		this.#log = new ExchangeLog(context, {
+			attempt: this.attemptId, route: this.route.name, service: this.service, rank: this.#options.template.rank, organisation: this.#options.organisation, arrivedMs: this.#arrivedMs, deadlineMs: this.deadlineMs,
+		}, this.#attempts);
+		this.#quarantineCheck = new QuarantineCheck(context.quarantine, () => ({...options, path: request.url!, body: this.#body.firstChunk}));
 	}
 
 	/** Whether the request is admitted. A nested call always is, because work for its root request has already been spent. */
 	get isAdmitted(): boolean {
-		return this.#parentCall !== undefined || this.#context.loadShedder.isAdmitted(this.#priority);
+		return this.#options.parentCall !== undefined || this.#context.loadShedder.isAdmitted(this.#priority);
 	}
 
 	get socket(): Socket {
@@ -108,7 +112,7 @@
 
 	/** Starts the request after it was held. */
 	resume(): void {
-		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, this.#template.rank, this.attemptId, this.#context.clock.nowMs());
+		this.#priority = this.#context.loadShedder.priorityOf(this.#routedService, this.#options.template.rank, this.attemptId, this.#context.clock.nowMs());
 		if (this.isAdmitted) {
 			this.#sendOrWait();
 		} else {
@@ -155,7 +159,7 @@
 		if (!this.#isOver) {
 			this.#finish();
 			this.#cancelCall();
-			this.#logEvent('client_gone', 'client-gone');
+			this.#log.event('client_gone', 'client-gone');
 		}
 	}
 
@@ -226,7 +230,9 @@
 			return;
 		}
 
-		if (!this.#body.isStreaming && this.#attempts.mayTryAnotherHost(judgeRefusal(reason), nowMs)) {
+		if (reason === 'quarantined') {
+			this.#refuse('quarantined', 'transient', this.#quarantineCheck.leftMs(nowMs));
+		} else if (!this.#body.isStreaming && this.#attempts.mayTryAnotherHost(judgeRefusal(reason), nowMs)) {
 			this.#sendToNextHost(reason);
 		} else {
 			this.#refuse(reason, report === undefined || reason === 'not-here' || reason === 'stopping' || reason === 'misdirected' ? 'transient' : 'overload');
@@ -238,7 +244,9 @@
 		this.#attempts.recordReport(report, nowMs);
 		this.#releaseHost();
 		this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
-		if (reason === 'link-lost') {
+		if (reason === 'crashed') {
+			this.#attempts.recordCrash();
+		} else if (reason === 'link-lost') {
 			this.#context.loadBalancer.markUnreachable(this.#attempts.host, nowMs);
 		}
 
@@ -261,7 +269,7 @@
 	}
 
 	#sendOrWait(): void {
-		const decision = this.#parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
+		const decision = this.#options.parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
 		if (typeof decision === 'number') {
 			this.#refuse('no-chance', 'overload', decision);
 		} else if (decision !== 'held') {
@@ -271,7 +279,13 @@
 
 	#sendToNextHost(previousRefusal?: string): void {
 		const nowMs = this.#context.clock.nowMs();
-		const entry = this.#attempts.chooseNextHost(nowMs);
+		const verdict = this.#quarantineCheck.verdictAt(nowMs);
+		if (verdict === 'refuse') {
+			this.#refuse('quarantined', 'transient', this.#quarantineCheck.leftMs(nowMs));
+			return;
+		}
+
+		const entry = this.#attempts.chooseNextHost(nowMs, verdict === 'trial' ? this.#quarantineCheck.fingerprint : undefined);
 		if (entry === undefined) {
 			this.#refuse(previousRefusal === undefined ? 'no-target' : (previousRefusal as EndReason), 'transient');
 			return;
@@ -279,20 +293,20 @@
 
 		this.#context.log.registry.count('sent', {service: this.service, host: entry.host});
 		if (previousRefusal !== undefined) {
-			this.#logEvent('placed_again', previousRefusal);
+			this.#log.event('placed_again', previousRefusal);
 		}
 
 		const call: Call = {
-			template: this.#template,
+			template: this.#options.template,
 			attemptId: this.attemptId,
 			path: this.#request.url!,
 			instance: entry.target!.id,
 			leftMs: this.deadlineMs - nowMs,
-			objectiveLeftMs: Math.max(0, ((this.#parentCall && this.#context.findObjectiveEndMs(this.#parentCall.attemptId)) ?? this.objectiveEndMs) - nowMs),
+			objectiveLeftMs: Math.max(0, ((this.#options.parentCall && this.#context.findObjectiveEndMs(this.#options.parentCall.attemptId)) ?? this.objectiveEndMs) - nowMs),
 			priority: this.#priority,
 			rateLimitPerS: this.#attempts.rateLimitPerS,
-			isNested: this.#parentCall !== undefined,
-			...(this.#organisation === undefined ? {} : {organisation: this.#organisation}),
+			isNested: this.#options.parentCall !== undefined,
+			...(this.#options.organisation === undefined ? {} : {organisation: this.#options.organisation}),
 			body: this.#body.firstChunk,
 			hasMoreBody: this.#body.isStreaming,
 			isRepeat: this.#attempts.mayBeDuplicate,
@@ -316,8 +330,7 @@
 	}
 
 	#countAnswer(status: number, nowMs: number): void {
-		this.#context.log.registry.count('answers', {service: this.service, status});
-		this.#context.log.registry.observe('answer', {service: this.service, rank: this.#template.rank}, nowMs - this.#arrivedMs);
+		this.#log.answered(status, nowMs);
 		this.#context.heldRequests?.onAnswered(this, status);
 	}
 
@@ -360,11 +373,8 @@
 
 		this.#parentRun?.fail();
 		this.#finish();
-		const event = status === 503 ? 'refused' : (status === 429 ? 'quota_denied' : 'failed');
-		this.#logEvent(event, reason, {status});
-		this.#context.log.registry.count(event === 'quota_denied' ? 'refused' : event, {service: this.service, rank: this.#template.rank, reason});
-		this.#context.log.registry.observe(event === 'failed' ? 'failed_after' : 'refused_after', {reason}, this.#context.clock.nowMs() - this.#arrivedMs);
-		this.#context.refusalCounts.record(this.#organisation, reason, this.#attempts.host);
+		this.#log.ended(status, reason, reason === 'quarantined' ? {fingerprint: this.#quarantineCheck.fingerprint} : {});
+		this.#context.refusalCounts.record(this.#options.organisation, reason, this.#attempts.host);
 		this.#responseWriter.sendEmpty(status, headers);
 	}
 
@@ -373,7 +383,7 @@
 		this.#parentRun?.fail();
 		this.#finish();
 		this.#responseWriter.resetConnection();
-		this.#logEvent('answer_cut', reason);
+		this.#log.event('answer_cut', reason);
 	}
 
 	#finish(): void {
@@ -386,15 +396,4 @@
 		this.#context.heldRequests?.remove(this);
 		this.#context.onEnded(this);
 	}
-
-	#logEvent(event: string, reason: string, extraFields: Record<string, string | number> = {}): void {
-		const nowMs = this.#context.clock.nowMs();
-		const {attemptId: attempt, route: {name: route}, service} = this;
-		const {host, count: tried} = this.#attempts;
-		this.#context.log.event(event, {
-			attempt, route, service, reason, host, tried, ageMs: Math.round(nowMs - this.#arrivedMs), leftMs: Math.round(this.deadlineMs - nowMs),
-			...(this.#organisation === undefined ? {} : {organisation: this.#organisation}),
-			...extraFields,
-		});
-	}
 }
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	type AttemptsParts, type HostEntry, type LoadShedder,
+	type AttemptsParts, type HostEntry, type LoadShedder, type Quarantine,
 } from '../../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink,
@@ -17,6 +17,7 @@
 	readonly log: EventLog;
 	readonly loadShedder: LoadShedder;
 	readonly refusalCounts: RefusalCounts;
+	readonly quarantine: Quarantine;
 	/** Holds requests that wait for the end of a fault; absent unless the settings allow it memory. */
 	readonly heldRequests?: HeldRequests | undefined;
 	readonly random: () => number;
--- a/src/relay/fingerprint.ts
+++ b/src/relay/fingerprint.ts
@@ -6,11 +6,14 @@
 
 const FIELD_END = '\n';
 
+/** What identifies a request. */
+export type IdentifyingParts = Pick<Call, 'template' | 'path' | 'body'> & {readonly organisation?: string | undefined};
+
 /**
  * Computes what identifies a request whenever and wherever it is sent again: method, host, path, caller, organisation and body.
  * Of a streamed body only the first part counts, as the rest isn't there when the call is decided on.
  */
-export function fingerprintOf({template: {method, callerService, headers}, path, organisation = '', body}: Call): string {
+export function fingerprintOf({template: {method, callerService, headers}, path, organisation = '', body}: IdentifyingParts): string {
 	const hostIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
 	const hash = createHash('sha256');
 	for (const field of [method, headers[hostIndex + 1], path, callerService, organisation]) {
--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -52,6 +52,8 @@
 	usage: 19,
 	/** Host of the accountant, whether it is ready, whether it replies to a report, allowances. */
 	allowances: 20,
+	/** Crashes, survivals, holds: the fields in `buildQuarantineFrame`. */
+	quarantine: 21,
 } as const;
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
@@ -337,7 +339,8 @@
 	});
 }
 
-function readItems(field: string, packed: unknown): unknown[][] {
+/** Reads a list of lists. @throws {FrameError} when it is none */
+export function readItems(field: string, packed: unknown): unknown[][] {
 	if (!Array.isArray(packed) || !packed.every(item => Array.isArray(item))) {
 		throw new FrameError(`${field}: expected a list of lists`);
 	}
--- a/src/relay/peers/gossip.ts
+++ b/src/relay/peers/gossip.ts
@@ -31,6 +31,8 @@
 	readonly hosts: HostTable;
 	readonly directory: Directory;
 	readonly isUnreachable: (host: string) => boolean;
+	/** Called when a link has become part of the mesh. */
+	readonly onChannelAdded: (channel: FrameChannel) => void;
 	/** Called when a target is found to be slow, still slow or slow no longer by its own daemon. */
 	readonly onSlowness: (slowness: TargetSlowness) => void;
 };
@@ -95,6 +97,7 @@
 			// The first difference on a new link is no version on its way.
 			this.#channels.set(channel, {...NO_MISMATCH, count: MAX_MISMATCHES - 1});
 			channel.send(this.#buildNewsFrame());
+			this.#parts.onChannelAdded(channel);
 		}
 	}
 
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -9,6 +9,7 @@
 } from './frame.js';
 import {Gossip} from './gossip.js';
 import {Link, LinkEvents, LIVENESS_INTERVAL_MS} from './link.js';
+import {type QuarantineExchange} from './quarantineexchange.js';
 import {type ShareExchange} from './shareexchange.js';
 
 /** How many daemons, on average, remove an entry that all daemons find to be wrong; more than one, because one may fail. */
@@ -37,6 +38,7 @@
 	readonly loadShedder: LoadShedder;
 	readonly directory: Directory;
 	readonly shareExchange: ShareExchange;
+	readonly quarantineExchange: QuarantineExchange;
 	readonly random: () => number;
 };
 
@@ -67,6 +69,12 @@
 			hosts: parts.hosts,
 			directory: parts.directory,
 			isUnreachable: host => this.#unreachable.has(host),
+			onChannelAdded(channel) {
+				const frame = parts.quarantineExchange.buildStateFrame();
+				if (frame !== undefined) {
+					channel.send(frame);
+				}
+			},
 			onSlowness({host, slowness}) {
 				parts.loadBalancer.onSlowness(host, slowness, parts.clock.nowMs());
 			},
@@ -201,7 +209,8 @@
 			}
 
 			default: {
-				if (!this.#gossip.handleFrame(frame, channel) && !this.#parts.shareExchange.handleFrame(frame, channel)) {
+				const {shareExchange, quarantineExchange} = this.#parts;
+				if (![this.#gossip, shareExchange, quarantineExchange].some(receiver => receiver.handleFrame(frame, channel))) {
 					log.registry.count('bad_input', {address: 'peers'});
 				}
 			}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -3,7 +3,7 @@
 	ErrorLimit, EventLog, Logger, StatsdReporter,
 } from '../log/index.js';
 import {
-	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
+	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, Quarantine, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './target/announcementendpoint.js';
@@ -16,6 +16,7 @@
 import {RequestServer} from './clients/requestserver.js';
 import {FrameTag} from './peers/frame.js';
 import {Links} from './peers/links.js';
+import {QuarantineExchange} from './peers/quarantineexchange.js';
 import {ShareExchange} from './peers/shareexchange.js';
 import {MetricsEndpoint} from './operators/metricsendpoint.js';
 import {RelayReporter} from './operators/relayreport.js';
@@ -70,6 +71,8 @@
 	readonly #quotaGate: QuotaGate;
 	readonly #refusalCounts = new RefusalCounts();
 	readonly #shareExchange: ShareExchange;
+	readonly #quarantine: Quarantine;
+	readonly #quarantineExchange: QuarantineExchange;
 	readonly #targetMonitor: TargetMonitor;
 	readonly #errorLimit = new ErrorLimit();
 	#counterFeed: StatsdReporter | undefined;
@@ -91,6 +94,7 @@
 		});
 		this.#loadShedder = new LoadShedder(settings.host, settings.heldBytes !== undefined, (...request) => sharing.placeOf(...request));
 		this.#retryBudget = new RetryBudget(settings.retry);
+		this.#quarantine = new Quarantine(settings.quarantineMs);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
 		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
@@ -103,6 +107,13 @@
 				this.#targetMonitor.handleLeaving(instance);
 			},
 			decodeMachineLoad: settings.usesMachineLoad === true ? load => adapter.decodeMachineLoad(load) : undefined,
+			quarantine: this.#quarantine,
+			countTargets: service => this.#hosts.serving(service).length,
+			parentOf: attemptId => adapter.parseParentAttemptId(attemptId),
+			onNews: news => {
+				this.#quarantineExchange.tell(news);
+			},
+			random,
 			weightOf: organisation => this.#directory.site?.organisations?.weightOf(organisation) ?? 1,
 		});
 		this.#directory = new Directory({
@@ -115,10 +126,15 @@
 		this.#shareExchange = new ShareExchange({
 			host: settings.host, failureDomain: settings.failureDomain, clock, log: this.#log, hosts: this.#hosts, sharing, random, links: () => this.#links,
 		});
+		this.#quarantineExchange = new QuarantineExchange({
+			clock, log: this.#log, quarantine: this.#quarantine, flood: (...frame) => {
+				this.#links.gossip.flood(...frame);
+			},
+		});
 		this.#links = new Links({
 			host: settings.host,
 			failureDomain: settings.failureDomain,
-			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, random,
+			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, quarantineExchange: this.#quarantineExchange, random,
 		});
 		this.#targetMonitor = new TargetMonitor({
 			settings: () => this.#settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
@@ -138,6 +154,7 @@
 			site: () => this.#directory.site,
 			quotaGate: this.#quotaGate,
 			refusalCounts: this.#refusalCounts,
+			quarantine: this.#quarantine,
 			revocation: settings.revocation,
 			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
@@ -264,6 +281,7 @@
 		this.#peerServer.close();
 		this.#links.close();
 		this.#shareExchange.close();
+		this.#quarantineExchange.close();
 		clearInterval(this.#timer);
 		await this.#counterFeed?.close();
 		await this.#directory.close();
@@ -287,6 +305,7 @@
 		this.#links.keepNeighbors();
 		this.#links.redial();
 		this.#targetMonitor.check();
+		this.#quarantine.removeExpired(this.#clock.nowMs());
 	}
 
 	#directoryEvents(): DirectoryEvents {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -49,6 +49,8 @@
 	readonly quotaRoom?: BudgetRoom;
 	/** The memory that requests held for the end of a fault may take, in bytes; without it none is held, and no outcomes are counted. */
 	readonly heldBytes?: number | undefined;
+	/** How long a request that was proved to crash targets is refused, in ms, before it is tried again; without it none is. */
+	readonly quarantineMs?: number | undefined;
 	/** Whether the daemon reads what its target says of the load of its machine. */
 	readonly usesMachineLoad?: boolean | undefined;
 };
--- a/src/relay/target/crashdetector.ts
+++ b/src/relay/target/crashdetector.ts
@@ -16,6 +16,9 @@
 /** What showed that the target has crashed: it refused a connection, or announced another start. */
 export type CrashSign = 'refused' | 'restarted';
 
+/** Whether the target closed the connection of a run, or crashed. */
+export type LossReason = 'broken' | 'crashed';
+
 /** A run that was lost, with how long it had lasted in ms. */
 export type LostRun = {readonly owned: OwnedCall; readonly ranMs: number};
 
@@ -33,6 +36,7 @@
 export class CrashDetector {
 	readonly #options: CrashDetectorOptions;
 	#lost: LostRun[] = [];
+	#unsettled: Array<(reason: LossReason) => void> = [];
 	#lostMs = 0;
 	#isCheckDue = false;
 	#socket: Socket | undefined;
@@ -41,8 +45,11 @@
 		this.#options = options;
 	}
 
-	/** Records that the connection of a run broke before its answer was whole. */
-	onRunLost(owned: OwnedCall, nowMs: number): void {
+	/**
+	 * Records that the connection of a run broke before its answer was whole.
+	 * @param settle called within moments with whether the target has crashed, as far as is known by then
+	 */
+	onRunLost(owned: OwnedCall, nowMs: number, settle: (reason: LossReason) => void): void {
 		if (nowMs - this.#lostMs > PENDING_MS) {
 			this.#lost = [];
 		}
@@ -52,6 +59,7 @@
 		}
 
 		this.#lost.push({owned, ranMs: nowMs - owned.startedMs});
+		this.#unsettled.push(settle);
 		this.#scheduleCheck();
 	}
 
@@ -84,6 +92,8 @@
 			this.#isCheckDue = false;
 			if (this.#lost.length > 0 && !this.#options.hasRunsFrom(this.#lostMs)) {
 				this.#connect();
+			} else {
+				this.#settle('broken');
 			}
 		}, CHECK_DELAY_MS);
 	}
@@ -93,17 +103,26 @@
 		this.#socket?.destroy();
 		const socket = connect({host: ip, port, timeout: CONNECT_TIMEOUT_MS});
 		this.#socket = socket;
-		socket.on('connect', () => {
-			socket.destroy();
-		});
-		socket.on('timeout', () => {
-			socket.destroy();
-		});
+		for (const event of ['connect', 'timeout'] as const) {
+			socket.on(event, () => {
+				socket.destroy();
+			});
+		}
+
 		socket.on('error', (error: NodeJS.ErrnoException) => {
 			if (error.code === 'ECONNREFUSED') {
 				this.onRefused();
 			}
 		});
+		socket.on('close', () => {
+			this.#settle('broken');
+		});
+	}
+
+	#settle(reason: LossReason): void {
+		for (const settle of this.#unsettled.splice(0)) {
+			settle(reason);
+		}
 	}
 
 	#confirm(sign: CrashSign): void {
@@ -111,6 +130,7 @@
 			const lost = this.#lost.toSorted((a, b) => a.ranMs - b.ranMs).slice(0, MAX_LOST);
 			this.#lost = [];
 			this.#options.onCrash(lost, sign);
+			this.#settle('crashed');
 		}
 	}
 }
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -22,6 +22,8 @@
 	abstract onOutcome(owned: OwnedCall, hasFailed: boolean): void;
 	/** Called when a run failed without a whole answer. */
 	abstract onRunFailed(owned: OwnedCall, reason: FailureReason): void;
+	/** Called when the connection of a run broke. @param settle called within moments with whether the target has crashed */
+	abstract onRunLost(owned: OwnedCall, settle: (reason: FailureReason) => void): void;
 	abstract onUnreachable(owned: OwnedCall): void;
 	abstract onMisdirected(owned: OwnedCall): void;
 	/** Called with what the target says of itself in its answer to the call. */
@@ -203,8 +205,13 @@
 
 	onFailed(reason: FailureReason): void {
 		this.#end(false, reason === 'broken' || reason === 'garbled' ? 'failed' : 'lost');
-		this.#owner.onRunFailed(this, reason);
-		this.#sink?.onFailed(reason, this.#getLoadReport());
+		if (reason === 'broken') {
+			this.#owner.onRunLost(this, settled => {
+				this.#fail(settled);
+			});
+		} else {
+			this.#fail(reason);
+		}
 	}
 
 	onSignals(signals: TargetSignals): void {
@@ -227,6 +234,11 @@
 		this.#sink?.onCredit(bytes);
 	}
 
+	#fail(reason: FailureReason): void {
+		this.#owner.onRunFailed(this, reason);
+		this.#sink?.onFailed(reason, this.#getLoadReport());
+	}
+
 	#end(isServed: boolean, outcome: RunOutcome): void {
 		this.#isOver = true;
 		this.#owner.onRunEnded(this, isServed, outcome);
--- /dev/null
+++ b/src/relay/target/quarantineguard.ts
@@ -0,0 +1,166 @@
+import {type Clock} from '../../clock/index.js';
+import {type EventLog} from '../../log/index.js';
+import {
+	type AdmissionQueue, type Quarantine, type QuarantineNews, type SingleSuspect, type TargetLifecycle, findSingleSuspect,
+} from '../../mesh/index.js';
+import {type RefusalReason} from '../call.js';
+import {type Address} from '../settings.js';
+import {AnsweredCalls} from './answeredcalls.js';
+import {
+	CrashDetector, type CrashSign, type LostRun, type LossReason,
+} from './crashdetector.js';
+import {logCrash} from './crashlog.js';
+import {type OwnedCall} from './ownedcall.js';
+import {Trials} from './trials.js';
+
+/** The most of a path that is kept for operators, in characters. */
+const MAX_PATH_LENGTH = 120;
+/** Crashes are numbered at random below this. */
+const MAX_CRASH_ID = 2 ** 48;
+
+/** What the guard needs besides what only the owner of the target knows. */
+export type QuarantineParts = {
+	readonly quarantine: Quarantine;
+	/** The address of the target. */
+	readonly target: Address;
+	/** How many targets serve the service. */
+	readonly countTargets: (service: string) => number;
+	/** Returns the id of the attempt that a nested call belongs to. */
+	readonly parentOf: (attemptId: string) => string | undefined;
+	/** Called with what the other daemons should hear. */
+	readonly onNews: (news: QuarantineNews) => void;
+	readonly random: () => number;
+};
+
+export type QuarantineGuardOptions = QuarantineParts & {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly lifecycle: TargetLifecycle;
+	readonly queue: AdmissionQueue<OwnedCall>;
+	/** Whether a run that began before this time is still in flight. */
+	readonly hasRunsFrom: (beforeMs: number) => boolean;
+	/** Begins to run a call that holds a slot. */
+	readonly start: (owned: OwnedCall) => void;
+	/** Decides on a call that is no suspect any longer, as if it had just arrived. */
+	readonly admit: (owned: OwnedCall) => void;
+	readonly refuse: (owned: OwnedCall, reason: RefusalReason) => void;
+};
+
+/** Guards the target beside this daemon from requests that crash it: notices crashes, tries suspects alone, and tells the others what that shows. */
+export class QuarantineGuard {
+	readonly trials: Trials;
+	readonly #options: QuarantineGuardOptions;
+	readonly #crashDetector: CrashDetector;
+	readonly #answered = new AnsweredCalls();
+
+	constructor(options: QuarantineGuardOptions) {
+		this.#options = options;
+		this.trials = new Trials({
+			...options,
+			onBegun({fingerprint, call: {attemptId, template: {route}, instance}}) {
+				options.log.event('trial_begun', {
+					attempt: attemptId, fingerprint, route, instance, running: options.queue.running,
+				});
+			},
+		});
+		this.#crashDetector = new CrashDetector({
+			...options,
+			onCrash: (lost, sign) => {
+				this.#onCrash(lost, sign);
+			},
+		});
+	}
+
+	/** Records that the connection of a run broke. @param settle called with whether the target crashed */
+	onRunLost(owned: OwnedCall, settle: (reason: LossReason) => void): void {
+		this.#crashDetector.onRunLost(owned, this.#options.clock.nowMs(), settle);
+	}
+
+	/** Records that the target has answered a run. */
+	onServed(owned: OwnedCall, nowMs: number): void {
+		this.#crashDetector.onServed(nowMs);
+		const {quarantine, log, onNews} = this.#options;
+		if (quarantine.isEnabled) {
+			this.#answered.record(owned.call);
+		}
+
+		if (quarantine.isIdle) {
+			return;
+		}
+
+		const {fingerprint, startedMs, call: {attemptId, instance}} = owned;
+		const {survival, hold} = quarantine.concludeServed(fingerprint, startedMs, nowMs);
+		if (survival !== undefined || hold !== undefined) {
+			onNews({crashes: [], survivals: survival === undefined ? [] : [survival], holds: hold === undefined ? [] : [hold]});
+		}
+
+		if (hold !== undefined) {
+			log.event('request_cleared', {fingerprint, attempt: attemptId, instance});
+		}
+	}
+
+	/** Records that the target refused a connection. */
+	onRefused(): void {
+		this.#crashDetector.onRefused();
+	}
+
+	/** Records that another start of the target has announced itself. */
+	onRestarted(): void {
+		this.#crashDetector.onRestarted(this.#options.clock.nowMs());
+		this.#answered.reset();
+	}
+
+	#onCrash(lost: readonly LostRun[], sign: CrashSign): void {
+		const {
+			clock, log, lifecycle, queue, quarantine, countTargets, onNews, random,
+		} = this.#options;
+		const {running, queued, limit} = queue;
+		logCrash(log, lost, {
+			sign, running, queued, limit,
+		});
+		const service = lifecycle.current?.service;
+		// A target that leaves may end with runs in flight, and none of them is why.
+		if (!quarantine.isEnabled || service === undefined || lifecycle.isDraining) {
+			return;
+		}
+
+		const nowMs = clock.nowMs();
+		const answered = this.#answered.fingerprints();
+		this.#answered.reset();
+		const possible = lost.filter(({owned: {fingerprint}}) => !answered.has(fingerprint));
+		const suspect = this.#findSuspect(possible, nowMs);
+		const crash = {id: Math.floor(random() * MAX_CRASH_ID), service, requests: possible.map(({owned: {fingerprint}}) => fingerprint)};
+		const {report, hold} = quarantine.concludeCrash(crash, suspect, countTargets(service), nowMs);
+		onNews({crashes: [report], survivals: [], holds: hold === undefined ? [] : [hold]});
+		if (suspect !== undefined) {
+			log.event('suspect_crashed', {
+				fingerprint: suspect.request, attempt: suspect.subject.attemptId, others: suspect.others, ranMs: Math.round(suspect.ranMs), chance: report.chance.toFixed(5),
+			});
+		}
+
+		if (hold !== undefined) {
+			const {request, strikes, leftMs, subject} = hold;
+			log.registry.count('requests_held', {service});
+			log.warn('request_held', {
+				fingerprint: request, strikes, forMs: leftMs, service, ...subject,
+			});
+		}
+	}
+
+	#findSuspect(lost: readonly LostRun[], nowMs: number): SingleSuspect | undefined {
+		const {quarantine, parentOf} = this.#options;
+		const runs = lost.map(({owned: {fingerprint, call}, ranMs}) => ({request: fingerprint, attemptId: call.attemptId, ranMs}));
+		const inquiry = findSingleSuspect(runs, quarantine, parentOf, nowMs);
+		const found = lost.find(({owned: {call}}) => call.attemptId === inquiry?.attemptId);
+		if (inquiry === undefined || found === undefined) {
+			return undefined;
+		}
+
+		const {template: {route, method, callerService}, path, attemptId} = found.owned.call;
+		return {
+			...inquiry, subject: {
+				route, method, path: path.slice(0, MAX_PATH_LENGTH), caller: callerService, attemptId,
+			},
+		};
+	}
+}
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -8,11 +8,10 @@
 } from '../call.js';
 import {type DecodeError} from '../error.js';
 import {PeriodicCheck} from '../periodiccheck.js';
-import {type Address} from '../settings.js';
-import {CrashDetector} from './crashdetector.js';
-import {logCrash} from './crashlog.js';
 import {CallOwner, OwnedCall} from './ownedcall.js';
+import {OwnFloor} from './ownfloor.js';
 import {OwnSignals} from './ownsignals.js';
+import {type QuarantineParts, QuarantineGuard} from './quarantineguard.js';
 import {logRefusal} from './refusallog.js';
 import {RunRecorder} from './runrecorder.js';
 import {type TargetClient} from './targetclient.js';
@@ -24,13 +23,11 @@
 /** How long calls are refused after the target was unreachable, in ms. */
 const UNREACHABLE_PAUSE_MS = 300;
 
-export type TargetOwnerOptions = {
+export type TargetOwnerOptions = QuarantineParts & {
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly lifecycle: TargetLifecycle;
 	readonly targetClient: TargetClient;
-	/** The address of the target. */
-	readonly target: Address;
 	readonly loadShedder: LoadShedder;
 	/** What an organisation is entitled to, in relation to the others. */
 	readonly weightOf: (organisation: string) => number;
@@ -53,15 +50,16 @@
 	readonly #queue: AdmissionQueue<OwnedCall>;
 	readonly #runRecorder: RunRecorder;
 	readonly #ownSignals: OwnSignals;
-	readonly #crashDetector: CrashDetector;
+	readonly #ownFloor: OwnFloor;
+	readonly #guard: QuarantineGuard;
 	readonly #running = new Set<OwnedCall>();
 	readonly #runningByAttempt = new Map<string, OwnedCall>();
 	readonly #periodicCheck = new PeriodicCheck(() => {
 		const nowMs = this.#options.clock.nowMs();
-		this.#updateFloor(nowMs);
+		this.#ownFloor.update(nowMs);
 		this.checkTimes(nowMs);
 		this.#startQueued();
-		return this.#queue.queued > 0 || this.#running.size > 0;
+		return this.#queue.queued > 0 || this.#running.size > 0 || this.#guard.trials.isActive;
 	});
 
 	/** How many calls the target runs at once if that doesn't slow it down. */
@@ -76,13 +74,19 @@
 		this.#queue = new AdmissionQueue(1, options.weightOf);
 		this.#runRecorder = new RunRecorder(options);
 		this.#ownSignals = new OwnSignals({...options, queue: this.#queue});
-		this.#crashDetector = new CrashDetector({
-			target: options.target,
+		this.#ownFloor = new OwnFloor({...options, queue: this.#queue});
+		this.#guard = new QuarantineGuard({
+			...options,
+			queue: this.#queue,
 			hasRunsFrom: beforeMs => [...this.#running].some(({startedMs}) => startedMs < beforeMs),
-			onCrash: (lost, sign) => {
-				logCrash(options.log, lost, {
-					sign, running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.limit,
-				});
+			start: owned => {
+				this.#start(owned);
+			},
+			admit: owned => {
+				this.#admit(owned);
+			},
+			refuse: (owned, reason) => {
+				this.#refuse(owned, reason);
 			},
 		});
 	}
@@ -102,7 +106,7 @@
 
 	/** Forgets what was usual for the target before, as another one has taken its place. */
 	onTargetJoined(): void {
-		this.#crashDetector.onRestarted(this.#options.clock.nowMs());
+		this.#guard.onRestarted();
 		this.#runRecorder.reset();
 		this.#ownSignals.reset();
 	}
@@ -173,19 +177,10 @@
 		}
 
 		this.#ownSignals.adoptRateLimit(call, nowMs);
-		this.#options.loadShedder.onArrival(call.priority, owned.serviceMs);
-		const {verdict, evicted} = this.#queue.admit(owned, nowMs);
-		this.#updateFloor(nowMs);
-		for (const other of evicted) {
-			this.#refuse(other, 'evicted');
-		}
-
-		if (verdict === 'run') {
-			this.#start(owned);
-		} else if (verdict === 'wait') {
+		if (this.#guard.trials.take(owned, nowMs)) {
 			this.#periodicCheck.schedule();
 		} else {
-			this.#refuse(owned, verdict);
+			this.#admit(owned);
 		}
 
 		return owned;
@@ -208,6 +203,7 @@
 	override cancel(owned: OwnedCall): void {
 		const nowMs = this.#options.clock.nowMs();
 		if (owned.run === undefined) {
+			this.#guard.trials.cancel(owned);
 			this.#queue.cancel(owned);
 		} else if (this.#mayFinish(owned, nowMs)) {
 			owned.abandon(nowMs);
@@ -227,8 +223,9 @@
 		const nowMs = this.#options.clock.nowMs();
 		this.#options.loadShedder.onRunEnded(attemptId, {route, service: this.#options.lifecycle.current?.service ?? ''}, outcome, nowMs);
 		const spentMs = nowMs - owned.startedMs;
+		this.#guard.trials.onRunEnded(owned, nowMs);
 		if (isServed) {
-			this.#crashDetector.onServed(nowMs);
+			this.#guard.onServed(owned, nowMs);
 			this.#runRecorder.recordRun(owned, this.#queue.running, nowMs);
 			this.#updateLimit();
 		}
@@ -243,19 +240,19 @@
 
 	override onRunFailed(owned: OwnedCall, reason: FailureReason): void {
 		const {call, startedMs} = owned;
-		const nowMs = this.#options.clock.nowMs();
 		this.onOutcome(owned, true);
 		this.#options.log.event('run_failed', {
-			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(nowMs - startedMs), leftMs: Math.round(call.leftMs),
+			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
 		});
-		if (reason === 'broken') {
-			this.#crashDetector.onRunLost(owned, nowMs);
-		}
+	}
+
+	override onRunLost(owned: OwnedCall, settle: (reason: FailureReason) => void): void {
+		this.#guard.onRunLost(owned, settle);
 	}
 
 	override onUnreachable(owned: OwnedCall): void {
 		this.#unreachableUntilMs = this.#options.clock.nowMs() + UNREACHABLE_PAUSE_MS;
-		this.#crashDetector.onRefused();
+		this.#guard.onRefused();
 		this.#options.log.warn('target_unreachable', {attempt: owned.call.attemptId, instance: owned.call.instance});
 		this.#refuseQueued('unreachable');
 	}
@@ -314,6 +311,24 @@
 		return nowMs < this.#unreachableUntilMs ? 'unreachable' : undefined;
 	}
 
+	#admit(owned: OwnedCall): void {
+		const nowMs = this.#options.clock.nowMs();
+		this.#options.loadShedder.onArrival(owned.priority, owned.serviceMs);
+		const {verdict, evicted} = this.#queue.admit(owned, nowMs);
+		this.#ownFloor.update(nowMs);
+		for (const other of evicted) {
+			this.#refuse(other, 'evicted');
+		}
+
+		if (verdict === 'run') {
+			this.#start(owned);
+		} else if (verdict === 'wait') {
+			this.#periodicCheck.schedule();
+		} else {
+			this.#refuse(owned, verdict);
+		}
+	}
+
 	#start(owned: OwnedCall): void {
 		const nowMs = this.#options.clock.nowMs();
 		if (!this.#options.lifecycle.mayServe(owned.call.instance, nowMs)) {
@@ -322,6 +337,12 @@
 			return;
 		}
 
+		// It may have become a suspect while it waited in the queue.
+		if (this.#guard.trials.take(owned, nowMs)) {
+			this.#queue.release(undefined);
+			return;
+		}
+
 		this.#running.add(owned);
 		this.#runningByAttempt.set(owned.call.attemptId, owned);
 		this.#periodicCheck.schedule();
@@ -338,6 +359,7 @@
 		}
 
 		this.#isStartingQueued = true;
+		this.#guard.trials.advance(this.#options.clock.nowMs());
 		for (let next = this.#queue.dequeue(this.#options.clock.nowMs()); next !== undefined; next = this.#queue.dequeue(this.#options.clock.nowMs())) {
 			if (next.expired) {
 				this.#refuse(next.call, 'expired');
@@ -353,31 +375,8 @@
 		this.#queue.limit = Math.floor(this.#usualLimit * this.#runRecorder.limitShare);
 	}
 
-	#logFloorChange(previousFloor: number): void {
-		const {floor} = this.#options.loadShedder;
-		if ((previousFloor === 0) !== (floor === 0)) {
-			this.#options.log.event(floor === 0 ? 'floor_lifted' : 'floor_set', {
-				floor, running: this.#queue.running, queued: this.#queue.queued, limit: this.#queue.limit,
-			});
-		}
-	}
-
-	#updateFloor(nowMs: number): void {
-		const service = this.#options.lifecycle.current?.service;
-		if (service !== undefined) {
-			const previousFloor = this.#options.loadShedder.floor;
-			this.#options.loadShedder.updateFloor(service, {
-				// The rate limit is left out: a floor sheds requests of the whole service, while its other targets may have room.
-				limit: this.#queue.limit,
-				queuedWorkMs: level => this.#queue.queuedWorkMs(level),
-				isSaturated: this.#queue.running >= this.#queue.limit,
-			}, nowMs);
-			this.#logFloorChange(previousFloor);
-		}
-	}
-
 	#refuseQueued(reason: RefusalReason): void {
-		for (const owned of this.#queue.clear()) {
+		for (const owned of [...this.#queue.clear(), ...this.#guard.trials.clear()]) {
 			this.#refuse(owned, reason);
 		}
 	}
--- /dev/null
+++ b/src/relay/target/trials.ts
@@ -0,0 +1,117 @@
+import {type AdmissionQueue, type Quarantine, TrialSchedule} from '../../mesh/index.js';
+import {type RefusalReason} from '../call.js';
+import {type OwnedCall} from './ownedcall.js';
+
+/** The most suspects that wait at a target; with more, they are refused as if the queue were full. */
+const MAX_WAITING = 256;
+
+export type TrialsOptions = {
+	readonly quarantine: Quarantine;
+	readonly queue: AdmissionQueue<OwnedCall>;
+	/** Begins to run a call that holds a slot. */
+	readonly start: (owned: OwnedCall) => void;
+	/** Decides on a call that is no suspect any longer, as if it had just arrived. */
+	readonly admit: (owned: OwnedCall) => void;
+	readonly refuse: (owned: OwnedCall, reason: RefusalReason) => void;
+	readonly onBegun: (owned: OwnedCall) => void;
+};
+
+/** Runs the calls that may crash the target, one at a time and alone, while all others wait. */
+export class Trials {
+	readonly #options: TrialsOptions;
+	readonly #schedule = new TrialSchedule();
+	#waiting: OwnedCall[] = [];
+	#onTrial: OwnedCall | undefined;
+
+	constructor(options: TrialsOptions) {
+		this.#options = options;
+	}
+
+	/** Whether a suspect waits or runs. */
+	get isActive(): boolean {
+		return this.#waiting.length > 0 || this.#onTrial !== undefined;
+	}
+
+	/** Takes a call over if it is a suspect or held. @returns whether it did */
+	take(owned: OwnedCall, nowMs: number): boolean {
+		const {quarantine, refuse} = this.#options;
+		if (owned === this.#onTrial || !quarantine.isActive) {
+			return false;
+		}
+
+		const verdict = quarantine.verdictOf(owned.fingerprint, nowMs);
+		if (verdict === 'pass') {
+			return false;
+		}
+
+		if (verdict === 'refuse') {
+			refuse(owned, 'quarantined');
+		} else if (this.#waiting.length >= MAX_WAITING) {
+			refuse(owned, 'full');
+		} else {
+			this.#waiting.push(owned);
+			this.advance(nowMs);
+		}
+
+		return true;
+	}
+
+	/** Begins what is due, and refuses what has waited too long. */
+	advance(nowMs: number): void {
+		if (this.isActive) {
+			this.#judgeWaiting(nowMs);
+		}
+
+		const {queue, start, onBegun} = this.#options;
+		const step = this.#schedule.next(this.#waiting.length, queue.running, nowMs);
+		queue.isPaused = step !== 'run';
+		if (step === 'begin' && queue.takeSlot(nowMs)) {
+			this.#onTrial = this.#waiting.shift()!;
+			this.#schedule.onBegun(nowMs);
+			onBegun(this.#onTrial);
+			start(this.#onTrial);
+		}
+	}
+
+	/** Whether this run was a trial; if it was, others may run again. */
+	onRunEnded(owned: OwnedCall, nowMs: number): void {
+		if (owned === this.#onTrial) {
+			this.#onTrial = undefined;
+			this.#schedule.onEnded(nowMs);
+		}
+	}
+
+	/** Removes a waiting call. @returns whether it was waiting here */
+	cancel(owned: OwnedCall): boolean {
+		const index = this.#waiting.indexOf(owned);
+		if (index !== -1) {
+			this.#waiting.splice(index, 1);
+		}
+
+		return index !== -1;
+	}
+
+	/** Removes all waiting calls. */
+	clear(): OwnedCall[] {
+		return this.#waiting.splice(0);
+	}
+
+	// What was learned since they came may have cleared or convicted them.
+	#judgeWaiting(nowMs: number): void {
+		const {
+			quarantine, admit, refuse,
+		} = this.#options;
+		for (const owned of this.clear()) {
+			const verdict = quarantine.verdictOf(owned.fingerprint, nowMs);
+			if (nowMs >= owned.deadlineMs) {
+				refuse(owned, 'expired');
+			} else if (verdict === 'trial') {
+				this.#waiting.push(owned);
+			} else if (verdict === 'refuse') {
+				refuse(owned, 'quarantined');
+			} else {
+				admit(owned);
+			}
+		}
+	}
+}
--- a/test/relay/crashingrequest.test.ts
+++ b/test/relay/crashingrequest.test.ts
@@ -23,7 +23,7 @@
 
 /** Starts two hosts for clients, and copies of the service that the route `x` leads to. */
 async function createSite(routes = [createRoute('x', 'back')]): Promise<{clients: MeshHost[]; copies: MeshTarget[]}> {
-	mesh = new Mesh();
+	mesh = new Mesh({quarantineMs: 30_000});
 	mesh.configure(createSiteSpec(routes));
 	const options = {slots: 20, workMs: 30};
 	const clients = [];
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -38,7 +38,7 @@
 		await back.target.close();
 		const {status} = await waiting;
 		expect(status).toBe(502);
-		expect(readTrace('a1')).toMatch(/back +run_failed .*reason=broken .*\n.*front +failed .*reason=broken .*status=502/v);
+		expect(readTrace('a1')).toMatch(/back +run_crashed .*fingerprint=[\da-f]{16} .*\n.*back +run_failed .*reason=crashed .*\n.*front +failed .*reason=crashed .*status=502/v);
 	});
 
 	it('names the slow service in the nested call\'s line for a request that timed out behind it', async () => {
