Operators see what is held back and why, and lift it

comfreydyke quarantine HOST:METRICS-PORT [FINGERPRINT] [--lift]: the requests that the daemon holds, for how long, what they are, and the attempt at whose crash they were proved; suspects with their number of crashes. A lift reaches all daemons.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import {EXIT_FAILURE, EXIT_USAGE, reportError} from './error.js';
 import {registerOperateCommands} from './sitecommands.js';
 import {rejectUnknownOptions} from './options.js';
+import {registerQuarantineCommand} from './quarantine.js';
 import {registerTraceCommand} from './trace.js';
 
 /** The version of the package, which the bundler inserts. */
@@ -15,6 +16,7 @@
 registerConfigCommands(cli);
 registerOperateCommands(cli);
 registerTraceCommand(cli);
+registerQuarantineCommand(cli);
 cli.help();
 cli.version(COMFREYDYKE_VERSION);
 
--- a/src/mesh/quarantine/quarantine.ts
+++ b/src/mesh/quarantine/quarantine.ts
@@ -167,7 +167,7 @@
 
 	/** The requests that are tried alone because they were in flight at several crashes. */
 	suspects(): Array<{readonly request: string; readonly crashes: number}> {
-		return this.#suspects.list();
+		return this.#suspects.list().filter(({request}) => !this.isHeld(request));
 	}
 
 	removeExpired(nowMs: number): void {
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -11,4 +11,5 @@
 } from './store/store.js';
 export {hashPrefixOf} from './clients/keyhash.js';
 export {type OrganisationAnswer, type OrganisationReport, type RelayStatus} from './operators/relayreport.js';
-export {ORGANISATION_PATH, STATUS_PATH} from './operators/metricsendpoint.js';
+export {type LiftReport, type QuarantineReport} from './operators/quarantinereport.js';
+export {ORGANISATION_PATH, QUARANTINE_PATH, STATUS_PATH} from './operators/metricsendpoint.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -19,6 +19,7 @@
 import {QuarantineExchange} from './peers/quarantineexchange.js';
 import {ShareExchange} from './peers/shareexchange.js';
 import {MetricsEndpoint} from './operators/metricsendpoint.js';
+import {QuarantineReporter} from './operators/quarantinereport.js';
 import {RelayReporter} from './operators/relayreport.js';
 import {TargetMonitor} from './target/targetmonitor.js';
 import {TargetOwner} from './target/targetowner.js';
@@ -190,6 +191,16 @@
 		this.#metricsEndpoint = new MetricsEndpoint(this.#log.registry, new RelayReporter({
 			host: settings.host, site: () => this.#directory.site, confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			revocation: settings.revocation, sharing, refusalCounts: this.#refusalCounts, nowMs,
+		}), new QuarantineReporter({
+			host: settings.host,
+			quarantine: this.#quarantine,
+			nowMs,
+			onNews: news => {
+				this.#quarantineExchange.tell(news);
+			},
+			onLifted: ({request, strikes, subject: {attemptId}}) => {
+				this.#log.warn('hold_lifted', {fingerprint: request, by: 'operator', strikes, attempt: attemptId});
+			},
 		}));
 		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
 	}
