A suspect isn't tried at the last target of a service while others are on their way back

With three copies of a service, the trial that proved a nested call to crash targets took the last one: for 2.8 s every request that needs the service failed. All else waits 3 s for the copies to come back, so the suspect can as well: it is tried when another target is back, or when it must start to be answered in time. Nobody is refused for suspicion. Crash reports name the start of the target that crashed, so that daemons know which aren't back; a suspect isn't sent to these either.

--- a/fakes/crashsimulation.ts
+++ b/fakes/crashsimulation.ts
@@ -63,6 +63,7 @@
 	readonly refused = {
 		[POPULAR]: 0, [KNOWN]: 0, [DEADLY]: 0, unique: 0,
 	};
+
 	/** When the deadly request crashed targets, in ms. */
 	readonly deadlyCrashesMs: number[] = [];
 	crashes = 0;
@@ -111,7 +112,7 @@
 	}
 
 	#send(request: string, tries: number): void {
-		const nowMs = this.#scheduler.nowMs;
+		const {nowMs} = this.#scheduler;
 		const up = this.#owners.filter(({isUp}) => isUp);
 		if (up.length === 0) {
 			return;
@@ -162,7 +163,7 @@
 	}
 
 	#end(owner: SimulatedOwner, run: Run): void {
-		const nowMs = this.#scheduler.nowMs;
+		const {nowMs} = this.#scheduler;
 		owner.running.delete(run);
 		owner.answered.push(run.request);
 		if (owner.answered.length > MAX_ANSWERED) {
@@ -181,7 +182,7 @@
 			return;
 		}
 
-		const nowMs = this.#scheduler.nowMs;
+		const {nowMs} = this.#scheduler;
 		this.crashes++;
 		owner.isUp = false;
 		const lost = [...owner.running];
@@ -190,7 +191,9 @@
 		const runs = lost.filter(({request}) => !answered.has(request)).map(({request, attemptId, startedMs}) => ({request, attemptId, ranMs: nowMs - startedMs}));
 		const inquiry = findSingleSuspect(runs, owner.quarantine, () => undefined, nowMs);
 		if (runs.length > 0) {
-			const crash = {id: this.#nextId++, service: 'back', requests: runs.map(({request}) => request)};
+			const crash = {
+				id: this.#nextId++, service: 'back', start: '', requests: runs.map(({request}) => request),
+			};
 			const {report, hold} = owner.quarantine.concludeCrash(crash, inquiry && {...inquiry, subject: SUBJECT}, this.#owners.length, nowMs);
 			this.#tell(owner, {crashes: [report], survivals: [], holds: hold === undefined ? [] : [hold]});
 		}
@@ -219,7 +222,7 @@
 	}
 
 	#advance(owner: SimulatedOwner): void {
-		const nowMs = this.#scheduler.nowMs;
+		const {nowMs} = this.#scheduler;
 		for (const run of owner.waiting.splice(0)) {
 			const verdict = owner.quarantine.verdictOf(run.request, nowMs);
 			if (verdict === 'trial') {
--- a/fakes/loadsimulation.ts
+++ b/fakes/loadsimulation.ts
@@ -268,7 +268,7 @@
 		const {load: {route}, host, priority} = outgoing;
 		const {service} = route.destinations[0];
 		const attempts = new Attempts({
-			hosts: this.#hostTable, loadBalancer: host.loadBalancer, retryBudget: host.retryBudget, targetSignals: new TargetSignalTable(0), onTargetSignals: () => undefined, onBudget: () => undefined,
+			hosts: this.#hostTable, loadBalancer: host.loadBalancer, retryBudget: host.retryBudget, targetSignals: new TargetSignalTable(0), hasCrashed: () => false, onTargetSignals: () => undefined, onBudget: () => undefined,
 		}, {
 			attemptId: outgoing.id, route, service, isForRetriedRun: outgoing.isForRetriedRun, level: this.#options.overrides?.spendsRetriesByPriority === false ? MAX_FLOOR : priority.level,
 		}, {deadlineMs: outgoing.endMs, objectiveEndMs: this.#nowMs + route.objectiveMs});
--- a/src/mesh/quarantine/crashreport.ts
+++ b/src/mesh/quarantine/crashreport.ts
@@ -3,6 +3,8 @@
 	/** Chosen at random by the daemon beside the target. */
 	readonly id: number;
 	readonly service: string;
+	/** The start of the target that crashed, as `startOf` names it. */
+	readonly start: string;
 	/** How long ago the target crashed, in ms. */
 	readonly ageMs: number;
 	/** The requests that the target was running. */
@@ -13,6 +15,11 @@
 	readonly chance: number;
 };
 
+/** Names one start of a target: some start again under the id that they had. */
+export function startOf({id, bornMs}: {readonly id: string; readonly bornMs?: number | undefined}): string {
+	return `${id}@${bornMs ?? 0}`;
+}
+
 /** A request that a target has answered after it was in flight at crashes: it had no part in these. */
 export type Survival = {readonly request: string; readonly crashes: readonly number[]};
 
--- a/src/mesh/quarantine/index.ts
+++ b/src/mesh/quarantine/index.ts
@@ -1,5 +1,5 @@
 export {
-	type CrashReport, type CrashScene, type Survival, chanceWithout,
+	type CrashReport, type CrashScene, type Survival, chanceWithout, startOf,
 } from './crashreport.js';
 export {
 	type HeldRequest, type Hold, holdMs, maxHoldMs,
--- a/src/mesh/quarantine/quarantine.ts
+++ b/src/mesh/quarantine/quarantine.ts
@@ -1,5 +1,5 @@
 import {
-	type CrashReport, type CrashScene, type Survival, chanceWithout,
+	type CrashReport, type CrashScene, type Survival, chanceWithout, startOf,
 } from './crashreport.js';
 import {
 	type HeldRequest, type Hold, holdMs, maxHoldMs, replaces,
@@ -78,13 +78,18 @@
 		return this.#suspects.countOf(request);
 	}
 
+	/** Whether this start of a target is known to have crashed. */
+	hasCrashed(target: {readonly id: string; readonly bornMs?: number | undefined}): boolean {
+		return !this.isIdle && this.#suspects.hasCrashed(startOf(target));
+	}
+
 	/** How long the request is still refused, in ms; 0 if it isn't. */
 	leftMs(request: string, nowMs: number): number {
 		return this.isHeld(request) ? Math.max(0, this.#holds.get(request)!.untilMs - nowMs) : 0;
 	}
 
 	/** Concludes from a crash of the target beside this daemon. @param targets how many serve the same service */
-	concludeCrash(crash: Pick<CrashReport, 'id' | 'service' | 'requests'>, suspect: SingleSuspect | undefined, targets: number, nowMs: number): CrashFinding {
+	concludeCrash(crash: Pick<CrashReport, 'id' | 'service' | 'start' | 'requests'>, suspect: SingleSuspect | undefined, targets: number, nowMs: number): CrashFinding {
 		const crashesPerMs = this.#suspects.crashesPerMs(crash.service, targets);
 		const report: CrashReport = {
 			...crash, ageMs: 0, suspect: suspect?.request, chance: suspect === undefined ? 1 : chanceWithout({...suspect, crashesPerMs}),
--- a/src/mesh/quarantine/suspects.ts
+++ b/src/mesh/quarantine/suspects.ts
@@ -50,6 +50,11 @@
 		return this.#repeated.size > 0;
 	}
 
+	/** Whether this start of a target is known to have crashed. */
+	hasCrashed(start: string): boolean {
+		return [...this.#crashes.values()].some(({report}) => report.start === start);
+	}
+
 	/** The crashes that are remembered, those of the last minute, with their present age. */
 	reports(nowMs: number): CrashReport[] {
 		return [...this.#crashes.values()].map(({report, atMs}) => ({...report, ageMs: nowMs - atMs}));
--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -18,6 +18,8 @@
 	readonly loadBalancer: LoadBalancer;
 	readonly retryBudget: RetryBudget;
 	readonly targetSignals: TargetSignalTable;
+	/** Whether the host's target is known to have crashed. */
+	readonly hasCrashed: (entry: HostEntry) => boolean;
 	/** Called when a target says something else of itself than before. */
 	readonly onTargetSignals: (host: string, signals: TargetSignals) => void;
 	/** Called each time a retry asks for budget, with whether the budget granted it. */
@@ -161,9 +163,11 @@
 	}
 
 	#chooseForTrial(suspect: string, nowMs: number): HostEntry | undefined {
-		const {hosts, loadBalancer, targetSignals} = this.#parts;
-		const candidates = targetSignals.withoutLeft(hosts.serving(this.#request.service), nowMs).filter(({host, target}) =>
-			target?.state === 'ready' && !this.#triedHosts.includes(host) && !loadBalancer.isMarkedUnreachable(host, nowMs));
+		const {
+			hosts, loadBalancer, targetSignals, hasCrashed,
+		} = this.#parts;
+		const candidates = targetSignals.withoutLeft(hosts.serving(this.#request.service), nowMs).filter(entry =>
+			entry.target?.state === 'ready' && !this.#triedHosts.includes(entry.host) && !loadBalancer.isMarkedUnreachable(entry.host, nowMs) && !hasCrashed(entry));
 		const chosen = chooseByRendezvous(suspect, candidates.map(({host}) => host));
 		return candidates.find(({host}) => host === chosen);
 	}
--- a/src/relay/peers/quarantineexchange.ts
+++ b/src/relay/peers/quarantineexchange.ts
@@ -18,7 +18,7 @@
 /** Spreads over the mesh which requests were in flight at crashes, which had no part in them, and which are held. */
 export class QuarantineExchange {
 	readonly #parts: QuarantineExchangeParts;
-	#survivals: Survival[] = [];
+	readonly #survivals: Survival[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(parts: QuarantineExchangeParts) {
@@ -45,7 +45,9 @@
 		const {quarantine, clock, log} = this.#parts;
 		const news = quarantine.record(readQuarantine(frame), clock.nowMs());
 		for (const {request, isHeld, strikes, leftMs, subject} of news.holds) {
-			log.event(isHeld ? 'hold_heard' : 'hold_lifted', {fingerprint: request, strikes, leftMs, route: subject.route, attempt: subject.attemptId});
+			log.event(isHeld ? 'hold_heard' : 'hold_lifted', {
+				fingerprint: request, strikes, leftMs, route: subject.route, attempt: subject.attemptId,
+			});
 		}
 
 		this.#spread(news, channel);
--- a/src/relay/peers/quarantineframe.ts
+++ b/src/relay/peers/quarantineframe.ts
@@ -11,13 +11,13 @@
 /** Limits the crashes, survivals and holds of a frame. */
 const MAX_ITEMS = 8192;
 
-/** Encodes crashes as id, service, age in ms, requests, suspect and chance; survivals as request and crashes; holds as request, generation, state, strikes, time left in ms and subject. */
+/** Encodes crashes as id, service, start, age in ms, requests, suspect and chance; survivals as request and crashes; holds as request, generation, state, strikes, time left in ms and subject. */
 export function buildQuarantineFrame({crashes, survivals, holds}: QuarantineNews): Frame {
 	return [
 		FrameTag.quarantine,
 		crashes.map(({
-			id, service, ageMs, requests, suspect, chance,
-		}) => [id, service, Math.round(ageMs), packRequests(requests), suspect === undefined ? null : packRequests([suspect]), Math.ceil(chance * CHANCE_UNIT)]),
+			id, service, start, ageMs, requests, suspect, chance,
+		}) => [id, service, start, Math.round(ageMs), packRequests(requests), suspect === undefined ? null : packRequests([suspect]), Math.ceil(chance * CHANCE_UNIT)]),
 		survivals.map(({request, crashes}) => [packRequests([request]), crashes]),
 		holds.map(({
 			request, generation, isHeld, strikes, leftMs, subject: {
@@ -36,13 +36,13 @@
 	};
 }
 
-function readCrash([id, service, ageMs, requests, suspect, chance]: unknown[]): CrashReport {
-	if (!areCounts([id, ageMs, chance]) || typeof service !== 'string') {
-		throw new FrameError('crashes: expected an id, a service, an age, requests, a suspect and a chance');
+function readCrash([id, service, start, ageMs, requests, suspect, chance]: unknown[]): CrashReport {
+	if (!areCounts([id, ageMs, chance]) || typeof service !== 'string' || typeof start !== 'string') {
+		throw new FrameError('crashes: expected an id, a service, a start, an age, requests, a suspect and a chance');
 	}
 
 	return {
-		id: id as number, service, ageMs: ageMs as number, requests: unpackRequests(requests), suspect: suspect === null ? undefined : unpackRequest(suspect), chance: Math.min(1, (chance as number) / CHANCE_UNIT),
+		id: id as number, service, start, ageMs: ageMs as number, requests: unpackRequests(requests), suspect: suspect === null ? undefined : unpackRequest(suspect), chance: Math.min(1, (chance as number) / CHANCE_UNIT),
 	};
 }
 
@@ -60,7 +60,7 @@
 		throw new FrameError('holds: expected a request, a generation, a state, strikes, a time and a subject');
 	}
 
-	const [route, method, path, caller, attemptId] = subject as string[];
+	const [route, method, path, caller, attemptId] = subject;
 	return {
 		request: unpackRequest(request), generation: generation as number, isHeld, strikes: strikes as number, leftMs: leftMs as number, subject: {
 			route, method, path, caller, attemptId,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -109,7 +109,7 @@
 			},
 			decodeMachineLoad: settings.usesMachineLoad === true ? load => adapter.decodeMachineLoad(load) : undefined,
 			quarantine: this.#quarantine,
-			countTargets: service => this.#hosts.serving(service).length,
+			listTargets: service => this.#hosts.serving(service).map(({target}) => target!),
 			parentOf: attemptId => adapter.parseParentAttemptId(attemptId),
 			onNews: news => {
 				this.#quarantineExchange.tell(news);
@@ -156,6 +156,7 @@
 			quotaGate: this.#quotaGate,
 			refusalCounts: this.#refusalCounts,
 			quarantine: this.#quarantine,
+			hasCrashed: ({target}) => target !== undefined && this.#quarantine.hasCrashed(target),
 			revocation: settings.revocation,
 			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
@@ -199,7 +200,9 @@
 				this.#quarantineExchange.tell(news);
 			},
 			onLifted: ({request, strikes, subject: {attemptId}}) => {
-				this.#log.warn('hold_lifted', {fingerprint: request, by: 'operator', strikes, attempt: attemptId});
+				this.#log.warn('hold_lifted', {
+					fingerprint: request, by: 'operator', strikes, attempt: attemptId,
+				});
 			},
 		}));
 		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
--- a/src/relay/target/quarantineguard.ts
+++ b/src/relay/target/quarantineguard.ts
@@ -1,7 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	type AdmissionQueue, type Quarantine, type QuarantineNews, type SingleSuspect, type TargetLifecycle, findSingleSuspect,
+	type AdmissionQueue, type Quarantine, type QuarantineNews, type PublishedTarget, type SingleSuspect, type TargetLifecycle, findSingleSuspect, startOf,
 } from '../../mesh/index.js';
 import {type RefusalReason} from '../call.js';
 import {type Address} from '../settings.js';
@@ -23,8 +23,8 @@
 	readonly quarantine: Quarantine;
 	/** The address of the target. */
 	readonly target: Address;
-	/** How many targets serve the service. */
-	readonly countTargets: (service: string) => number;
+	/** The targets that serve the service. */
+	readonly listTargets: (service: string) => readonly PublishedTarget[];
 	/** Returns the id of the attempt that a nested call belongs to. */
 	readonly parentOf: (attemptId: string) => string | undefined;
 	/** Called with what the other daemons should hear. */
@@ -57,6 +57,7 @@
 		this.#options = options;
 		this.trials = new Trials({
 			...options,
+			isLastTarget: () => this.#isLastTarget(),
 			onBegun({fingerprint, call: {attemptId, template: {route}, instance}}) {
 				options.log.event('trial_begun', {
 					attempt: attemptId, fingerprint, route, instance, running: options.queue.running,
@@ -112,15 +113,15 @@
 
 	#onCrash(lost: readonly LostRun[], sign: CrashSign): void {
 		const {
-			clock, log, lifecycle, queue, quarantine, countTargets, onNews, random,
+			clock, log, lifecycle, queue, quarantine, listTargets, onNews, random,
 		} = this.#options;
 		const {running, queued, limit} = queue;
 		logCrash(log, lost, {
 			sign, running, queued, limit,
 		});
-		const service = lifecycle.current?.service;
+		const target = lifecycle.current;
 		// A target that leaves may end with runs in flight, and none of them is why.
-		if (!quarantine.isEnabled || service === undefined || lifecycle.isDraining) {
+		if (!quarantine.isEnabled || target === undefined || lifecycle.isDraining) {
 			return;
 		}
 
@@ -129,8 +130,11 @@
 		this.#answered.reset();
 		const possible = lost.filter(({owned: {fingerprint}}) => !answered.has(fingerprint));
 		const suspect = this.#findSuspect(possible, nowMs);
-		const crash = {id: Math.floor(random() * MAX_CRASH_ID), service, requests: possible.map(({owned: {fingerprint}}) => fingerprint)};
-		const {report, hold} = quarantine.concludeCrash(crash, suspect, countTargets(service), nowMs);
+		const {service} = target;
+		const crash = {
+			id: Math.floor(random() * MAX_CRASH_ID), service, start: startOf(target), requests: possible.map(({owned: {fingerprint}}) => fingerprint),
+		};
+		const {report, hold} = quarantine.concludeCrash(crash, suspect, listTargets(service).length, nowMs);
 		onNews({crashes: [report], survivals: [], holds: hold === undefined ? [] : [hold]});
 		if (suspect !== undefined) {
 			log.event('suspect_crashed', {
@@ -147,6 +151,12 @@
 		}
 	}
 
+	#isLastTarget(): boolean {
+		const {lifecycle: {current}, quarantine, listTargets} = this.#options;
+		const others = current === undefined ? [] : listTargets(current.service).filter(({id}) => id !== current.id);
+		return others.length > 0 && others.every(target => quarantine.hasCrashed(target));
+	}
+
 	#findSuspect(lost: readonly LostRun[], nowMs: number): SingleSuspect | undefined {
 		const {quarantine, parentOf} = this.#options;
 		const runs = lost.map(({owned: {fingerprint, call}, ranMs}) => ({request: fingerprint, attemptId: call.attemptId, ranMs}));
--- a/src/relay/target/trials.ts
+++ b/src/relay/target/trials.ts
@@ -4,6 +4,9 @@
 
 /** The most suspects that wait at a target; with more, they are refused as if the queue were full. */
 const MAX_WAITING = 256;
+/** How much time a suspect that waits for another target is left to run: this many times the expected one, and this many ms. */
+const RUN_ROOM = 2;
+const LATE_ROOM_MS = 150;
 
 export type TrialsOptions = {
 	readonly quarantine: Quarantine;
@@ -14,13 +17,15 @@
 	readonly admit: (owned: OwnedCall) => void;
 	readonly refuse: (owned: OwnedCall, reason: RefusalReason) => void;
 	readonly onBegun: (owned: OwnedCall) => void;
+	/** Whether all other targets of the service have crashed and aren't back yet. */
+	readonly isLastTarget: () => boolean;
 };
 
 /** Runs the calls that may crash the target, one at a time and alone, while all others wait. */
 export class Trials {
 	readonly #options: TrialsOptions;
 	readonly #schedule = new TrialSchedule();
-	#waiting: OwnedCall[] = [];
+	readonly #waiting: OwnedCall[] = [];
 	#onTrial: OwnedCall | undefined;
 
 	constructor(options: TrialsOptions) {
@@ -63,10 +68,12 @@
 		}
 
 		const {queue, start, onBegun} = this.#options;
-		const step = this.#schedule.next(this.#waiting.length, queue.running, nowMs);
+		const due = this.#listDue(nowMs);
+		const step = this.#schedule.next(due.length, queue.running, nowMs);
 		queue.isPaused = step !== 'run';
 		if (step === 'begin' && queue.takeSlot(nowMs)) {
-			this.#onTrial = this.#waiting.shift()!;
+			[this.#onTrial] = due;
+			this.cancel(this.#onTrial);
 			this.#schedule.onBegun(nowMs);
 			onBegun(this.#onTrial);
 			start(this.#onTrial);
@@ -96,6 +103,12 @@
 		return this.#waiting.splice(0);
 	}
 
+	// With no other target left, a suspect waits for one as long as it can.
+	#listDue(nowMs: number): OwnedCall[] {
+		const isLast = this.#waiting.length > 0 && this.#options.isLastTarget();
+		return isLast ? this.#waiting.filter(({deadlineMs, serviceMs}) => nowMs >= deadlineMs - (serviceMs * RUN_ROOM) - LATE_ROOM_MS) : this.#waiting;
+	}
+
 	// What was learned since they came may have cleared or convicted them.
 	#judgeWaiting(nowMs: number): void {
 		const {
--- a/test/mesh/quarantine.test.ts
+++ b/test/mesh/quarantine.test.ts
@@ -14,14 +14,16 @@
 const parentOf = () => undefined;
 
 const reportOf = (id: number, requests: string[], more: Partial<CrashReport> = {}): CrashReport => ({
-	id, service: 'back', ageMs: 0, requests, chance: 1, ...more,
+	id, service: 'back', start: `i-${id}`, ageMs: 0, requests, chance: 1, ...more,
 });
 
 /** A crash at which these requests were in flight, as the daemon beside the target concludes from it. */
 function crash(quarantine: Quarantine, id: number, requests: string[], nowMs: number, ranMs = 50): QuarantineNews {
 	const lost = requests.map((request, index) => ({request, attemptId: `${id}-${index}`, ranMs}));
 	const inquiry = findSingleSuspect(lost, quarantine, parentOf, nowMs);
-	const {report, hold} = quarantine.concludeCrash({id, service: 'back', requests}, inquiry && {...inquiry, subject: SUBJECT}, TARGETS, nowMs);
+	const {report, hold} = quarantine.concludeCrash({
+		id, service: 'back', start: `i-${id}`, requests,
+	}, inquiry && {...inquiry, subject: SUBJECT}, TARGETS, nowMs);
 	return {crashes: [report], survivals: [], holds: hold === undefined ? [] : [hold]};
 }
 
--- a/test/relay/crashingrequest.test.ts
+++ b/test/relay/crashingrequest.test.ts
@@ -2,10 +2,10 @@
 import {
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
+import {cac} from 'cac';
 import {
 	Mesh, type MeshHost, createRoute, createSiteSpec,
 } from '../../standins/mesh.js';
-import {cac} from 'cac';
 import {registerQuarantineCommand} from '../../src/cli/quarantine.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {type MeshTarget, call} from '../../standins/meshtarget.js';
