Soak: targets crash, and one request crashes each that runs it

New checks: it runs at most three times later than 3 s after its third run; no other path is ever held; and a daemon's own 503 must be true as well (only 401, 429 and the target's own word were checked). Each check has a case that breaks it.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,6 +3,7 @@
 import {Random} from '../fakes/index.js';
 import {createAttemptHeaders, meshHeaders} from '../standins/meshadapter.js';
 import {type FleetHost} from './fleet.js';
+import {DEADLY_PATH} from './plan.js';
 
 /** What a caller sent and saw. `status` is 0 if there was no answer; times in ms since 1970. */
 export type SentRequest = {
@@ -46,6 +47,9 @@
 	{
 		name: 'unknown', keys: ['nobody-s-key', undefined], perS: 5, paths: PATHS,
 	},
+	{
+		name: 'deadly', keys: ['key-spare-0'], perS: 4, paths: [DEADLY_PATH],
+	},
 	{
 		name: 'public', keys: [undefined], perS: 3, paths: ['/open/'],
 	},
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,7 +1,7 @@
 import {type SentRequest} from './callers.js';
 import {CONFIG_MS, MAX_AGE_MS, QUOTA_ROOM} from './fleet.js';
 import {type History} from './history.js';
-import {LIMITED} from './plan.js';
+import {DEADLY_PATH, LIMITED} from './plan.js';
 
 /** A request that a target received; `hasRun` is false for one that it shed. */
 export type Receipt = {readonly attemptId: string; readonly path: string; readonly organisation: string | undefined; readonly hasAuthorization: boolean; readonly atMs: number; readonly hasRun: boolean};
@@ -12,6 +12,8 @@
 	readonly receipts: readonly Receipt[];
 	readonly history: History;
 	readonly isStrict: boolean;
+	/** The paths of the requests that daemons began to hold, because these crash targets. */
+	readonly heldPaths: readonly string[];
 	/** The end of the run, after the faults: since when nothing is disturbed, and when the requests end. */
 	readonly calmFromMs: number;
 	readonly calmUntilMs: number;
@@ -27,6 +29,9 @@
 /** The part of its limit that an organisation must get while nothing is disturbed, and the part of the small ones' requests that are answered. */
 const MIN_USED_PART = 0.7;
 const MIN_SMALL_PART = 0.8;
+/** How long daemons may still send a request that has crashed three targets, in ms, and how often after that. */
+const CONTACT_MS = 3000;
+const MAX_LATE_RETRIES = 3;
 const UNREPEATABLE = /^\/(?:orders|page)\//v;
 /** Errors of a connection that no daemon has accepted. */
 const REFUSED = 'ECONNREFUSED';
@@ -63,7 +68,7 @@
 function * checkNotRun({requests, receipts}: SoakRecord): Iterable<Violation> {
 	const ran = new Set(receipts.filter(({hasRun}) => hasRun).map(({attemptId}) => attemptId));
 	for (const {attemptId, status, isNotRun} of requests) {
-		if (ran.has(attemptId) && (isNotRun || status === 401 || status === 429)) {
+		if (ran.has(attemptId) && (isNotRun || status === 401 || status === 429 || status === 503)) {
 			yield {promise: 'has not run', attemptId, detail: `${status} said so, and it ran`};
 		}
 	}
@@ -168,8 +173,23 @@
 	}
 }
 
+function * checkPoison({receipts, history, heldPaths}: SoakRecord): Iterable<Violation> {
+	const runs = receipts.filter(({path, hasRun}) => path === DEADLY_PATH && hasRun).map(({atMs}) => atMs).toSorted((a, b) => a - b);
+	for (const {fromMs, untilMs} of history.poisons) {
+		const during = runs.filter(atMs => atMs >= fromMs && atMs <= untilMs);
+		const late = during.filter(atMs => atMs > during[2] + CONTACT_MS);
+		if (late.length > MAX_LATE_RETRIES) {
+			yield {promise: 'a request that crashes targets is kept from them', detail: `it ran ${late.length} times later than ${CONTACT_MS} ms after its third run, at ${late.map(atMs => atMs - fromMs).join(', ')} ms`};
+		}
+	}
+
+	for (const path of heldPaths.filter(one => one !== DEADLY_PATH)) {
+		yield {promise: 'no sound request is held', detail: path};
+	}
+}
+
 /** All checks of a run. */
-export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkKeys, checkRefusals, checkQuota, checkRecovery];
+export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkKeys, checkRefusals, checkQuota, checkRecovery, checkPoison];
 
 /** Checks what callers and targets saw against the promises. */
 export function findViolations(record: SoakRecord): Violation[] {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -11,7 +11,9 @@
 import {meshHeaders} from '../standins/meshadapter.js';
 import {MeshTarget} from '../standins/meshtarget.js';
 import {type StoreFault, StoreStandin} from '../standins/store.js';
-import {type DaemonFault, HOST_SERVICES, type SoakPlan} from './plan.js';
+import {
+	DEADLY_PATH, type DaemonFault, HOST_SERVICES, type SoakPlan, type TargetFault,
+} from './plan.js';
 import {History} from './history.js';
 
 const ANNOUNCE_INTERVAL_MS = 500;
@@ -27,6 +29,8 @@
 export const CONFIG_MS = 2000;
 /** How long a key may live without a confirmation, where the operator is strict. */
 export const MAX_AGE_MS = 3000;
+/** How long a request that crashes targets is refused at first. */
+const QUARANTINE_MS = 3000;
 export const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
 
@@ -83,7 +87,9 @@
 				index, ports, target, process: undefined, isOffered: true, isListening: false, isRestarting: false,
 			});
 			this.#timers.push(setInterval(() => {
-				void target.announce(ports[3]);
+				if (target.isRunning) {
+					void target.announce(ports[3]);
+				}
 			}, ANNOUNCE_INTERVAL_MS));
 		}
 
@@ -106,10 +112,26 @@
 		this.#store.fault = 'none';
 	}
 
-	async disturbTarget(index: number, behaviour: 'slow' | 'shedding', forMs: number): Promise<void> {
+	/** Has one request crash each target that runs it. */
+	async poison(forMs: number): Promise<void> {
+		const fromMs = Date.now();
+		for (const {target} of this.hosts) {
+			target.crashesOn = ({url}) => url === DEADLY_PATH;
+		}
+
+		await sleep(forMs);
+		this.history.poisons.push({fromMs, untilMs: Date.now()});
+		for (const {target} of this.hosts) {
+			target.crashesOn = undefined;
+		}
+	}
+
+	async disturbTarget(index: number, behaviour: TargetFault, forMs: number): Promise<void> {
 		const {target} = this.hosts[index];
 		const fromMs = Date.now();
-		if (behaviour === 'slow') {
+		if (behaviour === 'crash') {
+			await target.crashAndRestart(forMs);
+		} else if (behaviour === 'slow') {
 			target.slowness = SLOW;
 		} else {
 			target.behaviourOverride = (request, response) => {
@@ -118,7 +140,7 @@
 			};
 		}
 
-		await sleep(forMs);
+		await sleep(behaviour === 'crash' ? 0 : forMs);
 		target.slowness = 1;
 		target.behaviourOverride = undefined;
 		this.history.disturbances.push({
@@ -227,6 +249,7 @@
 			retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
 			revocation: {isStrict: this.#plan.isStrict, maxAgeMs: MAX_AGE_MS},
 			quotaRoom: QUOTA_ROOM,
+			quarantineMs: QUARANTINE_MS,
 		};
 		const file = path.join(this.#folder, `host-${index}.json`);
 		writeFileSync(file, JSON.stringify({relay, storeAddress: this.#store.address}));
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -9,6 +9,8 @@
 export class History {
 	readonly sites: WrittenSite[] = [];
 	readonly disturbances: Disturbance[] = [];
+	/** When one request crashed targets. */
+	readonly poisons: Array<{readonly fromMs: number; readonly untilMs: number}> = [];
 
 	/** The organisations that a daemon may have known in this time: those of the newest site at its beginning, and of each later one. */
 	sitesBetween(fromMs: number, untilMs: number): WrittenSite[] {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -56,7 +56,7 @@
 		const calmUntilMs = Date.now();
 		await callers.end();
 		const record: SoakRecord = {
-			requests: callers.requests, receipts: fleet.hosts.flatMap(({target}) => receiptsOf(target)), history: fleet.history, isStrict: plan.isStrict, calmFromMs, calmUntilMs,
+			requests: callers.requests, receipts: fleet.hosts.flatMap(({target}) => receiptsOf(target)), history: fleet.history, isStrict: plan.isStrict, heldPaths: readHeldPaths(folder), calmFromMs, calmUntilMs,
 		};
 		const stopViolations = stops.filter(detail => detail !== undefined).map((detail): Violation => ({promise: 'a stop ends in time', detail}));
 		return {record, violations: [...stopViolations, ...findViolations(record)]};
@@ -87,6 +87,11 @@
 			return undefined;
 		}
 
+		case 'poison': {
+			await fleet.poison(event.forMs);
+			return undefined;
+		}
+
 		case 'heat': {
 			callers.heat = event.factor;
 			await sleep(event.forMs);
@@ -108,6 +113,12 @@
 
 const describe = (event: SoakEvent) => event.type === 'site' ? {...event, organisations: event.organisations.map(({name, keys, ratePerS}) => `${name}(${ratePerS ?? 'no limit'}): ${keys.join(' ')}`)} : event;
 
+/** The paths of the requests that the daemons' logs say they hold. */
+function readHeldPaths(folder: string): string[] {
+	const lines = readdirSync(folder).filter(file => file.endsWith('.log')).flatMap(file => readFileSync(path.join(folder, file), 'utf8').split('\n'));
+	return lines.flatMap(line => /event=request_held .*path=(?<held>\S+)/v.exec(line)?.groups?.held ?? []);
+}
+
 /** Prints what shows a violation: its lines of all daemons' logs. */
 function printTrace(folder: string, attemptId: string): void {
 	const lines = readdirSync(folder).filter(file => file.endsWith('.log')).flatMap(file => readFileSync(path.join(folder, file), 'utf8').split('\n').filter(line => line.includes(`attempt=${attemptId} `) || line.includes(`attempt=${attemptId}.`)));
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -5,6 +5,8 @@
 
 /** What happens to a daemon's process: SIGTERM or SIGKILL and a new start, SIGSTOP for a time, SIGHUP. */
 export type DaemonFault = 'stop' | 'kill' | 'freeze' | 'reload';
+/** What happens to a target: it is slow, sheds all calls, or crashes and is down for a time. */
+export type TargetFault = 'slow' | 'shedding' | 'crash';
 /** How the operator changes an organisation. */
 export type OrganisationChange = 'withdraw' | 'withdraw-all' | 'move' | 'add' | 'limit';
 
@@ -13,7 +15,8 @@
 	| {readonly type: 'daemon'; readonly fault: DaemonFault; readonly host: number; readonly forMs: number}
 	| {readonly type: 'store'; readonly fault: StoreFault; readonly forMs: number}
 	| {readonly type: 'site'; readonly change: OrganisationChange; readonly organisations: readonly Organisation[]}
-	| {readonly type: 'target'; readonly host: number; readonly behaviour: 'slow' | 'shedding'; readonly forMs: number}
+	| {readonly type: 'target'; readonly host: number; readonly behaviour: TargetFault; readonly forMs: number}
+	| {readonly type: 'poison'; readonly forMs: number}
 	| {readonly type: 'heat'; readonly factor: number; readonly forMs: number});
 
 /** What one seed plays. */
@@ -25,7 +28,9 @@
 export const USUAL_LIMIT = 15;
 const OTHER_LIMITS = [6, 30];
 export const LIMITED = 'limited';
-/** The organisations at the start and after the faults. Only one has a limit; `spare` holds a key that nobody uses. */
+/** The path that crashes targets while a plan says so; sent with a key of `spare`. */
+export const DEADLY_PATH = '/read/deadly';
+/** The organisations at the start and after the faults. Only one has a limit; `spare` sends what crashes targets. */
 export const USUAL_ORGANISATIONS: readonly Organisation[] = [
 	{
 		name: LIMITED, keys: ['key-limited-0', 'key-limited-1'], ratePerS: USUAL_LIMIT, burst: USUAL_LIMIT,
@@ -45,7 +50,9 @@
 const DAEMON_FAULTS: readonly DaemonFault[] = ['stop', 'kill', 'freeze', 'reload'];
 const STORE_FAULTS: readonly StoreFault[] = ['refuse', 'silent', 'lose-answer', 'garble'];
 const CHANGES: readonly OrganisationChange[] = ['withdraw', 'withdraw-all', 'move', 'add', 'limit'];
-const TYPES = ['daemon', 'daemon', 'daemon', 'site', 'site', 'site', 'store', 'target', 'heat'] as const;
+const TYPES = ['daemon', 'daemon', 'daemon', 'site', 'site', 'site', 'store', 'target', 'target', 'poison', 'heat'] as const;
+/** How many times as long as other faults a request crashes targets: longer than it is held. */
+const POISON_LENGTH = 3;
 
 /** Creates the plan of a seed: the same one each time. */
 export function createPlan(seed: number, faultMs: number): SoakPlan {
@@ -101,10 +108,14 @@
 
 		case 'target': {
 			return {
-				type, atMs, host, behaviour: random.pick(['slow', 'shedding']), forMs,
+				type, atMs, host, behaviour: random.pick(['slow', 'shedding', 'crash', 'crash']), forMs,
 			};
 		}
 
+		case 'poison': {
+			return {type, atMs, forMs: forMs * POISON_LENGTH};
+		}
+
 		case 'heat': {
 			return {
 				type, atMs, factor: random.pick([2, 4]), forMs,
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -2,7 +2,7 @@
 import {type SentRequest} from '../soak/callers.js';
 import {type Receipt, type SoakRecord, findViolations} from '../soak/checks.js';
 import {History} from '../soak/history.js';
-import {USUAL_ORGANISATIONS, createPlan} from '../soak/plan.js';
+import {DEADLY_PATH, USUAL_ORGANISATIONS, createPlan} from '../soak/plan.js';
 
 const BEGIN_MS = 1_000_000;
 const CALM_MS = BEGIN_MS + 50_000;
@@ -23,7 +23,7 @@
 		stream, key: `key-${stream}-0`, sentMs: CALM_MS + index, endedMs: CALM_MS + index + 9,
 	})));
 	return {
-		requests: [...requests, ...calm], receipts, history, isStrict: true, calmFromMs: CALM_MS, calmUntilMs: CALM_MS + 4000, ...more,
+		requests: [...requests, ...calm], receipts, history, isStrict: true, heldPaths: [], calmFromMs: CALM_MS, calmUntilMs: CALM_MS + 4000, ...more,
 	};
 }
 
@@ -36,6 +36,11 @@
 	return record;
 }
 
+function poison(record: SoakRecord): SoakRecord {
+	record.history.poisons.push({fromMs: BEGIN_MS, untilMs: CALM_MS});
+	return record;
+}
+
 describe('a plan', () => {
 	it('is the same for the same seed, and another for another', () => {
 		expect(createPlan(5, 8000)).toEqual(createPlan(5, 8000));
@@ -44,7 +49,7 @@
 
 	it('plays all kinds of events and both ways of revocation within a few seeds', () => {
 		const plans = Array.from({length: 20}, (_, seed) => createPlan(seed, 8000));
-		expect(new Set(plans.flatMap(({events}) => events.map(({type}) => type)))).toEqual(new Set(['daemon', 'store', 'site', 'target', 'heat']));
+		expect(new Set(plans.flatMap(({events}) => events.map(({type}) => type)))).toEqual(new Set(['daemon', 'store', 'site', 'target', 'poison', 'heat']));
 		expect(new Set(plans.map(({isStrict}) => isStrict))).toEqual(new Set([true, false]));
 	});
 });
@@ -74,6 +79,9 @@
 		['right answer', () => createRecord([request('r', {answeredAttemptId: 'other'})])],
 		['whole answer', () => createRecord([request('r', {isWhole: false})])],
 		['has not run', () => createRecord([refused(503, {isNotRun: true})], [receipt('r')])],
+		['has not run', () => createRecord([refused(503)], [receipt('r')])],
+		['no sound request is held', () => createRecord([], [], {heldPaths: ['/orders/']})],
+		['a request that crashes targets is kept from them', () => poison(createRecord([], Array.from({length: 7}, (_, index) => receipt(`d${index}`, {path: DEADLY_PATH, atMs: BEGIN_MS + (index < 3 ? index : 5000 + index)}))))],
 		['has not run', () => createRecord([refused(401, {key: 'nobody-s-key'})], [receipt('r', {organisation: undefined, path: '/open/'})])],
 		['every accepted request is answered', () => createRecord([refused(0, {isWhole: false, error: 'ECONNRESET'})])],
 		['401 only without a known key', () => createRecord([refused(401)])],
