Calls don't wait for a trial whose only suspect has left

Queued calls of a target stayed paused for up to 50 ms after the client of the last waiting suspect had gone. A fingerprint without a Host header took the first header's name for it; HTTP/1.1 asks for one, so no request was seen to.

--- a/src/relay/fingerprint.ts
+++ b/src/relay/fingerprint.ts
@@ -16,7 +16,7 @@
 export function fingerprintOf({template: {method, callerService, headers}, path, organisation = '', body}: IdentifyingParts): string {
 	const hostIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
 	const hash = createHash('sha256');
-	for (const field of [method, headers[hostIndex + 1], path, callerService, organisation]) {
+	for (const field of [method, hostIndex === -1 ? '' : headers[hostIndex + 1], path, callerService, organisation]) {
 		hash.update(field).update(FIELD_END);
 	}
 
--- a/src/relay/target/trials.ts
+++ b/src/relay/target/trials.ts
@@ -93,6 +93,7 @@
 		const index = this.#waiting.indexOf(owned);
 		if (index !== -1) {
 			this.#waiting.splice(index, 1);
+			this.#resumeIfIdle();
 		}
 
 		return index !== -1;
@@ -100,7 +101,13 @@
 
 	/** Removes all waiting calls. */
 	clear(): OwnedCall[] {
-		return this.#waiting.splice(0);
+		const all = this.#waiting.splice(0);
+		this.#resumeIfIdle();
+		return all;
+	}
+
+	#resumeIfIdle(): void {
+		this.#options.queue.isPaused &&= this.isActive;
 	}
 
 	// With no other target left, a suspect waits for one as long as it can.
@@ -114,7 +121,7 @@
 		const {
 			quarantine, admit, refuse,
 		} = this.#options;
-		for (const owned of this.clear()) {
+		for (const owned of this.#waiting.splice(0)) {
 			const verdict = quarantine.verdictOf(owned.fingerprint, nowMs);
 			if (nowMs >= owned.deadlineMs) {
 				refuse(owned, 'expired');
