--- a/src/relay/target/crashdetector.ts
+++ b/src/relay/target/crashdetector.ts
@@ -10,6 +10,8 @@
 const PENDING_MS = 15_000;
 /** How long after the loss answers may still arrive that a crashed target had sent, in ms. */
 const LATE_ANSWERS_MS = 50;
+/** How long a run counts as in flight after it was aborted, in ms: what it began may go on. */
+const ABORTED_MEMORY_MS = 500;
 /** The most runs of one crash that are remembered; in more, the ones that began last count. */
 const MAX_LOST = 256;
 
@@ -30,12 +32,13 @@
 };
 
 /**
- * Tells a crash of the target from a connection that it closed: all runs in flight are lost,
+ * Tells a crash of the target from a connection that it closed: all runs in flight are lost, those just aborted among them,
  * and then it refuses connections or comes back as another start.
  */
 export class CrashDetector {
 	readonly #options: CrashDetectorOptions;
 	#lost: LostRun[] = [];
+	#aborted: Array<LostRun & {readonly atMs: number}> = [];
 	#unsettled: Array<(reason: LossReason) => void> = [];
 	#lostMs = 0;
 	#isCheckDue = false;
@@ -63,6 +66,11 @@
 		this.#scheduleCheck();
 	}
 
+	/** Records that this daemon closed the connection of a run, as nobody waits for it any longer. */
+	onRunAborted(owned: OwnedCall, nowMs: number): void {
+		this.#aborted = [...this.#aborted.filter(({atMs}) => nowMs - atMs <= ABORTED_MEMORY_MS), {owned, ranMs: nowMs - owned.startedMs, atMs: nowMs}].slice(-MAX_LOST);
+	}
+
 	/** Records that the target has answered a run, so it hasn't crashed. */
 	onServed(nowMs: number): void {
 		if (this.#lost.length > 0 && nowMs - this.#lostMs > LATE_ANSWERS_MS) {
@@ -71,14 +79,14 @@
 	}
 
 	/** Records that the target refused a connection. */
-	onRefused(): void {
-		this.#confirm('refused');
+	onRefused(nowMs: number): void {
+		this.#confirm('refused', nowMs);
 	}
 
 	/** Records that another start of the target has announced itself. */
 	onRestarted(nowMs: number): void {
 		if (nowMs - this.#lostMs <= PENDING_MS) {
-			this.#confirm('restarted');
+			this.#confirm('restarted', nowMs);
 		}
 	}
 
@@ -111,7 +119,7 @@
 
 		socket.on('error', (error: NodeJS.ErrnoException) => {
 			if (error.code === 'ECONNREFUSED') {
-				this.onRefused();
+				this.onRefused(this.#lostMs);
 			}
 		});
 		socket.on('close', () => {
@@ -125,10 +133,13 @@
 		}
 	}
 
-	#confirm(sign: CrashSign): void {
-		if (this.#lost.length > 0) {
-			const lost = this.#lost.toSorted((a, b) => a.ranMs - b.ranMs).slice(0, MAX_LOST);
-			this.#lost = [];
+	#confirm(sign: CrashSign, nowMs: number): void {
+		const crashedMs = this.#lost.length > 0 ? this.#lostMs : nowMs;
+		const aborted = this.#aborted.filter(({atMs}) => crashedMs - atMs <= ABORTED_MEMORY_MS);
+		const lost = [...this.#lost, ...aborted].toSorted((a, b) => a.ranMs - b.ranMs).slice(0, MAX_LOST);
+		this.#lost = [];
+		this.#aborted = [];
+		if (lost.length > 0) {
 			this.#options.onCrash(lost, sign);
 			this.#settle('crashed');
 		}
--- a/src/relay/target/quarantineguard.ts
+++ b/src/relay/target/quarantineguard.ts
@@ -77,6 +77,12 @@
 		this.#crashDetector.onRunLost(owned, this.#options.clock.nowMs(), settle);
 	}
 
+	/** Records that this daemon closed the connection of a run, as nobody waits for it any longer. */
+	onRunAborted(owned: OwnedCall, nowMs: number): void {
+		this.#crashDetector.onRunAborted(owned, nowMs);
+		this.trials.onRunAborted(owned, nowMs);
+	}
+
 	/** Records that the target has answered a run. */
 	onServed(owned: OwnedCall, nowMs: number): void {
 		this.#crashDetector.onServed(nowMs);
@@ -102,7 +108,7 @@
 
 	/** Records that the target refused a connection. */
 	onRefused(): void {
-		this.#crashDetector.onRefused();
+		this.#crashDetector.onRefused(this.#options.clock.nowMs());
 	}
 
 	/** Records that another start of the target has announced itself. */
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -296,6 +296,7 @@
 
 	#abortRun(owned: OwnedCall): void {
 		owned.run?.cancel();
+		this.#guard.onRunAborted(owned, this.#options.clock.nowMs());
 		this.onRunEnded(owned, false);
 	}
 
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -10,7 +10,7 @@
 export const HEALTH_PATH = '/health';
 
 /** How long a target runs a request that crashes it, and how long it is down then, in ms. */
-const CRASH_AFTER_MS = 20;
+export const CRASH_AFTER_MS = 20;
 const CRASHED_MS = 400;
 
 /** A nested call that a target makes while it runs a request; `times` is how often it makes it. */
