--- a/proof/rules/index.ts
+++ b/proof/rules/index.ts
@@ -1,5 +1,6 @@
 import {Mesh} from '../../standins/mesh.js';
 import {ANSWER_CHECKS} from './answers.js';
+import {CRASH_CHECKS} from './crashes.js';
 import {type RuleCheck} from './rulecheck.js';
 import {LIFECYCLE_CHECKS} from './lifecycle.js';
 import {LOAD_CHECKS} from './load.js';
@@ -11,12 +12,12 @@
 export {type RuleCheck} from './rulecheck.js';
 
 /** The checks of all rules of the platform, each with a sabotage of the mechanism that enforces the rule. */
-export const RULE_CHECKS: readonly RuleCheck[] = [...ANSWER_CHECKS, ...ROUTE_CHECKS, ...LIFECYCLE_CHECKS, ...LOAD_CHECKS, ...SIGNAL_CHECKS, ...ORGANISATION_CHECKS, ...STORE_RESTORE_CHECKS];
+export const RULE_CHECKS: readonly RuleCheck[] = [...ANSWER_CHECKS, ...ROUTE_CHECKS, ...LIFECYCLE_CHECKS, ...LOAD_CHECKS, ...SIGNAL_CHECKS, ...ORGANISATION_CHECKS, ...STORE_RESTORE_CHECKS, ...CRASH_CHECKS];
 
 /** Checks one rule on a new mesh. @returns the violations */
-export async function checkRule({run, sabotage}: RuleCheck, isSabotaged: boolean): Promise<string[]> {
+export async function checkRule({run, settings, sabotage}: RuleCheck, isSabotaged: boolean): Promise<string[]> {
 	const undo = isSabotaged ? sabotage.apply() : undefined;
-	const mesh = new Mesh();
+	const mesh = new Mesh(settings);
 	try {
 		return await run(mesh);
 	} finally {
--- a/proof/rules/rulecheck.ts
+++ b/proof/rules/rulecheck.ts
@@ -1,3 +1,4 @@
+import {type RelaySettings} from '../../src/relay/index.js';
 import {type Mesh} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {type MeshAnswer, call} from '../../standins/meshtarget.js';
@@ -8,6 +9,8 @@
 /** Checks one rule of the platform from outside, on a mesh of daemons with real sockets. */
 export type RuleCheck = {
 	readonly rule: string;
+	/** Settings of the mesh's daemons that differ from the defaults. */
+	readonly settings?: Partial<RelaySettings>;
 	/** @returns the violations of the rule; empty if it holds */
 	readonly run: (mesh: Mesh) => Promise<string[]>;
 	/** Disables the mechanism that enforces the rule, so that `run` must report a violation. */
