What was in flight at one crash goes to the same target from all daemons

One crash proves nothing, but it costs nothing either to send all of them that come again to one target, chosen by the fingerprint: what crashes targets then takes one at a time. The daemon whose own call was lost does so at once.

--- a/fakes/crashsimulation.ts
+++ b/fakes/crashsimulation.ts
@@ -66,6 +66,8 @@
 
 	/** When the deadly request crashed targets, in ms. */
 	readonly deadlyCrashesMs: number[] = [];
+	/** How long no target was up, in ms. */
+	outageMs = 0;
 	crashes = 0;
 	trials = 0;
 	deadlyServed = 0;
@@ -74,6 +76,7 @@
 	readonly #scheduler = new Scheduler(0);
 	readonly #owners: SimulatedOwner[];
 	#nextId = 1;
+	#outageFromMs: number | undefined;
 
 	constructor(options: CrashSimulationOptions) {
 		this.#options = options;
@@ -118,7 +121,8 @@
 			return;
 		}
 
-		const owner = this.#random.pick(up);
+		const first = this.#random.pick(up);
+		const owner = first.quarantine.crashesOf(request) > 0 ? this.#chooseTogether(request, up) : first;
 		const run = {
 			request, attemptId: `a${this.#nextId++}`, startedMs: nowMs, tries, isLost: false,
 		};
@@ -126,7 +130,7 @@
 		if (verdict === 'refuse') {
 			this.#countRefusal(request);
 		} else if (verdict === 'trial') {
-			const chosen = this.#owners[Number(chooseByRendezvous(request, up.map(one => String(this.#owners.indexOf(one)))))];
+			const chosen = this.#chooseTogether(request, up);
 			chosen.waiting.push(run);
 			this.#advance(chosen);
 		} else if (owner.isPaused) {
@@ -136,6 +140,10 @@
 		}
 	}
 
+	#chooseTogether(request: string, up: readonly SimulatedOwner[]): SimulatedOwner {
+		return this.#owners[Number(chooseByRendezvous(request, up.map(one => String(this.#owners.indexOf(one)))))];
+	}
+
 	#countRefusal(request: string): void {
 		this.refused[request === POPULAR || request === KNOWN || request === DEADLY ? request : 'unique']++;
 	}
@@ -185,6 +193,10 @@
 		const {nowMs} = this.#scheduler;
 		this.crashes++;
 		owner.isUp = false;
+		if (this.#owners.every(({isUp}) => !isUp)) {
+			this.#outageFromMs = nowMs;
+		}
+
 		const lost = [...owner.running];
 		owner.running.clear();
 		const answered = new Set(owner.answered.splice(0));
@@ -210,6 +222,8 @@
 		}
 
 		this.#scheduler.schedule(DOWN_MS, () => {
+			this.outageMs += this.#outageFromMs === undefined ? 0 : this.#scheduler.nowMs - this.#outageFromMs;
+			this.#outageFromMs = undefined;
 			owner.isUp = true;
 		});
 	}
--- a/src/mesh/retries/attempts.ts
+++ b/src/mesh/retries/attempts.ts
@@ -86,7 +86,7 @@
 
 	/**
 	 * Chooses the next host and counts the request as in flight there.
-	 * @param suspect what identifies a request that may crash targets: all daemons send it to the same one, which tries it once
+	 * @param suspect what identifies a request that may crash targets: all daemons send it to the same one
 	 */
 	chooseNextHost(nowMs: number, suspect?: string): HostEntry | undefined {
 		const {
@@ -94,7 +94,7 @@
 		} = this.#parts;
 		const {route, service, isForRetriedRun} = this.#request;
 		const call = {route: route.name, objectiveMs: route.objectiveMs, tried: this.#triedHosts};
-		const entry = (suspect === undefined ? undefined : this.#chooseForTrial(suspect, nowMs))
+		const entry = (suspect === undefined ? undefined : this.#chooseTogether(suspect, nowMs))
 			?? loadBalancer.choose(hosts.serving(service), call, nowMs, candidate => targetSignals.hasLeft(candidate, nowMs));
 		if (entry !== undefined) {
 			if (this.#triedHosts.length === 0) {
@@ -162,7 +162,7 @@
 		return isAllowed;
 	}
 
-	#chooseForTrial(suspect: string, nowMs: number): HostEntry | undefined {
+	#chooseTogether(suspect: string, nowMs: number): HostEntry | undefined {
 		const {
 			hosts, loadBalancer, targetSignals, hasCrashed,
 		} = this.#parts;
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -246,6 +246,7 @@
 		this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
 		if (reason === 'crashed') {
 			this.#attempts.recordCrash();
+			this.#quarantineCheck.onCrashed();
 		} else if (reason === 'link-lost') {
 			this.#context.loadBalancer.markUnreachable(this.#attempts.host, nowMs);
 		}
@@ -279,13 +280,12 @@
 
 	#sendToNextHost(previousRefusal?: string): void {
 		const nowMs = this.#context.clock.nowMs();
-		const verdict = this.#quarantineCheck.verdictAt(nowMs);
-		if (verdict === 'refuse') {
+		if (this.#quarantineCheck.verdictAt(nowMs) === 'refuse') {
 			this.#refuse('quarantined', 'transient', this.#quarantineCheck.leftMs(nowMs));
 			return;
 		}
 
-		const entry = this.#attempts.chooseNextHost(nowMs, verdict === 'trial' ? this.#quarantineCheck.fingerprint : undefined);
+		const entry = this.#attempts.chooseNextHost(nowMs, this.#quarantineCheck.placementKey);
 		if (entry === undefined) {
 			this.#refuse(previousRefusal === undefined ? 'no-target' : (previousRefusal as EndReason), 'transient');
 			return;
