--- a/src/relay/target/crashdetector.ts
+++ b/src/relay/target/crashdetector.ts
@@ -39,7 +39,7 @@
 	readonly #options: CrashDetectorOptions;
 	#lost: LostRun[] = [];
 	#aborted: Array<LostRun & {readonly atMs: number}> = [];
-	#unsettled: Array<(reason: LossReason) => void> = [];
+	readonly #unsettled: Array<(reason: LossReason) => void> = [];
 	#lostMs = 0;
 	#isCheckDue = false;
 	#socket: Socket | undefined;
