--- a/src/mesh/quarantine/quarantine.ts
+++ b/src/mesh/quarantine/quarantine.ts
@@ -126,7 +126,7 @@
 
 	/** @returns whether the survival is new */
 	recordSurvival(survival: Survival, nowMs: number): boolean {
-		return this.#suspects.recordSurvival(survival, nowMs);
+		return this.isEnabled && this.#suspects.recordSurvival(survival, nowMs);
 	}
 
 	/** @returns whether the hold replaces what was known */
--- a/test/mesh/quarantine.test.ts
+++ b/test/mesh/quarantine.test.ts
@@ -166,6 +166,7 @@
 		crash(quarantine, 1, ['deadly'], 0);
 		crash(quarantine, 2, ['deadly'], 100);
 		crash(quarantine, 3, ['deadly'], 200);
+		expect(quarantine.recordSurvival({request: 'a', crashes: [9]}, 200)).toBe(false);
 		expect([quarantine.isActive, quarantine.isIdle, quarantine.verdictOf('deadly', 201)]).toEqual([false, true, 'pass']);
 	});
 });
