The trace of a connection that the target closed still says broken: asserted again

The explain test that asked for 'broken' kills its target, which is told apart since and asked for there with its new line; what it had asked of a broken run was left without a test. One constant's name without a picture.

--- a/src/mesh/quarantine/crashreport.ts
+++ b/src/mesh/quarantine/crashreport.ts
@@ -34,9 +34,9 @@
 };
 
 /** The chance that an ordinary request is one that crashes targets. */
-const GUILT_OF_OTHERS = 0.0001;
+const CHANCE_PER_OTHER_RUN = 0.0001;
 
 /** The chance that a target would have crashed without the suspect: by itself while that ran, or by another request. */
 export function chanceWithout({ranMs, others, crashesPerMs}: CrashScene): number {
-	return Math.min(1, (ranMs * crashesPerMs) + (others * GUILT_OF_OTHERS));
+	return Math.min(1, (ranMs * crashesPerMs) + (others * CHANCE_PER_OTHER_RUN));
 }
--- a/test/relay/explain.test.ts
+++ b/test/relay/explain.test.ts
@@ -41,6 +41,19 @@
 		expect(readTrace('a1')).toMatch(/back +run_crashed .*fingerprint=[\da-f]{16} .*\n.*back +run_failed .*reason=crashed .*\n.*front +failed .*reason=crashed .*status=502/v);
 	});
 
+	it('shows a broken run, and no crash, for a request whose connection the target closed', async () => {
+		mesh = new Mesh();
+		const {front, back} = await mesh.addPair({routes: [createRoute('x', 'back', {repeatability: 'unsafe'})]});
+		back.target.behaviourOverride = request => {
+			request.socket.destroy();
+		};
+
+		const {status} = await call(front.settings.listen.requests.port, '/x/', {method: 'POST', headers: createAttemptHeaders('a1')});
+		expect(status).toBe(502);
+		expect(readTrace('a1')).toMatch(/back +run_failed .*reason=broken .*\n.*front +failed .*reason=broken .*status=502/v);
+		expect(readTrace('a1')).not.toContain('run_crashed');
+	});
+
 	it('names the slow service in the nested call\'s line for a request that timed out behind it', async () => {
 		mesh = new Mesh();
 		mesh.configure(createSiteSpec([createRoute('top', 'front', {timeoutMs: 1200}), createRoute('deep', 'back', {timeoutMs: 300})]));
