A request behind one whose body is too large is not run

Found on the path of the fault before: 413 closed its connection without the connection knowing, so a request pipelined behind it was read, sent to a target and run, and its answer had nowhere to go. The close now goes through the same call as all others. The test failed before: the target had run `behind`.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -104,7 +104,7 @@
 			},
 			onTooLarge: () => {
 				this.#cancelCall();
-				this.#responseWriter.disableKeepAlive();
+				this.#responseWriter.tryCloseAfterResponse();
 				this.#endWithStatus(413, 'cancelled');
 			},
 		});
--- a/src/relay/clients/responsewriter.ts
+++ b/src/relay/clients/responsewriter.ts
@@ -26,7 +26,7 @@
 		this.#attemptId = attemptId;
 	}
 
-	/** Closes the connection after the answer, whose end then marks the end of the body. @returns whether that is possible */
+	/** Closes the connection after the answer, because its end marks the end of the body or part of the request remains unread. @returns whether that is possible */
 	tryCloseAfterResponse(): boolean {
 		return this.#context.tryCloseAfter(this.#response);
 	}
@@ -67,11 +67,6 @@
 		this.#response.end();
 	}
 
-	/** Closes the connection after the answer, because part of the request remains unread. */
-	disableKeepAlive(): void {
-		this.#response.shouldKeepAlive = false;
-	}
-
 	/** Aborts the answer by a connection reset: an answer without a length would look complete after a regular close. */
 	resetConnection(): void {
 		this.#request.socket.resetAndDestroy();
--- a/test/failures/lateclose.test.ts
+++ b/test/failures/lateclose.test.ts
@@ -4,12 +4,15 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {Mesh} from '../../standins/mesh.js';
+import {
+	Mesh, createRoute, createSiteSpec,
+} from '../../standins/mesh.js';
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 
 const LAME_DUCK_MS = 300;
 /** More than is collected before the head of an answer is passed on. */
 const STREAMED_BYTES = 100_000;
+const MAX_BODY_BYTES = 1000;
 
 let mesh: Mesh;
 afterEach(async () => {
@@ -63,14 +66,21 @@
 	readonly port: number;
 	/** Stops the daemon to which the clients connect. */
 	readonly stop: () => Promise<void>;
+	/** The attempts that the target has begun. */
+	readonly ran: readonly string[];
 };
 
 /** Adds two daemons and a target that works for as many ms as the path says, or streams its answer. */
 async function addPair(): Promise<Pair> {
 	mesh = new Mesh();
-	const {front, back: {target}, port} = await mesh.addPair({back: {slots: 20}});
+	const routes = [createRoute('x', 'back')];
+	const {front, back: {target}, port} = await mesh.addPair({routes, back: {slots: 20}});
+	const spec = createSiteSpec(routes, 2);
+	mesh.configure({...spec, limits: {...spec.limits, bodyBytes: MAX_BODY_BYTES}});
+	const ran: string[] = [];
 	target.behaviourOverride = (request, response) => {
 		const id = String(request.headers[meshHeaders.attemptId]);
+		ran.push(id);
 		const work = request.url!.split('/')[2];
 		if (work === 'stream') {
 			response.writeHead(200, {[meshHeaders.attemptId]: id, [meshHeaders.signature]: 's', 'content-length': STREAMED_BYTES + 1});
@@ -85,7 +95,7 @@
 		}
 	};
 
-	return {stop: async () => front.stop(), port};
+	return {stop: async () => front.stop(), port, ran};
 }
 
 /** Sends a further request as a client does that respects what the answers say. @returns whether it got its answer, or none was owed */
@@ -130,3 +140,17 @@
 		expect(long.statuses).toEqual([200]);
 	});
 });
+
+describe('a request behind an answer that closes the connection', () => {
+	// Guards against requests that run though their connection closes before their answer.
+	it('is not run: the body before it was too large', async () => {
+		const first = `${get('5', 'first', `content-length: ${2 * MAX_BODY_BYTES}\r\n`)}${'x'.repeat(2 * MAX_BODY_BYTES)}`;
+		const {port, ran} = await addPair();
+		const connection = new KeptConnection(port);
+		connection.send(first + get('5', 'behind'));
+		await expect.poll(() => connection.isClosed, {timeout: 5000}).toBe(true);
+		await sleep(50);
+		expect(connection.statuses).toEqual([413]);
+		expect(ran).not.toContain('behind');
+	});
+});
