The product's own path closes a connection only after its last answer

Which answer closes is now decided by one class for both paths.

The three cases of the new test failed before: a pipelined request ran at the target and the connection closed after the answer before it, and the stop took 30 s, until the hook's limit, as the second answer stayed open.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -1,9 +1,10 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {
-	type HttpMessage, header, listen, stopListening,
+	type HttpMessage, ClosingAnswer, header, listen, stopListening,
 } from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
@@ -44,6 +45,7 @@
 	readonly #log: Logger;
 	readonly #options: RequestServerOptions;
 	readonly #openResponses = new Map<number, ServerResponse>();
+	readonly #closingAnswers = new WeakMap<Socket, ClosingAnswer>();
 	#nextId = 1;
 	#isClosing = false;
 	#rejectedRequests = 0;
@@ -58,6 +60,9 @@
 		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
+		this.server.on('connection', (socket: Socket) => {
+			this.#closingAnswers.set(socket, new ClosingAnswer());
+		});
 		this.server.on('clientError', (error, socket) => {
 			this.#rejectedRequests++;
 			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
@@ -96,12 +101,16 @@
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
-		if (this.#isClosing) {
-			response.setHeader('connection', 'close');
+		const closingAnswer = this.#closingAnswers.get(request.socket)!;
+		if (closingAnswer.isSettled) {
+			// The answer to an earlier request closes the connection, so this request counts as not read.
+			return;
 		}
 
+		closingAnswer.onRequest(response);
 		this.#readBody(request, response, body => {
 			if (request.url?.startsWith(header.OWN_PATH_PREFIX)) {
+				this.#closeIfStopping(response);
 				this.#options.handleOwnEndpoint(request, body, response);
 			} else {
 				this.#acceptRequest(request, body, response);
@@ -183,9 +192,7 @@
 		}
 
 		const {status, headers, body} = buildHttpAnswer(answer);
-		if (this.#isClosing) {
-			headers.push('connection', 'close');
-		}
+		this.#closeIfStopping(response);
 
 		try {
 			response.writeHead(status, headers);
@@ -197,6 +204,12 @@
 		response.end(body);
 	}
 
+	#closeIfStopping(response: ServerResponse): void {
+		if (this.#isClosing) {
+			this.#closingAnswers.get(response.req.socket)?.trySettle(response);
+		}
+	}
+
 	// A peer or a target may send what HTTP can't carry; what it answers has run.
 	#writeUnwritable(response: ServerResponse, {message}: Error): void {
 		this.#log.warn('answer_unwritable', {reason: message});
@@ -215,11 +228,11 @@
 		const body = JSON.stringify({
 			type: 'about:blank', title: 'The request was not run', status: error.status, detail: error.message, outcome: 'not-run',
 		});
+		this.#closingAnswers.get(response.req.socket)?.trySettle(response);
 		response.writeHead(error.status, {
 			'content-type': 'application/problem+json',
 			'content-length': Buffer.byteLength(body),
 			[header.OUTCOME]: 'not-run',
-			connection: 'close',
 		});
 		response.end(body);
 	}
--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {ClosingAnswer} from '../../wire/index.js';
 import {type Exchange} from './exchange.js';
 
 /** How long a request may take to follow its connection, or the answer before it, in ms: some round trips. */
@@ -15,9 +16,8 @@
 	#unansweredRequests = 0;
 	/** The bytes that had been read when the last answer was written. */
 	#answeredBytes = 0;
-	/** The response to the request that was read last; pipelined requests are answered in their order, so it's also the last to be written. */
-	#lastResponse: ServerResponse | undefined;
-	#isClosing = false;
+	readonly #closingAnswer = new ClosingAnswer();
+	#isClosed = false;
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
@@ -30,14 +30,14 @@
 		return this.#unansweredRequests;
 	}
 
-	/** Whether the connection closes after the last of its answers: what the client sends behind it counts as not read. */
+	/** Whether the connection has been closed, or will be after the last of its answers: what the client sends now counts as not read. */
 	get isClosing(): boolean {
-		return this.#isClosing;
+		return this.#isClosed || this.#closingAnswer.isSettled;
 	}
 
 	onRequest(response: ServerResponse): void {
 		this.#unansweredRequests++;
-		this.#lastResponse = response;
+		this.#closingAnswer.onRequest(response);
 	}
 
 	onAnswerWritten(): void {
@@ -48,19 +48,13 @@
 
 	/** Closes the connection after this answer, whose head isn't written yet. @returns false, without effect, if other answers follow it */
 	tryCloseAfter(response: ServerResponse): boolean {
-		if (response !== this.#lastResponse) {
-			return false;
-		}
-
-		this.#isClosing = true;
-		response.shouldKeepAlive = false;
-		return true;
+		return this.#closingAnswer.trySettle(response);
 	}
 
 	/** Closes the connection unless it is in use. */
 	closeIfUnused(): void {
 		if (!this.isInUse()) {
-			this.#isClosing = true;
+			this.#isClosed = true;
 			this.#socket.end();
 		}
 	}
@@ -71,6 +65,6 @@
 			return true;
 		}
 
-		return !this.#isClosing && (this.#socket.bytesRead > this.#answeredBytes || this.#nowMs() - this.#unusedSinceMs < NEXT_REQUEST_MS);
+		return !this.isClosing && (this.#socket.bytesRead > this.#answeredBytes || this.#nowMs() - this.#unusedSinceMs < NEXT_REQUEST_MS);
 	}
 }
--- /dev/null
+++ b/src/wire/closinganswer.ts
@@ -0,0 +1,27 @@
+import {type ServerResponse} from 'node:http';
+
+/** Decides which answer closes a client's connection: the one to the request that was read last, as pipelined requests are answered in their order. */
+export class ClosingAnswer {
+	#lastResponse: ServerResponse | undefined;
+	#isSettled = false;
+
+	/** Whether an answer closes the connection: what the client sends behind it counts as not read. */
+	get isSettled(): boolean {
+		return this.#isSettled;
+	}
+
+	onRequest(response: ServerResponse): void {
+		this.#lastResponse = response;
+	}
+
+	/** Closes the connection after this answer, whose head isn't written yet. @returns false, without effect, if other answers follow it */
+	trySettle(response: ServerResponse): boolean {
+		if (response !== this.#lastResponse) {
+			return false;
+		}
+
+		this.#isSettled = true;
+		response.shouldKeepAlive = false;
+		return true;
+	}
+}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -4,5 +4,6 @@
 export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
 export {listen} from './listen.js';
+export {ClosingAnswer} from './closinganswer.js';
 export {stopListening} from './stoplistening.js';
 export * as header from './header.js';
--- a/test/failures/productstop.test.ts
+++ b/test/failures/productstop.test.ts
@@ -94,6 +94,38 @@
 		expect(counts.answered).toBeGreaterThan(50);
 	});
 
+	// Guards against a request that runs though an answer before it closes the connection: its own can't be sent.
+	it.each([
+		{name: 'both read during the stop', readBefore: 0},
+		{name: 'both read before it', readBefore: 2},
+		{name: 'the first read before it', readBefore: 1},
+	])('answers each of two pipelined requests, or doesn\'t run it: $name', async ({readBefore}) => {
+		const ran: string[] = [];
+		pair.onRequest = (socket, text) => {
+			ran.push(...[...text.matchAll(/number: (?<number>\d)/gv)].map(({groups}) => groups!.number));
+			setTimeout(() => {
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+			}, 150);
+		};
+
+		const requests = [1, 2].map(number => `${HEAD}number: ${number}\r\n\r\n`);
+		const socket = connect(pair.port, '127.0.3.1');
+		let text = '';
+		socket.on('data', bytes => {
+			text += bytes.toString();
+		});
+		const closed = new Promise(resolve => {
+			socket.on('close', resolve);
+		});
+		socket.write(requests.slice(0, readBefore).join(''));
+		await sleep(50);
+		const stopped = pair.daemons[0].stop();
+		await sleep(10);
+		socket.write(requests.slice(readBefore).join(''));
+		await Promise.all([closed, stopped]);
+		expect(text.match(/HTTP\/1\.1 200/gv) ?? []).toHaveLength(ran.length);
+	});
+
 	it('is reported if it closes at once', async () => {
 		vi.spyOn(RequestServer.prototype, 'stopAccepting').mockImplementation(async function (this: RequestServer) {
 			this.server.close();
