A refusal that names no attempt ends its connection

Reported by another operator, and it happened here: a target that had refused a request wrote that refusal once more on the kept connection, where the answer to the next request is due.

Cause: an answer that names another attempt is recognised and ends the connection, but a refusal may name none, and such a one was believed on any connection. What can't be told from a repeated one may only come once: after an answer that names no attempt the connection isn't used again. On the product's own path the same holds for a refusal without a context.

--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -134,6 +134,11 @@
 		this.#status = status;
 		this.#claimsNotRun = headers[header.OUTCOME] === 'not-run';
 		this.#headers = filterForwardableHeaders(flattenHeaders(headers));
+		if (this.#claimsNotRun && echoed === undefined) {
+			// If the target repeats it on this connection, nothing tells it from the answer to the next request.
+			this.onResponseEnd();
+			controller.abort(new Error('refusal without a context'));
+		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -63,6 +63,8 @@
 	#head: AnswerHead | undefined;
 	#fault: FailureReason | undefined;
 	#notRunReason: RefusalReason | undefined;
+	/** Whether the answer names the attempt that it belongs to. */
+	#isNamed = false;
 	#chunks: Buffer[] = [];
 	#bufferedBytes = 0;
 	#bodyBytes = 0;
@@ -240,7 +242,8 @@
 
 		this.#isOver = true;
 		this.#bodyStream?.destroy();
-		this.#connection.release(true);
+		// If the target repeats an answer that names no attempt, nothing tells it from the answer to the next request.
+		this.#connection.release(this.#isNamed);
 		if (this.#notRunReason !== undefined) {
 			this.#sink.onNotRun(this.#notRunReason);
 		} else if (this.#isStreaming) {
@@ -276,6 +279,7 @@
 
 	// Sets why the answer is none, if it isn't.
 	#judge(status: number, {signature, attemptId: echoedAttemptId, isNotRun, isEncoded}: AnswerHeaders): void {
+		this.#isNamed = echoedAttemptId === this.#call.attemptId;
 		const isOfOther = echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId;
 		// A target signs what it has run, and names the attempt: without that it may be of another.
 		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
