A refusal on a kept connection counts only if it names its attempt

Seen in the new cases: the client's request ran twice (TWICE), as the second target got it after such a refusal. On a connection that has carried an answer, a refusal without the attempt's id is no proof that the request hasn't run: safe requests are sent again within the budget, others get 502.

What it may cost: a target that never names its refusals.

The three new cases without an id failed before ("expected 2 to be less than 2" runs).

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -284,6 +284,9 @@
 		// A target signs what it has run, and names the attempt: without that it may be of another.
 		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
 			this.#fault = 'garbled';
+		} else if ((isNotRun || status === 421) && !this.#isNamed && this.#receivedBytesBefore > 0) {
+			// It may be a repeated one that the target made for an earlier request.
+			this.#fault = 'garbled';
 		} else if (isNotRun || status === 421) {
 			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
 		} else if (status < 300 && (signature === undefined || echoedAttemptId === undefined || isEncoded)) {
--- a/test/failures/earlierrefusal.test.ts
+++ b/test/failures/earlierrefusal.test.ts
@@ -26,7 +26,7 @@
 	});
 
 	// Guards against "not run" for a request that the target runs (REFUSED), and against its second run elsewhere (TWICE).
-	it.each(REFUSALS)('is no answer to the request that runs: $name', async ({textOf}) => {
+	it.each(REFUSALS.flatMap(refusal => [{...refusal, isFromThere: true}, {...refusal, name: `${refusal.name}, made on another connection`, isFromThere: false}]))('is no answer to the request that runs: $name', async ({textOf, isFromThere}) => {
 		mesh = new Mesh();
 		const routes = [createRoute('x', 'back', {repeatability: 'unsafe'})];
 		const target = {service: 'back', slots: 4, workMs: 0};
@@ -40,13 +40,12 @@
 				const id = String(request.headers[meshHeaders.attemptId]);
 				const {socket} = request;
 				const earlier = refusals.get(socket);
-				if (earlier === undefined) {
-					const text = textOf(id);
-					refusals.set(socket, text);
-					socket.write(text);
+				refusals.set(socket, earlier ?? textOf(isFromThere ? id : 'another'));
+				if (earlier === undefined && isFromThere) {
+					socket.write(refusals.get(socket)!);
 				} else {
 					ran.push(id);
-					socket.write(`${earlier}HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: ${options.id}\r\ncontent-length: 2\r\n\r\nok`);
+					socket.write(`${earlier ?? ''}HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: ${options.id}\r\ncontent-length: 2\r\n\r\nok`);
 				}
 			};
 		}
