On the product's own path, an answer that ends in a reset isn't whole

Reported by another operator: a target stopped in the middle of its answer's head and closed, and clients got a 200 that looked whole. Tried here on both paths with the head cut after each byte, framed by a length, a length of 0, chunks and the connection's end, after interim answers or not, on new and kept connections, closed in order and reset: no 200 came back for a cut head.

What they found beside it: on the product's own path an answer without a length counted as complete when its connection was reset, at any byte of the body ("no length, reset": 20 cuts, 200 with an empty or short body). The HTTP client takes any end of the connection for the answer's. The platform's path notes resets in its connector; both paths share it now.

--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -1,6 +1,6 @@
-import {type Socket} from 'node:net';
-import {Client, buildConnector} from 'undici';
+import {Client} from 'undici';
 import {IdleConnectionLimit, type TargetSignals} from '../../mesh/index.js';
+import {type TargetConnection, markResets} from '../../wire/index.js';
 import {type Adapter, type HeaderNames} from '../adapter.js';
 import {type Call} from '../call.js';
 import {type Address} from '../settings.js';
@@ -102,7 +102,7 @@
 	#openConnection(): Connection {
 		const connection: ConnectionState = {wasReset: false, socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY};
 		const client = new Client(this.#origin, {
-			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection), maxHeaderSize: MAX_HEADER_BYTES,
+			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection, CONNECT_TIMEOUT_MS), maxHeaderSize: MAX_HEADER_BYTES,
 		});
 		client.on('disconnect', (_origin, _targets, error) => {
 			// The target sent bytes that belong to no request: a surplus answer, or data that isn't HTTP.
@@ -137,35 +137,13 @@
 	}
 }
 
-type ConnectionState = {
-	wasReset: boolean;
-	/** Undefined until it is open. */
-	socket: Socket | undefined;
+type ConnectionState = TargetConnection & {
 	/** When the connection became idle, in ms; infinite for one that has carried no request yet. */
 	idleSinceMs: number;
 };
 
 type Connection = ConnectionState & {readonly client: Client};
 
-// Marks connections that end in a reset: the HTTP client takes an answer without a length as complete even then.
-function markResets(connection: Pick<ConnectionState, 'wasReset' | 'socket'>): buildConnector.connector {
-	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [error, socket] = result;
-			connection.wasReset = false;
-			if (error === null) {
-				connection.socket = socket;
-				socket.on('error', () => {
-					connection.wasReset = true;
-				});
-			}
-
-			callback(...result);
-		});
-	};
-}
-
 function originOf({ip, port}: Address): string {
 	return `http://${ip}:${port}`;
 }
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -3,6 +3,7 @@
 } from './codec.js';
 export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
+export {type TargetConnection, markResets} from './markresets.js';
 export {listen} from './listen.js';
 export {ClosingAnswer} from './closinganswer.js';
 export {stopListening} from './stoplistening.js';
