A draining daemon takes no request that it might have to cut off

Reported by another operator, and it happened here: late in the grace period of a planned stop a client completes a request on a connection that was in use when the drain began (the rest of its head or body, or its first request). It was passed on to a target and answered 502 when the process ended, while the target ran it: for one that may not be repeated nobody knows what became of it (LOST).

Cause: after the drain no connection is accepted, but what comes on the open ones was treated as at any other time, though the time left may be shorter than the request's. From the drain on a request is sent only if its deadline comes before the process ends; others get 503 "stopping" with a Retry-After, also those whose body is complete only then, or that were held. Requests read before the drain are sent as before.

The three cases failed before ([502], ran: late); the one that may run passes with and without the change.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -202,16 +202,12 @@
 	}
 
 	override onChunk(bytes: Buffer, isLast: boolean): void {
-		if (this.#isOver) {
-			return;
-		}
-
-		if (isLast) {
+		if (!this.#isOver && isLast) {
 			this.#releaseHost();
 			this.#finish();
 			this.#responseWriter.end(bytes);
 			this.#countAnswer(this.#streamedStatus, this.#context.clock.nowMs());
-		} else {
+		} else if (!this.#isOver) {
 			this.#responseWriter.write(bytes, () => {
 				this.#callHandle?.grantCredit(bytes.length);
 			});
@@ -223,9 +219,8 @@
 		const {host} = this.#attempts;
 		this.#attempts.recordReport(report, nowMs);
 		this.#releaseHost();
-		const {loadBalancer, log} = this.#context;
-		log.registry.count('owner_refusals', {service: this.service, reason});
-		recordRefusal(loadBalancer, host, reason, nowMs);
+		this.#context.log.registry.count('owner_refusals', {service: this.service, reason});
+		recordRefusal(this.#context.loadBalancer, host, reason, nowMs);
 		if (this.#isOver) {
 			return;
 		}
@@ -270,6 +265,11 @@
 	}
 
 	#sendOrWait(): void {
+		if (!this.#context.lastsUntil(this.deadlineMs)) {
+			this.#refuse('stopping', 'transient');
+			return;
+		}
+
 		const decision = this.#options.parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
 		if (typeof decision === 'number') {
 			this.#refuse('no-chance', 'overload', decision);
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -24,6 +24,8 @@
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	/** When the objective of the root request that a running call is made for ends, in ms, by the call's attempt id. */
 	readonly findObjectiveEndMs: (attemptId: string) => number | undefined;
+	/** Whether the process lasts until then, so that a request with this deadline isn't cut off. */
+	readonly lastsUntil: (deadlineMs: number) => boolean;
 	readonly onEnded: (exchange: Exchange) => void;
 	/** Called with the attempt id of the parent call when a nested call begins or ends. */
 	readonly onNestedCall: (attemptId: string, change: 'begun' | 'ended') => void;
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -27,7 +27,7 @@
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
 
-export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'onEnded'> & {
+export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'lastsUntil' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that currently runs on this host. */
 	readonly callerService: () => string;
@@ -55,6 +55,8 @@
 	readonly #authenticator: Authenticator;
 	readonly #deadlineCheck = new PeriodicCheck(() => this.#checkDeadlines());
 	#isStopping = false;
+	/** When the requests that are still open are aborted; infinite until the server drains. */
+	#endMs = Number.POSITIVE_INFINITY;
 
 	constructor(options: RequestServerOptions) {
 		this.#options = options;
@@ -79,6 +81,7 @@
 				options.log.event('peer_signals', {host, rateLimitPerS: rateLimitPerS ?? 'none', isLeaving});
 			},
 			tryCloseAfter: response => this.#tryCloseAfter(response),
+			lastsUntil: deadlineMs => deadlineMs <= this.#endMs,
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
 				this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
@@ -126,9 +129,10 @@
 		this.#isStopping = true;
 	}
 
-	/** Accepts no more connections. */
-	async drain(): Promise<void> {
+	/** Accepts no more connections, and no requests that may last longer than until `endMs`. */
+	async drain(endMs: number): Promise<void> {
 		this.#isStopping = true;
+		this.#endMs = endMs;
 		await stopListening(this.#server);
 	}
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -266,9 +266,10 @@
 			this.#peerServer.broadcast([FrameTag.leaving, this.#settings.host]);
 			this.#targetOwner.refuseNewCalls();
 		}, Math.max(0, this.#settings.lameDuckMs - LAST_CALLS_MS));
+		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
 		let isDrained = false;
 		const drain = async () => {
-			await this.#requestServer.drain();
+			await this.#requestServer.drain(endMs);
 			isDrained = true;
 		};
 
@@ -276,7 +277,6 @@
 		setTimeout(() => {
 			void drain();
 		}, this.#settings.lameDuckMs);
-		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
 		await new Promise<void>(resolve => {
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
--- a/test/failures/plannedstop.test.ts
+++ b/test/failures/plannedstop.test.ts
@@ -139,3 +139,36 @@
 		await stopped;
 	});
 });
+
+describe('a request that comes late in the grace period of a stopping daemon', () => {
+	const GRACE_MS = 3000;
+	/** Longer than the daemon waits, but not than the client. */
+	const WORK_MS = 2600;
+	const head = headOf('late', 'content-length: 6\r\n', LONG_MS);
+
+	// Guards against requests that are passed on and cut off when the grace period ends (LOST).
+	it.each([
+		{name: 'the rest of its head', parts: [head.slice(0, 30), `${head.slice(30)}abcdef`], pauseMs: 1000},
+		{name: 'the rest of its body', parts: [`${head}abc`, 'def'], pauseMs: 1000},
+		{name: 'its head', parts: ['', `${head}abcdef`], pauseMs: 100},
+	])('is not run if its deadline is later: $name comes late', async ({parts, pauseMs}) => {
+		mesh = new Mesh({graceMs: GRACE_MS});
+		const {front, back, port} = await mesh.addPair({routes: LONG_ROUTES, back: {workMs: WORK_MS}});
+		const stopped = front.stop();
+		await sleep(LAME_DUCK_MS - 50);
+		const answer = await exchange(port, parts, pauseMs);
+		await stopped;
+		await sleep(50);
+		expect([statusesIn(answer), back.target.ranAttemptIds]).toEqual([[503], []]);
+	});
+
+	it('runs if its deadline comes first', async () => {
+		mesh = new Mesh({graceMs: GRACE_MS});
+		const {front, back, port} = await mesh.addPair({routes: ROUTES});
+		const short = headOf('late', 'content-length: 6\r\n', 800);
+		const stopped = sleep(50).then(async () => front.stop());
+		const answer = await exchange(port, [short.slice(0, 30), `${short.slice(30)}abcdef`], LAME_DUCK_MS + 200);
+		await stopped;
+		expect([statusesIn(answer), back.target.ranAttemptIds]).toEqual([[200], ['late']]);
+	});
+});
