A header without a name ends no more than its request

Seen: test/failures/malformedmessage.test.ts, 4 of 4 on untouched code. A client's request with the header ": y" made the owner take its target for unreachable: it refused its queue and paused the target for 300 ms, and the request went on to up to three other hosts.

Cause: this Node.js takes the header, the HTTP client to the target throws at it, and every request that couldn't be sent counted as a target that can't be reached. A request that the client can't write says nothing of the target now ("malformed"), and both paths answer 400 to a header without a name. On the product's own path such a request was answered 503 and came back.

The listed test passes; the new one failed before the check (503 for 400 on the own path).

--- a/src/daemon/request.ts
+++ b/src/daemon/request.ts
@@ -37,6 +37,10 @@
 		throw new RequestError(404, 'path: must be /<service>/<path>');
 	}
 
+	if (request.headers[''] !== undefined) {
+		throw new RequestError(400, 'headers: one has no name');
+	}
+
 	const key = readHeader(request, header.KEY);
 	if (key !== undefined && (key === '' || key.length > MAX_KEY_LENGTH)) {
 		throw new RequestError(400, `${header.KEY}: must have 1 to ${MAX_KEY_LENGTH} characters`);
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -70,6 +70,7 @@
 		| 'shed-by-target'
 		| 'misdirected'
 		| 'unreachable'
+		| 'malformed'
 		| 'quarantined'
 		| 'cancelled';
 
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -178,7 +178,8 @@
 		const {headers, url = ''} = request;
 		const attemptId = headers[names.attemptId];
 		const leftMs = Number(headers[names.deadlineMs] ?? Number.POSITIVE_INFINITY);
-		if (!url.startsWith('/') || headers.host === undefined || typeof attemptId !== 'string' || Number.isNaN(leftMs)) {
+		// Node's parser lets a header without a name pass, which can't be sent on.
+		if (!url.startsWith('/') || headers.host === undefined || typeof attemptId !== 'string' || Number.isNaN(leftMs) || headers[''] !== undefined) {
 			this.#sendEmpty(response, 400, 'malformed');
 			return;
 		}
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -44,6 +44,9 @@
 /** The name for TLS, which isn't used here: without one the HTTP client checks each request's host header for an IPv6 address. */
 const UNUSED_SERVERNAME = 'target';
 
+/** The code of the HTTP client's error for a request that it can't write. */
+const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG';
+
 /** Limits the interim answers (1xx) before an answer. */
 const MAX_INTERIM_ANSWERS = 32;
 /** Limits what the target sends beside the body of an answer, in bytes: its head, and for each byte of the body what its framing may take. */
@@ -253,8 +256,12 @@
 		}
 	}
 
-	onError(_error: Error): void {
-		this.onLost();
+	onError(error: Error): void {
+		if ((error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE && !this.#isOver) {
+			this.#endNotRun('malformed');
+		} else {
+			this.onLost();
+		}
 	}
 
 	/** Called when the request can't be sent, or its connection ends before the answer does. */
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -80,8 +80,8 @@
 		});
 		try {
 			client.dispatch(run.options(), run);
-		} catch {
-			run.onLost();
+		} catch (error) {
+			run.onError(error as Error);
 		}
 
 		return run;
--- a/test/failures/malformedmessage.test.ts
+++ b/test/failures/malformedmessage.test.ts
@@ -8,6 +8,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {WebSocket, WebSocketServer} from 'ws';
+import {DaemonPair} from '../../standins/daemonpair.js';
 import {Mesh} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
@@ -165,4 +166,25 @@
 		await expectServes(port);
 		expect(mesh.logLines.filter(line => line.includes('target_unreachable'))).toEqual([]);
 	});
+
+	// Guards against a request of one client that pauses a target and has its queue refused.
+	it('from a client is answered 400 if a header has no name, on both paths', async () => {
+		mesh = new Mesh();
+		const {port} = await mesh.addPair();
+		const pair = new DaemonPair();
+		await pair.start();
+		const answers = await Promise.all([
+			{host: '127.0.0.1', port, path: '/x/'},
+			{host: '127.0.3.1', port: pair.port, path: '/back/look'},
+		].map(async ({host, port, path}) => new Promise<string>(resolve => {
+			const socket = connect(port, host);
+			socket.write(`GET ${path} HTTP/1.1\r\nhost: site\r\nattempt-id: odd\r\ndeadline-ms: 300\r\n: y\r\n\r\n`);
+			socket.once('data', bytes => {
+				socket.destroy();
+				resolve(bytes.toString().split(' ')[1]);
+			});
+		})));
+		await pair.close();
+		expect(answers).toEqual(['400', '400']);
+	});
 });
