--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -257,15 +257,19 @@
 	}
 
 	onError(error: Error): void {
+		this.onUnsent(error);
+	}
+
+	/** Called with the HTTP client's error if it can't send the request, or if the connection ends before the answer does. */
+	onUnsent(error: Error): void {
 		if ((error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE && !this.#isOver) {
 			this.#endNotRun('malformed');
 		} else {
-			this.onLost();
+			this.#onLost();
 		}
 	}
 
-	/** Called when the request can't be sent, or its connection ends before the answer does. */
-	onLost(): void {
+	#onLost(): void {
 		if (this.#isOver) {
 			return;
 		}
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -81,7 +81,7 @@
 		try {
 			client.dispatch(run.options(), run);
 		} catch (error) {
-			run.onError(error as Error);
+			run.onUnsent(error as Error);
 		}
 
 		return run;
