An entry to whose address no connection can be opened names no host

Cause: any text of digits, dots and a number passed for an address. Opening a link to it throws, in the maintenance and in sends, neither of which expects it; the 21st error within 10 s ends the process.

--- a/src/relay/store/hostentry.ts
+++ b/src/relay/store/hostentry.ts
@@ -1,11 +1,12 @@
 import * as z from 'zod';
 import {type HostEntry} from '../../mesh/index.js';
+import {addressSchema} from '../addressschema.js';
 import {decode} from '../decode.js';
 
 const hostEntrySchema = z.object({
 	host: z.string().min(1),
 	failureDomain: z.string(),
-	address: z.string().regex(/^[\d.]+:\d+$/v),
+	address: addressSchema,
 	target: z.object({
 		id: z.string().min(1),
 		bornMs: z.number().optional(),
--- a/test/failures/malformedmessage.test.ts
+++ b/test/failures/malformedmessage.test.ts
@@ -12,6 +12,7 @@
 import {Mesh} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
+import {joinRecordSchema} from '../../src/config/index.js';
 import {FrameTag} from '../../src/relay/peers/frame.js';
 import {PEER_PATH} from '../../src/relay/peers/link.js';
 import {pack} from '../../src/wire/index.js';
@@ -128,6 +129,35 @@
 		await expectServes(port);
 	});
 
+	// Guards against daemons that end again and again because of one entry to whose address no connection can be opened.
+	it.each(['127.0.0.1:83000', '127.0.0.1:0', '1:1', '.:1', '127.0.0.256:80', '1.2.3.4.5:80', '127.0.0.1:99999999999999999999'])('from the store names no host if a connection can\'t be opened to its address: %s', async address => {
+		mesh = new Mesh();
+		const {port} = await mesh.addPair();
+		const unexpected: Error[] = [];
+		const onUnexpected = (error: Error) => {
+			unexpected.push(error);
+		};
+
+		process.prependListener('uncaughtException', onUnexpected);
+		mesh.store.set('comfreydyke-hosts', 'odd', {
+			host: 'odd', failureDomain: 'a', address, target: {
+				id: 'i-odd', service: 'back', slots: 4, state: 'ready',
+			},
+		});
+		// Some maintenance intervals
+		await sleep(1200);
+		await expectServes(port);
+		process.off('uncaughtException', onUnexpected);
+		expect(unexpected).toEqual([]);
+		expect(mesh.logLines.some(line => line.includes('event=host_rejected'))).toBe(true);
+	});
+
+	it('from the platform names no daemon of the product\'s own path if a connection can\'t be opened to its address', () => {
+		const isValid = (address: string) => joinRecordSchema.safeParse({id: 'odd', address, startMs: 0}).success;
+		expect(['127.0.0.1:83000', 'a b:80', '127.0.0.256:80'].map(address => isValid(address))).toEqual([false, false, false]);
+		expect(['127.0.0.1:8300', '[::1]:8300', 'host:80'].map(address => isValid(address))).toEqual([true, true, true]);
+	});
+
 	it('from a client is refused, and ends its own connection at most', async () => {
 		mesh = new Mesh();
 		const {port} = await mesh.addPair();
