An announcement of another service than the settings name isn't of this host's target

Its daemon takes it for its own target, and every request of this host's clients runs with that service as their caller, until the present target announces itself.

Cause: an announcement of any service of the site was accepted, and its service went before the one of the settings. An announcement that disagrees has the settings read again, and if they still disagree it is ignored; the caller's service is that of the settings.

A late announcement of the same service is as before: calls that name it get 421 and are placed elsewhere.

--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -47,6 +47,8 @@
 	readonly clock?: Clock;
 	/** Receives the lines of the log. */
 	readonly write?: (line: string) => void;
+	/** Calls `reload` if the settings have changed. */
+	readonly refreshSettings?: () => void;
 };
 
 /** One daemon in front of its own target and beside its clients: creates, connects, starts and stops its parts. */
@@ -81,7 +83,7 @@
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
 
-	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(new SystemClock()), write}: RelayOptions = {}) {
+	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(new SystemClock()), write, refreshSettings}: RelayOptions = {}) {
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
@@ -138,7 +140,7 @@
 			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, quarantineExchange: this.#quarantineExchange, random,
 		});
 		this.#targetMonitor = new TargetMonitor({
-			settings: () => this.#settings, adapter, clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
+			settings: () => this.#settings, refreshSettings: refreshSettings ?? (() => undefined), adapter, clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
 		});
 		this.#requestServer = new RequestServer({
 			clock,
@@ -160,7 +162,7 @@
 			revocation: settings.revocation,
 			confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			isNestedCall: attemptId => adapter.parseParentAttemptId(attemptId) !== undefined,
-			callerService: () => this.#lifecycle.current?.service ?? this.#settings.service,
+			callerService: () => this.#settings.service,
 			onNestedCall: (attemptId, change) => {
 				this.#targetOwner.onNestedCall(attemptId, change);
 			},
--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -23,7 +23,11 @@
 export async function runRelay({settingsPath, decodeSettings, createAdapter}: DaemonOptions): Promise<void> {
 	const readSettings = () => decodeSettings(readFileSync(settingsPath, 'utf8'));
 	const {relay: settings, storeAddress} = readSettings();
-	const relay = new Relay(settings, createAdapter(storeAddress));
+	const relay = new Relay(settings, createAdapter(storeAddress), {
+		refreshSettings() {
+			refresh();
+		},
+	});
 	let settingsModifiedMs = statSync(settingsPath).mtimeMs;
 
 	const reload = () => {
@@ -35,6 +39,13 @@
 		}
 	};
 
+	const refresh = () => {
+		const modifiedMs = statSync(settingsPath, {throwIfNoEntry: false})?.mtimeMs;
+		if (modifiedMs !== undefined && modifiedMs !== settingsModifiedMs) {
+			reload();
+		}
+	};
+
 	const stop = async () => {
 		setTimeout(() => {
 			// eslint-disable-next-line unicorn/no-process-exit -- the platform kills the process when the grace period ends
@@ -49,12 +60,7 @@
 		void stop();
 	});
 	process.on('SIGHUP', reload);
-	setInterval(() => {
-		const modifiedMs = statSync(settingsPath, {throwIfNoEntry: false})?.mtimeMs;
-		if (modifiedMs !== undefined && modifiedMs !== settingsModifiedMs) {
-			reload();
-		}
-	}, SETTINGS_CHECK_MS);
+	setInterval(refresh, SETTINGS_CHECK_MS);
 	await relay.start();
 	// An error that no task expected costs what that task was doing, and not all open requests with it.
 	process.on('uncaughtException', error => {
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -16,6 +16,8 @@
 
 export type TargetMonitorParts = {
 	readonly settings: () => RelaySettings;
+	/** Reads the settings again if they have changed. */
+	readonly refreshSettings: () => void;
 	readonly adapter: Adapter;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -117,11 +119,15 @@
 
 	#onAnnouncement(announcement: Announcement): void {
 		const {
-			clock, log, lifecycle, targetClient, owner, directory,
+			clock, log, lifecycle, targetClient, owner,
 		} = this.#parts;
-		const settings = this.#parts.settings();
 		const {id, bornMs, seq, service, state, slots} = announcement;
-		if (service !== settings.service && directory.site?.services.has(service) !== true) {
+		if (service !== this.#parts.settings().service) {
+			this.#parts.refreshSettings();
+		}
+
+		// A delayed announcement may come from a target that had the address before.
+		if (service !== this.#parts.settings().service) {
 			log.warn('announcement_foreign', {instance: id, service});
 			return;
 		}
