An answer that breaks off leaves the answers before it on the connection alone

The answer to the second is truncated by its target while the first is at work at a sound one. The connection is reset at once, and the first request gets no answer.

Cause: an answer over 64 KiB is passed on as it comes, and once its head was written a failure could only reset the connection, though the head was still in memory, behind the answer before it. A streamed answer now waits in its writer until it is its turn (flow control bounds it to the window of 256 KiB, as before); if it breaks off until then, it is discarded and a failure of our own takes its place. An answer that has begun is cut as before.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -251,9 +251,7 @@
 		}
 
 		this.#mayHaveRun = true;
-		if (this.#isHeadSent) {
-			this.#cutAnswer(reason);
-		} else if (this.#mayResend(nowMs)) {
+		if (!this.#isHeadSent && this.#mayResend(nowMs)) {
 			this.#resend(reason);
 		} else {
 			this.#endWithStatus(reason === 'deadline' ? 504 : 502, reason);
@@ -366,7 +364,7 @@
 			return;
 		}
 
-		if (this.#isHeadSent) {
+		if (this.#isHeadSent && !this.#responseWriter.tryDiscard()) {
 			this.#cutAnswer(reason);
 			return;
 		}
--- a/src/relay/clients/responsewriter.ts
+++ b/src/relay/clients/responsewriter.ts
@@ -18,6 +18,8 @@
 	readonly #request: IncomingMessage;
 	readonly #response: ServerResponse;
 	readonly #attemptId: string;
+	/** What is to be written once the answers before this one on the connection are; undefined if nothing waits for them. */
+	#waiting: Array<() => void> | undefined;
 
 	constructor(context: ResponseWriterContext, request: IncomingMessage, response: ServerResponse, attemptId: string) {
 		this.#context = context;
@@ -33,33 +35,38 @@
 
 	/** Writes the head of the target's answer. @param wholeBytes the length of the body in bytes, if all of it has arrived */
 	writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
-		const {names} = this.#context;
-		const headers = [...head.headers, names.attemptId, this.#attemptId];
-		if (head.signature !== undefined) {
-			headers.push(names.signature, head.signature);
-		}
-
-		const length = this.#request.method === 'HEAD' ? head.lengthBytes : (wholeBytes ?? head.lengthBytes);
-		if (head.isUnframed) {
-			// The end of the connection marks the end of the body here too: with a length, a truncated body would look complete.
-			this.#response.useChunkedEncodingByDefault = false;
-		} else if (length !== undefined && head.status !== 204 && head.status !== 304) {
-			headers.push('content-length', String(length));
+		if (wholeBytes === undefined && this.#response.socket === null) {
+			this.#waiting = [];
+			this.#response.once('socket', () => {
+				this.#writeWaiting();
+			});
 		}
 
-		this.#context.onBeforeHead(this.#response);
-		this.#response.writeHead(head.status, headers);
+		this.#inTurn(() => {
+			this.#writeHead(head, wholeBytes);
+		});
 	}
 
 	/** @param onWritten called once the client's connection has accepted the chunk */
 	write(bytes: Buffer, onWritten: () => void): void {
-		this.#response.write(bytes, onWritten);
+		this.#inTurn(() => {
+			this.#response.write(bytes, onWritten);
+		});
 	}
 
 	end(bytes: Buffer): void {
+		// The answer is whole, so nothing is left that could fail.
+		this.#writeWaiting();
 		this.#response.end(bytes);
 	}
 
+	/** Discards the answer if nothing of it has been written, so that another can take its place. @returns whether that is so */
+	tryDiscard(): boolean {
+		const isDiscarded = this.#waiting !== undefined;
+		this.#waiting = undefined;
+		return isDiscarded;
+	}
+
 	/** Sends an answer of the daemon itself, without a body. */
 	sendEmpty(status: number, headers: readonly string[]): void {
 		this.#context.onBeforeHead(this.#response);
@@ -71,4 +78,39 @@
 	resetConnection(): void {
 		this.#request.socket.resetAndDestroy();
 	}
+
+	#writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
+		const {names} = this.#context;
+		const headers = [...head.headers, names.attemptId, this.#attemptId];
+		if (head.signature !== undefined) {
+			headers.push(names.signature, head.signature);
+		}
+
+		const length = this.#request.method === 'HEAD' ? head.lengthBytes : (wholeBytes ?? head.lengthBytes);
+		if (head.isUnframed) {
+			// The end of the connection marks the end of the body here too: with a length, a truncated body would look complete.
+			this.#response.useChunkedEncodingByDefault = false;
+		} else if (length !== undefined && head.status !== 204 && head.status !== 304) {
+			headers.push('content-length', String(length));
+		}
+
+		this.#context.onBeforeHead(this.#response);
+		this.#response.writeHead(head.status, headers);
+	}
+
+	#inTurn(write: () => void): void {
+		if (this.#waiting === undefined) {
+			write();
+		} else {
+			this.#waiting.push(write);
+		}
+	}
+
+	#writeWaiting(): void {
+		const waiting = this.#waiting ?? [];
+		this.#waiting = undefined;
+		for (const write of waiting) {
+			write();
+		}
+	}
 }
