An answer without a length is held back until it is whole

The kernel closes its connections in order, which is how such an answer ends, so half of the body looks whole to the client.

So the framing stays as it is, and nothing is written before all of it is here: up to 1 MiB of an answer, 16 MiB in all, and until its latency objective ends.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -122,6 +122,7 @@
 
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
+		this.#responseWriter.checkTime(nowMs, this.objectiveEndMs);
 		if (!this.#isOver && nowMs >= this.deadlineMs && !this.#withdrawal.isPending(this.#callHandle, nowMs)) {
 			if (this.#callHandle !== undefined) {
 				this.#context.loadBalancer.onOutcome(this.#attempts.host, true, nowMs);
@@ -159,6 +160,7 @@
 		if (!this.#isOver) {
 			this.#finish();
 			this.#cancelCall();
+			this.#responseWriter.tryDiscard();
 			this.#log.event('client_gone', 'client-gone');
 		}
 	}
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -12,6 +12,7 @@
 import {ClientConnection} from './clientconnection.js';
 import {type ExchangeContext} from './exchangecontext.js';
 import {Exchange} from './exchange.js';
+import {HoldBudget} from './holdbudget.js';
 import {hashPrefixOf} from './keyhash.js';
 import {type QuotaGate} from './quotagate.js';
 
@@ -22,12 +23,15 @@
 
 /** The Retry-After value of a request whose organisation can't be told at present, in s. */
 const UNAUTHENTICATED_RETRY_AFTER_S = '0.4';
+/** Limits the answers without a length that are held back until they are whole, in bytes. */
+const MAX_HELD_BYTES = 16_777_216;
+
 const AUTHORIZATION_HEADER = 'authorization';
 
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
 
-export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'lastsUntil' | 'onEnded'> & {
+export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'holdBudget' | 'lastsUntil' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that currently runs on this host. */
 	readonly callerService: () => string;
@@ -80,6 +84,7 @@
 			onTargetSignals(host, {rateLimitPerS, isLeaving}) {
 				options.log.event('peer_signals', {host, rateLimitPerS: rateLimitPerS ?? 'none', isLeaving});
 			},
+			holdBudget: new HoldBudget(MAX_HELD_BYTES),
 			tryCloseAfter: response => this.#tryCloseAfter(response),
 			lastsUntil: deadlineMs => deadlineMs <= this.#endMs,
 			onEnded: exchange => {
--- a/src/relay/clients/responsewriter.ts
+++ b/src/relay/clients/responsewriter.ts
@@ -2,6 +2,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type HeaderNames} from '../adapter.js';
 import {type AnswerHead} from '../call.js';
+import {type HoldBudget} from './holdbudget.js';
+
+/** The largest part of one answer without a length that is held back, in bytes. */
+const MAX_HELD_BYTES = 1_048_576;
 
 /** What a response writer needs from the server that it belongs to. */
 export type ResponseWriterContext = {
@@ -10,6 +14,7 @@
 	readonly onBeforeHead: (response: ServerResponse) => void;
 	/** Closes the connection after an answer. @returns false, without effect, if other answers on the connection would be cut off */
 	readonly tryCloseAfter: (response: ServerResponse) => boolean;
+	readonly holdBudget: HoldBudget;
 };
 
 /** Writes the single answer to a client's request. */
@@ -20,6 +25,9 @@
 	readonly #attemptId: string;
 	/** What is to be written once the answers before this one on the connection are; undefined if nothing waits for them. */
 	#waiting: Array<() => void> | undefined;
+	/** Whether the answer is held back until it is whole. */
+	#isHeld = false;
+	#heldBytes = 0;
 
 	constructor(context: ResponseWriterContext, request: IncomingMessage, response: ServerResponse, attemptId: string) {
 		this.#context = context;
@@ -33,25 +41,41 @@
 		return this.#context.tryCloseAfter(this.#response);
 	}
 
-	/** Writes the head of the target's answer. @param wholeBytes the length of the body in bytes, if all of it has arrived */
+	/**
+	 * Writes the head of the target's answer. One without a length is held back until it is whole, within bounds: if this
+	 * process crashed in the middle of it, the end of the connection would make a part of it look whole to the client.
+	 * @param wholeBytes the length of the body in bytes, if all of it has arrived
+	 */
 	writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
-		if (wholeBytes === undefined && this.#response.socket === null) {
+		this.#isHeld = wholeBytes === undefined && head.isUnframed;
+		if (this.#isHeld || (wholeBytes === undefined && !this.#isItsTurn)) {
 			this.#waiting = [];
 			this.#response.once('socket', () => {
-				this.#writeWaiting();
+				this.#writeInTurn();
 			});
 		}
 
-		this.#inTurn(() => {
+		this.#writeOrWait(() => {
 			this.#writeHead(head, wholeBytes);
 		});
 	}
 
-	/** @param onWritten called once the client's connection has accepted the chunk */
+	/** @param onWritten called once the client's connection, or the memory of what is held back, has accepted the chunk */
 	write(bytes: Buffer, onWritten: () => void): void {
-		this.#inTurn(() => {
-			this.#response.write(bytes, onWritten);
+		this.#isHeld &&= this.#heldBytes + bytes.length <= MAX_HELD_BYTES && this.#context.holdBudget.tryTake(bytes.length);
+		if (!this.#isHeld) {
+			this.#writeInTurn();
+			this.#writeOrWait(() => {
+				this.#response.write(bytes, onWritten);
+			});
+			return;
+		}
+
+		this.#heldBytes += bytes.length;
+		this.#writeOrWait(() => {
+			this.#response.write(bytes);
 		});
+		onWritten();
 	}
 
 	end(bytes: Buffer): void {
@@ -60,11 +84,17 @@
 		this.#response.end(bytes);
 	}
 
+	/** Holds the answer back no longer than until its latency objective ends. */
+	checkTime(nowMs: number, objectiveEndMs: number): void {
+		if (this.#isHeld && nowMs >= objectiveEndMs) {
+			this.#isHeld = false;
+			this.#writeInTurn();
+		}
+	}
+
 	/** Discards the answer if nothing of it has been written, so that another can take its place. @returns whether that is so */
 	tryDiscard(): boolean {
-		const isDiscarded = this.#waiting !== undefined;
-		this.#waiting = undefined;
-		return isDiscarded;
+		return this.#takeWaiting() !== undefined;
 	}
 
 	/** Sends an answer of the daemon itself, without a body. */
@@ -98,7 +128,12 @@
 		this.#response.writeHead(head.status, headers);
 	}
 
-	#inTurn(write: () => void): void {
+	/** Whether the answers before this one on the connection are written. */
+	get #isItsTurn(): boolean {
+		return this.#response.socket !== null;
+	}
+
+	#writeOrWait(write: () => void): void {
 		if (this.#waiting === undefined) {
 			write();
 		} else {
@@ -106,11 +141,24 @@
 		}
 	}
 
+	#writeInTurn(): void {
+		if (this.#isItsTurn && !this.#isHeld) {
+			this.#writeWaiting();
+		}
+	}
+
 	#writeWaiting(): void {
-		const waiting = this.#waiting ?? [];
-		this.#waiting = undefined;
-		for (const write of waiting) {
+		for (const write of this.#takeWaiting() ?? []) {
 			write();
 		}
 	}
+
+	#takeWaiting(): Array<() => void> | undefined {
+		const waiting = this.#waiting;
+		this.#waiting = undefined;
+		this.#isHeld = false;
+		this.#context.holdBudget.giveBack(this.#heldBytes);
+		this.#heldBytes = 0;
+		return waiting;
+	}
 }
