The rest of a refused upload is read, so that its connection goes on

Cause: a streamed body is paused when its flow-control window is used up, and goes on when the owner grants credit. After a refusal, or an early answer, nobody grants any. A request that has its answer now reads the rest of its body and drops it.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -388,6 +388,7 @@
 
 	#finish(): void {
 		this.#isOver = true;
+		this.#body.drop();
 		if (!this.#mayHaveRun && !this.#isHeadSent && this.#callHandle === undefined) {
 			this.#giveBack?.();
 		}
--- a/src/relay/clients/requestbody.ts
+++ b/src/relay/clients/requestbody.ts
@@ -18,6 +18,7 @@
 	readonly #request: IncomingMessage;
 	#firstChunk: Buffer = EMPTY;
 	#isStreaming = false;
+	#isDropped = false;
 	#creditBytes = BODY_WINDOW_BYTES;
 
 	constructor(request: IncomingMessage) {
@@ -74,10 +75,16 @@
 		}
 	}
 
+	/** Reads the rest for nobody, as the request has its answer: the next request on the connection is behind it. */
+	drop(): void {
+		this.#isDropped = true;
+		this.#request.resume();
+	}
+
 	#forward(chunk: Buffer, events: BodyListener): void {
 		this.#creditBytes -= chunk.length;
 		events.onChunk(chunk, false);
-		if (this.#creditBytes <= 0) {
+		if (this.#creditBytes <= 0 && !this.#isDropped) {
 			this.#request.pause();
 		}
 	}
