On the product's own path, a malformed request is no answer to the one before it

The client took the 400 for that answer, while its request ran. The connection is now closed without one then, as on the platform's path.

The test failed before on the own path ("HTTP/1.1 400 Bad Request").

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -65,6 +65,12 @@
 		});
 		this.server.on('clientError', (error, socket) => {
 			this.#rejectedRequests++;
+			if (this.#closingAnswers.get(socket as Socket)?.isAnswering === true) {
+				// A response here would be taken for the answer to an earlier request.
+				socket.destroy();
+				return;
+			}
+
 			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
 		});
 		bus.handle('respond', ({id, answer}) => {
--- a/src/wire/closinganswer.ts
+++ b/src/wire/closinganswer.ts
@@ -10,6 +10,11 @@
 		return this.#isSettled;
 	}
 
+	/** Whether an answer is due on the connection, or not fully written to it. */
+	get isAnswering(): boolean {
+		return this.#lastResponse?.writableFinished === false;
+	}
+
 	onRequest(response: ServerResponse): void {
 		this.#lastResponse = response;
 	}
--- a/test/failures/malformedmessage.test.ts
+++ b/test/failures/malformedmessage.test.ts
@@ -217,4 +217,38 @@
 		await pair.close();
 		expect(answers).toEqual(['400', '400']);
 	});
+
+	// Guards against a 400 that a client takes for the answer to a request that runs.
+	it('from a client is no answer to a request before it, on both paths', async () => {
+		mesh = new Mesh();
+		const {port} = await mesh.addPair({back: {workMs: 300}});
+		const pair = new DaemonPair();
+		await pair.start();
+		pair.onRequest = socket => {
+			setTimeout(() => {
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+			}, 300);
+		};
+
+		const received = await Promise.all([
+			{host: '127.0.0.1', port, path: '/x/'},
+			{host: '127.0.3.1', port: pair.port, path: '/back/look'},
+		].map(async ({host, port, path}) => new Promise<string>(resolve => {
+			const socket = connect(port, host);
+			let text = '';
+			socket.on('data', bytes => {
+				text += bytes.toString();
+			});
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				resolve(text);
+			});
+			socket.write(`GET ${path} HTTP/1.1\r\nhost: site\r\nattempt-id: a\r\ndeadline-ms: 2000\r\n\r\n`);
+			setTimeout(() => {
+				socket.write('\0\0\0\r\n\r\n');
+			}, 100);
+		})));
+		await pair.close();
+		expect(received.map(text => text.split('\r\n')[0])).not.toContain('HTTP/1.1 400 Bad Request');
+	});
 });
