--- a/test/failures/cutpipelined.test.ts
+++ b/test/failures/cutpipelined.test.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {Mesh} from '../../standins/mesh.js';
-import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {PipelinedClient, buildHead} from '../../standins/pipelinedclient.js';
 
 /** More than is collected before the head of an answer is passed on. */
 const STREAMED_BYTES = 100_000;
@@ -17,10 +17,7 @@
 	await mesh.close();
 });
 
-const get = (path: string, id: string) => {
-	const fields = Object.entries(createAttemptHeaders(id)).map(([name, value]) => `${name}: ${value}\r\n`);
-	return `GET /x/${path} HTTP/1.1\r\n${fields.join('')}\r\n`;
-};
+const get = (path: string, id: string) => buildHead('GET', `/x/${path}`, id);
 
 /** Adds two daemons and a target whose answers to `cut` break off, while `slow` takes its time. */
 async function addPair(): Promise<number> {
@@ -48,46 +45,33 @@
 	return port;
 }
 
-/** Sends requests on one connection at once. @returns what has come back when `isDone` holds or the connection has ended */
-async function pipeline(port: number, text: string, isDone: (received: string) => boolean): Promise<string> {
-	return new Promise(resolve => {
-		let received = '';
-		const socket = connect(port, '127.0.0.1');
-		socket.write(text);
-		socket.on('data', bytes => {
-			received += bytes.toString('latin1');
-			if (isDone(received)) {
-				socket.destroy();
-			}
-		});
-		socket.on('error', () => undefined);
-		socket.on('close', () => {
-			resolve(received);
-		});
-	});
+/** Sends requests on one connection at once. @returns the client once so many answers have begun or the connection has ended */
+async function pipeline(port: number, requests: readonly string[], answers = requests.length): Promise<PipelinedClient> {
+	const client = new PipelinedClient(port);
+	client.send(requests.join(''));
+	await expect.poll(() => client.statuses.length === answers || client.isClosed, {timeout: 5000}).toBe(true);
+	return client;
 }
 
-const statusesIn = (text: string) => [...text.matchAll(/HTTP\/1\.1 (?<status>\d+)/gv)].map(({groups}) => Number(groups!.status));
-
 describe('an answer that breaks off behind another one on its connection', () => {
 	// Guards against a reset that takes the answers of other requests with it (LOST).
 	it('is replaced by a failure, and the others arrive', async () => {
 		const port = await addPair();
-		const received = await pipeline(port, get('slow', 'a') + get('cut', 'b') + get('quick', 'c'), text => statusesIn(text).length === 3);
-		expect(statusesIn(received)).toEqual([200, 502, 200]);
+		const client = await pipeline(port, [get('slow', 'a'), get('cut', 'b'), get('quick', 'c')]);
+		expect(client.statuses).toEqual([200, 502, 200]);
 	});
 
 	it('breaks the connection if it has begun', async () => {
 		const port = await addPair();
-		const received = await pipeline(port, get('cut', 'b') + get('slow', 'c'), text => statusesIn(text).length === 2);
-		expect(statusesIn(received)).toEqual([200]);
-		expect(received.length).toBeLessThan(STREAMED_BYTES + 1000);
+		const client = await pipeline(port, [get('cut', 'b'), get('slow', 'c')]);
+		expect(client.statuses).toEqual([200]);
+		expect(client.text.length).toBeLessThan(STREAMED_BYTES + 1000);
 	});
 
 	it('arrives whole otherwise, however long it is', async () => {
 		const port = await addPair();
-		const received = await pipeline(port, get('slow', 'a') + get('long', 'b') + get('quick', 'c'), text => statusesIn(text).length === 3);
-		expect(statusesIn(received)).toEqual([200, 200, 200]);
-		expect([...received.matchAll(/x/gv)].length).toBeGreaterThanOrEqual(LONG_BYTES);
+		const client = await pipeline(port, [get('slow', 'a'), get('long', 'b'), get('quick', 'c')]);
+		expect(client.statuses).toEqual([200, 200, 200]);
+		expect(client.text.split('x').length - 1).toBeGreaterThanOrEqual(LONG_BYTES);
 	});
 });
--- a/test/failures/killedanswer.test.ts
+++ b/test/failures/killedanswer.test.ts
@@ -1,12 +1,12 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {Mesh, createRoute} from '../../standins/mesh.js';
-import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {PipelinedClient, buildHead} from '../../standins/pipelinedclient.js';
 
 const PIECE_BYTES = 100_000;
 const PAUSE_MS = 150;
@@ -43,49 +43,37 @@
 	return port;
 }
 
-/** Sends a request and reads until the connection ends. */
-function read(port: number): {text: () => string; ended: Promise<void>} {
-	let text = '';
-	const socket = connect(port, '127.0.0.1');
-	socket.write(`GET /x/ HTTP/1.1\r\n${Object.entries(createAttemptHeaders('a', 5000)).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`);
-	socket.on('data', bytes => {
-		text += bytes.toString('latin1');
-	});
-	socket.on('error', () => undefined);
-	return {
-		text: () => text, ended: new Promise(resolve => {
-			socket.on('close', () => {
-				resolve();
-			});
-		}),
-	};
+/** Sends the request. */
+function read(port: number): PipelinedClient {
+	const client = new PipelinedClient(port);
+	client.send(buildHead('GET', '/x/', 'a', {deadlineMs: 5000}));
+	return client;
 }
 
 describe('an answer without a length', () => {
 	// Guards against a part of it that looks whole to the client when its daemon is killed (MIXED).
 	it('reaches the client only once it is whole', async () => {
-		const {text, ended} = read(await addPair(4));
+		const client = read(await addPair(4));
 		await sleep(2.5 * PAUSE_MS);
-		expect(text()).toBe('');
-		await ended;
-		expect(text()).toMatch(/^HTTP\/1\.1 200 [\s\S]*connection: close/iv);
-		expect(text().split('x').length - 1).toBe(4 * PIECE_BYTES);
+		expect(client.text).toBe('');
+		await client.closed;
+		expect(client.text).toMatch(/^HTTP\/1\.1 200 [\s\S]*connection: close/iv);
+		expect(client.text.split('x').length - 1).toBe(4 * PIECE_BYTES);
 	});
 
 	it('is replaced by a failure if it breaks off', async () => {
-		const {text, ended} = read(await addPair(3, {isReset: true}));
-		await expect.poll(() => text(), {timeout: 5000}).toMatch(/^HTTP\/1\.1 502/v);
-		void ended;
+		const client = read(await addPair(3, {isReset: true}));
+		await expect.poll(() => client.text, {timeout: 5000}).toMatch(/^HTTP\/1\.1 502/v);
 	});
 
 	it.each([
 		{name: 'larger than a daemon holds', pieces: 16, objectiveMs: 5000},
 		{name: 'slower than its objective', pieces: 5, objectiveMs: 200},
 	])('is passed on as it comes if it is $name, and arrives whole', async ({pieces, objectiveMs}) => {
-		const {text, ended} = read(await addPair(pieces, {objectiveMs}));
+		const client = read(await addPair(pieces, {objectiveMs}));
 		await sleep((pieces - 1) * PAUSE_MS);
-		expect(text().length).toBeGreaterThan(PIECE_BYTES);
-		await ended;
-		expect(text().split('x').length - 1).toBe(pieces * PIECE_BYTES);
+		expect(client.text.length).toBeGreaterThan(PIECE_BYTES);
+		await client.closed;
+		expect(client.text.split('x').length - 1).toBe(pieces * PIECE_BYTES);
 	});
 });
--- a/test/failures/lateclose.test.ts
+++ b/test/failures/lateclose.test.ts
@@ -1,5 +1,4 @@
 import {Buffer} from 'node:buffer';
-import {type Socket, connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
@@ -7,7 +6,8 @@
 import {
 	Mesh, createRoute, createSiteSpec,
 } from '../../standins/mesh.js';
-import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
+import {meshHeaders} from '../../standins/meshadapter.js';
+import {PipelinedClient, buildHead} from '../../standins/pipelinedclient.js';
 
 const LAME_DUCK_MS = 300;
 /** More than is collected before the head of an answer is passed on. */
@@ -19,45 +19,11 @@
 	await mesh.close();
 });
 
-const get = (path: string, id: string, more = '') => {
-	const fields = Object.entries(createAttemptHeaders(id)).map(([name, value]) => `${name}: ${value}\r\n`);
-	return `GET /x/${path} HTTP/1.1\r\n${fields.join('')}${more}\r\n`;
-};
-
-/** A client's kept connection: what has come back on it. */
-class KeptConnection {
-	text = '';
-	isClosed = false;
-	readonly #socket: Socket;
-
-	constructor(port: number) {
-		this.#socket = connect(port, '127.0.0.1');
-		this.#socket.on('data', bytes => {
-			this.text += bytes.toString('latin1');
-		});
-		this.#socket.on('error', () => undefined);
-		this.#socket.on('close', () => {
-			this.isClosed = true;
-		});
-	}
-
-	send(text: string): void {
-		this.#socket.write(text);
-	}
-
-	get statuses(): number[] {
-		return [...this.text.matchAll(/HTTP\/1\.1 (?<status>\d+)/gv)].map(({groups}) => Number(groups!.status));
-	}
-
-	/** Whether an answer so far says that the connection closes after it. */
-	get saysClose(): boolean {
-		return /connection: close/iv.test(this.text);
-	}
-}
+const get = (path: string, id: string, more = '') => buildHead('GET', `/x/${path}`, id, {more});
 
 /** Sends a request that the daemon serves to its end, so that a stop lasts until then. */
-function occupy(port: number): KeptConnection {
-	const connection = new KeptConnection(port);
+function occupy(port: number): PipelinedClient {
+	const connection = new PipelinedClient(port);
 	connection.send(get('1200', 'long'));
 	return connection;
 }
@@ -99,7 +65,7 @@
 }
 
 /** Sends a further request as a client does that respects what the answers say. @returns whether it got its answer, or none was owed */
-async function sendsOneMore(connection: KeptConnection): Promise<boolean> {
+async function sendsOneMore(connection: PipelinedClient): Promise<boolean> {
 	const {length} = connection.statuses;
 	if (connection.isClosed || connection.saysClose) {
 		return true;
@@ -114,7 +80,7 @@
 	// Guards against a request that is read behind answers none of which closes the connection, and is never answered (LOST).
 	it('closes it, or what follows is answered: pipelined answers made in reverse order', async () => {
 		const {stop, port} = await addPair();
-		const kept = new KeptConnection(port);
+		const kept = new PipelinedClient(port);
 		kept.send(get('5', 'warm'));
 		await expect.poll(() => kept.statuses, {timeout: 5000}).toEqual([200]);
 		const long = occupy(port);
@@ -124,12 +90,12 @@
 		await sleep(20);
 		expect(await sendsOneMore(kept)).toBe(true);
 		await stopped;
-		expect(long.statuses).toEqual([200]);
+		await expect.poll(() => long.statuses).toEqual([200]);
 	});
 
 	it('closes it, or what follows is answered: the answer had begun before the stop', async () => {
 		const {stop, port} = await addPair();
-		const kept = new KeptConnection(port);
+		const kept = new PipelinedClient(port);
 		kept.send(get('stream', 'begun'));
 		await expect.poll(() => kept.statuses, {timeout: 5000}).toEqual([200]);
 		const long = occupy(port);
@@ -137,7 +103,7 @@
 		await expect.poll(() => kept.text.endsWith('y'), {timeout: 5000}).toBe(true);
 		expect(await sendsOneMore(kept)).toBe(true);
 		await stopped;
-		expect(long.statuses).toEqual([200]);
+		await expect.poll(() => long.statuses).toEqual([200]);
 	});
 });
 
@@ -146,7 +112,7 @@
 	it('is not run: the body before it was too large', async () => {
 		const first = `${get('5', 'first', `content-length: ${2 * MAX_BODY_BYTES}\r\n`)}${'x'.repeat(2 * MAX_BODY_BYTES)}`;
 		const {port, ran} = await addPair();
-		const connection = new KeptConnection(port);
+		const connection = new PipelinedClient(port);
 		connection.send(first + get('5', 'behind'));
 		await expect.poll(() => connection.isClosed, {timeout: 5000}).toBe(true);
 		await sleep(50);
