An answer whose head is written can't close its connection any more

Found by reading the change: an upload is refused with 503, and the rest of its body turns out to be larger than allowed. What closes a connection is asked before its head is written, or doesn't close it.

--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -46,7 +46,7 @@
 		this.#unusedSinceMs = this.#nowMs();
 	}
 
-	/** Closes the connection after this answer, whose head isn't written yet. @returns false, without effect, if other answers follow it */
+	/** Closes the connection after this answer. @returns false, without effect, if other answers follow it or its head has been written */
 	tryCloseAfter(response: ServerResponse): boolean {
 		return this.#closingAnswer.trySettle(response);
 	}
--- a/src/wire/closinganswer.ts
+++ b/src/wire/closinganswer.ts
@@ -19,9 +19,9 @@
 		this.#lastResponse = response;
 	}
 
-	/** Closes the connection after this answer, whose head isn't written yet. @returns false, without effect, if other answers follow it */
+	/** Closes the connection after this answer. @returns false, without effect, if other answers follow it, or if its head has been written without saying so */
 	trySettle(response: ServerResponse): boolean {
-		if (response !== this.#lastResponse) {
+		if (response !== this.#lastResponse || response.headersSent) {
 			return false;
 		}
 
