--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -4,7 +4,7 @@
 export {
 	Adapter, type ConfigurationKey, type HeaderNames, type TargetMessage,
 } from './adapter.js';
-export {addressSchema} from './addressschema.js';
+export {addressSchema, localAddressSchema} from './addressschema.js';
 export {decode} from './decode.js';
 export {DecodeError, StoreError} from './error.js';
 export {
