--- a/src/relay/clients/requestbody.ts
+++ b/src/relay/clients/requestbody.ts
@@ -75,7 +75,7 @@
 		}
 	}
 
-	/** Reads the rest for nobody, as the request has its answer: the next request on the connection is behind it. */
+	/** Reads and discards the rest of the body, so that the next request on the connection can be read. */
 	drop(): void {
 		this.#isDropped = true;
 		this.#request.resume();
