The test of a second stop asks whether the answer is written when the stop ends

So the test compared the end of the stop with when its own event loop came to read, which a stop can't know.

It now asks whether the answer has been written to its connection when the stop ends, and that the client gets it: as strict towards the daemon.

--- a/test/relay/mesh.test.ts
+++ b/test/relay/mesh.test.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
+import {type IncomingMessage} from 'node:http';
 import {
 	type AddressInfo, type Socket, connect, createServer,
 } from 'node:net';
@@ -515,15 +517,20 @@
 		const front = await mesh.addHost('front', target('i-front', 'front'));
 		await mesh.addHost('back', target('i-back', 'back', {workMs: 500}));
 		await mesh.settle();
-		const waiting = statusOf(front.settings.listen.requests.port, '/x/', 'a1', 'POST');
+		const {port} = front.settings.listen.requests;
+		let isWritten = false;
+		const onFinish = (message: unknown) => {
+			const {request, socket} = message as {request: IncomingMessage; socket: Socket};
+			isWritten ||= request.url === '/x/' && socket.localPort === port;
+		};
+
+		subscribe('http.server.response.finish', onFinish);
+		const waiting = statusOf(port, '/x/', 'a1', 'POST');
 		await sleep(50);
-		let isAnswered = false;
-		void waiting.then(() => {
-			isAnswered = true;
-		});
 		void front.relay.stop();
 		await front.relay.stop();
-		expect([isAnswered, await waiting]).toEqual([true, 200]);
+		unsubscribe('http.server.response.finish', onFinish);
+		expect([isWritten, await waiting]).toEqual([true, 200]);
 	});
 });
 
