An answer that breaks off in its turn leaves the answers behind it alone

What callers saw: of pipelined requests, the first is answered by a target that breaks its answer off after its head has been passed on. The reset that shows this to the client takes the answers to the requests behind it along, though these ran at sound targets (LOST).

A streamed answer was written as it came whenever it was its turn, whatever was due behind it on the connection.

An answer is now held back until it is whole if requests behind it have been read, within the bounds that answers without a length have: 1 MiB each, 16 MiB in all, until its latency objective. Broken off before, it becomes 502.

Evidence: cutpipelined, 'is replaced by a failure if others follow it', failed before: [200] for [502, 200, 200]. 'breaks the connection if it has begun' sent both requests at once, which is the case that is mended; it now sends the second once the first answer has begun, and asks the same; one more asks it of an answer over the bound.

--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -46,6 +46,11 @@
 		this.#unusedSinceMs = this.#nowMs();
 	}
 
+	/** Whether requests behind the one of this answer have been read. */
+	hasFollowers(response: ServerResponse): boolean {
+		return this.#closingAnswer.hasFollowers(response);
+	}
+
 	/** Closes the connection after this answer. @returns false, without effect, if other answers follow it or its head has been written */
 	tryCloseAfter(response: ServerResponse): boolean {
 		return this.#closingAnswer.trySettle(response);
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -23,7 +23,7 @@
 
 /** The Retry-After value of a request whose organisation can't be told at present, in s. */
 const UNAUTHENTICATED_RETRY_AFTER_S = '0.4';
-/** Limits the answers without a length that are held back until they are whole, in bytes. */
+/** Limits the answers that are held back until they are whole, in bytes. */
 const MAX_HELD_BYTES = 16_777_216;
 
 const AUTHORIZATION_HEADER = 'authorization';
@@ -31,7 +31,7 @@
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
 
-export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'holdBudget' | 'lastsUntil' | 'onEnded'> & {
+export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'hasFollowers' | 'holdBudget' | 'lastsUntil' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that currently runs on this host. */
 	readonly callerService: () => string;
@@ -86,6 +86,7 @@
 			},
 			holdBudget: new HoldBudget(MAX_HELD_BYTES),
 			tryCloseAfter: response => this.#tryCloseAfter(response),
+			hasFollowers: response => this.#connections.get(response.req.socket)?.hasFollowers(response) === true,
 			lastsUntil: deadlineMs => deadlineMs <= this.#endMs,
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
--- a/src/relay/clients/responsewriter.ts
+++ b/src/relay/clients/responsewriter.ts
@@ -14,6 +14,8 @@
 	readonly onBeforeHead: (response: ServerResponse) => void;
 	/** Closes the connection after an answer. @returns false, without effect, if other answers on the connection would be cut off */
 	readonly tryCloseAfter: (response: ServerResponse) => boolean;
+	/** Whether requests behind the one of this answer have been read from its connection. */
+	readonly hasFollowers: (response: ServerResponse) => boolean;
 	readonly holdBudget: HoldBudget;
 };
 
@@ -42,12 +44,13 @@
 	}
 
 	/**
-	 * Writes the head of the target's answer. One without a length is held back until it is whole, within bounds: if this
-	 * process crashed in the middle of it, the end of the connection would make a part of it look whole to the client.
+	 * Writes the head of the target's answer. Some are held back until they are whole, within bounds: one without a length, because
+	 * if this process crashed in the middle of it, the end of the connection would make a part of it look whole to the client; and
+	 * one with others behind it on its connection, because if it broke off, the reset of the connection would take them along.
 	 * @param wholeBytes the length of the body in bytes, if all of it has arrived
 	 */
 	writeHead(head: AnswerHead, wholeBytes: number | undefined): void {
-		this.#isHeld = wholeBytes === undefined && head.isUnframed;
+		this.#isHeld = wholeBytes === undefined && (head.isUnframed || this.#context.hasFollowers(this.#response));
 		if (this.#isHeld || (wholeBytes === undefined && !this.#isItsTurn)) {
 			this.#waiting = [];
 			this.#response.once('socket', () => {
--- a/src/wire/closinganswer.ts
+++ b/src/wire/closinganswer.ts
@@ -15,13 +15,18 @@
 		return this.#lastResponse?.writableFinished === false;
 	}
 
+	/** Whether requests behind the one of this answer have been read. */
+	hasFollowers(response: ServerResponse): boolean {
+		return response !== this.#lastResponse;
+	}
+
 	onRequest(response: ServerResponse): void {
 		this.#lastResponse = response;
 	}
 
 	/** Closes the connection after this answer. @returns false, without effect, if other answers follow it, or if its head has been written without saying so */
 	trySettle(response: ServerResponse): boolean {
-		if (response !== this.#lastResponse || response.headersSent) {
+		if (this.hasFollowers(response) || response.headersSent) {
 			return false;
 		}
 
--- a/test/failures/cutpipelined.test.ts
+++ b/test/failures/cutpipelined.test.ts
@@ -10,6 +10,8 @@
 const STREAMED_BYTES = 100_000;
 /** More than is in transit between two daemons. */
 const LONG_BYTES = 700_000;
+/** As much as is held back of one answer. */
+const HELD_BYTES = 1_048_576;
 const WORK_MS = 300;
 
 let mesh: Mesh;
@@ -27,10 +29,13 @@
 		const id = String(request.headers[meshHeaders.attemptId]);
 		const work = request.url!.split('/')[2];
 		const headers = {[meshHeaders.attemptId]: id, [meshHeaders.signature]: 's'};
-		if (work === 'cut') {
-			response.writeHead(200, {...headers, 'content-length': STREAMED_BYTES + 1});
-			response.write(Buffer.alloc(STREAMED_BYTES, 'x'), () => {
-				response.socket!.end();
+		if (work.startsWith('cut')) {
+			const length = work === 'cut-long' ? HELD_BYTES + STREAMED_BYTES : STREAMED_BYTES;
+			response.writeHead(200, {...headers, 'content-length': length + 1});
+			response.write(Buffer.alloc(length, 'x'), () => {
+				setTimeout(() => {
+					response.socket!.end();
+				}, work === 'cut-late' ? WORK_MS : 0);
 			});
 		} else if (work === 'long') {
 			response.writeHead(200, {...headers, 'content-length': LONG_BYTES});
@@ -61,13 +66,31 @@
 		expect(client.statuses).toEqual([200, 502, 200]);
 	});
 
+	// Guards against a reset that takes the answers to requests behind it along (LOST).
+	it('is replaced by a failure if others follow it, and these arrive', async () => {
+		const port = await addPair();
+		const client = await pipeline(port, [get('cut', 'b'), get('slow', 'c'), get('quick', 'd')]);
+		expect(client.statuses).toEqual([502, 200, 200]);
+	});
+
 	it('breaks the connection if it has begun', async () => {
 		const port = await addPair();
-		const client = await pipeline(port, [get('cut', 'b'), get('slow', 'c')]);
+		const client = new PipelinedClient(port);
+		client.send(get('cut-late', 'b'));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200]);
+		client.send(get('slow', 'c'));
+		await client.closed;
 		expect(client.statuses).toEqual([200]);
 		expect(client.text.length).toBeLessThan(STREAMED_BYTES + 1000);
 	});
 
+	it('breaks the connection if it is too long to be held back', async () => {
+		const port = await addPair();
+		const client = await pipeline(port, [get('cut-long', 'b'), get('slow', 'c')]);
+		await client.closed;
+		expect(client.statuses).toEqual([200]);
+	});
+
 	it('arrives whole otherwise, however long it is', async () => {
 		const port = await addPair();
 		const client = await pipeline(port, [get('slow', 'a'), get('long', 'b'), get('quick', 'c')]);
