The decisions of the quarantine move to the core, which both paths can use

Moves, without a change of behaviour: src/mesh/quarantine to src/core/quarantine; Trials and AnsweredCalls, which depended on the platform path's calls by name only, along with it; and the conclusion from a crash, out of the guard, as judgeCrash. The bound on the body of a call that is remembered as answered stays with the guard, which knows bodies.

--- a/fakes/crashsimulation.ts
+++ b/fakes/crashsimulation.ts
@@ -1,7 +1,6 @@
-import {chooseByRendezvous} from '../src/core/index.js';
 import {
-	type QuarantineNews, Quarantine, TrialSchedule, findSingleSuspect,
-} from '../src/mesh/index.js';
+	type QuarantineNews, chooseByRendezvous, Quarantine, TrialSchedule, findSingleSuspect,
+} from '../src/core/index.js';
 import {Random} from './random.js';
 import {Scheduler} from './scheduler.js';
 
--- a/proof/rules/crashes.ts
+++ b/proof/rules/crashes.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Quarantine} from '../../src/mesh/index.js';
+import {Quarantine} from '../../src/core/index.js';
 import {createRoute, createSiteSpec} from '../../standins/mesh.js';
 import {
 	type RuleCheck, replaceMethod, sendAttempt, violationIf,
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -25,3 +25,4 @@
 	type ClassSpec, type ConfigObject, type OperationSpec, type ServiceSpec, type SiteSpec,
 } from './spec.js';
 export {type DaemonStatus} from './daemonstatus.js';
+export * from './quarantine/index.js';
--- a/src/relay/target/answeredcalls.ts
+++ b/src/core/quarantine/answeredcalls.ts
@@ -1,26 +1,24 @@
-import {type Call} from '../call.js';
-import {fingerprintOf} from '../fingerprint.js';
-
 /** The calls that are remembered. */
 const MAX_CALLS = 128;
-/** The largest body of a remembered call, in bytes. */
-const MAX_BODY_BYTES = 1024;
 
 /** The last calls that the present start of the target has answered: the requests of these don't crash it. */
-export class AnsweredCalls {
-	#calls: Call[] = [];
+export class AnsweredCalls<T> {
+	readonly #fingerprintOf: (call: T) => string;
+	#calls: T[] = [];
 	#next = 0;
 
-	record(call: Call): void {
-		if (call.body.length <= MAX_BODY_BYTES) {
-			this.#calls[this.#next] = call;
-			this.#next = (this.#next + 1) % MAX_CALLS;
-		}
+	constructor(fingerprintOf: (call: T) => string) {
+		this.#fingerprintOf = fingerprintOf;
+	}
+
+	record(call: T): void {
+		this.#calls[this.#next] = call;
+		this.#next = (this.#next + 1) % MAX_CALLS;
 	}
 
 	/** The fingerprints of the calls; they are computed only now, as that costs more than to remember a call. */
 	fingerprints(): Set<string> {
-		return new Set(this.#calls.map(call => fingerprintOf(call)));
+		return new Set(this.#calls.map(call => this.#fingerprintOf(call)));
 	}
 
 	/** Forgets all, as another start of the target has begun. */
--- a/src/mesh/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -4,6 +4,13 @@
 export {
 	type HeldRequest, type Hold, holdMs, maxHoldMs,
 } from './hold.js';
+export {
+	type Crash, type CrashJudgement, type LostRun, judgeCrash,
+} from './crashjudgement.js';
+export {AnsweredCalls} from './answeredcalls.js';
+export {
+	type TrialCall, type TrialQueue, type TrialRefusal, Trials,
+} from './trials.js';
 export {type Inquiry, type LostRequest, findSingleSuspect} from './inquiry.js';
 export {
 	type CrashFinding, type QuarantineNews, type QuarantineVerdict, type SingleSuspect, Quarantine,
--- a/src/relay/target/trials.ts
+++ b/src/core/quarantine/trials.ts
@@ -1,6 +1,5 @@
-import {type AdmissionQueue, type Quarantine, TrialSchedule} from '../../mesh/index.js';
-import {type RefusalReason} from '../call.js';
-import {type OwnedCall} from './ownedcall.js';
+import {type Quarantine} from './quarantine.js';
+import {TrialSchedule} from './trialschedule.js';
 
 /** The most suspects that wait at a target; with more, they are refused as if the queue were full. */
 const MAX_WAITING = 256;
@@ -10,29 +9,49 @@
 /** How long others still wait after a trial was aborted, in ms: the target may crash of what it had begun. */
 const AFTER_ABORT_MS = 100;
 
-export type TrialsOptions = {
+/** A call at the owner of its target, as far as a trial concerns it. */
+export type TrialCall = {
+	readonly fingerprint: string;
+	readonly deadlineMs: number;
+	/** How long its run is expected to take, in ms. */
+	readonly serviceMs: number;
+};
+
+/** The queue of the target whose calls are tried. */
+export type TrialQueue = {
+	readonly running: number;
+	/** Whether no call may begin to run. */
+	isPaused: boolean;
+	/** @returns false if all slots are in use */
+	readonly takeSlot: (nowMs: number) => boolean;
+};
+
+/** Why a call isn't tried. */
+export type TrialRefusal = 'quarantined' | 'full' | 'expired';
+
+export type TrialsOptions<T extends TrialCall> = {
 	readonly quarantine: Quarantine;
-	readonly queue: AdmissionQueue<OwnedCall>;
+	readonly queue: TrialQueue;
 	/** Begins to run a call that holds a slot. */
-	readonly start: (owned: OwnedCall) => void;
+	readonly start: (call: T) => void;
 	/** Decides on a call that is no suspect any longer, as if it had just arrived. */
-	readonly admit: (owned: OwnedCall) => void;
-	readonly refuse: (owned: OwnedCall, reason: RefusalReason) => void;
-	readonly onBegun: (owned: OwnedCall) => void;
+	readonly admit: (call: T) => void;
+	readonly refuse: (call: T, reason: TrialRefusal) => void;
+	readonly onBegun: (call: T) => void;
 	/** Whether all other targets of the service have crashed and aren't back yet. */
 	readonly isLastTarget: () => boolean;
 };
 
 /** Runs the calls that may crash the target, one at a time and alone, while all others wait. */
-export class Trials {
-	readonly #options: TrialsOptions;
+export class Trials<T extends TrialCall> {
+	readonly #options: TrialsOptions<T>;
 	readonly #schedule = new TrialSchedule();
-	readonly #waiting: OwnedCall[] = [];
-	#onTrial: OwnedCall | undefined;
+	readonly #waiting: T[] = [];
+	#onTrial: T | undefined;
 	/** When the trial was aborted, as nobody waited for it any longer, in ms; undefined if it wasn't. */
 	#abortedMs: number | undefined;
 
-	constructor(options: TrialsOptions) {
+	constructor(options: TrialsOptions<T>) {
 		this.#options = options;
 	}
 
@@ -42,23 +61,23 @@
 	}
 
 	/** Takes a call over if it is a suspect or held. @returns whether it did */
-	take(owned: OwnedCall, nowMs: number): boolean {
+	take(call: T, nowMs: number): boolean {
 		const {quarantine, refuse} = this.#options;
-		if (owned === this.#onTrial || !quarantine.isActive) {
+		if (call === this.#onTrial || !quarantine.isActive) {
 			return false;
 		}
 
-		const verdict = quarantine.verdictOf(owned.fingerprint, nowMs);
+		const verdict = quarantine.verdictOf(call.fingerprint, nowMs);
 		if (verdict === 'pass') {
 			return false;
 		}
 
 		if (verdict === 'refuse') {
-			refuse(owned, 'quarantined');
+			refuse(call, 'quarantined');
 		} else if (this.#waiting.length >= MAX_WAITING) {
-			refuse(owned, 'full');
+			refuse(call, 'full');
 		} else {
-			this.#waiting.push(owned);
+			this.#waiting.push(call);
 			this.advance(nowMs);
 		}
 
@@ -89,22 +108,22 @@
 	}
 
 	/** Lets others run again if this run was the trial. */
-	onRunEnded(owned: OwnedCall, nowMs: number): void {
-		if (owned === this.#onTrial && this.#abortedMs === undefined) {
+	onRunEnded(call: T, nowMs: number): void {
+		if (call === this.#onTrial && this.#abortedMs === undefined) {
 			this.#end(nowMs);
 		}
 	}
 
 	/** Has others wait a little longer if this run is the trial. */
-	onRunAborted(owned: OwnedCall, nowMs: number): void {
-		if (owned === this.#onTrial) {
+	onRunAborted(call: T, nowMs: number): void {
+		if (call === this.#onTrial) {
 			this.#abortedMs = nowMs;
 		}
 	}
 
 	/** Removes a waiting call. @returns whether it was waiting here */
-	cancel(owned: OwnedCall): boolean {
-		const index = this.#waiting.indexOf(owned);
+	cancel(call: T): boolean {
+		const index = this.#waiting.indexOf(call);
 		if (index !== -1) {
 			this.#waiting.splice(index, 1);
 			this.#resumeIfIdle();
@@ -114,7 +133,7 @@
 	}
 
 	/** Removes all waiting calls. */
-	clear(): OwnedCall[] {
+	clear(): T[] {
 		const all = this.#waiting.splice(0);
 		this.#resumeIfIdle();
 		return all;
@@ -131,7 +150,7 @@
 	}
 
 	// With no other target left, a suspect waits for one as long as it can.
-	#listDue(nowMs: number): OwnedCall[] {
+	#listDue(nowMs: number): T[] {
 		const isLast = this.#waiting.length > 0 && this.#options.isLastTarget();
 		return isLast ? this.#waiting.filter(({deadlineMs, serviceMs}) => nowMs >= deadlineMs - (serviceMs * RUN_ROOM) - LATE_ROOM_MS) : this.#waiting;
 	}
@@ -141,16 +160,16 @@
 		const {
 			quarantine, admit, refuse,
 		} = this.#options;
-		for (const owned of this.#waiting.splice(0)) {
-			const verdict = quarantine.verdictOf(owned.fingerprint, nowMs);
-			if (nowMs >= owned.deadlineMs) {
-				refuse(owned, 'expired');
+		for (const call of this.#waiting.splice(0)) {
+			const verdict = quarantine.verdictOf(call.fingerprint, nowMs);
+			if (nowMs >= call.deadlineMs) {
+				refuse(call, 'expired');
 			} else if (verdict === 'trial') {
-				this.#waiting.push(owned);
+				this.#waiting.push(call);
 			} else if (verdict === 'refuse') {
-				refuse(owned, 'quarantined');
+				refuse(call, 'quarantined');
 			} else {
-				admit(owned);
+				admit(call);
 			}
 		}
 	}
--- a/src/mesh/index.ts
+++ b/src/mesh/index.ts
@@ -5,4 +5,3 @@
 export * from './admission/index.js';
 export * from './balancing/index.js';
 export * from './retries/index.js';
-export * from './quarantine/index.js';
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -1,8 +1,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
-import {
-	type AttemptsParts, type HostEntry, type LoadShedder, type Quarantine,
-} from '../../mesh/index.js';
+import {type Quarantine} from '../../core/index.js';
+import {type AttemptsParts, type HostEntry, type LoadShedder} from '../../mesh/index.js';
 import {
 	type Call, type CallHandle, type CallSink,
 } from '../call.js';
--- a/src/relay/clients/quarantinecheck.ts
+++ b/src/relay/clients/quarantinecheck.ts
@@ -1,4 +1,4 @@
-import {type Quarantine, type QuarantineVerdict} from '../../mesh/index.js';
+import {type Quarantine, type QuarantineVerdict} from '../../core/index.js';
 import {type IdentifyingParts, fingerprintOf} from '../fingerprint.js';
 
 /** Whether one request may be sent to a target; its fingerprint is computed only if that matters. */
--- a/src/relay/operators/quarantinereport.ts
+++ b/src/relay/operators/quarantinereport.ts
@@ -1,4 +1,4 @@
-import {type Hold, type Quarantine, type QuarantineNews} from '../../mesh/index.js';
+import {type Hold, type Quarantine, type QuarantineNews} from '../../core/index.js';
 
 /** What a daemon holds back, and what it suspects. */
 export type QuarantineReport = {
--- a/src/relay/peers/quarantineexchange.ts
+++ b/src/relay/peers/quarantineexchange.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
-import {type Quarantine, type QuarantineNews, type Survival} from '../../mesh/index.js';
+import {type Quarantine, type QuarantineNews, type Survival} from '../../core/index.js';
 import {type Frame, type FrameChannel, FrameTag} from './frame.js';
 import {buildQuarantineFrame, readQuarantine} from './quarantineframe.js';
 
--- a/src/relay/peers/quarantineframe.ts
+++ b/src/relay/peers/quarantineframe.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {
 	type CrashReport, type Hold, type QuarantineNews, type Survival,
-} from '../../mesh/index.js';
+} from '../../core/index.js';
 import {FrameError} from '../../wire/index.js';
 import {FINGERPRINT_BYTES} from '../fingerprint.js';
 import {type Frame, FrameTag, readItems} from './frame.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -2,8 +2,9 @@
 import {
 	ErrorLimit, EventLog, Logger, StatsdReporter,
 } from '../log/index.js';
+import {Quarantine} from '../core/index.js';
 import {
-	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, Quarantine, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
+	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
 import {AnnouncementEndpoint} from './target/announcementendpoint.js';
--- a/src/relay/target/quarantineguard.ts
+++ b/src/relay/target/quarantineguard.ts
@@ -1,20 +1,22 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
-	type AdmissionQueue, type Quarantine, type QuarantineNews, type PublishedTarget, type SingleSuspect, type TargetLifecycle, findSingleSuspect, startOf,
-} from '../../mesh/index.js';
-import {type RefusalReason} from '../call.js';
+	AnsweredCalls, type Quarantine, type QuarantineNews, Trials, judgeCrash, startOf,
+} from '../../core/index.js';
+import {type AdmissionQueue, type PublishedTarget, type TargetLifecycle} from '../../mesh/index.js';
+import {type Call, type RefusalReason} from '../call.js';
+import {fingerprintOf} from '../fingerprint.js';
 import {type Address} from '../settings.js';
-import {AnsweredCalls} from './answeredcalls.js';
 import {
 	CrashDetector, type CrashSign, type LostRun, type LossReason,
 } from './crashdetector.js';
 import {logCrash} from './crashlog.js';
 import {type OwnedCall} from './ownedcall.js';
-import {Trials} from './trials.js';
 
 /** The most of a path that is kept for operators, in characters. */
 const MAX_PATH_LENGTH = 120;
+/** The largest body of a call that is remembered as answered, in bytes. */
+const MAX_ANSWERED_BODY_BYTES = 1024;
 /** Crashes are numbered at random below this. */
 const MAX_CRASH_ID = 2 ** 48;
 
@@ -48,10 +50,10 @@
 
 /** Guards the target beside this daemon from requests that crash it: notices crashes, tries suspects alone, and tells the others what that shows. */
 export class QuarantineGuard {
-	readonly trials: Trials;
+	readonly trials: Trials<OwnedCall>;
 	readonly #options: QuarantineGuardOptions;
 	readonly #crashDetector: CrashDetector;
-	readonly #answered = new AnsweredCalls();
+	readonly #answered = new AnsweredCalls<Call>(fingerprintOf);
 
 	constructor(options: QuarantineGuardOptions) {
 		this.#options = options;
@@ -87,7 +89,7 @@
 	onServed(owned: OwnedCall, nowMs: number): void {
 		this.#crashDetector.onServed(nowMs);
 		const {quarantine, log, onNews} = this.#options;
-		if (quarantine.isEnabled) {
+		if (quarantine.isEnabled && owned.call.body.length <= MAX_ANSWERED_BODY_BYTES) {
 			this.#answered.record(owned.call);
 		}
 
@@ -119,7 +121,7 @@
 
 	#onCrash(lost: readonly LostRun[], sign: CrashSign): void {
 		const {
-			clock, log, lifecycle, queue, quarantine, listTargets, onNews, random,
+			clock, log, lifecycle, queue, quarantine, listTargets, onNews, random, parentOf,
 		} = this.#options;
 		const {running, queued, limit} = queue;
 		logCrash(log, lost, {
@@ -134,13 +136,10 @@
 		const nowMs = clock.nowMs();
 		const answered = this.#answered.fingerprints();
 		this.#answered.reset();
-		const possible = lost.filter(({owned: {fingerprint}}) => !answered.has(fingerprint));
-		const suspect = this.#findSuspect(possible, nowMs);
 		const {service} = target;
-		const crash = {
-			id: Math.floor(random() * MAX_CRASH_ID), service, start: startOf(target), requests: possible.map(({owned: {fingerprint}}) => fingerprint),
-		};
-		const {report, hold} = quarantine.concludeCrash(crash, suspect, listTargets(service).length, nowMs);
+		const {report, hold, suspect} = judgeCrash(quarantine, {
+			id: Math.floor(random() * MAX_CRASH_ID), service, start: startOf(target), lost: lost.map(run => describeLost(run)), answered, targets: listTargets(service).length, parentOf,
+		}, nowMs);
 		onNews({crashes: [report], survivals: [], holds: hold === undefined ? [] : [hold]});
 		if (suspect !== undefined) {
 			log.event('suspect_crashed', {
@@ -162,21 +161,12 @@
 		const others = current === undefined ? [] : listTargets(current.service).filter(({id}) => id !== current.id);
 		return others.length > 0 && others.every(target => quarantine.hasCrashed(target));
 	}
+}
 
-	#findSuspect(lost: readonly LostRun[], nowMs: number): SingleSuspect | undefined {
-		const {quarantine, parentOf} = this.#options;
-		const runs = lost.map(({owned: {fingerprint, call}, ranMs}) => ({request: fingerprint, attemptId: call.attemptId, ranMs}));
-		const inquiry = findSingleSuspect(runs, quarantine, parentOf, nowMs);
-		const found = lost.find(({owned: {call}}) => call.attemptId === inquiry?.attemptId);
-		if (inquiry === undefined || found === undefined) {
-			return undefined;
-		}
-
-		const {template: {route, method, callerService}, path, attemptId} = found.owned.call;
-		return {
-			...inquiry, subject: {
-				route, method, path: path.slice(0, MAX_PATH_LENGTH), caller: callerService, attemptId,
-			},
-		};
-	}
+function describeLost({owned: {fingerprint, call: {template: {route, method, callerService}, path, attemptId}}, ranMs}: LostRun) {
+	return {
+		request: fingerprint, attemptId, ranMs, subject: {
+			route, method, path: path.slice(0, MAX_PATH_LENGTH), caller: callerService, attemptId,
+		},
+	};
 }
--- a/test/mesh/quarantine.test.ts
+++ b/test/core/quarantine.test.ts
@@ -3,7 +3,7 @@
 import {CrashSimulation, DEADLY} from '../../fakes/crashsimulation.js';
 import {
 	type CrashReport, type QuarantineNews, Quarantine, TrialSchedule, findSingleSuspect,
-} from '../../src/mesh/index.js';
+} from '../../src/core/index.js';
 
 const HOLD_MS = 30_000;
 const MEMORY_MS = 60_000;
--- a/test/relay/quarantinecheck.test.ts
+++ b/test/relay/quarantinecheck.test.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {describe, expect, it} from 'vitest';
+import {Quarantine} from '../../src/core/index.js';
 import {
-	Attempts, HostTable, LOAD_BALANCING, LoadBalancer, Quarantine, RetryBudget, TargetSignalTable,
+	Attempts, HostTable, LOAD_BALANCING, LoadBalancer, RetryBudget, TargetSignalTable,
 } from '../../src/mesh/index.js';
 import {fingerprintOf} from '../../src/relay/fingerprint.js';
 import {QuarantineCheck} from '../../src/relay/clients/quarantinecheck.js';
--- a/test/relay/quarantineexchange.test.ts
+++ b/test/relay/quarantineexchange.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {SystemClock} from '../../src/clock/index.js';
 import {EventLog, Logger} from '../../src/log/index.js';
-import {type CrashReport, type Hold, Quarantine} from '../../src/mesh/index.js';
+import {type CrashReport, type Hold, Quarantine} from '../../src/core/index.js';
 import {
 	type Frame, FrameChannel, FrameTag, decodeFrame, encodeFrame,
 } from '../../src/relay/peers/frame.js';
--- a/test/relay/trials.test.ts
+++ b/test/relay/trials.test.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {describe, expect, it} from 'vitest';
-import {AdmissionQueue, Quarantine} from '../../src/mesh/index.js';
+import {Quarantine, Trials} from '../../src/core/index.js';
+import {AdmissionQueue} from '../../src/mesh/index.js';
 import {type Call, CallSink} from '../../src/relay/call.js';
 import {type CallOwner, OwnedCall} from '../../src/relay/target/ownedcall.js';
-import {Trials} from '../../src/relay/target/trials.js';
 
 const HOLD_MS = 30_000;
 const DEADLINE_MS = 2000;
