--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -7,17 +7,16 @@
 import {type CoreContext} from './corecontext.js';
 import {type Ledger} from './ledger.js';
 import {rankOf} from './level.js';
+import {QueueForecast} from './queueforecast.js';
 import {ConcurrencyLimit} from './concurrencylimit.js';
 import {type Announcement, type TargetResult} from './message.js';
 import {SlotUsage, type SlotTime} from './slotusage.js';
 import {PriorityQueue} from './priorityqueue.js';
 import {TimerWheel} from './timerwheel.js';
 import {
-	type AdmissionParts, type AnswerSink, type CancelReason, type Origin, type QueueBounds, type ReceivedCall, answerFromResult, expiryReasonOf,
+	type AdmissionParts, type AnswerSink, type CancelReason, type Origin, type ReceivedCall, answerFromResult, expiryReasonOf,
 } from './receivedcall.js';
 
-const MIN_QUEUE_CALLS = 4;
-const DEFAULT_QUEUE_LIMIT_MS = 100;
 /** Interval at which a queued call past its queue limit is checked again while a lower rank waits, in ms. */
 const EXPIRY_RETRY_MS = 50;
 /** Time after which an announcement that the target does not renew lapses, in ms. */
@@ -36,8 +35,8 @@
 	readonly #ledger: Ledger;
 	readonly #sendAnswer: AnswerSink;
 	readonly #onEnded: (received: ReceivedCall) => void;
-	readonly #bounds: () => QueueBounds | undefined;
 	readonly #queue = new PriorityQueue<ReceivedCall>();
+	readonly #forecast: QueueForecast;
 	readonly #receivedCalls = new Map<number, ReceivedCall>();
 	readonly #timers = new TimerWheel();
 	#concurrencyLimit: ConcurrencyLimit | undefined;
@@ -52,7 +51,9 @@
 	constructor({coreContext, ledger, bounds, answer, onEnded}: AdmissionParts) {
 		this.#context = coreContext;
 		this.#ledger = ledger;
-		this.#bounds = bounds;
+		this.#forecast = new QueueForecast({
+			queue: this.#queue, slotUsage: this.#slotUsage, bounds, limit: () => this.limit, running: () => this.#running,
+		});
 		this.#sendAnswer = answer;
 		this.#onEnded = onEnded;
 	}
@@ -194,7 +195,7 @@
 			this.#expire(id, nowMs);
 		}
 
-		this.floorController.update(nowMs, () => this.#createLoadView());
+		this.floorController.update(nowMs, () => this.#forecast.createLoadView());
 		return this.#announcement !== undefined
 			&& nowMs - this.#announcedMs > ANNOUNCEMENT_LEASE_MS
 			&& this.withdraw();
@@ -209,7 +210,7 @@
 			call,
 			level: call.level,
 			deadlineMs,
-			expiresMs: Math.min(deadlineMs, nowMs + this.#queueLimitMs()),
+			expiresMs: Math.min(deadlineMs, nowMs + this.#forecast.limitMs),
 			startedMs: 0,
 			tokens: call.tokens,
 			holdsKey: false,
@@ -242,12 +243,12 @@
 	}
 
 	#enqueue(received: ReceivedCall): void {
-		if (this.#wouldExpireInQueue(received)) {
+		if (this.#forecast.wouldExpire(received, this.floorController)) {
 			this.#refuse(received, 'overload');
 			return;
 		}
 
-		if (this.#queue.length >= this.#queueCapacity()) {
+		if (this.#queue.length >= this.#forecast.capacity) {
 			if (this.#queue.lowestLevel! >= received.level) {
 				this.#refuse(received, 'overload');
 				return;
@@ -257,40 +258,10 @@
 		}
 
 		this.#queue.push(received);
-		this.floorController.update(this.#context.nowMs, () => this.#createLoadView());
+		this.floorController.update(this.#context.nowMs, () => this.#forecast.createLoadView());
 		this.#runNext();
 	}
 
-	// A call that would expire in the queue is refused at once, so that its callers
-	// hold no slots meanwhile; but never while a call of a lower rank is queued, so all that wait go before it.
-	#wouldExpireInQueue({level}: ReceivedCall): boolean {
-		const rank = rankOf(level);
-		const {lowestLevel = 0, length} = this.#queue;
-		return length > MIN_QUEUE_CALLS && rankOf(lowestLevel) >= rank
-			&& this.floorController.estimateWaitMs(rank, length, this.#serviceRate()) > this.#queueLimitMs();
-	}
-
-	#queueLimitMs(): number {
-		return this.#bounds()?.queueLimitMs ?? DEFAULT_QUEUE_LIMIT_MS;
-	}
-
-	#queueCapacity(): number {
-		return Math.max(MIN_QUEUE_CALLS, Math.ceil(this.#queueLimitMs() * this.#serviceRate()));
-	}
-
-	#serviceRate(): number {
-		return Math.max(1, this.limit) / this.#slotUsage.meanRunMs;
-	}
-
-	#createLoadView() {
-		return {
-			serviceRate: this.#serviceRate(),
-			queuedWork: (level: number) => this.#queue.countAtLeast(level),
-			queueTargetMs: this.#bounds()?.queueTargetMs ?? DEFAULT_QUEUE_LIMIT_MS / 2,
-			isSaturated: this.#queue.length > 0 || this.#running >= this.limit,
-		};
-	}
-
 	#run(received: ReceivedCall): void {
 		const {nowMs} = this.#context;
 		received.startedMs = nowMs;
