On the product's own path, too, a request that crashes its targets is held

The core decides by the same objects as the platform's path now. Its owner notices a crash by the loss of all runs in flight within 50 ms, has suspects run alone, and tells the others in a frame; each daemon refuses what is held, with the time that is left as Retry-After. Switched on by quarantineMs in a daemon's settings, without which nothing changes.

A target of this path doesn't announce its starts and may listen again at once, so a single run whose connection is closed looks like a crash.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -23,6 +23,7 @@
 		prefix: z.string().default('comfreydyke.'),
 		intervalMs: z.int().min(100).max(600_000).default(10_000),
 	}).optional().describe('The StatsD server that receives the metrics'),
+	quarantineMs: z.int().min(1000).max(3_600_000).optional().describe('How long a request that was proved to crash targets is refused, in ms, before it is tried again; without it none is'),
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 	}).prefault({}),
--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -12,9 +12,11 @@
 import {type Announcement, type TargetResult} from './message.js';
 import {SlotUsage, type SlotTime} from './slotusage.js';
 import {PriorityQueue} from './priorityqueue.js';
+import {TargetGuard} from './targetguard.js';
+import {TargetSlots} from './targetslots.js';
 import {TimerWheel} from './timerwheel.js';
 import {
-	type AdmissionParts, type AnswerSink, type CancelReason, type Origin, type ReceivedCall, answerFromResult, expiryReasonOf,
+	type AdmissionParts, type AnswerSink, type CancelReason, type Origin, type ReceivedCall, answerFromResult, createReceivedCall, expiryReasonOf,
 } from './receivedcall.js';
 
 /** Interval at which a queued call past its queue limit is checked again while a lower rank waits, in ms. */
@@ -36,23 +38,41 @@
 	readonly #sendAnswer: AnswerSink;
 	readonly #onEnded: (received: ReceivedCall) => void;
 	readonly #queue = new PriorityQueue<ReceivedCall>();
+	readonly #slots = new TargetSlots(() => this.limit);
 	readonly #forecast: QueueForecast;
 	readonly #receivedCalls = new Map<number, ReceivedCall>();
 	readonly #timers = new TimerWheel();
 	#concurrencyLimit: ConcurrencyLimit | undefined;
 	#announcement: Announcement | undefined;
 	#announcedMs = 0;
-	#running = 0;
 	#nextId = 1;
 	readonly #slotUsage = new SlotUsage();
 	#unreachableRuns = 0;
 	#isDraining = false;
+	#isRunningNext = false;
+	readonly #guard: TargetGuard | undefined;
 
-	constructor({coreContext, ledger, bounds, answer, onEnded}: AdmissionParts) {
+	constructor({coreContext, ledger, bounds, answer, onEnded, quarantine}: AdmissionParts) {
 		this.#context = coreContext;
 		this.#ledger = ledger;
 		this.#forecast = new QueueForecast({
-			queue: this.#queue, slotUsage: this.#slotUsage, bounds, limit: () => this.limit, running: () => this.#running,
+			queue: this.#queue, slotUsage: this.#slotUsage, bounds, limit: () => this.limit, running: () => this.running,
+		});
+		this.#guard = quarantine && new TargetGuard({
+			...quarantine,
+			coreContext: this.#context,
+			queue: this.#slots,
+			service: () => this.#announcement?.service,
+			hasRunsFrom: untilMs => [...this.#receivedCalls.values()].some(({startedMs}) => startedMs > 0 && startedMs <= untilMs),
+			start: received => {
+				this.#run(received);
+			},
+			admit: received => {
+				this.#runOrEnqueue(received);
+			},
+			finish: (received, answer) => {
+				this.#finish(received, answer);
+			},
 		});
 		this.#sendAnswer = answer;
 		this.#onEnded = onEnded;
@@ -67,7 +87,7 @@
 	}
 
 	get running(): number {
-		return this.#running;
+		return this.#slots.running;
 	}
 
 	get queued(): number {
@@ -84,7 +104,7 @@
 	}
 
 	reportLoad(): LoadReport {
-		return {outstanding: this.#running + this.#queue.length, limit: this.limit};
+		return {outstanding: this.running + this.#queue.length, limit: this.limit};
 	}
 
 	/** Returns the running call that a context header names. */
@@ -114,7 +134,7 @@
 		}
 
 		this.#announcement = undefined;
-		for (const received of this.#queue.clear()) {
+		for (const received of [...this.#queue.clear(), ...this.#guard?.trials.clear() ?? []]) {
 			this.#finish(received, createRefusal('draining', REFUSED_RETRY_AFTER_MS, true));
 		}
 
@@ -145,12 +165,9 @@
 		this.floorController.onArrival(call.level, call.floor);
 		this.#receivedCalls.set(received.id, received);
 		this.#timers.add(received.id, received.expiresMs);
-		if (this.#running < this.#concurrencyLimit.value && this.#queue.length === 0) {
-			this.#run(received);
-			return;
+		if (this.#guard?.trials.take(received, this.#context.nowMs) !== true) {
+			this.#runOrEnqueue(received);
 		}
-
-		this.#enqueue(received);
 	}
 
 	/** The target has answered a run or aborted it. */
@@ -161,11 +178,12 @@
 			return;
 		}
 
-		this.#running--;
+		this.#slots.release();
 		const spentMs = this.#context.nowMs - received.startedMs;
 		const answer = this.#evaluateResult(received, result);
 		this.#slotUsage.recordRun(spentMs, answer.outcome === 'complete');
 		this.#finish(received, answer);
+		this.#guard?.onRunEnded(received, result);
 		this.#runNext();
 	}
 
@@ -195,6 +213,8 @@
 			this.#expire(id, nowMs);
 		}
 
+		this.#guard?.check();
+		this.#runNext();
 		this.floorController.update(nowMs, () => this.#forecast.createLoadView());
 		return this.#announcement !== undefined
 			&& nowMs - this.#announcedMs > ANNOUNCEMENT_LEASE_MS
@@ -202,24 +222,13 @@
 	}
 
 	#createReceivedCall(origin: Origin, call: Call): ReceivedCall {
-		const {nowMs} = this.#context;
-		const deadlineMs = nowMs + call.budgetMs;
-		return {
-			id: this.#nextId++,
-			origin,
-			call,
-			level: call.level,
-			deadlineMs,
-			expiresMs: Math.min(deadlineMs, nowMs + this.#forecast.limitMs),
-			startedMs: 0,
-			tokens: call.tokens,
-			holdsKey: false,
-			hasMadeChildCall: false,
-			hasFailedChild: false,
-			childMayHaveRun: false,
-			cancelReason: undefined,
+		return createReceivedCall({id: this.#nextId++, origin, call}, {
+			nowMs: this.#context.nowMs,
+			queueLimitMs: this.#forecast.limitMs,
+			serviceMs: this.#slotUsage.meanRunMs,
 			mayHaveWaitedInPause: this.#context.pausedMs > 0,
-		};
+			fingerprintOf: () => this.#guard?.fingerprintOf(call) ?? '',
+		});
 	}
 
 	// Returns whether the ledger lets the key run. Otherwise the call is answered here, or when the running call ends.
@@ -242,6 +251,15 @@
 		return received.holdsKey;
 	}
 
+	#runOrEnqueue(received: ReceivedCall): void {
+		if (this.#queue.length === 0 && this.#slots.isFree) {
+			this.#slots.takeSlot();
+			this.#run(received);
+		} else {
+			this.#enqueue(received);
+		}
+	}
+
 	#enqueue(received: ReceivedCall): void {
 		if (this.#forecast.wouldExpire(received, this.floorController)) {
 			this.#refuse(received, 'overload');
@@ -265,7 +283,6 @@
 	#run(received: ReceivedCall): void {
 		const {nowMs} = this.#context;
 		received.startedMs = nowMs;
-		this.#running++;
 		this.#timers.add(received.id, received.deadlineMs);
 		this.#context.emit({
 			type: 'dispatch',
@@ -277,19 +294,28 @@
 	}
 
 	#runNext(): void {
+		if (this.#isRunningNext) {
+			return;
+		}
+
+		this.#isRunningNext = true;
 		const {nowMs} = this.#context;
-		while (this.#running < this.limit) {
+		this.#guard?.trials.advance(nowMs);
+		while (this.#slots.isFree) {
 			const received = this.#queue.pop();
 			if (received === undefined) {
-				return;
+				break;
 			}
 
 			if (received.deadlineMs <= nowMs) {
 				this.#refuse(received, expiryReasonOf(received));
-			} else {
+			} else if (this.#guard?.trials.take(received, this.#context.nowMs) !== true) {
+				this.#slots.takeSlot();
 				this.#run(received);
 			}
 		}
+
+		this.#isRunningNext = false;
 	}
 
 	#expire(id: number, nowMs: number): void {
@@ -311,14 +337,14 @@
 		const lowestQueued = this.#queue.lowestLevel;
 		if (received.deadlineMs > nowMs && lowestQueued !== undefined && rankOf(lowestQueued) < rankOf(received.level)) {
 			this.#timers.add(received.id, Math.min(received.deadlineMs, nowMs + EXPIRY_RETRY_MS));
-		} else if (this.#queue.remove(received)) {
+		} else if (this.#removeWaiting(received)) {
 			this.#refuse(received, expiryReasonOf(received));
 		}
 	}
 
 	#cancelReceived(received: ReceivedCall, reason: CancelReason): void {
 		if (received.startedMs === 0) {
-			this.#queue.remove(received);
+			this.#removeWaiting(received);
 			this.#refuse(received, reason);
 		} else if (received.call.idempotent && !received.childMayHaveRun && received.cancelReason === undefined) {
 			received.cancelReason = reason;
@@ -326,6 +352,10 @@
 		}
 	}
 
+	#removeWaiting(received: ReceivedCall): boolean {
+		return this.#queue.remove(received) || this.#guard?.trials.cancel(received) === true;
+	}
+
 	#refuse(received: ReceivedCall, reason: Reason): void {
 		const retryable = reason === 'overload' || reason === 'evicted';
 		this.#finish(received, createRefusal(reason, REFUSED_RETRY_AFTER_MS, retryable));
@@ -353,12 +383,7 @@
 		}
 
 		const answer = answerFromResult(received, result);
-		if (answer.outcome === 'complete') {
-			this.#concurrencyLimit?.onSuccess();
-		} else if (answer.reason === 'target-refused') {
-			this.#concurrencyLimit?.onRefusal();
-		}
-
+		this.#concurrencyLimit?.onAnswer(answer);
 		return answer;
 	}
 
--- a/src/core/answer.ts
+++ b/src/core/answer.ts
@@ -21,6 +21,7 @@
 		| 'overload'
 		| 'paused'
 		| 'pressure'
+		| 'quarantined'
 		| 'superseded'
 		| 'target-failed'
 		| 'target-refused'
--- a/src/core/concurrencylimit.ts
+++ b/src/core/concurrencylimit.ts
@@ -1,3 +1,5 @@
+import {type Answer} from './answer.js';
+
 /** Share of the declared slots with which a cold target starts. */
 const COLD_SHARE = 0.25;
 const REFUSAL_FACTOR = 0.9;
@@ -20,6 +22,14 @@
 		return Math.floor(this.#value);
 	}
 
+	onAnswer({outcome, reason}: Answer): void {
+		if (outcome === 'complete') {
+			this.onSuccess();
+		} else if (reason === 'target-refused') {
+			this.onRefusal();
+		}
+	}
+
 	/** Raises the limit by one after a complete answer. While the limit is reached, this doubles the limit once per service time. */
 	onSuccess(): void {
 		this.#value = Math.min(this.#slots, this.#value + 1);
--- a/src/core/coreoptions.ts
+++ b/src/core/coreoptions.ts
@@ -1,4 +1,5 @@
 import {type JoinRecord} from './message.js';
+import {type RequestIdentity} from './requestidentity.js';
 
 /** The settings of a daemon's core, fixed at its start. */
 export type CoreOptions = {
@@ -11,4 +12,10 @@
 	/** Peers to ask at the start, so that a daemon can start while the platform is unreachable. */
 	readonly seeds?: readonly JoinRecord[];
 	readonly ledgerCapacity?: number;
+	/** Without it, requests that crash targets are sent like any others. */
+	readonly quarantine?: {
+		/** How long a request is refused after it was proved to crash targets, in ms, before it is tried again. */
+		readonly firstHoldMs: number;
+		readonly identity: RequestIdentity;
+	};
 };
--- a/src/core/daemoncore.ts
+++ b/src/core/daemoncore.ts
@@ -14,6 +14,9 @@
 import {type CoreOptions} from './coreoptions.js';
 import {FloorTable} from './floortable.js';
 import {LoadReporter} from './loadreporter.js';
+import {Quarantine} from './quarantine/index.js';
+import {QuarantineExchange} from './quarantineexchange.js';
+import {QuarantineGate} from './quarantinegate.js';
 import {Resender} from './resender.js';
 import {LoadBalancer} from './loadbalancer.js';
 import {type DaemonStatus, buildStatus} from './daemonstatus.js';
@@ -48,6 +51,8 @@
 	readonly #loadReporter: LoadReporter;
 	readonly #gossip: Gossip;
 	readonly #directory: Directory;
+	readonly #quarantine: Quarantine;
+	readonly #quarantineExchange: QuarantineExchange;
 	readonly #lastCallIds = new Map<string, number>();
 	#lastHousekeepingMs = 0;
 	#lastTickMs = 0;
@@ -63,8 +68,14 @@
 		this.#links = new Links(coreContext);
 		this.#loadBalancer = new LoadBalancer(coreContext, this.#links, id);
 		this.#ledger = new Ledger(startMs, options.ledgerCapacity ?? DEFAULT_LEDGER_CAPACITY);
+		this.#quarantine = new Quarantine(options.quarantine?.firstHoldMs);
 		this.#admission = new AdmissionController({
 			coreContext,
+			quarantine: options.quarantine && {
+				...options.quarantine, quarantine: this.#quarantine, target: id, membership: this.#membership, onNews: news => {
+					this.#quarantineExchange.tell(news);
+				},
+			},
 			ledger: this.#ledger,
 			bounds: () => this.#ownServiceSpec(),
 			answer: (origin, answer, tokens) => {
@@ -75,6 +86,7 @@
 			},
 		});
 		const parts = {
+			quarantineGate: options.quarantine && new QuarantineGate(coreContext, this.#quarantine, options.quarantine.identity),
 			self: id,
 			incarnation: startMs,
 			coreContext,
@@ -101,6 +113,7 @@
 			slots: 0,
 			connections: 0,
 		}, parts);
+		this.#quarantineExchange = new QuarantineExchange({...parts, quarantine: this.#quarantine, gossip: this.#gossip});
 		this.#directory = new Directory({...parts, gossip: this.#gossip}, options.seeds ?? []);
 	}
 
@@ -254,6 +267,11 @@
 				break;
 			}
 
+			case 'quarantine': {
+				this.#quarantineExchange.onFrame(peer, frame);
+				break;
+			}
+
 			case 'gossip': {
 				for (const {name, generation} of this.#gossip.onGossip(peer, frame.members, frame.config)) {
 					this.#coreContext.log('config_accepted', {object: name, generation});
@@ -297,6 +315,7 @@
 		} else if (isUp) {
 			this.#links.onUp(peer);
 			this.#ingress.onLinkUp(peer);
+			this.#quarantineExchange.onLinkUp(peer);
 		} else {
 			this.#onLinkLost(peer);
 		}
@@ -334,6 +353,7 @@
 		if (nowMs - this.#lastHousekeepingMs >= HOUSEKEEPING_INTERVAL_MS) {
 			this.#lastHousekeepingMs = nowMs;
 			this.#ledger.removeExpired(nowMs);
+			this.#quarantine.removeExpired(nowMs);
 			this.#membership.removeTombstones(nowMs - TOMBSTONE_LIFETIME_MS);
 		}
 	}
--- a/src/core/frame.ts
+++ b/src/core/frame.ts
@@ -2,6 +2,7 @@
 import {type FencingToken, type FenceReply} from './ledger.js';
 import {type Member} from './member.js';
 import {type FloorReport} from './floortable.js';
+import {type QuarantineNews} from './quarantine/index.js';
 import {type ConfigObject} from './spec.js';
 
 /** A call to a target, with the context that is passed on to the calls it causes. */
@@ -73,6 +74,7 @@
 			readonly load: LoadReport;
 			readonly pressure: readonly FloorReport[];
 		}
+		| (QuarantineNews & {readonly type: 'quarantine'})
 		| {readonly type: 'gossip'; readonly members: readonly Member[]; readonly config: readonly ConfigObject[]}
 		| {
 			readonly type: 'sync';
--- a/src/core/gossip.ts
+++ b/src/core/gossip.ts
@@ -101,6 +101,16 @@
 		this.#flood([], objects, except);
 	}
 
+	/** Sends a frame to all neighbors except `except`. */
+	flood(frame: Frame, except?: string): void {
+		this.#refreshNeighbors();
+		for (const peer of this.#neighborIds) {
+			if (peer !== except) {
+				this.#parts.links.sendIfUp(peer, frame);
+			}
+		}
+	}
+
 	onInboundLink(peer: string, isUp: boolean): void {
 		if (isUp) {
 			this.#inboundPeers.add(peer);
@@ -291,13 +301,7 @@
 	}
 
 	#flood(members: readonly Member[], config: readonly ConfigObject[], except?: string): void {
-		this.#refreshNeighbors();
-		const frame: Frame = {type: 'gossip', members, config};
-		for (const peer of this.#neighborIds) {
-			if (peer !== except) {
-				this.#parts.links.sendIfUp(peer, frame);
-			}
-		}
+		this.flood({type: 'gossip', members, config}, except);
 	}
 
 	#createSyncFrame(reply: boolean, includesMembers = true): Frame {
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -21,6 +21,7 @@
 } from './neighbors.js';
 export {DaemonCore, LAME_DUCK_MS} from './daemoncore.js';
 export {type CoreOptions} from './coreoptions.js';
+export {type IdentifiedRequest, RequestIdentity} from './requestidentity.js';
 export {
 	type ClassSpec, type ConfigObject, type OperationSpec, type ServiceSpec, type SiteSpec,
 } from './spec.js';
--- a/src/core/ingress.ts
+++ b/src/core/ingress.ts
@@ -10,7 +10,9 @@
 import {type Member} from './member.js';
 import {type Input, type RequestId} from './message.js';
 import {type IngressParts} from './ingressparts.js';
-import {ANSWER_MARGIN_MS, type PendingRequest, createCall} from './pendingrequest.js';
+import {
+	ANSWER_MARGIN_MS, type PendingRequest, correctOutcome, createCall,
+} from './pendingrequest.js';
 import {type Resender} from './resender.js';
 import {RetryAfterPolicy} from './retryafter.js';
 import {TimerWheel} from './timerwheel.js';
@@ -184,7 +186,7 @@
 		pending.done = true;
 		this.#requests.delete(pending.id);
 		this.#resender.removeRound(pending);
-		const finalAnswer = this.#correctOutcome(pending, answer);
+		const finalAnswer = correctOutcome(pending, answer);
 		const {parent, operation} = pending;
 		if (parent === undefined) {
 			this.#maxRetries = Math.max(this.#maxRetries, pending.initialTokens - pending.tokens);
@@ -262,6 +264,12 @@
 	}
 
 	#start(pending: PendingRequest, config: Catalog): void {
+		const refusal = this.#parts.quarantineGate?.findRefusal(pending);
+		if (refusal !== undefined) {
+			this.respond(pending, refusal);
+			return;
+		}
+
 		if (pending.key === undefined) {
 			this.route(pending, config);
 			return;
@@ -290,12 +298,9 @@
 
 	// The first attempt at a key goes to its home upstream, so that all duplicates reach the same ledger.
 	#homeOf(pending: PendingRequest): Member | undefined {
-		if (pending.key === undefined) {
-			return undefined;
-		}
-
-		const {membership, loadBalancer} = this.#parts;
-		const home = membership.homeUpstream(pending.operation.service, pending.key);
+		const {membership, loadBalancer, quarantineGate} = this.#parts;
+		const key = pending.key ?? quarantineGate?.placementKeyOf(pending);
+		const home = key === undefined ? undefined : membership.homeUpstream(pending.operation.service, key);
 		return home !== undefined && !pending.tried.includes(home.id) && loadBalancer.isUsable(home) ? home : undefined;
 	}
 
@@ -339,13 +344,14 @@
 	}
 
 	#mayRetry(pending: PendingRequest, answer: Answer): boolean {
-		const {membership, floorTable, coreContext} = this.#parts;
+		const {membership, floorTable, coreContext, quarantineGate} = this.#parts;
 		const {service, idempotent} = pending.operation;
 		const isSafe = answer.outcome === 'not-run' || idempotent;
 		const isOverloaded = answer.reason === 'overload' || answer.reason === 'evicted';
 		return isSafe
 			&& answer.retryable === true
 			&& pending.deadlineMs - coreContext.nowMs > ANSWER_MARGIN_MS
+			&& quarantineGate?.findRefusal(pending) === undefined
 			&& !(isOverloaded && floorTable.meanFloorOf(service, coreContext.nowMs) > 0)
 			&& membership.servingUpstreams(service).some(({id}) => !pending.tried.includes(id))
 			&& (answer.reason === 'unreachable' || (pending.tokens >= 1 && this.#retryBudget.tryTake(service)));
@@ -353,17 +359,13 @@
 
 	// This daemon replaces the retry delay of a refusal by its own, which grows with the ratio of its refusals to admissions.
 	#withRetryAfter(pending: PendingRequest, answer: Answer): Answer {
-		if (answer.outcome === 'complete' || pending.parent !== undefined) {
+		if (answer.outcome === 'complete' || answer.reason === 'quarantined' || pending.parent !== undefined) {
 			return answer;
 		}
 
 		return {...answer, retryAfterMs: this.#retryAfter.jitteredMs()};
 	}
 
-	#correctOutcome(pending: PendingRequest, answer: Answer): Answer {
-		return answer.outcome === 'not-run' && pending.mayHaveRun ? {...answer, outcome: 'unknown'} : answer;
-	}
-
 	#cancelCall(pending: PendingRequest): void {
 		const {links, admission, self} = this.#parts;
 		const {callId, upstream} = pending;
--- a/src/core/ingressparts.ts
+++ b/src/core/ingressparts.ts
@@ -5,6 +5,7 @@
 import {type Membership} from './membership.js';
 import {type FloorTable} from './floortable.js';
 import {type LoadBalancer} from './loadbalancer.js';
+import {type QuarantineGate} from './quarantinegate.js';
 
 /** The components that the ingress uses; all belong to the same daemon. */
 export type IngressParts = {
@@ -17,4 +18,5 @@
 	readonly floorTable: FloorTable;
 	readonly admission: AdmissionController;
 	readonly catalog: () => Catalog | undefined;
+	readonly quarantineGate?: QuarantineGate | undefined;
 };
--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -29,7 +29,11 @@
 		| {readonly kind: 'unsent'}
 		/** Cancelled before it was sent, at a target that can be reached. */
 		| {readonly kind: 'withdrawn'}
-		| {readonly kind: 'broken'};
+		| {
+			readonly kind: 'broken';
+			/** Whether the target ended the connection, and not this daemon. */
+			readonly isLost?: boolean;
+		};
 
 /** An event that a daemon's core handles. */
 export type Input
--- a/src/core/pendingrequest.ts
+++ b/src/core/pendingrequest.ts
@@ -2,7 +2,7 @@
 import {type ReceivedCall} from './receivedcall.js';
 import {type Call} from './frame.js';
 import {type FencingToken} from './ledger.js';
-import {type Payload} from './answer.js';
+import {type Answer, type Payload} from './answer.js';
 import {type RequestId} from './message.js';
 import {type SiteSpec} from './spec.js';
 
@@ -67,3 +67,8 @@
 		payload: pending.payload,
 	};
 }
+
+/** Corrects the claim that a request hasn't run, if an earlier attempt at its key may have. */
+export function correctOutcome(pending: PendingRequest, answer: Answer): Answer {
+	return answer.outcome === 'not-run' && pending.mayHaveRun ? {...answer, outcome: 'unknown'} : answer;
+}
--- a/src/core/quarantine/crashjudgement.ts
+++ b/src/core/quarantine/crashjudgement.ts
@@ -15,6 +15,8 @@
 	readonly lost: readonly LostRun[];
 	/** The fingerprints of requests that this start of the target has answered. */
 	readonly answered: ReadonlySet<string>;
+	/** The runs that the target has answered lately, where single lost connections can look like crashes. */
+	readonly servedRuns?: number;
 	/** How many targets serve the service. */
 	readonly targets: number;
 	/** Returns the id of the attempt that a nested call belongs to. */
@@ -25,10 +27,15 @@
 export type CrashJudgement = CrashFinding & {readonly suspect: SingleSuspect | undefined};
 
 /** Concludes from a crash which request may be why, and whether it is held from now on. */
-export function judgeCrash(quarantine: Quarantine, {lost, answered, targets, parentOf, ...crash}: Crash, nowMs: number): CrashJudgement {
+export function judgeCrash(quarantine: Quarantine, {lost, answered, servedRuns, targets, parentOf, ...crash}: Crash, nowMs: number): CrashJudgement {
 	const possible = lost.filter(({request}) => !answered.has(request));
 	const inquiry = findSingleSuspect(possible, quarantine, parentOf, nowMs);
 	const found = possible.find(({attemptId}) => attemptId === inquiry?.attemptId);
-	const suspect = inquiry && found && {...inquiry, subject: found.subject};
+	const suspect = inquiry && found && {...inquiry, subject: found.subject, lostShare: lostShareWithout(inquiry.request, quarantine, crash.start, servedRuns)};
 	return {suspect, ...quarantine.concludeCrash({...crash, requests: possible.map(({request}) => request)}, suspect, targets, nowMs)};
 }
+
+function lostShareWithout(request: string, quarantine: Quarantine, start: string, servedRuns: number | undefined): number {
+	const crashes = quarantine.crashesWithout(request, start);
+	return servedRuns === undefined || crashes === 0 ? 0 : crashes / (crashes + servedRuns);
+}
--- a/src/core/quarantine/crashreport.ts
+++ b/src/core/quarantine/crashreport.ts
@@ -31,12 +31,14 @@
 	readonly others: number;
 	/** How often the targets of the service crash, for each target and ms. */
 	readonly crashesPerMs: number;
+	/** The share of the target's runs that are lost without the suspect, where single lost connections can look like crashes. */
+	readonly lostShare?: number;
 };
 
 /** The chance that an ordinary request is one that crashes targets. */
 const CHANCE_PER_OTHER_RUN = 0.0001;
 
 /** The chance that a target would have crashed without the suspect: by itself while that ran, or by another request. */
-export function chanceWithout({ranMs, others, crashesPerMs}: CrashScene): number {
-	return Math.min(1, (ranMs * crashesPerMs) + (others * CHANCE_PER_OTHER_RUN));
+export function chanceWithout({ranMs, others, crashesPerMs, lostShare = 0}: CrashScene): number {
+	return Math.min(1, Math.max(lostShare, (ranMs * crashesPerMs) + (others * CHANCE_PER_OTHER_RUN)));
 }
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -15,4 +15,5 @@
 export {
 	type CrashFinding, type QuarantineNews, type QuarantineVerdict, type SingleSuspect, Quarantine,
 } from './quarantine.js';
+export {CRASH_MEMORY_MS} from './suspects.js';
 export {type TrialStep, TrialSchedule} from './trialschedule.js';
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -78,6 +78,11 @@
 		return this.#suspects.countOf(request);
 	}
 
+	/** The number of crashes of this start of a target that the request wasn't in flight at. */
+	crashesWithout(request: string, start: string): number {
+		return this.#suspects.countWithout(request, start);
+	}
+
 	/** Whether this start of a target is known to have crashed. */
 	hasCrashed(target: {readonly id: string; readonly bornMs?: number | undefined}): boolean {
 		return !this.isIdle && this.#suspects.hasCrashed(startOf(target));
--- a/src/core/quarantine/suspects.ts
+++ b/src/core/quarantine/suspects.ts
@@ -146,6 +146,11 @@
 		return count;
 	}
 
+	/** The number of crashes of this start of a target that the request wasn't in flight at. */
+	countWithout(request: string, start: string): number {
+		return [...this.#crashes.values()].filter(({report}) => report.start === start && !report.requests.includes(request)).length;
+	}
+
 	isSuspect(request: string): boolean {
 		return this.#repeated.has(request) && this.countOf(request) >= SUSPECT_FROM;
 	}
--- a/src/core/receivedcall.ts
+++ b/src/core/receivedcall.ts
@@ -6,6 +6,8 @@
 import {type Ledger} from './ledger.js';
 import {type TargetResult} from './message.js';
 import {type QueueEntry} from './priorityqueue.js';
+import {type TrialCall} from './quarantine/index.js';
+import {type QuarantineParts} from './targetguard.js';
 
 /** Where the answer to a call goes. */
 export type Origin = {
@@ -18,11 +20,10 @@
 export type CancelReason = 'cancelled' | 'deadline';
 
 /** A call that this daemon has received for its target, and that is queued, running or about to be decided on. */
-export type ReceivedCall = QueueEntry & {
+export type ReceivedCall = QueueEntry & TrialCall & {
 	readonly id: number;
 	readonly origin: Origin;
 	readonly call: Call;
-	readonly deadlineMs: number;
 	/** When it is refused if it is still queued, in ms. */
 	readonly expiresMs: number;
 	/** When the run began, in ms; 0 while the call is queued. */
@@ -55,11 +56,48 @@
 	readonly answer: AnswerSink;
 	/** Called when a call has ended, so that its child requests can be cancelled. */
 	readonly onEnded: (received: ReceivedCall) => void;
+	/** Without it, requests that crash the target run like any others. */
+	readonly quarantine?: QuarantineParts | undefined;
 };
 
 /** How long calls should and may wait in the queue of a service, in ms. */
 export type QueueBounds = {readonly queueTargetMs: number; readonly queueLimitMs: number};
 
+/** What a call arrives with, and when. */
+type Arrival = {
+	readonly nowMs: number;
+	readonly queueLimitMs: number;
+	readonly serviceMs: number;
+	readonly mayHaveWaitedInPause: boolean;
+	/** Called at most once. */
+	readonly fingerprintOf: () => string;
+};
+
+export function createReceivedCall({id, origin, call}: Pick<ReceivedCall, 'id' | 'origin' | 'call'>, {nowMs, queueLimitMs, fingerprintOf, ...arrival}: Arrival): ReceivedCall {
+	const deadlineMs = nowMs + call.budgetMs;
+	let fingerprint: string | undefined;
+	return {
+		...arrival,
+		id,
+		origin,
+		call,
+		get fingerprint() {
+			fingerprint ??= fingerprintOf();
+			return fingerprint;
+		},
+		level: call.level,
+		deadlineMs,
+		expiresMs: Math.min(deadlineMs, nowMs + queueLimitMs),
+		startedMs: 0,
+		tokens: call.tokens,
+		holdsKey: false,
+		hasMadeChildCall: false,
+		hasFailedChild: false,
+		childMayHaveRun: false,
+		cancelReason: undefined,
+	};
+}
+
 /** Returns the reason to refuse a call whose time has run out. */
 export function expiryReasonOf({mayHaveWaitedInPause}: ReceivedCall): Reason {
 	return mayHaveWaitedInPause ? 'paused' : 'expired';
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import {ErrorLimit, Logger} from '../log/index.js';
 import {MessageBus} from './messagebus.js';
 import {ContextTokens} from './contexttokens.js';
+import {HttpIdentity} from './httpidentity.js';
 import {Endpoints} from './endpoints.js';
 import {RequestServer} from './requestserver.js';
 import {Metrics} from './metrics.js';
@@ -42,7 +43,7 @@
 	#isRefusing = false;
 
 	constructor(settings: Settings, clock: Clock = new SystemClock()) {
-		const {id, listen, region, failureDomain, limits, platform} = settings;
+		const {id, listen, region, failureDomain, limits, platform, quarantineMs} = settings;
 		this.#clock = clock;
 		this.#log = new Logger(id, settings.log.level);
 		this.#core = new DaemonCore({
@@ -53,6 +54,7 @@
 			seed: randomInt(MAX_SEED),
 			seeds: settings.seeds.map(seed => ({id: seed.id, address: `${seed.host}:${seed.port}`, startMs: 0})),
 			ledgerCapacity: limits.ledgerKeys,
+			...(quarantineMs !== undefined && {quarantine: {firstHoldMs: quarantineMs, identity: new HttpIdentity()}}),
 		}, Math.floor(clock.nowMs()));
 		const contextTokens = new ContextTokens();
 		this.#targetClient = new TargetClient(this.#bus, contextTokens, limits.bodyBytes);
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -126,6 +126,8 @@
 	#isSent = false;
 	#isCancelled = false;
 	#isReported = false;
+	/** Whether this daemon ended the connection. */
+	#isAborted = false;
 	#controller: Dispatcher.DispatchController | undefined;
 
 	constructor(context: string, maxBodyBytes: number, reportResult: ReportResult) {
@@ -154,7 +156,7 @@
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
 		const echoed = headers[header.CONTEXT];
 		if (echoed !== undefined && echoed !== this.#context) {
-			controller.abort(new Error('answer to another request'));
+			this.#abort(controller, 'answer to another request');
 			return;
 		}
 
@@ -170,7 +172,7 @@
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
 		if (this.#body.length + chunk.length > this.#maxBodyBytes) {
-			controller.abort(new Error('response body is too long'));
+			this.#abort(controller, 'response body is too long');
 			return;
 		}
 
@@ -179,7 +181,7 @@
 
 	onResponseEnd(): void {
 		if (this.connection?.wasReset === true) {
-			this.#finish({kind: 'broken'});
+			this.#finish({kind: 'broken', isLost: true});
 			return;
 		}
 
@@ -190,7 +192,12 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, _error: Error): void {
-		this.#finish({kind: this.#isSent ? 'broken' : 'unsent'});
+		this.#finish(this.#isSent ? {kind: 'broken', isLost: !this.#isAborted} : {kind: 'unsent'});
+	}
+
+	#abort(controller: Dispatcher.DispatchController, reason: string): void {
+		this.#isAborted = true;
+		controller.abort(new Error(reason));
 	}
 
 	#finish(result: Parameters<ReportResult>[0]): void {
--- a/src/relay/fingerprint.ts
+++ b/src/relay/fingerprint.ts
@@ -1,11 +1,6 @@
-import {createHash} from 'node:crypto';
+import {digestRequest} from '../wire/index.js';
 import {type Call, MAX_INLINE_BODY_BYTES} from './call.js';
 
-/** The length of a fingerprint in bytes; it is written as twice as many hexadecimal digits. */
-export const FINGERPRINT_BYTES = 8;
-
-const FIELD_END = '\n';
-
 /** What identifies a request. */
 export type IdentifyingParts = Pick<Call, 'template' | 'path' | 'body'> & {readonly organisation?: string | undefined};
 
@@ -15,10 +10,5 @@
  */
 export function fingerprintOf({template: {method, callerService, headers}, path, organisation = '', body}: IdentifyingParts): string {
 	const hostIndex = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
-	const hash = createHash('sha256');
-	for (const field of [method, hostIndex === -1 ? '' : headers[hostIndex + 1], path, callerService, organisation]) {
-		hash.update(field).update(FIELD_END);
-	}
-
-	return hash.update(body.subarray(0, MAX_INLINE_BODY_BYTES)).digest('hex').slice(0, FINGERPRINT_BYTES * 2);
+	return digestRequest([method, hostIndex === -1 ? '' : headers[hostIndex + 1], path, callerService, organisation], body.subarray(0, MAX_INLINE_BODY_BYTES));
 }
--- a/src/relay/peers/quarantineframe.ts
+++ b/src/relay/peers/quarantineframe.ts
@@ -2,8 +2,7 @@
 import {
 	type CrashReport, type Hold, type QuarantineNews, type Survival,
 } from '../../core/index.js';
-import {FrameError} from '../../wire/index.js';
-import {FINGERPRINT_BYTES} from '../fingerprint.js';
+import {FINGERPRINT_BYTES, FrameError} from '../../wire/index.js';
 import {type Frame, FrameTag, readItems} from './frame.js';
 
 /** Chances are sent as whole numbers of this part, because integers are shorter. */
--- a/src/wire/framecheck.ts
+++ b/src/wire/framecheck.ts
@@ -47,6 +47,9 @@
 	connections: isNumber,
 });
 const isConfigObject = isObjectWith({name: isText, generation: isNumber, operationId: isText});
+const isHeldRequest = isObjectWith({
+	route: isText, method: isText, path: isText, caller: isText, attemptId: isText,
+});
 const isCall = isObjectWith({
 	service: isText,
 	operation: isText,
@@ -76,6 +79,15 @@
 	heartbeat: {
 		answered: isBoolean, members: value => typeof value === 'number', config: value => typeof value === 'number', load: isLoad, pressure: isFloorReports,
 	},
+	quarantine: {
+		crashes: isList(isObjectWith({
+			id: isNumber, service: isText, start: isText, ageMs: isNumber, requests: isList(isText), suspect: isOptional(isText), chance: isNumber,
+		})),
+		survivals: isList(isObjectWith({request: isText, crashes: isList(isNumber)})),
+		holds: isList(isObjectWith({
+			request: isText, generation: isNumber, isHeld: isBoolean, strikes: isNumber, leftMs: isNumber, subject: isHeldRequest,
+		})),
+	},
 	gossip: {members: isList(isMember), config: isList(isConfigObject)},
 	sync: {reply: isBoolean, members: isList(isVersion), config: isList(isVersion)},
 };
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -6,5 +6,6 @@
 export {type TargetConnection, markResets} from './markresets.js';
 export {listen} from './listen.js';
 export {ClosingAnswer} from './closinganswer.js';
+export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {stopListening} from './stoplistening.js';
 export * as header from './header.js';
--- a/standins/daemonpair.ts
+++ b/standins/daemonpair.ts
@@ -3,7 +3,7 @@
 } from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent, request} from 'undici';
-import {generateConfiguration, parseSettings} from '../src/config/index.js';
+import {type Settings, generateConfiguration, parseSettings} from '../src/config/index.js';
 import {SITE_OBJECT_NAME, serviceObjectName} from '../src/core/index.js';
 import {Daemon} from '../src/daemon/index.js';
 import {ConfigWriter, PlatformClient} from '../src/platform/index.js';
@@ -33,6 +33,7 @@
 	port = 0;
 	/** What the target does with each request; it answers 200 unless set. */
 	onRequest: OnRequest | undefined;
+	readonly #settingOverrides: Partial<Settings>;
 	readonly #platform = new PlatformStandIn();
 	readonly #agent = new Agent({localAddress: BACK});
 	readonly #sockets = new Set<Socket>();
@@ -56,6 +57,11 @@
 	#timer: NodeJS.Timeout | undefined;
 	#platformUrl = '';
 
+	/** @param settingOverrides settings of both daemons that differ from the defaults */
+	constructor(settingOverrides: Partial<Settings> = {}) {
+		this.#settingOverrides = settingOverrides;
+	}
+
 	/** The faults of the platform. */
 	get faults(): PlatformFaults {
 		return this.#platform.faults;
@@ -108,6 +114,7 @@
 			seeds: [{id: IDS[other], host: HOSTS[other], port: this.port}],
 			siteKey: 'a-key-of-the-tests',
 			log: {level: 'error'},
+			...this.#settingOverrides,
 		}));
 		await daemon.start();
 		this.#daemons[index] = daemon;
--- a/test/failures/productcrash.test.ts
+++ b/test/failures/productcrash.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import {Random} from '../../fakes/random.js';
 import {DaemonPair} from '../../standins/daemonpair.js';
 
 const DEADLY_PATH = '/back/look?deadly';
@@ -11,11 +12,15 @@
 /** How long after the third crash the daemons may still send a request that crashes targets; after that, in three retries. */
 const CONTACT_MS = 1000;
 const MAX_RETRIES = 3;
+const INNOCENT_SENDS = 300;
+const INNOCENT_PATHS = 6;
+/** The share of requests whose connection the target closes. */
+const CLOSED_SHARE = 0.3;
 const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 let pair: DaemonPair;
 beforeEach(async () => {
-	pair = new DaemonPair();
+	pair = new DaemonPair({quarantineMs: 30_000});
 	await pair.start();
 });
 afterEach(async () => {
@@ -49,5 +54,28 @@
 
 		expect(crashesMs.length).toBeGreaterThanOrEqual(3);
 		expect(crashesMs.filter(atMs => atMs > crashesMs[2] + CONTACT_MS).length).toBeLessThanOrEqual(MAX_RETRIES);
+		const [held, other] = [await pair.call(DEADLY_PATH), await pair.call('/back/look')];
+		expect([held, other]).toEqual([503, 200]);
+	});
+
+	// Guards against refusals of innocent requests because their target closes connections now and then.
+	it('is none that a target answers mostly, but at times closes the connection of', async () => {
+		const random = new Random(7);
+		pair.onRequest = socket => {
+			if (random.chance(CLOSED_SHARE)) {
+				socket.destroy();
+			} else {
+				socket.write(ANSWER);
+			}
+		};
+
+		const statuses: number[] = [];
+		for (let index = 0; index < INNOCENT_SENDS; index++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			statuses.push(await pair.call(`/back/look?${index % INNOCENT_PATHS}`));
+		}
+
+		expect(statuses.filter(status => status === 503)).toEqual([]);
+		expect(statuses.filter(status => status === 200).length).toBeGreaterThan(INNOCENT_SENDS / 2);
 	});
 });
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -8,6 +8,7 @@
 } from '../src/wire/index.js';
 import {buildHttpAnswer} from '../src/daemon/answer.js';
 import {ContextTokens} from '../src/daemon/contexttokens.js';
+import {HttpIdentity} from '../src/daemon/httpidentity.js';
 
 const SEED = 7;
 const FUZZ_RUNS = 3000;
@@ -44,8 +45,10 @@
 	it('lets no frame through that makes the core throw', () => {
 		const packr = new Packr({useRecords: false});
 		const core = new DaemonCore({
-			id: 'a', address: 'a', region: 'r', failureDomain: 'd', seed: 1,
+			id: 'a', address: 'a', region: 'r', failureDomain: 'd', seed: 1, quarantine: {firstHoldMs: 1000, identity: new HttpIdentity()},
 		}, 0);
+		const request = fc.constantFrom('f1', 'f2');
+		const text = fc.string();
 		const member = fc.record({
 			id: fc.string(),
 			address: fc.string(),
@@ -60,6 +63,18 @@
 		const frame = fc.oneof(
 			fc.record({type: fc.constant('cancel'), id: fc.nat()}),
 			fc.record({type: fc.constant('gossip'), members: fc.array(member), config: fc.array(fc.record({name: fc.string(), generation: fc.nat(), operationId: fc.string()}))}),
+			fc.record({
+				type: fc.constant('quarantine'),
+				crashes: fc.array(fc.record({
+					id: fc.nat(), service: text, start: text, ageMs: fc.nat(), requests: fc.array(request), suspect: fc.option(request), chance: fc.double({min: 0, max: 1, noNaN: true}),
+				})),
+				survivals: fc.array(fc.record({request, crashes: fc.array(fc.nat())})),
+				holds: fc.array(fc.record({
+					request, generation: fc.nat(), isHeld: fc.boolean(), strikes: fc.nat(), leftMs: fc.nat(), subject: fc.record({
+						route: text, method: text, path: text, caller: text, attemptId: text,
+					}),
+				})),
+			}),
 			fc.record({
 				type: fc.constant('sync'), reply: fc.boolean(), members: fc.array(fc.tuple(fc.string(), fc.nat())), config: fc.array(fc.tuple(fc.string(), fc.nat())),
 			}),
