Ports of the tests: no other run beside them chooses the same

Cause, by time stamps in the start: the ports of a test depend on its worker's number alone, so parallel runs go through the same ones; a port is free at its choice and taken at its use. The second daemon then waits up to 30 s for the address of what it takes for its predecessor (starts of 1.4, 3.8, 6.2 and 8.4 s until the address was free), and the first one meets a peer of the other run, which has left. DaemonPair listens on other addresses than the one on which ports are tried, so there the choice found any port free.

Each process now takes a block of ports, which it holds by listening on its first. test/ports.test.ts.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -7,9 +7,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Organisation} from '../src/mesh/index.js';
 import {type RelaySettings} from '../src/relay/index.js';
-import {createRoute, createSiteSpec, findFreePorts} from '../standins/mesh.js';
+import {createRoute, createSiteSpec} from '../standins/mesh.js';
 import {meshHeaders} from '../standins/meshadapter.js';
 import {MeshTarget} from '../standins/meshtarget.js';
+import {findFreePorts} from '../standins/ports.js';
 import {type StoreFault, StoreStandin} from '../standins/store.js';
 import {
 	DEADLY_PATH, type DaemonFault, HOST_SERVICES, type SoakPlan, type TargetFault,
--- a/standins/daemonpair.ts
+++ b/standins/daemonpair.ts
@@ -8,8 +8,8 @@
 import {Daemon} from '../src/daemon/index.js';
 import {ConfigWriter, PlatformClient} from '../src/platform/index.js';
 import {header} from '../src/wire/index.js';
-import {findFreePorts} from './mesh.js';
 import {type PlatformFaults, PlatformStandIn} from './platform.js';
+import {findFreePorts} from './ports.js';
 
 const PLATFORM_HOST = '127.0.0.1';
 const FRONT = '127.0.3.1';
--- a/standins/mesh.ts
+++ b/standins/mesh.ts
@@ -1,11 +1,10 @@
-import {createServer} from 'node:net';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MemoryStore} from '../fakes/memorystore.js';
 import {type Route, type SiteSpec} from '../src/mesh/index.js';
 import {Relay, type RelaySettings} from '../src/relay/index.js';
 import {MeshAdapter} from './meshadapter.js';
 import {HEALTH_PATH, MeshTarget, type MeshTargetOptions} from './meshtarget.js';
+import {findFreePorts} from './ports.js';
 
 const ANNOUNCE_INTERVAL_MS = 500;
 
@@ -166,38 +165,3 @@
 		retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
 	};
 }
-
-/** The ports lie below the operating system's range of ephemeral ports: no outgoing connection takes a port between its choice and its use. */
-const FIRST_PORT = 10_000;
-/** Number of ports per test worker, so that parallel workers never choose the same port. */
-const PORTS_PER_WORKER = 1000;
-
-let nextPort = FIRST_PORT + (Number(process.env.VITEST_POOL_ID ?? 0) * PORTS_PER_WORKER);
-
-/** Finds ports that nothing listens on, apart from those of other test workers. */
-export async function findFreePorts(count: number): Promise<number[]> {
-	const ports: number[] = [];
-	while (ports.length < count) {
-		const port = nextPort++;
-		// eslint-disable-next-line no-await-in-loop -- the ports are tried in order
-		if (await isFree(port)) {
-			ports.push(port);
-		}
-	}
-
-	return ports;
-}
-
-async function isFree(port: number): Promise<boolean> {
-	return new Promise(resolve => {
-		const server = createServer();
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-}
