A stand-in target that a request crashes doesn't answer it first

The stand-in crashes 20 ms after such a request has begun, and answers it after 30 ms. Timers of different delays stand in lists of their own, and a late event loop runs the list whose first timer is due first, with all of it that is due: an older run's 30 ms can come before this one's 20. A request that crashes its target has no answer now. What the test asks stays as it is.

--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -205,7 +205,8 @@
 			return;
 		}
 
-		if (this.crashesOn?.(request, body) === true) {
+		const isDeadly = this.crashesOn?.(request, body) === true;
+		if (isDeadly) {
 			setTimeout(() => {
 				void this.crashAndRestart();
 			}, CRASH_AFTER_MS);
@@ -214,6 +215,11 @@
 		this.ranAttemptIds.push(attemptId);
 		this.runningCount++;
 		this.maxRunningCount = Math.max(this.maxRunningCount, this.runningCount);
+		if (isDeadly) {
+			// Timers of different delays that are late run in any order, and the crash must come first.
+			return;
+		}
+
 		await sleep(this.options.workMs * this.slowness);
 		const hasSucceeded = await this.#sendNestedCalls(request, attemptId);
 		this.runningCount--;
