--- a/test/relay/notrun.test.ts
+++ b/test/relay/notrun.test.ts
@@ -32,8 +32,10 @@
 		expect(status).toBe(200);
 		expect(target.ranAttemptIds).toEqual(['first']);
 		const metrics = await fetch(`http://127.0.0.1:${settings.listen.metrics!.port}/metrics`);
-		const longestS = /refused_after_seconds\{reason="\w+",quantile="1"\} (?<seconds>[\d.]+)/v.exec(await metrics.text())?.groups?.seconds;
-		expect(Number(longestS)).toBeGreaterThan(0.1);
+		const text = await metrics.text();
+		// There may be several reasons, as the first daemon or the owner may notice first.
+		const longestS = [...text.matchAll(/refused_after_seconds\{reason="\w+",quantile="1"\} (?<seconds>[\d.]+)/gv)].map(({groups}) => Number(groups!.seconds));
+		expect(Math.max(...longestS)).toBeGreaterThan(0.1);
 	});
 
 	it('is refused as not run while it waits in the queue of another daemon, whose target usually is so quick that a wait seems worth it to the last', async () => {
