On the product's own path, others wait a moment after an aborted trial

Found by reading the change as a whole. And an error in the loop that runs what is queued would have kept it from ever running again.

--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -60,7 +60,7 @@
 		});
 		this.#guard = quarantine && new TargetGuard({
 			...quarantine,
-			coreContext: this.#context,
+			coreContext,
 			queue: this.#slots,
 			service: () => this.#announcement?.service,
 			hasRunsFrom: untilMs => [...this.#receivedCalls.values()].some(({startedMs}) => startedMs > 0 && startedMs <= untilMs),
@@ -70,9 +70,7 @@
 			admit: received => {
 				this.#runOrEnqueue(received);
 			},
-			finish: (received, answer) => {
-				this.#finish(received, answer);
-			},
+			finish: this.#finish.bind(this),
 		});
 		this.#sendAnswer = answer;
 		this.#onEnded = onEnded;
@@ -299,23 +297,28 @@
 		}
 
 		this.#isRunningNext = true;
-		const {nowMs} = this.#context;
+		try {
+			this.#runQueued(this.#context.nowMs);
+		} finally {
+			this.#isRunningNext = false;
+		}
+	}
+
+	#runQueued(nowMs: number): void {
 		this.#guard?.trials.advance(nowMs);
 		while (this.#slots.isFree) {
 			const received = this.#queue.pop();
 			if (received === undefined) {
-				break;
+				return;
 			}
 
 			if (received.deadlineMs <= nowMs) {
 				this.#refuse(received, expiryReasonOf(received));
-			} else if (this.#guard?.trials.take(received, this.#context.nowMs) !== true) {
+			} else if (this.#guard?.trials.take(received, nowMs) !== true) {
 				this.#slots.takeSlot();
 				this.#run(received);
 			}
 		}
-
-		this.#isRunningNext = false;
 	}
 
 	#expire(id: number, nowMs: number): void {
--- a/src/core/targetguard.ts
+++ b/src/core/targetguard.ts
@@ -70,12 +70,16 @@
 	/** Concludes from how a run ended, once it isn't in flight any longer. */
 	onRunEnded(received: ReceivedCall, result: TargetResult): void {
 		const {nowMs} = this.#options.coreContext;
-		this.trials.onRunEnded(received, nowMs);
+		if (result.kind === 'broken' && received.cancelReason !== undefined) {
+			this.#lossDetector.onAborted(received, nowMs);
+			this.trials.onRunAborted(received, nowMs);
+		} else {
+			this.trials.onRunEnded(received, nowMs);
+		}
+
 		if (result.kind === 'whole') {
 			this.#onServed(received, nowMs);
-		} else if (result.kind === 'broken' && received.cancelReason !== undefined) {
-			this.#lossDetector.onAborted(received, nowMs);
-		} else if (result.kind === 'broken' && result.isLost === true) {
+		} else if (result.kind === 'broken' && result.isLost === true && received.cancelReason === undefined) {
 			this.#lossDetector.onLost(received, nowMs);
 		}
 
--- a/test/core/targetguard.test.ts
+++ b/test/core/targetguard.test.ts
@@ -202,6 +202,19 @@
 		expect(owner.quarantine.isHeld('deadly')).toBe(false);
 	});
 
+	it('keeps others waiting for a moment if its caller leaves while it runs alone, as the target may still crash of it', () => {
+		const owner = new Owner();
+		owner.crash('deadly', 'a');
+		owner.crash('deadly', 'b');
+		const deadly = owner.admit('deadly');
+		owner.admit('c');
+		owner.cancel(deadly);
+		owner.end('deadly', {kind: 'broken', isLost: true});
+		expect([...owner.running.keys()]).toEqual([]);
+		owner.pass(150);
+		expect([...owner.running.keys()]).toEqual(['c']);
+	});
+
 	it('keeps nobody waiting once its caller has left', () => {
 		const owner = new Owner();
 		owner.crash('deadly', 'a');
