A daemon that starts waits for each address of its own

Callers saw a daemon end by itself at its start, when one of its ports was still taken for a moment, and its requests go without an answer until it was started again.

Only the peers' address was waited for, up to the grace period. The addresses for requests, announcements, readiness and metrics failed at once with EADDRINUSE, and the start took that for final.

The metrics don't hold up serving: their address is tried for as long as it takes. Nothing that a failing start would lose is accepted meanwhile: until all addresses are bound, requests are answered 503 and readiness is not claimed, and announcements, after which peers send calls, are taken last. SIGTERM ends the waiting, in order.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -89,7 +89,7 @@
 	/** Listens once a predecessor that drains has given the address up. */
 	async listen(): Promise<void> {
 		const {host: ip, port} = this.#options;
-		await listen(this.server, {ip, port}, HAND_OVER_MS);
+		await listen(this.server, {ip, port}, {maxMs: HAND_OVER_MS});
 	}
 
 	/** Each response from now on closes its connection. */
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -5,7 +5,9 @@
 import {
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
-import {HOP_BY_HOP_HEADERS, stopListening, listen} from '../../wire/index.js';
+import {
+	type ListenPatience, HOP_BY_HOP_HEADERS, stopListening, listen,
+} from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
 import {type Address} from '../settings.js';
 import {PeriodicCheck} from '../periodiccheck.js';
@@ -123,8 +125,8 @@
 		return this.#exchanges.size > 0 || [...this.#connections.values()].some(connection => connection.isInUse());
 	}
 
-	async listen(address: Address): Promise<void> {
-		await listen(this.#server, address);
+	async listen(address: Address, patience: ListenPatience): Promise<void> {
+		await listen(this.#server, address, patience);
 	}
 
 	/** Applies the client limits of the current configuration. */
--- a/src/relay/operators/httpendpoint.ts
+++ b/src/relay/operators/httpendpoint.ts
@@ -1,5 +1,5 @@
 import {type RequestListener, type Server, createServer} from 'node:http';
-import {listen} from '../../wire/index.js';
+import {type ListenPatience, listen} from '../../wire/index.js';
 import {type Address} from '../settings.js';
 
 /** An HTTP server on its own address, separate from those for requests and for peers. */
@@ -10,8 +10,8 @@
 		this.#server = createServer(onRequest);
 	}
 
-	async listen(address: Address): Promise<void> {
-		await listen(this.#server, address);
+	async listen(address: Address, patience: ListenPatience): Promise<void> {
+		await listen(this.#server, address, patience);
 	}
 
 	close(): void {
--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {type LoadReport} from '../../mesh/index.js';
-import {MAX_FRAME_BYTES, listen} from '../../wire/index.js';
+import {type ListenPatience, MAX_FRAME_BYTES, listen} from '../../wire/index.js';
 import {
 	type AnswerHead, type CallHandle, CallSink, type CallTemplate, type FailureReason, type RefusalReason,
 } from '../call.js';
@@ -74,9 +74,8 @@
 		return [...this.#links].some(link => link.isSending);
 	}
 
-	/** @param waitMs how long another process may keep the address */
-	async listen(address: Address, waitMs: number): Promise<void> {
-		await listen(this.#server, address, waitMs);
+	async listen(address: Address, patience: ListenPatience): Promise<void> {
+		await listen(this.#server, address, patience);
 	}
 
 	/** Sends a frame to all daemons that have a link to this one. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -7,6 +7,7 @@
 	BudgetSharing, type HostEntry, type HostRecord, HostTable, TargetLifecycle, LOAD_BALANCING, LoadBalancer, RetryBudget, LoadShedder, type Site, TargetSignalTable, entitlementsOf, quotaLimits,
 } from '../mesh/index.js';
 import {type Adapter} from './adapter.js';
+import {AddressBinder} from './addressbinder.js';
 import {AnnouncementEndpoint} from './target/announcementendpoint.js';
 import {type Call, type CallHandle, type CallSink} from './call.js';
 import {Directory} from './store/directory.js';
@@ -79,8 +80,11 @@
 	readonly #quarantineExchange: QuarantineExchange;
 	readonly #targetMonitor: TargetMonitor;
 	readonly #errorLimit = new ErrorLimit();
+	readonly #binder: AddressBinder;
 	#counterFeed: StatsdReporter | undefined;
 	#timer: NodeJS.Timeout | undefined;
+	/** Whether all addresses are bound: until then, nothing that a failing start would lose is accepted. */
+	#isStarted = false;
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
 
@@ -88,6 +92,7 @@
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
+		this.#binder = new AddressBinder(this.#log);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
 		this.#loadBalancer = new LoadBalancer(settings.failureDomain, LOAD_BALANCING, random);
@@ -155,7 +160,7 @@
 			heldRequests: this.#createHeldRequests(random),
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
-			site: () => this.#directory.site,
+			site: () => this.#isStarted ? this.#directory.site : undefined,
 			quotaGate: this.#quotaGate,
 			refusalCounts: this.#refusalCounts,
 			quarantine: this.#quarantine,
@@ -208,7 +213,7 @@
 				});
 			},
 		}));
-		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => !this.#isStopping && this.#directory.site !== undefined);
+		this.#readinessEndpoint = new ReadinessEndpoint(adapter.readinessPath, () => this.#isStarted && !this.#isStopping && this.#directory.site !== undefined);
 	}
 
 	/** The number of calls that the target beside this daemon runs. */
@@ -216,16 +221,19 @@
 		return this.#targetOwner.running;
 	}
 
+	/** Resolves once the daemon serves, or is stopped before. @throws when it can't bind an address within the grace period */
 	async start(): Promise<void> {
-		const {listen, graceMs} = this.#settings;
-		// Who has the peers' address owns the target: a predecessor keeps it to its end, which the grace period bounds.
-		await this.#peerServer.listen(listen.peers, graceMs);
-		await Promise.all([
-			this.#requestServer.listen(listen.requests),
-			this.#announcementEndpoint.listen(listen.announcements),
-			this.#readinessEndpoint.listen(listen.readiness),
-			listen.metrics === undefined ? undefined : this.#metricsEndpoint.listen(listen.metrics),
-		]);
+		try {
+			await this.#listen();
+		} catch (error) {
+			if (this.#isStopping) {
+				return;
+			}
+
+			throw error;
+		}
+
+		this.#isStarted = true;
 		this.#directory.start();
 		const {statsd, host} = this.#settings;
 		this.#counterFeed = statsd === undefined ? undefined : new StatsdReporter(statsd, host, () => ({counters: this.#log.registry.counters()}));
@@ -259,8 +267,26 @@
 		return this.#stopped;
 	}
 
+	async #listen(): Promise<void> {
+		const {listen, graceMs} = this.#settings;
+		if (listen.metrics !== undefined) {
+			void this.#binder.bindOptional(this.#metricsEndpoint, listen.metrics);
+		}
+
+		// Who has the peers' address owns the target: a predecessor keeps it to its end, which the grace period bounds.
+		await this.#binder.bind(this.#peerServer, listen.peers, graceMs);
+		await Promise.all([
+			this.#binder.bind(this.#requestServer, listen.requests, graceMs),
+			this.#binder.bind(this.#readinessEndpoint, listen.readiness, graceMs),
+		]);
+		// Last, as peers send calls once a target has announced itself.
+		await this.#binder.bind(this.#announcementEndpoint, listen.announcements, graceMs);
+	}
+
 	async #stop(): Promise<void> {
 		this.#isStopping = true;
+		this.#binder.stop();
+		const lameDuckMs = this.#isStarted ? this.#settings.lameDuckMs : 0;
 		const startMs = this.#clock.nowMs();
 		this.#log.event('stopping', {open: this.#requestServer.openRequests, running: this.#targetOwner.running, queued: this.#targetOwner.queued});
 		this.#requestServer.stop();
@@ -268,7 +294,7 @@
 		setTimeout(() => {
 			this.#peerServer.broadcast([FrameTag.leaving, this.#settings.host]);
 			this.#targetOwner.refuseNewCalls();
-		}, Math.max(0, this.#settings.lameDuckMs - LAST_CALLS_MS));
+		}, Math.max(0, lameDuckMs - LAST_CALLS_MS));
 		const endMs = startMs + (this.#settings.graceMs * STOP_SHARE);
 		let isDrained = false;
 		const drain = async () => {
@@ -279,7 +305,7 @@
 		// Clients that don't notice the stop would send requests until the end, and the last ones would be aborted.
 		setTimeout(() => {
 			void drain();
-		}, this.#settings.lameDuckMs);
+		}, lameDuckMs);
 		await new Promise<void>(resolve => {
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -4,7 +4,7 @@
 export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
 export {type TargetConnection, markResets} from './markresets.js';
-export {listen} from './listen.js';
+export {type ListenPatience, listen} from './listen.js';
 export {ClosingAnswer} from './closinganswer.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {stopListening} from './stoplistening.js';
--- a/test/failures/handover.test.ts
+++ b/test/failures/handover.test.ts
@@ -102,7 +102,7 @@
 	it('is reported if it does not wait', async () => {
 		const {listen} = PeerServer.prototype;
 		vi.spyOn(PeerServer.prototype, 'listen').mockImplementation(async function (this: PeerServer, address) {
-			await listen.call(this, address, 0);
+			await listen.call(this, address, {maxMs: 0});
 		});
 		expect(await handOver()).not.toEqual([]);
 	});
