Texts of a host's entry are bounded: long ones ended the links between daemons

Daemons pass entries and names on in frames, and a peer closes a link over a frame above 4 MiB: links between sound daemons ended again and again ("Max payload size exceeded", in flight calls with them), and with long names a daemon that is cut off from the store no longer got the next configuration (404 for its new route).

Cause: an entry's texts had no upper limit, so that a few entries, or the names of deleted ones, filled a frame. Each text of an entry has 256 characters at most now, and the name of a deletion, too; longer ones name no host.

Before: test/failures/oddentries.test.ts, 3 of 3 failed (2 and 4 links ended, 404 instead of 200). Now: 3 of 3 pass.

--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -6,7 +6,7 @@
 } from '../../mesh/index.js';
 import {FrameError, pack, unpack} from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
-import {decodeHostEntry} from '../store/hostentry.js';
+import {decodeHostEntry, isHostName} from '../store/hostentry.js';
 
 /** The frame types: the number in the first element of a frame. The comments list the fields that follow it. */
 export const FrameTag = {
@@ -288,7 +288,7 @@
 	return unknown.flatMap(([host, revision, value]) => {
 		try {
 			const entry = value === null ? undefined : decodeHostEntry(value);
-			if (typeof host !== 'string' || typeof revision !== 'number' || (entry !== undefined && entry.host !== host)) {
+			if (typeof host !== 'string' || !isHostName(host) || typeof revision !== 'number' || (entry !== undefined && entry.host !== host)) {
 				throw new FrameError('records: expected host, revision and entry');
 			}
 
--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -6,7 +6,7 @@
 import {type Adapter} from '../adapter.js';
 import {ActiveSite} from './activesite.js';
 import {type DirectoryEvents} from './directoryevents.js';
-import {decodeHostEntry} from './hostentry.js';
+import {decodeHostEntry, isHostName} from './hostentry.js';
 import {HOST_KIND, OwnEntry} from './ownentry.js';
 import {StoreEpochTracker} from './storeepoch.js';
 import {StoreHealth} from './storehealth.js';
@@ -342,7 +342,7 @@
 				return this.#applyHost(object);
 			}
 
-			return this.offerRecords([{host: object.name, revision: object.revision}]);
+			return isHostName(object.name) ? this.offerRecords([{host: object.name, revision: object.revision}]) : [];
 		}));
 	}
 
--- /dev/null
+++ b/test/failures/oddentries.test.ts
@@ -0,0 +1,87 @@
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {Mesh, createRoute, createSiteSpec} from '../../standins/mesh.js';
+import {createAttemptHeaders} from '../../standins/meshadapter.js';
+import {call} from '../../standins/meshtarget.js';
+import {StoreError} from '../../src/relay/index.js';
+
+const HOST_KIND = 'comfreydyke-hosts';
+const ODD_TARGET = {
+	id: 'i-odd', service: 'back', slots: 4, state: 'ready',
+};
+
+let mesh: Mesh;
+let unexpected: Error[];
+const onUnexpected = (error: Error) => {
+	unexpected.push(error);
+};
+
+beforeEach(() => {
+	unexpected = [];
+	process.prependListener('uncaughtException', onUnexpected);
+	mesh = new Mesh();
+});
+
+afterEach(async () => {
+	process.off('uncaughtException', onUnexpected);
+	await mesh.close();
+	expect(unexpected).toEqual([]);
+});
+
+async function expectStatus(port: number, path = '/x/') {
+	await expect.poll(async () => {
+		const {status} = await call(port, path, {headers: createAttemptHeaders(`odd-${Math.random()}`)});
+		return status;
+	}, {timeout: 5000}).toBe(200);
+}
+
+const refuse = async () => {
+	throw new StoreError('unavailable', 'this host is cut off from the store');
+};
+
+/** Adds a host that is cut off from the store and hears from its peers alone. @returns the port for its clients */
+async function addCutHost(): Promise<number> {
+	const view = mesh.store.createView();
+	const cut = Object.assign(view, {
+		list: refuse, watch: refuse, put: refuse, get: refuse,
+	});
+	mesh.store.createView = () => cut;
+	const {settings: {listen}} = await mesh.addHost('cut', {
+		id: 'i-cut', service: 'front', slots: 4, workMs: 5,
+	});
+	mesh.store.set(HOST_KIND, 'cut', {host: 'cut', failureDomain: 'a', address: `127.0.0.1:${listen.peers.port}`});
+	await expectStatus(listen.requests.port);
+	return listen.requests.port;
+}
+
+/** The configuration of version 2, which has the route `y`, too. */
+const NEXT_SITE = createSiteSpec([createRoute('x', 'back'), createRoute('y', 'back')], 2);
+
+describe('an odd entry among those of the hosts', () => {
+	// Guards against links that end over frames longer than peers accept.
+	it.each([
+		['failure domain', (number: number) => ({host: `odd-${number}`, failureDomain: 'x'.repeat(1_000_000), target: ODD_TARGET})],
+		['instance id', (number: number) => ({host: `odd-${number}`, failureDomain: 'a', target: {...ODD_TARGET, id: 'x'.repeat(1_000_000)}})],
+		['name', (number: number) => ({host: `odd-${number}-${'x'.repeat(1_000_000)}`, failureDomain: 'a', target: ODD_TARGET})],
+	])('with a very long %s ends no link, and the others still follow', async (_part, build) => {
+		await mesh.addPair();
+		const port = await addCutHost();
+		for (let number = 0; number < 8; number++) {
+			const entry = build(number);
+			mesh.store.set(HOST_KIND, entry.host, {...entry, address: '127.0.0.1:9'});
+		}
+
+		mesh.store.set('site', 'main', NEXT_SITE);
+		await expectStatus(port, '/y/');
+		for (let number = 0; number < 8; number++) {
+			mesh.store.delete(HOST_KIND, build(number).host);
+		}
+
+		// Some comparisons of versions
+		await sleep(4000);
+		expect(mesh.logLines.filter(line => line.includes('payload'))).toEqual([]);
+	}, 20_000);
+});
