A deeply nested part of a configuration no longer keeps it from peers

The daemons that read the store apply it. A daemon that gets it from peers stays on the former one (404 for the new route), and each time that it asks a peer the link between them ends ("Maximum call stack size exceeded"), and again: nine ends in eight seconds among three daemons. What is in flight on such a link is lost with it.

Cause: the configuration is sent as the store sent it, and encoding recurses: some 5000 levels exhaust the stack, in the handler of the peer's request, which ends the link. Reading does not recurse: JSON.parse takes 5,000,000 levels.

What is sent to peers is cut off below 64 levels now; what is read of a configuration lies within 8.

--- a/src/relay/store/activesite.ts
+++ b/src/relay/store/activesite.ts
@@ -1,10 +1,13 @@
 import {type EventLog} from '../../log/index.js';
 import {Site} from '../../mesh/index.js';
 import {type Adapter} from '../adapter.js';
+import {limitDepth} from '../decode.js';
 import {type StoredObject} from './store.js';
 
 /** How long a daemon that starts waits for a peer's configuration, in ms: neighbors dial each other every 500 ms. */
 const HOLD_MS = 700;
+/** How many levels of a configuration peers are sent: several times as many as are read, and few enough to be encoded. */
+const MAX_DEPTH = 64;
 
 /** The configuration in force. Only one of a higher version replaces it. */
 export class ActiveSite {
@@ -27,7 +30,7 @@
 		return this.#site;
 	}
 
-	/** The configuration as the store sent it, undecoded. */
+	/** The configuration as the store sent it, undecoded, up to `MAX_DEPTH`. */
 	get value(): unknown {
 		return this.#value;
 	}
@@ -68,7 +71,7 @@
 
 			const site = new Site(revision, this.#adapter.decodeSite(value));
 			this.#site = site;
-			this.#value = value;
+			this.#value = limitDepth(value, MAX_DEPTH);
 			this.#log.event('site_in_force', {revision, version: site.version, routes: site.spec.routes.length});
 			this.#onSite(site);
 		} catch (error) {
--- a/test/failures/oddentries.test.ts
+++ b/test/failures/oddentries.test.ts
@@ -57,6 +57,8 @@
 	return listen.requests.port;
 }
 
+const DEEP_TEXTS = [`${'['.repeat(500_000)}${']'.repeat(500_000)}`, `${'{"a":'.repeat(170_000)}1${'}'.repeat(170_000)}`];
+
 /** The configuration of version 2, which has the route `y`, too. */
 const NEXT_SITE = createSiteSpec([createRoute('x', 'back'), createRoute('y', 'back')], 2);
 
@@ -85,3 +87,17 @@
 		expect(mesh.logLines.filter(line => line.includes('payload'))).toEqual([]);
 	}, 20_000);
 });
+
+describe('an odd configuration', () => {
+	// Guards against a configuration that can't be encoded for the daemons that get it from peers.
+	it.each(DEEP_TEXTS)('with a very deeply nested part reaches the daemons that get it from peers, and ends no link (%#)', async text => {
+		await mesh.addPair();
+		const port = await addCutHost();
+		const {value} = mesh.store.set('site', 'main', NEXT_SITE);
+		// The store in memory couldn't copy it.
+		const deep: unknown = JSON.parse(text);
+		Object.assign(value as object, {odd: deep, odder: {a: [deep]}});
+		await expectStatus(port, '/y/');
+		expect(mesh.logLines.filter(line => line.includes('call stack'))).toEqual([]);
+	}, 20_000);
+});
