--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -18,11 +18,32 @@
 	#answeredBytes = 0;
 	readonly #closingAnswer = new ClosingAnswer();
 	#isClosed = false;
+	#ignoredRequests = 0;
+	#endedBy: 'client' | 'daemon' | undefined;
+	#errorCode = 'none';
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
 		this.#nowMs = nowMs;
 		this.#unusedSinceMs = nowMs();
+		// Before the HTTP server, which ends its side then.
+		socket.prependListener('end', () => {
+			this.#endedBy ??= socket.writableEnded ? 'daemon' : 'client';
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.#endedBy ??= 'client';
+			this.#errorCode = error.code ?? 'unknown';
+		});
+	}
+
+	/** How the connection ended, if it left anything that it had read without an answer. `ignored` requests came behind the answer that closed it. */
+	get loss(): {by: 'client' | 'daemon'; error: string; unanswered: number; ignored: number; unansweredBytes: number} | undefined {
+		const unansweredBytes = this.#socket.bytesRead - this.#answeredBytes;
+		return this.#unansweredRequests === 0 && unansweredBytes === 0
+			? undefined
+			: {
+				by: this.#endedBy ?? 'daemon', error: this.#errorCode, unanswered: this.#unansweredRequests, ignored: this.#ignoredRequests, unansweredBytes,
+			};
 	}
 
 	/** The number of requests whose answers aren't yet fully written to the socket. */
@@ -40,6 +61,11 @@
 		this.#closingAnswer.onRequest(response);
 	}
 
+	/** Counts a request that came while the connection was closing. */
+	onIgnoredRequest(): void {
+		this.#ignoredRequests++;
+	}
+
 	onAnswerWritten(): void {
 		this.#unansweredRequests--;
 		this.#answeredBytes = this.#socket.bytesRead;
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -106,6 +106,7 @@
 			this.#connections.set(socket, connection);
 			socket.on('close', () => {
 				this.#connections.delete(socket);
+				this.#logLoss(connection);
 				for (const exchange of connection.exchanges) {
 					exchange.onClientDisconnected();
 				}
@@ -116,6 +117,10 @@
 		});
 	}
 
+	get openConnections(): number {
+		return this.#connections.size;
+	}
+
 	get openRequests(): number {
 		return this.#exchanges.size;
 	}
@@ -171,6 +176,7 @@
 		const connection = this.#connections.get(request.socket)!;
 		if (connection.isClosing) {
 			// The answer to an earlier request closes the connection, so this request counts as not read.
+			connection.onIgnoredRequest();
 			return;
 		}
 
@@ -273,6 +279,13 @@
 		};
 	}
 
+	/** Of clients that leave while no stop is under way, each of their requests has a line of its own. */
+	#logLoss({loss}: ClientConnection): void {
+		if (loss !== undefined && (this.#isStopping || loss.by === 'daemon')) {
+			this.#options.log.event('connection_closed', {...loss, isStopping: this.#isStopping});
+		}
+	}
+
 	#closeIfStopping(response: ServerResponse): void {
 		if (this.#isStopping) {
 			this.#tryCloseAfter(response);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -288,7 +288,9 @@
 		this.#binder.stop();
 		const lameDuckMs = this.#isStarted ? this.#settings.lameDuckMs : 0;
 		const startMs = this.#clock.nowMs();
-		this.#log.event('stopping', {open: this.#requestServer.openRequests, running: this.#targetOwner.running, queued: this.#targetOwner.queued});
+		this.#log.event('stopping', {
+			open: this.#requestServer.openRequests, connections: this.#requestServer.openConnections, running: this.#targetOwner.running, queued: this.#targetOwner.queued,
+		});
 		this.#requestServer.stop();
 		// Peers aren't told sooner: in a rolling restart, instances that stop one after the other would be unavailable at the same time.
 		setTimeout(() => {
@@ -320,7 +322,9 @@
 				}
 			}, STOP_CHECK_INTERVAL_MS);
 		});
-		this.#log.event('stopped', {open: this.#requestServer.openRequests, running: this.#targetOwner.running, tookMs: Math.round(this.#clock.nowMs() - startMs)});
+		this.#log.event('stopped', {
+			open: this.#requestServer.openRequests, connections: this.#requestServer.openConnections, running: this.#targetOwner.running, tookMs: Math.round(this.#clock.nowMs() - startMs),
+		});
 		this.#requestServer.close();
 		this.#announcementEndpoint.close();
 		this.#readinessEndpoint.close();
