A daemon waits for complete settings at its start, and rereads rejected ones

Callers saw a daemon end by itself at its start when its settings file was missing, empty or half there at that moment; and one that had read a half written file while running keep the old settings for good if the file was completed within the resolution of its time.

The file was read once at the start, and any error was final. While running, a change was told by the file's time, which was noted before the file was read.

While running, the text itself is compared in place of the time, and a rejected one is looked at again after 100 ms, and at each later check.

--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -1,13 +1,21 @@
-import {readFileSync, statSync} from 'node:fs';
 import process from 'node:process';
+import {SystemClock} from '../clock/index.js';
+import {EventLog, Logger} from '../log/index.js';
 import {type Adapter} from './adapter.js';
 import {Relay} from './relay.js';
 import {type RelaySettings} from './settings.js';
+import {SettingsFile} from './settingsfile.js';
 
 /** The share of the shutdown grace period after which the process exits, even if the relay hasn't stopped yet. */
 const FORCED_EXIT_GRACE_SHARE = 0.93;
 /** The interval of checks for a changed settings file, in ms; the file may change without a SIGHUP. */
 const SETTINGS_CHECK_MS = 2000;
+/** How soon a changed settings file that is invalid is checked again, in ms: it may be half written. */
+const SETTINGS_RECHECK_MS = 100;
+/** How long a start waits for valid settings, in ms. */
+const MAX_SETTINGS_WAIT_MS = 10_000;
+/** The daemon's name in its log until the settings name its host. */
+const UNNAMED = 'comfreydyke';
 
 /** What a daemon's settings file says. */
 export type DaemonSettings = {readonly relay: RelaySettings; readonly storeAddress: string};
@@ -19,33 +27,47 @@
 	readonly createAdapter: (storeAddress: string) => Adapter;
 };
 
-/** Runs the daemon of this host as this process, until it is told to stop. @throws {DecodeError} when the settings are invalid at the start */
-export async function runRelay({settingsPath, decodeSettings, createAdapter}: DaemonOptions): Promise<void> {
-	const readSettings = () => decodeSettings(readFileSync(settingsPath, 'utf8'));
-	const {relay: settings, storeAddress} = readSettings();
-	const relay = new Relay(settings, createAdapter(storeAddress), {
-		refreshSettings() {
-			refresh();
+/** Runs the daemon of this host as this process, until it is told to stop. The process exits with 1 when the daemon can't start. */
+export async function runRelay(options: DaemonOptions): Promise<void> {
+	const log = new EventLog(new Logger(UNNAMED, 'info'), new SystemClock());
+	try {
+		await run(options, log);
+	} catch (error) {
+		log.warn('start_failed', {reason: (error as Error).message});
+		// eslint-disable-next-line unicorn/no-process-exit -- a start that fails is the end of the process
+		process.exit(1);
+	}
+}
+
+async function run({settingsPath, decodeSettings, createAdapter}: DaemonOptions, log: EventLog): Promise<void> {
+	const file = new SettingsFile(settingsPath, decodeSettings);
+	const {relay: settings, storeAddress} = await file.readWhenValid({
+		maxMs: MAX_SETTINGS_WAIT_MS,
+		onWaiting(reason, waitedMs) {
+			log.warn('settings_rejected', {reason, waitedMs});
 		},
 	});
-	let settingsModifiedMs = statSync(settingsPath).mtimeMs;
-
-	const reload = () => {
+	const apply = (read: () => DaemonSettings | undefined) => {
 		try {
-			settingsModifiedMs = statSync(settingsPath).mtimeMs;
-			relay.reload(readSettings().relay);
+			const changed = read();
+			if (changed !== undefined) {
+				relay.reload(changed.relay);
+			}
 		} catch (error) {
 			relay.onInvalidSettings((error as Error).message);
+			setTimeout(refresh, SETTINGS_RECHECK_MS);
 		}
 	};
 
+	const reload = () => {
+		apply(() => file.read());
+	};
+
 	const refresh = () => {
-		const modifiedMs = statSync(settingsPath, {throwIfNoEntry: false})?.mtimeMs;
-		if (modifiedMs !== undefined && modifiedMs !== settingsModifiedMs) {
-			reload();
-		}
+		apply(() => file.readIfChanged());
 	};
 
+	const relay = new Relay(settings, createAdapter(storeAddress), {refreshSettings: refresh});
 	const stop = async () => {
 		setTimeout(() => {
 			// eslint-disable-next-line unicorn/no-process-exit -- the platform kills the process when the grace period ends
