Starts and slots that no target can have are refused

Starts of 2^53 - 1 ms in announcements and deregistrations were taken, too, and so were 1e308 slots in a load header and 2^53 - 1 in announcements and entries (a host with those was in use by the others).

Cause: numbers were checked for their type alone. A start that lies beyond every clock passes for newer than all true ones. One schema for starts (a whole number from 0 to 2^43, the year 2248) and one for slots (1 to 100,000, as on the product's own path) hold wherever they come from: the store, peers, announcements, headers.

--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -6,6 +6,7 @@
 } from './adapter.js';
 export {addressSchema, localAddressSchema} from './addressschema.js';
 export {decode} from './decode.js';
+export {slotsSchema, startSchema} from './numberschema.js';
 export {DecodeError, StoreError} from './error.js';
 export {
 	type StoreChanges, type StoreEpoch, type Freshness, type StoreListing, ObjectStore, type StoreEvent, type StoredObject, type WatchOptions,
--- a/src/relay/store/hostentry.ts
+++ b/src/relay/store/hostentry.ts
@@ -2,6 +2,7 @@
 import {type HostEntry} from '../../mesh/index.js';
 import {addressSchema} from '../addressschema.js';
 import {decode} from '../decode.js';
+import {slotsSchema, startSchema} from '../numberschema.js';
 
 /** Limits each text of an entry, in characters: some entries with longer ones would fill a frame to peers beyond what they accept. */
 const MAX_TEXT_LENGTH = 256;
@@ -15,12 +16,12 @@
 	address: addressSchema,
 	target: z.object({
 		id: nameSchema,
-		bornMs: z.number().optional(),
+		bornMs: startSchema.optional(),
 		service: nameSchema,
-		slots: z.int().min(1),
+		slots: slotsSchema,
 		state: z.enum(['ready', 'draining']),
 	}).optional(),
-	ended: z.object({id: nameSchema, bornMs: z.number()}).optional(),
+	ended: z.object({id: nameSchema, bornMs: startSchema}).optional(),
 });
 
 /** Validates a daemon's entry from the store or from a peer. @throws {DecodeError} when a field is invalid */
--- a/test/failures/oddentries.test.ts
+++ b/test/failures/oddentries.test.ts
@@ -88,6 +88,28 @@
 	}, 20_000);
 });
 
+describe('an odd entry under the name of a host', () => {
+	// Guards against a target that counts as ended for good, because no later start exceeds the number.
+	it.each([1e308, 2 ** 53, Number.MAX_SAFE_INTEGER, 2 ** 44, 1.5, -1, 'soon'])('that says its target ended at %s ends no target', async bornMs => {
+		const {port} = await mesh.addPair();
+		await expectStatus(port);
+		const own = mesh.store.get(HOST_KIND, 'back');
+		mesh.store.set(HOST_KIND, 'back', {...own.value as object, ended: {id: 'i-back', bornMs}});
+		await sleep(1200);
+		await expectStatus(port);
+		expect(mesh.logLines.filter(line => line.includes('event=target_ended_before'))).toEqual([]);
+	}, 20_000);
+
+	it.each([0, -1, 1.5, 1e21, 1e308, Number.MAX_SAFE_INTEGER, '4'])('that names %s slots is used by none', async slots => {
+		const {port} = await mesh.addPair();
+		mesh.store.set(HOST_KIND, 'odd', {
+			host: 'odd', failureDomain: 'a', address: '127.0.0.1:9', target: {...ODD_TARGET, slots},
+		});
+		await expect.poll(() => mesh.logLines.some(line => line.includes('event=host_rejected') && line.includes('target.slots')), {timeout: 5000}).toBe(true);
+		await expectStatus(port);
+	}, 20_000);
+});
+
 describe('an odd configuration', () => {
 	// Guards against a configuration that can't be encoded for the daemons that get it from peers.
 	it.each(DEEP_TEXTS)('with a very deeply nested part reaches the daemons that get it from peers, and ends no link (%#)', async text => {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -87,6 +87,21 @@
 		expect(() => adapter.decodeTargetMessage('POST', HEARTBEAT, body)).toThrow(message);
 	});
 
+	// Guards against numbers that no later start exceeds, and targets that seem to have room for all calls.
+	it.each([1e308, Number.MAX_SAFE_INTEGER, 2 ** 44, -1, 1.5])('rejects %s as a start', born => {
+		expect(() => adapter.decodeTargetMessage('POST', HEARTBEAT, heartbeatBody({born}))).toThrow('born');
+		expect(() => adapter.decodeTargetMessage('POST', '/v1/rpc?call=instances.deregister&of=i-1', JSON.stringify({born}))).toThrow('born');
+	});
+
+	it.each([1e308, Number.MAX_SAFE_INTEGER, 100_001, 0, -1, 1.5])('rejects %s as a number of slots', slots => {
+		expect(() => adapter.decodeTargetMessage('POST', HEARTBEAT, heartbeatBody({
+			info: {
+				service: 's', version: 'v1', zone: 'z', slots,
+			},
+		}))).toThrow('info.slots');
+		expect(adapter.parseSlots(`1,0,${slots}`)).toBeUndefined();
+	});
+
 	it('throws nothing but DecodeError, whatever the path and body', () => {
 		fc.assert(fc.property(fc.webPath(), fc.oneof(fc.string(), fc.json()), (target, body) => {
 			try {
