A host whose entry another writer has made unreadable writes it again

All daemons refuse it, its own among them, which therefore took no notice: the store held it until the target changed next, and a daemon that starts in the meantime learns of the host from its peers alone.

Cause: a daemon compared its entry with the store's copy only if it could read that. One that it can't read differs now: it is written again under its revision, and peers are told. Another host's entry under a name is refused by reason.

--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -6,7 +6,7 @@
 import {type Adapter} from '../adapter.js';
 import {ActiveSite} from './activesite.js';
 import {type DirectoryEvents} from './directoryevents.js';
-import {decodeHostEntry, isHostName} from './hostentry.js';
+import {decodeStoredHost, deletionOf} from './hostentry.js';
 import {HOST_KIND, OwnEntry} from './ownentry.js';
 import {StoreEpochTracker} from './storeepoch.js';
 import {StoreHealth} from './storehealth.js';
@@ -337,27 +337,26 @@
 	}
 
 	#applyHostEvents(events: readonly StoreEvent[]): void {
-		this.#tell(events.flatMap(({object, isDeleted}) => {
-			if (!isDeleted) {
-				return this.#applyHost(object);
-			}
-
-			return isHostName(object.name) ? this.offerRecords([{host: object.name, revision: object.revision}]) : [];
-		}));
+		this.#tell(events.flatMap(({object, isDeleted}) => isDeleted ? this.offerRecords(deletionOf(object)) : this.#applyHost(object)));
 	}
 
 	/** @returns the version, if it is new here */
 	#applyHost(object: StoredObject): HostRecord[] {
 		const {host: ownHost, log} = this.#parts;
 		try {
-			const entry = decodeHostEntry(object.value);
-			if (entry.host === ownHost && object.name === ownHost) {
+			const entry = decodeStoredHost(object);
+			if (entry.host === ownHost) {
 				this.#observeOwn(entry, object.revision);
 				return [];
 			}
 
-			return entry.host === object.name && this.#putHost(entry, object.revision) ? [{host: entry.host, revision: object.revision, entry}] : [];
+			return this.#putHost(entry, object.revision) ? [{host: entry.host, revision: object.revision, entry}] : [];
 		} catch (error) {
+			if (object.name === ownHost) {
+				// Daemons that start later would learn of this host from its peers alone.
+				this.#ownEntry.observe(undefined, object.revision);
+			}
+
 			log.warn('host_rejected', {host: object.name, reason: (error as Error).message});
 			return [];
 		}
--- a/src/relay/store/hostentry.ts
+++ b/src/relay/store/hostentry.ts
@@ -1,8 +1,10 @@
 import * as z from 'zod';
-import {type HostEntry} from '../../mesh/index.js';
+import {type HostEntry, type HostRecord} from '../../mesh/index.js';
 import {addressSchema} from '../addressschema.js';
 import {decode} from '../decode.js';
+import {DecodeError} from '../error.js';
 import {slotsSchema, startSchema} from '../numberschema.js';
+import {type StoredObject} from './store.js';
 
 /** Limits each text of an entry, in characters: some entries with longer ones would fill a frame to peers beyond what they accept. */
 const MAX_TEXT_LENGTH = 256;
@@ -33,3 +35,18 @@
 export function isHostName(name: string): boolean {
 	return nameSchema.safeParse(name).success;
 }
+
+/** Validates an entry that the store holds under the name of its host. @throws {DecodeError} when a field is invalid */
+export function decodeStoredHost({name, value}: StoredObject): HostEntry {
+	const entry = decodeHostEntry(value);
+	if (entry.host !== name) {
+		throw new DecodeError('host: expected the name of the object');
+	}
+
+	return entry;
+}
+
+/** The deletion of a stored object as a version of a host's entry; none if no host can have its name. */
+export function deletionOf({name, revision}: StoredObject): HostRecord[] {
+	return isHostName(name) ? [{host: name, revision}] : [];
+}
--- a/test/failures/oddentries.test.ts
+++ b/test/failures/oddentries.test.ts
@@ -102,6 +102,21 @@
 		expect(mesh.logLines.filter(line => line.includes('event=target_ended_before'))).toEqual([]);
 	}, 20_000);
 
+	// Guards against a host that daemons which start later never learn of.
+	it.each([
+		'text',
+		{host: 'back'},
+		{host: 'front', failureDomain: 'a', address: '127.0.0.1:9'},
+		{host: 'back', failureDomain: 'a', address: '127.0.0.1:83000'},
+	])('that can\'t be read is replaced by the host\'s own (%#)', async value => {
+		const {port} = await mesh.addPair();
+		await expectStatus(port);
+		const own = mesh.store.get(HOST_KIND, 'back').value;
+		mesh.store.set(HOST_KIND, 'back', value);
+		await expect.poll(() => mesh.store.get(HOST_KIND, 'back').value, {timeout: 5000}).toEqual(own);
+		await expectStatus(port);
+	}, 20_000);
+
 	it.each([0, -1, 1.5, 1e21, 1e308, Number.MAX_SAFE_INTEGER, '4'])('that names %s slots is used by none', async slots => {
 		const {port} = await mesh.addPair();
 		mesh.store.set(HOST_KIND, 'odd', {
