An answer that closes its connection isn't lost to what the client sends behind it

Cause: the HTTP server destroys a connection as soon as the kernel has taken its last answer. A request that the client had sent by then, or sends later, makes the kernel answer with a reset, and a reset drops what the client hasn't received: of answers of 150,000 bytes and more to a client that reads later, 127,900 bytes arrived if it sent on, all if it didn't. The same if the process ends right after it has closed a connection as unused.

--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -1,6 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {ClosingAnswer} from '../../wire/index.js';
+import {ClosingAnswer, closeLingering, lingerOnClose} from '../../wire/index.js';
 import {type Exchange} from './exchange.js';
 
 /** How long a request may take to follow its connection, or the answer before it, in ms: some round trips. */
@@ -26,6 +26,7 @@
 		this.#socket = socket;
 		this.#nowMs = nowMs;
 		this.#unusedSinceMs = nowMs();
+		lingerOnClose(socket);
 		// Before the HTTP server, which ends its side then.
 		socket.prependListener('end', () => {
 			this.#endedBy ??= socket.writableEnded ? 'daemon' : 'client';
@@ -86,13 +87,13 @@
 	closeIfUnused(): void {
 		if (!this.isInUse()) {
 			this.#isClosed = true;
-			this.#socket.end();
+			closeLingering(this.#socket);
 		}
 	}
 
-	/** Whether the client waits for an answer, or is about to send a request: one that came just now, or got its answer just now, or part of a head. */
+	/** Whether the client waits for an answer, or is about to send a request: one that came just now, or got its answer just now, or part of a head; or hasn't closed its side yet. */
 	isInUse(): boolean {
-		if (this.#unansweredRequests > 0) {
+		if (this.#unansweredRequests > 0 || this.#socket.writableEnded) {
 			return true;
 		}
 
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -177,6 +177,7 @@
 		if (connection.isClosing) {
 			// The answer to an earlier request closes the connection, so this request counts as not read.
 			connection.onIgnoredRequest();
+			request.resume();
 			return;
 		}
 
--- a/standins/pipelinedclient.ts
+++ b/standins/pipelinedclient.ts
@@ -43,6 +43,15 @@
 		this.#socket.write(text);
 	}
 
+	/** Reads nothing until `resume`, as a client that is slow or busy. */
+	pause(): void {
+		this.#socket.pause();
+	}
+
+	resume(): void {
+		this.#socket.resume();
+	}
+
 	close(): void {
 		this.#socket.destroy();
 	}
