On the product's own path, too, a closing answer isn't lost to what the client sends behind it

The cause is the same: the HTTP server destroys the connection with its last answer.

The connection is half-closed instead, and a stop waits for its client's side, a second at most. test/failures/resetanswer.test.ts, 'the same on the product's own path', failed before: the client got nothing of 1,000,000 bytes.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -120,6 +120,7 @@
 		// What is half read by now is read to its end.
 		await sleep(CLOSE_DELAY_MS);
 		await this.#requestServer.waitForResponses();
+		await this.#requestServer.waitForClients();
 		this.#peerLinks.close();
 		this.#platformTask.close();
 		await this.#targetClient.close();
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {
-	type HttpMessage, ClosingAnswer, header, listen, stopListening,
+	type HttpMessage, ClosingAnswer, LINGER_MS, header, lingerOnClose, listen, stopListening,
 } from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
@@ -48,7 +48,8 @@
 	readonly #log: Logger;
 	readonly #options: RequestServerOptions;
 	readonly #openResponses = new Map<number, ServerResponse>();
-	readonly #closingAnswers = new WeakMap<Socket, ClosingAnswer>();
+	/** By connection, while it is open. */
+	readonly #closingAnswers = new Map<Socket, ClosingAnswer>();
 	#nextId = 1;
 	#isClosing = false;
 	#rejectedRequests = 0;
@@ -65,6 +66,10 @@
 		});
 		this.server.on('connection', (socket: Socket) => {
 			this.#closingAnswers.set(socket, new ClosingAnswer());
+			lingerOnClose(socket);
+			socket.once('close', () => {
+				this.#closingAnswers.delete(socket);
+			});
 		});
 		this.server.on('clientError', (error, socket) => {
 			this.#rejectedRequests++;
@@ -109,10 +114,19 @@
 		})))]);
 	}
 
+	/** Resolves when clients have closed their side of the connections that this daemon has closed, or take too long. */
+	async waitForClients(): Promise<void> {
+		const closing = [...this.#closingAnswers.keys()].filter(({writableEnded}) => writableEnded);
+		await Promise.race([sleep(LINGER_MS, undefined, {ref: false}), Promise.all(closing.map(async socket => new Promise(resolve => {
+			socket.once('close', resolve);
+		})))]);
+	}
+
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
 		const closingAnswer = this.#closingAnswers.get(request.socket)!;
 		if (closingAnswer.isSettled) {
 			// The answer to an earlier request closes the connection, so this request counts as not read.
+			request.resume();
 			return;
 		}
 
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -5,7 +5,7 @@
 export {HandshakeError, Handshake} from './handshake.js';
 export {type TargetConnection, markResets} from './markresets.js';
 export {type ListenPatience, listen} from './listen.js';
-export {closeLingering, lingerOnClose} from './lingeringclose.js';
+export {LINGER_MS, closeLingering, lingerOnClose} from './lingeringclose.js';
 export {ClosingAnswer} from './closinganswer.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {stopListening} from './stoplistening.js';
--- a/standins/pipelinedclient.ts
+++ b/standins/pipelinedclient.ts
@@ -15,8 +15,8 @@
 	readonly closed: Promise<void>;
 	readonly #socket: Socket;
 
-	constructor(port: number) {
-		this.#socket = connect(port, '127.0.0.1');
+	constructor(port: number, host = '127.0.0.1') {
+		this.#socket = connect(port, host);
 		this.#socket.on('data', bytes => {
 			this.text += bytes.toString('latin1');
 		});
--- a/test/failures/resetanswer.test.ts
+++ b/test/failures/resetanswer.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {DaemonPair} from '../../standins/daemonpair.js';
 import {Mesh} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
 import {PipelinedClient, buildHead} from '../../standins/pipelinedclient.js';
@@ -11,11 +12,16 @@
 const BODY_BYTES = 1_000_000;
 /** When a stopping daemon has closed a connection that isn't used, in ms after it was told to stop. */
 const UNTIL_CLOSED_MS = 900;
+/** The address of the first daemon of the product's own path. */
+const FRONT = '127.0.3.1';
+const LOOK = 'GET /back/look HTTP/1.1\r\nhost: back\r\n\r\n';
 const get = (id: string) => buildHead('GET', '/x/', id);
 
-let mesh: Mesh;
+let mesh: Mesh | undefined;
+let pair: DaemonPair | undefined;
 afterEach(async () => {
-	await mesh.close();
+	await Promise.all([mesh?.close(), pair?.close()]);
+	[mesh, pair] = [undefined, undefined];
 });
 
 describe('a client that sends on while an answer that closes its connection is on its way', () => {
@@ -67,3 +73,37 @@
 		expect(wasClosed).toBe(true);
 	});
 });
+
+describe('the same on the product\'s own path', () => {
+	// Guards against a reset that takes an answer along, of which the client has not yet read all (LOST).
+	it('gets the answer whole', async () => {
+		pair = new DaemonPair();
+		await pair.start();
+		let answeredCount = 0;
+		pair.onRequest = socket => {
+			setTimeout(() => {
+				socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${BODY_BYTES}\r\n\r\n${'x'.repeat(BODY_BYTES)}`);
+				answeredCount++;
+			}, 300);
+		};
+
+		const client = new PipelinedClient(pair.port, FRONT);
+		client.pause();
+		client.send(LOOK);
+		await sleep(100);
+		const stopped = pair.daemons[0].stop();
+		await expect.poll(() => answeredCount, {timeout: 5000}).toBe(1);
+		for (let count = 0; count < 3; count++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			await sleep(150);
+			client.send(LOOK);
+		}
+
+		await sleep(150);
+		client.resume();
+		await client.closed;
+		expect(client.text).toMatch(/connection: close/iv);
+		expect(client.text.length - client.text.indexOf('\r\n\r\n') - 4).toBe(BODY_BYTES);
+		await stopped;
+	});
+});
