The soak's clients pipeline, upload, stream and read slowly

Now there are clients of this kind, used until their connection is closed, uploads in chunks, streamed answers and slow readers, each with seeds of their own; plans are the same as before for a seed. `losses.ts` holds the checks of these:

- 'every accepted request is answered' is as before for clients that stay away.
On connections that are used until they are closed, a request counts that a target has begun to receive, or that waited 200 ms after its last byte and wasn't behind another.
An upload counts once its last byte was sent.
- 'whole answer' is as before for small answers.
Streamed ones may end early only for what the rule names.
- new: 'a stop breaks no run off', 'a daemon ends only when told to' (it is started again, as by the platform), and bodies of answers and uploads.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -23,6 +23,16 @@
 	readonly retryAfter: string | undefined;
 	/** Whether it was sent on a connection that had carried requests before. */
 	readonly isOnUsedConnection: boolean;
+	/** When its last byte was sent; undefined if it never was. */
+	readonly lastByteMs: number | undefined;
+	/** Whether the answer is a target's. */
+	readonly isSigned: boolean;
+	/** Whether the answer, as far as it came, is the right one. */
+	readonly isRight: boolean;
+	/** The digest of the body that was sent, or was to be. */
+	readonly bodyDigest?: string;
+	/** Only of a request on a connection that is used until it is closed: whether answers before it were due then, or closed it. */
+	readonly isBehind?: boolean;
 };
 
 /** Requests of one kind of client, at a rate. */
@@ -111,7 +121,7 @@
 			const headers = {...createAttemptHeaders(attemptId, DEADLINE_MS), [meshHeaders.organisation]: 'forged', ...(key !== undefined && {authorization: `Bearer ${key}`})};
 			const end = (seen: Pick<SentRequest, 'status' | 'isWhole'> & Partial<SentRequest>) => {
 				this.requests.push({
-					attemptId, stream, path, key, host: host.index, sentMs, endedMs: Date.now(), isNotRun: false, answeredAttemptId: undefined, retryAfter: undefined, isOnUsedConnection: request.reusedSocket, ...seen,
+					attemptId, stream, path, key, host: host.index, sentMs, endedMs: Date.now(), isNotRun: false, answeredAttemptId: undefined, retryAfter: undefined, isOnUsedConnection: request.reusedSocket, lastByteMs: sentMs, isSigned: false, isRight: true, ...seen,
 				});
 				resolve();
 			};
@@ -124,7 +134,7 @@
 				response.on('close', () => {
 					end({
 						status: response.statusCode!, isWhole: response.complete, isNotRun: response.headers[meshHeaders.notRun] !== undefined,
-						answeredAttemptId: response.headers[meshHeaders.attemptId] as string | undefined, retryAfter: response.headers['retry-after'],
+						isSigned: response.headers[meshHeaders.signature] !== undefined, answeredAttemptId: response.headers[meshHeaders.attemptId] as string | undefined, retryAfter: response.headers['retry-after'],
 					});
 				});
 			});
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,15 +1,29 @@
+import {type RequestEnd} from '../standins/meshtarget.js';
 import {type SentRequest} from './callers.js';
 import {CONFIG_MS, MAX_AGE_MS, QUOTA_ROOM} from './fleet.js';
 import {type History} from './history.js';
+import {
+	checkAnswered, checkAnswers, checkBodies, checkOwnEnds,
+} from './losses.js';
 import {DEADLY_PATH, LIMITED} from './plan.js';
+import {isPublic} from './work.js';
 
 /** A request that a target received; `hasRun` is false for one that it shed. */
-export type Receipt = {readonly attemptId: string; readonly path: string; readonly callerService: string; readonly organisation: string | undefined; readonly hasAuthorization: boolean; readonly atMs: number; readonly hasRun: boolean};
+export type Receipt = {
+	readonly attemptId: string; readonly path: string; readonly callerService: string; readonly organisation: string | undefined; readonly hasAuthorization: boolean; readonly atMs: number; readonly hasRun: boolean;
+	readonly host: number;
+	/** How it ended; absent if it is still open. */
+	readonly end?: RequestEnd;
+	/** The digest of the body of an upload. */
+	readonly bodyDigest?: string;
+};
 
 /** What callers and targets saw in a run, and what was done to the site. */
 export type SoakRecord = {
 	readonly requests: readonly SentRequest[];
 	readonly receipts: readonly Receipt[];
+	/** The requests whose heads reached a target. */
+	readonly begunAttemptIds: readonly string[];
 	readonly history: History;
 	readonly isStrict: boolean;
 	/** The paths of the requests that daemons began to hold, because these crash targets. */
@@ -32,9 +46,7 @@
 /** How long daemons may still send a request that has crashed three targets, in ms, and how often after that. */
 const CONTACT_MS = 3000;
 const MAX_LATE_RETRIES = 3;
-const UNREPEATABLE = /^\/(?:orders|page)\//v;
-/** Errors of a connection that no daemon has accepted. */
-const REFUSED = 'ECONNREFUSED';
+const UNREPEATABLE = /^\/(?:orders|page|upload)\//v;
 
 const isRoot = (attemptId: string) => !attemptId.includes('.');
 
@@ -53,18 +65,6 @@
 	}
 }
 
-function * checkAnswers({requests}: SoakRecord): Iterable<Violation> {
-	for (const {attemptId, status, answeredAttemptId, isWhole} of requests) {
-		if (status === 200 && answeredAttemptId !== attemptId) {
-			yield {promise: 'right answer', attemptId, detail: `got the answer of ${String(answeredAttemptId)}`};
-		}
-
-		if (status !== 0 && !isWhole) {
-			yield {promise: 'whole answer', attemptId, detail: `${status} broke off`};
-		}
-	}
-}
-
 function * checkNotRun({requests, receipts}: SoakRecord): Iterable<Violation> {
 	const ran = new Set(receipts.filter(({hasRun}) => hasRun).map(({attemptId}) => attemptId));
 	for (const {attemptId, status, isNotRun} of requests) {
@@ -74,23 +74,12 @@
 	}
 }
 
-function * checkAnswered({requests, history}: SoakRecord): Iterable<Violation> {
-	for (const {attemptId, status, error, host, sentMs, endedMs, isOnUsedConnection} of requests) {
-		const isExcused = error === REFUSED || history.isDisturbed(['killed'], sentMs, endedMs, host)
-			// A process that stood still has less of its grace left.
-			|| (history.isDisturbed(['stopped'], sentMs, endedMs, host) && history.isDisturbed(['frozen'], sentMs - CONFIG_MS, endedMs, host));
-		if (status === 0 && !isExcused) {
-			yield {promise: 'every accepted request is answered', attemptId, detail: `${String(error)} after ${endedMs - sentMs} ms at host ${host}${isOnUsedConnection ? ', on a kept connection' : ''}`};
-		}
-	}
-}
-
 function * checkKeys({requests, receipts, history, isStrict}: SoakRecord): Iterable<Violation> {
 	const organisations = new Map(receipts.filter(({attemptId, hasRun}) => hasRun && isRoot(attemptId)).map(({attemptId, organisation}) => [attemptId, organisation]));
 	for (const {attemptId, key, path, status, sentMs, endedMs} of requests) {
 		const staleMs = history.staleSince(sentMs, CONFIG_MS + MARGIN_MS);
 		const holders = key === undefined ? new Set([undefined]) : history.holdersOf(key, staleMs, endedMs);
-		if (status === 401 && (!holders.has(undefined) || path === '/open/')) {
+		if (status === 401 && (!holders.has(undefined) || isPublic(path))) {
 			yield {promise: '401 only without a known key', attemptId, detail: `its key was held by ${[...holders].join(', ')}`};
 		}
 
@@ -99,7 +88,7 @@
 			yield {promise: 'withdrawn keys aren\'t in use', attemptId, detail: `ran for ${String(organisations.get(attemptId))}, its key was held by ${[...confirmed].map(String).join(', ')}`};
 		}
 
-		if (organisations.has(attemptId) && organisations.get(attemptId) === undefined && path !== '/open/') {
+		if (organisations.has(attemptId) && organisations.get(attemptId) === undefined && !isPublic(path)) {
 			yield {promise: 'nothing runs unasked', attemptId, detail: 'ran for nobody'};
 		}
 	}
@@ -193,7 +182,7 @@
 }
 
 /** All checks of a run. */
-export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkKeys, checkRefusals, checkQuota, checkRecovery, checkPoison];
+export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkBodies, checkOwnEnds, checkKeys, checkRefusals, checkQuota, checkRecovery, checkPoison];
 
 /** Checks what callers and targets saw against the promises. */
 export function findViolations(record: SoakRecord): Violation[] {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -9,21 +9,26 @@
 import {type RelaySettings} from '../src/relay/index.js';
 import {createRoute, createSiteSpec} from '../standins/mesh.js';
 import {meshHeaders} from '../standins/meshadapter.js';
-import {MeshTarget} from '../standins/meshtarget.js';
 import {findFreePorts} from '../standins/ports.js';
 import {type StoreFault, StoreStandin} from '../standins/store.js';
 import {
-	DEADLY_PATH, type DaemonFault, HOST_SERVICES, type SoakPlan, type TargetFault,
+	DEADLY_PATH, type DaemonFault, type SoakPlan, type TargetFault, serviceOf,
 } from './plan.js';
 import {History} from './history.js';
+import {SoakTarget} from './target.js';
+import {PIPELINED_PREFIX, STREAM_PREFIX, UPLOAD_PREFIX} from './work.js';
 
 const ANNOUNCE_INTERVAL_MS = 500;
 const WORK_MS = 40;
 const SLOTS = 2;
+/** Transfers take their time, and mustn't hold the others up. */
+const FRONT_SLOTS = 24;
+/** How long the requests may take whose bodies take their time, in ms. */
+export const LONG_TIMEOUT_MS = 5000;
 /** How many times as long a slow copy takes. */
 const SLOW = 5;
 const DRAIN_MS = 1000;
-const GRACE_MS = 6000;
+export const GRACE_MS = 6000;
 /** How long a stopping daemon still accepts requests; clients stay away before its end. */
 export const LAME_DUCK_MS = 1500;
 /** Within which time a configuration must be in force while nothing is disturbed. */
@@ -34,19 +39,24 @@
 const QUARANTINE_MS = 3000;
 export const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
+/** After which time a daemon that ended by itself is started again, as the platform does. */
+const RESTART_MS = 500;
 
 const ROUTES = [
 	createRoute('orders', 'back', {repeatability: 'unsafe'}),
 	createRoute('read', 'back', {attempts: 3}),
 	createRoute('page', 'front', {repeatability: 'unsafe'}),
 	createRoute('open', 'back', {isPublic: true}),
+	...[PIPELINED_PREFIX, UPLOAD_PREFIX, STREAM_PREFIX].map(prefix => createRoute(prefix.slice(1, -1), 'front', {
+		isPublic: true, attempts: 3, timeoutMs: LONG_TIMEOUT_MS, ...(prefix === UPLOAD_PREFIX && {repeatability: 'unsafe' as const}),
+	})),
 ];
 
 /** A host of the fleet: a daemon's process, and a target in the process of the soak. */
 export type FleetHost = {
 	readonly index: number;
 	readonly ports: readonly number[];
-	readonly target: MeshTarget;
+	readonly target: SoakTarget;
 	process: ChildProcess | undefined;
 	/** Whether clients send to it: not once they have noticed that it stops, or while it is away. */
 	isOffered: boolean;
@@ -65,6 +75,7 @@
 	readonly #folder: string;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#version = 0;
+	#isClosed = false;
 
 	/** @param folder where the logs and settings are written */
 	constructor(plan: SoakPlan, folder: string) {
@@ -76,11 +87,12 @@
 		mkdirSync(this.#folder, {recursive: true});
 		await this.#store.listen();
 		this.configure(organisations);
-		for (const [index, service] of HOST_SERVICES.entries()) {
+		for (let index = 0; index < this.#plan.hosts; index++) {
+			const service = serviceOf(index);
 			// eslint-disable-next-line no-await-in-loop -- ports are taken in turn
 			const ports = await findFreePorts(4);
-			const target = new MeshTarget({
-				id: `i-${index}`, service, slots: SLOTS, workMs: service === 'back' ? WORK_MS : 5, outbound: () => ports[0], calls: {'/page/': [{path: '/orders/nested', times: 1}]},
+			const target = new SoakTarget({
+				id: `i-${index}`, service, slots: service === 'back' ? SLOTS : FRONT_SLOTS, workMs: service === 'back' ? WORK_MS : 5, outbound: () => ports[0], calls: {'/page/': [{path: '/orders/nested', times: 1}]},
 			});
 			// eslint-disable-next-line no-await-in-loop
 			await target.listen();
@@ -216,6 +228,7 @@
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -234,7 +247,7 @@
 		const relay: RelaySettings = {
 			host: `host-${index}`,
 			failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
-			service: HOST_SERVICES[index],
+			service: serviceOf(index),
 			target: at(target.port),
 			listen: {
 				requests: at(ports[0]), peers: at(ports[1]), readiness: at(ports[2]), announcements: at(ports[3]),
@@ -265,5 +278,23 @@
 		host.isListening = false;
 		host.isOffered = true;
 		host.isRestarting = false;
+		const startedMs = Date.now();
+		child.once('exit', (code, signal) => {
+			if (!host.isRestarting && !this.#isClosed) {
+				this.history.ownEnds.push({host: index, atMs: Date.now(), how: `${code ?? signal} ${Date.now() - startedMs} ms after its start`});
+				void this.#startAgain(host);
+			}
+		});
+	}
+
+	/** Starts a daemon again that ended by itself. */
+	async #startAgain(host: FleetHost): Promise<void> {
+		host.process = undefined;
+		host.isOffered = false;
+		host.isRestarting = true;
+		await sleep(RESTART_MS);
+		if (!this.#isClosed) {
+			this.#startDaemon(host, false);
+		}
 	}
 }
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -9,6 +9,8 @@
 export class History {
 	readonly sites: WrittenSite[] = [];
 	readonly disturbances: Disturbance[] = [];
+	/** When and how daemons ended that hadn't been told to. */
+	readonly ownEnds: Array<{readonly host: number; readonly atMs: number; readonly how: string}> = [];
 	/** When one request crashed targets. */
 	readonly poisons: Array<{readonly fromMs: number; readonly untilMs: number}> = [];
 
@@ -42,4 +44,9 @@
 	isDisturbed(whats: ReadonlyArray<Disturbance['what']>, fromMs: number, untilMs: number, host?: number): boolean {
 		return this.disturbances.some(one => whats.includes(one.what) && (host === undefined || one.host === host) && one.fromMs <= untilMs && one.untilMs >= fromMs);
 	}
+
+	/** The stops of these hosts that began at most so long before. */
+	stopsAround(atMs: number, forMs: number, hosts: readonly number[]): Disturbance[] {
+		return this.disturbances.filter(({what, host, fromMs}) => what === 'stopped' && hosts.includes(host!) && fromMs <= atMs && atMs <= fromMs + forMs);
+	}
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -11,9 +11,12 @@
 	type Receipt, type SoakRecord, type Violation, findViolations,
 } from './checks.js';
 import {Fleet} from './fleet.js';
+import {ConnectionCallers} from './connectioncallers.js';
 import {
-	type SoakEvent, type SoakPlan, USUAL_ORGANISATIONS, createPlan,
+	DEFAULT_HOSTS, type SoakEvent, type SoakPlan, USUAL_ORGANISATIONS, createPlan,
 } from './plan.js';
+import {digestOf} from './transfers.js';
+import {UPLOAD_PREFIX} from './work.js';
 
 const DEFAULT_SEED = 1;
 const DEFAULT_SECONDS = 8;
@@ -41,7 +44,9 @@
 		await fleet.start(USUAL_ORGANISATIONS);
 		await sleep(SETTLING_MS);
 		const callers = new Callers(fleet.hosts, plan.seed);
+		const connectionCallers = new ConnectionCallers(fleet.hosts, plan.seed, callers.requests);
 		callers.start();
+		connectionCallers.start();
 		await sleep(1000);
 		const beginMs = Date.now();
 		const stops = await Promise.all(plan.events.map(async event => {
@@ -50,13 +55,13 @@
 		}));
 		fleet.configure(USUAL_ORGANISATIONS);
 		callers.heat = CALM_HEAT;
-		await sleep(RECOVERY_MS);
+		await Promise.all([sleep(RECOVERY_MS), connectionCallers.end()]);
 		const calmFromMs = Date.now();
 		await sleep(CALM_MS);
 		const calmUntilMs = Date.now();
 		await callers.end();
 		const record: SoakRecord = {
-			requests: callers.requests, receipts: fleet.hosts.flatMap(({target}) => receiptsOf(target)), history: fleet.history, isStrict: plan.isStrict, heldPaths: readHeldPaths(folder), calmFromMs, calmUntilMs,
+			requests: callers.requests, receipts: fleet.hosts.flatMap(({index, target}) => receiptsOf(index, target)), begunAttemptIds: fleet.hosts.flatMap(({target}) => target.begunAttemptIds), history: fleet.history, isStrict: plan.isStrict, heldPaths: readHeldPaths(folder), calmFromMs, calmUntilMs,
 		};
 		const stopViolations = stops.filter(detail => detail !== undefined).map((detail): Violation => ({promise: 'a stop ends in time', detail}));
 		return {record, violations: [...stopViolations, ...findViolations(record)]};
@@ -101,12 +106,12 @@
 	}
 }
 
-function receiptsOf(target: Fleet['hosts'][number]['target']): Receipt[] {
+function receiptsOf(host: number, target: Fleet['hosts'][number]['target']): Receipt[] {
 	const ran = new Set(target.ranAttemptIds);
 	return target.receivedRequests.map(({headers, url}, index) => {
 		const attemptId = String(headers[meshHeaders.attemptId]);
 		return {
-			attemptId, path: url!, callerService: String(headers[meshHeaders.callerService]), organisation: headers[meshHeaders.organisation] as string | undefined, hasAuthorization: headers.authorization !== undefined, atMs: target.receivedTimesMs[index], hasRun: ran.has(attemptId),
+			host, bodyDigest: url!.startsWith(UPLOAD_PREFIX) ? digestOf(target.receivedBodies[index]) : undefined, end: target.receivedEnds[index], attemptId, path: url!, callerService: String(headers[meshHeaders.callerService]), organisation: headers[meshHeaders.organisation] as string | undefined, hasAuthorization: headers.authorization !== undefined, atMs: target.receivedTimesMs[index], hasRun: ran.has(attemptId),
 		};
 	});
 }
@@ -132,6 +137,7 @@
 	cli.option('--seed <n>', 'The first seed', {default: DEFAULT_SEED});
 	cli.option('--seeds <n>', 'How many seeds are played, one after the other', {default: 1});
 	cli.option('--seconds <n>', 'How long the faults of a seed last', {default: DEFAULT_SECONDS});
+	cli.option('--hosts <n>', 'How many hosts', {default: DEFAULT_HOSTS});
 	cli.option('--plan', 'Print the plans without playing them');
 	cli.help();
 	const {options} = cli.parse();
@@ -142,7 +148,7 @@
 	const knownPromises = new Set(readFileSync(KNOWN_FAILURES_FILE, 'utf8').split('\n').filter(line => line.startsWith(KNOWN_PREFIX)).map(line => line.slice(KNOWN_PREFIX.length).trim()));
 	let failedCount = 0;
 	for (let index = 0; index < Number(options.seeds); index++) {
-		const plan = createPlan(Number(options.seed) + index, Number(options.seconds) * 1000);
+		const plan = createPlan(Number(options.seed) + index, Number(options.seconds) * 1000, Number(options.hosts));
 		const planText = plan.events.map(event => JSON.stringify(describe(event))).join('\n');
 		if (options.plan === true) {
 			console.log(planText);
@@ -172,7 +178,7 @@
 		}
 
 		if (violations.length > 0) {
-			console.log(`  plan and logs: ${folder}; again: npm run soak -- --seed ${plan.seed} --seconds ${options.seconds}`);
+			console.log(`  plan and logs: ${folder}; again: npm run soak -- --seed ${plan.seed} --seconds ${options.seconds}${plan.hosts === DEFAULT_HOSTS ? '' : ` --hosts ${plan.hosts}`}`);
 		}
 	}
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -20,10 +20,12 @@
 	| {readonly type: 'heat'; readonly factor: number; readonly forMs: number});
 
 /** What one seed plays. */
-export type SoakPlan = {readonly seed: number; readonly isStrict: boolean; readonly faultMs: number; readonly events: readonly SoakEvent[]};
+export type SoakPlan = {readonly seed: number; readonly hosts: number; readonly isStrict: boolean; readonly faultMs: number; readonly events: readonly SoakEvent[]};
 
-/** The service of each host; a request of any may enter at each. */
-export const HOST_SERVICES = ['front', 'front', 'back', 'back', 'back'] as const;
+/** The services of the hosts, in turn; a request of any may enter at each. */
+const HOST_SERVICES = ['front', 'front', 'back', 'back', 'back'] as const;
+export const DEFAULT_HOSTS: number = HOST_SERVICES.length;
+export const serviceOf = (host: number) => HOST_SERVICES[host % HOST_SERVICES.length];
 /** The usual limit of the limited organisation, in requests per second, and what it may be changed to. */
 export const USUAL_LIMIT = 15;
 const OTHER_LIMITS = [6, 30];
@@ -55,7 +57,7 @@
 const POISON_LENGTH = 3;
 
 /** Creates the plan of a seed: the same one each time. */
-export function createPlan(seed: number, faultMs: number): SoakPlan {
+export function createPlan(seed: number, faultMs: number, hosts = DEFAULT_HOSTS): SoakPlan {
 	const random = new Random(mixSeed(seed));
 	const isStrict = random.chance(0.5);
 	const events: SoakEvent[] = [];
@@ -64,7 +66,7 @@
 	while (atMs < faultMs) {
 		const length = 1 + random.below(MAX_SERIES);
 		for (let index = 0; index < length; index++) {
-			const event = createEvent(random, Math.round(atMs + (index * random.between(0, SERIES_PAUSE_MS))), organisations);
+			const event = createEvent(random, Math.round(atMs + (index * random.between(0, SERIES_PAUSE_MS))), {organisations, hosts});
 			organisations = event.type === 'site' ? event.organisations : organisations;
 			events.push(event);
 		}
@@ -73,18 +75,19 @@
 	}
 
 	return {
-		seed, isStrict, faultMs, events: events.toSorted((a, b) => a.atMs - b.atMs),
+		seed, hosts, isStrict, faultMs, events: events.toSorted((a, b) => a.atMs - b.atMs),
 	};
 }
 
 // The first numbers of neighbouring seeds would be much alike.
-function mixSeed(seed: number): number {
+/** Derives the seed of a sequence of random numbers. */
+export function mixSeed(seed: number | string): number {
 	return createHash('sha256').update(`${seed}`).digest().readInt32LE(0);
 }
 
-function createEvent(random: Random, atMs: number, organisations: readonly Organisation[]): SoakEvent {
+function createEvent(random: Random, atMs: number, {organisations, hosts}: {organisations: readonly Organisation[]; hosts: number}): SoakEvent {
 	const type = random.pick(TYPES);
-	const host = random.below(HOST_SERVICES.length);
+	const host = random.below(hosts);
 	const forMs = Math.round(random.between(MIN_FAULT_MS, MAX_FAULT_MS));
 	switch (type) {
 		case 'daemon': {
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -19,6 +19,9 @@
 /** Handles a request in place of the usual run and answer. */
 export type BehaviourOverride = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 
+/** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target crashed. */
+export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | 'crashed'};
+
 /** Tells whether a request crashes the target. */
 export type CrashRule = (request: IncomingMessage, body: Buffer) => boolean;
 
@@ -45,6 +48,10 @@
 	readonly receivedBodies: Buffer[] = [];
 	/** When each request arrived, in ms since 1970. */
 	readonly receivedTimesMs: number[] = [];
+	/** How each request ended; absent while it is open. */
+	readonly receivedEnds: Array<RequestEnd | undefined> = [];
+	/** The requests for this instance whose heads arrived, whether or not their bodies did. */
+	readonly begunAttemptIds: string[] = [];
 	/** Headers that the target adds to its answers. */
 	extraHeaders: Readonly<Record<string, string>>;
 	/** Factor on the service time. */
@@ -176,14 +183,28 @@
 		response.end(body);
 	}
 
+	/** How long the target works on a request, in ms. */
+	protected workMsOf(_url: string): number {
+		return this.options.workMs;
+	}
+
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const attemptId = String(request.headers[meshHeaders.attemptId]);
+		if (request.headers[meshHeaders.expectedInstance] === this.id) {
+			this.begunAttemptIds.push(attemptId);
+		}
+
 		const chunks: Buffer[] = [];
-		for await (const chunk of request) {
-			chunks.push(chunk as Buffer);
+		try {
+			for await (const chunk of request) {
+				chunks.push(chunk as Buffer);
+			}
+		} catch {
+			// Its sender broke it off: it doesn't run.
+			return;
 		}
 
 		const body = Buffer.concat(chunks);
-		const attemptId = String(request.headers[meshHeaders.attemptId]);
 		if (request.url === HEALTH_PATH) {
 			const {id, options: {slots}} = this;
 			response.writeHead(200, {...this.extraHeaders, [meshHeaders.instance]: id, [meshHeaders.load]: String(slots)});
@@ -197,7 +218,11 @@
 			return;
 		}
 
-		this.receivedRequests.push(request);
+		const index = this.receivedRequests.push(request) - 1;
+		const {crashCount} = this;
+		response.on('close', () => {
+			this.receivedEnds[index] = {endedMs: Date.now(), outcome: response.writableFinished ? 'answered' : (this.crashCount === crashCount ? 'broken-off' : 'crashed')};
+		});
 		this.receivedBodies.push(body);
 		this.receivedTimesMs.push(Date.now());
 		if (this.behaviourOverride !== undefined) {
@@ -220,7 +245,7 @@
 			return;
 		}
 
-		await sleep(this.options.workMs * this.slowness);
+		await sleep(this.workMsOf(request.url!) * this.slowness);
 		const hasSucceeded = await this.#sendNestedCalls(request, attemptId);
 		this.runningCount--;
 		this.answer(response, attemptId, hasSucceeded ? 200 : 500);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -9,10 +9,10 @@
 const AFTER_MS = 20_000;
 
 const request = (attemptId: string, more: Partial<SentRequest> = {}): SentRequest => ({
-	attemptId, stream: 'hot', path: '/orders/', key: 'key-hot-0', host: 1, sentMs: BEGIN_MS + AFTER_MS, endedMs: BEGIN_MS + AFTER_MS + 50, status: 200, isWhole: true, isNotRun: false, answeredAttemptId: attemptId, retryAfter: undefined, isOnUsedConnection: false, ...more,
+	attemptId, stream: 'hot', path: '/orders/', key: 'key-hot-0', host: 1, sentMs: BEGIN_MS + AFTER_MS, endedMs: BEGIN_MS + AFTER_MS + 50, status: 200, isWhole: true, isNotRun: false, answeredAttemptId: attemptId, retryAfter: undefined, isOnUsedConnection: false, lastByteMs: BEGIN_MS + AFTER_MS, isSigned: true, isRight: true, ...more,
 });
 const receipt = (attemptId: string, more: Partial<Receipt> = {}): Receipt => ({
-	attemptId, path: '/orders/', callerService: 'front', organisation: 'hot', hasAuthorization: false, atMs: BEGIN_MS + AFTER_MS + 10, hasRun: true, ...more,
+	attemptId, path: '/orders/', callerService: 'front', organisation: 'hot', hasAuthorization: false, atMs: BEGIN_MS + AFTER_MS + 10, hasRun: true, host: 2, ...more,
 });
 
 /** A run in which all went well: also the part after the faults. */
@@ -23,7 +23,7 @@
 		stream, key: `key-${stream}-0`, sentMs: CALM_MS + index, endedMs: CALM_MS + index + 9,
 	})));
 	return {
-		requests: [...requests, ...calm], receipts, history, isStrict: true, heldPaths: [], calmFromMs: CALM_MS, calmUntilMs: CALM_MS + 4000, ...more,
+		requests: [...requests, ...calm], receipts, begunAttemptIds: receipts.map(({attemptId}) => attemptId), history, isStrict: true, heldPaths: [], calmFromMs: CALM_MS, calmUntilMs: CALM_MS + 4000, ...more,
 	};
 }
 
@@ -41,6 +41,36 @@
 	return record;
 }
 
+/** Adds a SIGTERM of a host, so many ms before the usual request. */
+function stop(record: SoakRecord, host: number, beforeMs: number): SoakRecord {
+	record.history.disturbances.push({
+		fromMs: BEGIN_MS + AFTER_MS - beforeMs, untilMs: BEGIN_MS + AFTER_MS + 9000, what: 'stopped', host,
+	});
+	return record;
+}
+
+const pipelined = (more: Partial<SentRequest> = {}) => refused(0, {
+	stream: 'pipelined', path: '/kept/5-1-10-0-1', isWhole: false, isBehind: false, endedMs: BEGIN_MS + AFTER_MS + 150, ...more,
+});
+const upload = (more: Partial<SentRequest> = {}) => request('r', {path: '/upload/5-1-20-0-1', bodyDigest: 'sent', ...more});
+const cutStream = (more: Partial<SentRequest> = {}) => request('r', {
+	path: '/stream/5-20-10007-50-1', isWhole: false, endedMs: BEGIN_MS + AFTER_MS + 3000, ...more,
+});
+const run = (path: string, outcome: 'answered' | 'broken-off' | 'crashed', endedAfterMs = 3000, more: Partial<Receipt> = {}) => receipt('r', {path, end: {endedMs: BEGIN_MS + AFTER_MS + endedAfterMs, outcome}, ...more});
+const cutRun = (outcome: 'answered' | 'broken-off' | 'crashed', endedAfterMs?: number) => run('/stream/5-20-10007-50-1', outcome, endedAfterMs);
+const replaced = (more: Partial<SentRequest> = {}) => refused(502, {
+	path: '/kept/400-1-10-0-1', isSigned: false, endedMs: BEGIN_MS + AFTER_MS + 3000, ...more,
+});
+const replacedRun = (endedAfterMs = 3000) => run('/kept/400-1-10-0-1', 'broken-off', endedAfterMs);
+
+function endAlone(record: SoakRecord, afterMs: number): SoakRecord {
+	record.history.disturbances.push({
+		fromMs: BEGIN_MS, untilMs: BEGIN_MS + AFTER_MS, what: 'frozen', host: 1,
+	});
+	record.history.ownEnds.push({host: 1, atMs: BEGIN_MS + AFTER_MS + afterMs, how: 'SIGHUP'});
+	return record;
+}
+
 describe('a plan', () => {
 	it('is the same for the same seed, and another for another', () => {
 		expect(createPlan(5, 8000)).toEqual(createPlan(5, 8000));
@@ -66,6 +96,20 @@
 		expect(findViolations(createRecord([request('r')], [receipt('r'), receipt('r.0')]))).toEqual([]);
 	});
 
+	it.each<[string, () => SoakRecord]>([
+		['a request behind others on a connection that closed, not passed on', () => createRecord([pipelined({isBehind: true, endedMs: BEGIN_MS + AFTER_MS + 4000})])],
+		['a request that crosses the close of its connection', () => createRecord([pipelined()])],
+		['an upload whose last byte was never sent', () => createRecord([upload({status: 0, lastByteMs: undefined, isWhole: false})])],
+		['a streamed answer whose target crashes', () => createRecord([cutStream()], [cutRun('crashed')])],
+		['a streamed answer whose deadline is over', () => createRecord([cutStream({endedMs: BEGIN_MS + AFTER_MS + 4500})], [cutRun('broken-off')])],
+		['a streamed answer at the end of the grace period of its target\'s daemon', () => stop(createRecord([cutStream()], [cutRun('broken-off')]), 2, 2100)],
+		['a run that is broken off at the end of the grace period', () => stop(createRecord([replaced()], [replacedRun()]), 1, 2100)],
+		['a run whose answer another daemon\'s stop replaces', () => stop(createRecord([replaced()], [replacedRun()]), 2, 1000)],
+		['a daemon that ends within a moment after it stood still', () => endAlone(createRecord(), 900)],
+	])('allow %s', (_, create) => {
+		expect(findViolations(create())).toEqual([]);
+	});
+
 	it('hold a key against the sites that may be in force: late by the time of an outage where the operator isn\'t strict', () => {
 		const used = (isStrict: boolean) => withdraw(createRecord([request('r')], [receipt('r')], {isStrict}), 'key-hot-0', BEGIN_MS + AFTER_MS - 6000);
 		const away = used(false);
@@ -86,6 +130,20 @@
 		['a request that crashes targets is kept from them', () => poison(createRecord([], Array.from({length: 7}, (_, index) => receipt(`d${index}`, {path: DEADLY_PATH, atMs: BEGIN_MS + (index < 3 ? index : 5000 + index)}))))],
 		['has not run', () => createRecord([refused(401, {key: 'nobody-s-key'})], [receipt('r', {organisation: undefined, path: '/open/'})])],
 		['every accepted request is answered', () => createRecord([refused(0, {isWhole: false, error: 'ECONNRESET'})])],
+		['every accepted request is answered', () => createRecord([pipelined({isBehind: true})], [receipt('r', {path: '/kept/5-1-10-0-1', hasRun: false})])],
+		['every accepted request is answered', () => createRecord([pipelined()], [], {begunAttemptIds: ['r']})],
+		['every accepted request is answered', () => createRecord([pipelined({endedMs: BEGIN_MS + AFTER_MS + 250})])],
+		['every accepted request is answered', () => createRecord([upload({status: 0, isWhole: false})])],
+		['right answer', () => createRecord([request('r', {isRight: false})])],
+		['nothing runs unasked', () => createRecord([upload()], [receipt('r', {path: '/upload/5-1-20-0-1', bodyDigest: 'other'})])],
+		['at most once', () => createRecord([upload()], Array.from({length: 2}, () => receipt('r', {path: '/upload/5-1-20-0-1'})))],
+		['whole answer', () => createRecord([cutStream()], [cutRun('broken-off')])],
+		['whole answer', () => stop(createRecord([cutStream()], [cutRun('answered')]), 1, 0)],
+		['whole answer', () => stop(createRecord([cutStream()], [cutRun('broken-off', 2800)]), 1, 2100)],
+		['whole answer', () => stop(createRecord([cutStream({lastByteMs: BEGIN_MS + AFTER_MS + 1000})], [cutRun('broken-off')]), 1, 2100)],
+		['a stop breaks no run off', () => stop(createRecord([replaced()], [replacedRun()]), 1, 1000)],
+		['a stop breaks no run off', () => stop(createRecord([replaced({lastByteMs: BEGIN_MS + AFTER_MS + 1000})], [replacedRun()]), 1, 2100)],
+		['a daemon ends only when told to', () => endAlone(createRecord(), 1100)],
 		['401 only without a known key', () => createRecord([refused(401)])],
 		['withdrawn keys aren\'t in use', () => withdraw(createRecord([request('r')], [receipt('r')]), 'key-hot-0', BEGIN_MS + 1000)],
 		['withdrawn keys aren\'t in use', () => createRecord([request('r')], [receipt('r', {organisation: 'small-a'})])],
