A daemon handles signals and errors from the first statement of its start

Callers saw a daemon end by itself when the platform sent it SIGHUP shortly after its start, and SIGTERM at that time end it by the signal in place of the exit code 0.

The handlers were registered after the settings had been read and the parts created, that of unexpected errors after the start. Now they are the first that the process does: SIGHUP before there is anything to reload has no effect, as the settings are read afterwards, and SIGTERM ends the start in order.

What remains is the time before the process runs JavaScript, in which Node has reset the signals' handlers.

--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -29,25 +29,79 @@
 
 /** Runs the daemon of this host as this process, until it is told to stop. The process exits with 1 when the daemon can't start. */
 export async function runRelay(options: DaemonOptions): Promise<void> {
-	const log = new EventLog(new Logger(UNNAMED, 'info'), new SystemClock());
-	try {
-		await run(options, log);
-	} catch (error) {
-		log.warn('start_failed', {reason: (error as Error).message});
-		// eslint-disable-next-line unicorn/no-process-exit -- a start that fails is the end of the process
-		process.exit(1);
-	}
+	const daemon = new DaemonProcess(options);
+	await daemon.start();
 }
 
-async function run({settingsPath, decodeSettings, createAdapter}: DaemonOptions, log: EventLog): Promise<void> {
-	const file = new SettingsFile(settingsPath, decodeSettings);
-	const {relay: settings, storeAddress} = await file.readWhenValid({
-		maxMs: MAX_SETTINGS_WAIT_MS,
-		onWaiting(reason, waitedMs) {
-			log.warn('settings_rejected', {reason, waitedMs});
-		},
-	});
-	const apply = (read: () => DaemonSettings | undefined) => {
+/** The process of a daemon: reads the settings, and handles signals and what nothing else has handled. */
+class DaemonProcess {
+	readonly #options: DaemonOptions;
+	readonly #file: SettingsFile<DaemonSettings>;
+	readonly #log: EventLog;
+	#relay: Relay | undefined;
+	#graceMs = 0;
+
+	// The handlers come before all else: without them, a signal or an error ends the process.
+	constructor(options: DaemonOptions) {
+		process.on('SIGHUP', () => {
+			this.#reload();
+		});
+		process.on('SIGTERM', () => {
+			void this.#stop();
+		});
+		// An error that no task expected costs what that task was doing, and not all open requests with it.
+		process.on('uncaughtException', error => {
+			this.#onUnexpectedError(error);
+		});
+		this.#log = new EventLog(new Logger(UNNAMED, 'info'), new SystemClock());
+		this.#options = options;
+		this.#file = new SettingsFile(options.settingsPath, options.decodeSettings);
+	}
+
+	async start(): Promise<void> {
+		try {
+			await this.#start();
+		} catch (error) {
+			this.#log.warn('start_failed', {reason: (error as Error).message});
+			// eslint-disable-next-line unicorn/no-process-exit -- a start that fails is the end of the process
+			process.exit(1);
+		}
+	}
+
+	async #start(): Promise<void> {
+		const {relay: settings, storeAddress} = await this.#file.readWhenValid({
+			maxMs: MAX_SETTINGS_WAIT_MS,
+			onWaiting: (reason, waitedMs) => {
+				this.#log.warn('settings_rejected', {reason, waitedMs});
+			},
+		});
+		this.#graceMs = settings.graceMs;
+		this.#relay = new Relay(settings, this.#options.createAdapter(storeAddress), {
+			refreshSettings: () => {
+				this.#refresh();
+			},
+		});
+		setInterval(() => {
+			this.#refresh();
+		}, SETTINGS_CHECK_MS);
+		await this.#relay.start();
+	}
+
+	#reload(): void {
+		this.#apply(() => this.#file.read());
+	}
+
+	#refresh(): void {
+		this.#apply(() => this.#file.readIfChanged());
+	}
+
+	// Before there is a relay, the start reads the settings anyway.
+	#apply(read: () => DaemonSettings | undefined): void {
+		const relay = this.#relay;
+		if (relay === undefined) {
+			return;
+		}
+
 		try {
 			const changed = read();
 			if (changed !== undefined) {
@@ -55,39 +109,33 @@
 			}
 		} catch (error) {
 			relay.onInvalidSettings((error as Error).message);
-			setTimeout(refresh, SETTINGS_RECHECK_MS);
+			setTimeout(() => {
+				this.#refresh();
+			}, SETTINGS_RECHECK_MS);
 		}
-	};
-
-	const reload = () => {
-		apply(() => file.read());
-	};
+	}
 
-	const refresh = () => {
-		apply(() => file.readIfChanged());
-	};
+	async #stop(): Promise<void> {
+		if (this.#relay !== undefined) {
+			setTimeout(() => {
+				// eslint-disable-next-line unicorn/no-process-exit -- the platform kills the process when the grace period ends
+				process.exit(1);
+			}, this.#graceMs * FORCED_EXIT_GRACE_SHARE).unref();
+			await this.#relay.stop();
+		}
 
-	const relay = new Relay(settings, createAdapter(storeAddress), {refreshSettings: refresh});
-	const stop = async () => {
-		setTimeout(() => {
-			// eslint-disable-next-line unicorn/no-process-exit -- the platform kills the process when the grace period ends
-			process.exit(1);
-		}, settings.graceMs * FORCED_EXIT_GRACE_SHARE).unref();
-		await relay.stop();
 		// eslint-disable-next-line unicorn/no-process-exit -- open keep-alive connections would keep the process running
 		process.exit(0);
-	};
-
-	process.on('SIGTERM', () => {
-		void stop();
-	});
-	process.on('SIGHUP', reload);
-	setInterval(refresh, SETTINGS_CHECK_MS);
-	await relay.start();
-	// An error that no task expected costs what that task was doing, and not all open requests with it.
-	process.on('uncaughtException', error => {
-		if (!relay.survivesUnexpectedError(error)) {
+	}
+
+	#onUnexpectedError(error: Error): void {
+		if (this.#relay === undefined) {
+			this.#log.warn('unexpected_error', {reason: error.message, at: (error.stack ?? '').split('\n')[1]?.trim() ?? ''});
+		}
+
+		if (this.#relay?.survivesUnexpectedError(error) !== true) {
+			// eslint-disable-next-line unicorn/no-process-exit -- as without a handler
 			process.exit(1);
 		}
-	});
+	}
 }
