A daemon goes on when its log can't be written

Callers saw a daemon end by itself once the reader of its log was gone: the next line that it wrote ended it, and with it what it held. One whose log was a file that takes no more bytes never began to serve.

A write to standard output whose reader is gone raises an error event, which nothing handled: it was an uncaught error, whose line in the log raised the next, and more than 20 in 10 s end the process. A file is written at once, and a write that fails threw wherever the line was logged.

Lines that can't be written are now dropped, and so are those beyond 1 MiB that wait for a reader that stands still.

test/failures/lostlogreader.test.ts, real processes: with the reader gone, answered 1 of 800 messages, with a full file it was never ready; both hold now. With a full pipe it also held before: that nothing blocks is guarded, the bound on what waits is not tried by a run.

--- a/src/log/logger.ts
+++ b/src/log/logger.ts
@@ -1,5 +1,5 @@
-import process from 'node:process';
 import bunyan from 'bunyan';
+import {StandardOutput} from './standardoutput.js';
 
 /** The fields of one event besides those that every line has. */
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
@@ -8,9 +8,8 @@
 export class Logger {
 	readonly #bunyan: bunyan;
 
-	constructor(id: string, level: bunyan.LogLevelString, write: (line: string) => void = line => {
-		process.stdout.write(line);
-	}) {
+	/** @param write writes to standard output by default */
+	constructor(id: string, level: bunyan.LogLevelString, write = createWriter()) {
 		const stream = {
 			write(record: unknown) {
 				write(formatRecord(record as Record<string, unknown>));
@@ -32,6 +31,13 @@
 	}
 }
 
+function createWriter(): (line: string) => void {
+	const output = new StandardOutput();
+	return line => {
+		output.tryWrite(line);
+	};
+}
+
 const LEVELS: Record<number, string> = {
 	10: 'trace', 20: 'debug', 30: 'info', 40: 'warn', 50: 'error',
 };
--- a/standins/daemonprocess.ts
+++ b/standins/daemonprocess.ts
@@ -74,10 +74,10 @@
 		}, undefined, '\t');
 	}
 
-	/** Starts it with the settings file as it is. */
-	start(stdio: 'pipe' | 'ignore' = 'pipe'): ChildProcess {
+	/** Starts it with the settings file as it is. @param output where its output goes, `log` by default */
+	start(output: 'pipe' | number = 'pipe'): void {
 		const child = spawn(process.execPath, [...deployNodeFlags, '--snapshot-blob', path.join(bundle(), 'daemon.blob'), 'daemon'], {
-			env: {PATH: process.env.PATH, COMFREYDYKE_SETTINGS: this.settingsPath}, stdio: ['ignore', stdio, stdio],
+			env: {PATH: process.env.PATH, COMFREYDYKE_SETTINGS: this.settingsPath}, stdio: ['ignore', output, output],
 		});
 		const onOutput = (data: unknown) => {
 			this.log += String(data);
@@ -85,18 +85,23 @@
 
 		child.stdout?.on('data', onOutput);
 		child.stderr?.on('data', onOutput);
-		child.once('close', (code, signal) => {
+		child.once('exit', (code, signal) => {
 			this.end = code ?? signal!;
 		});
 		this.end = undefined;
 		this.#child = child;
-		return child;
 	}
 
 	/** Writes its settings and starts it. */
-	startWith(changes: Readonly<Record<string, unknown>> = {}): void {
+	startWith(changes: Readonly<Record<string, unknown>> = {}, output: 'pipe' | number = 'pipe'): void {
 		writeFileSync(this.settingsPath, this.formatSettings(changes));
-		this.start();
+		this.start(output);
+	}
+
+	/** Closes the reading ends of its output. */
+	closeOutput(): void {
+		this.#child!.stdout!.destroy();
+		this.#child!.stderr!.destroy();
 	}
 
 	kill(signal: NodeJS.Signals): void {
@@ -119,7 +124,7 @@
 		const child = this.#child;
 		if (child !== undefined && this.end === undefined) {
 			await new Promise(resolve => {
-				child.once('close', resolve);
+				child.once('exit', resolve);
 				child.kill('SIGKILL');
 			});
 		}
