--- a/standins/daemonprocess.ts
+++ b/standins/daemonprocess.ts
@@ -86,7 +86,9 @@
 		child.stdout?.on('data', onOutput);
 		child.stderr?.on('data', onOutput);
 		child.once('exit', (code, signal) => {
-			this.end = code ?? signal!;
+			if (this.#child === child) {
+				this.end = code ?? signal!;
+			}
 		});
 		this.end = undefined;
 		this.#child = child;
