On the product's own path, a join record names host and port and nothing else

Records without a port, with port 0, with a path or with a user's name were dialled, too.

Cause: an address had to make a URL, which admits more than host and port, and what no WebSocket can be opened to. The schema demands host and port, without leading zeros and from 1 to 65535.

The platform's stand-in keeps values as their writers sent them, so that it can hold deeply nested ones.

--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -57,6 +57,6 @@
 
 export const joinRecordSchema = z.strictObject({
 	id: z.string().min(1).max(100),
-	address: z.string().min(3).max(100).refine(address => URL.canParse(`ws://${address}`), 'expected HOST:PORT'),
+	address: z.string().max(100).regex(/^(?:\[[\da-f:.]+\]|[\w.\-]+):[1-9]\d{0,4}$/iv, 'expected HOST:PORT').refine(address => URL.canParse(`ws://${address}`), 'expected HOST:PORT'),
 	startMs: z.number().min(0),
 });
--- a/standins/daemonpair.ts
+++ b/standins/daemonpair.ts
@@ -75,10 +75,23 @@
 		return this.#daemons;
 	}
 
-	async start(): Promise<void> {
+	/** The platform's address, from `startPlatform` or `start` on. */
+	get platformUrl(): string {
+		return this.#platformUrl;
+	}
+
+	/** Starts the platform alone, so that a test can write to it before the daemons read it. */
+	async startPlatform(): Promise<void> {
 		const platformPort = await this.#platform.listen(PLATFORM_HOST, 0);
-		[this.port] = await findFreePorts(1);
 		this.#platformUrl = `http://${PLATFORM_HOST}:${platformPort}`;
+	}
+
+	async start(): Promise<void> {
+		if (this.#platformUrl === '') {
+			await this.startPlatform();
+		}
+
+		[this.port] = await findFreePorts(1);
 		await this.configure(['look', 'submit']);
 		await new Promise<void>(resolve => {
 			this.#target.listen(0, BACK, resolve);
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -5,7 +5,9 @@
 const MAX_VALUE_BYTES = 1_048_576;
 const SECOND_MS = 1000;
 
-type StoredObject = {key: string; version: number; value: unknown; deleted: boolean};
+/** The value is kept as its writer sent it, as it may be nested too deeply to be encoded again. */
+type StoredObject = {key: string; version: number; valueText: string; deleted: boolean};
+type Listing = {readonly version: number; readonly objects: readonly StoredObject[]};
 type WatchWaiter = {prefix: string; after: number; answer: () => void};
 
 /** Faults that tests inject into the platform. */
@@ -109,7 +111,7 @@
 		} else if (url.pathname === '/watch') {
 			this.#watch(url, request, response);
 		} else if (url.pathname === '/objects') {
-			sendJson(response, 200, this.#list(url.searchParams.get('prefix') ?? '', 0));
+			sendText(response, 200, formatListing(this.#list(url.searchParams.get('prefix') ?? '', 0)));
 		} else {
 			this.#get(response, parseObjectKey(url));
 		}
@@ -148,16 +150,16 @@
 			return;
 		}
 
-		let value: unknown;
+		const valueText = request.method === 'DELETE' ? 'null' : body.toString();
 		try {
-			value = request.method === 'DELETE' ? undefined : JSON.parse(body.toString());
+			JSON.parse(valueText);
 		} catch {
 			sendJson(response, 400, {error: 'value: expected JSON'});
 			return;
 		}
 
 		const stored = {
-			key, version: ++this.#version, value, deleted: request.method === 'DELETE',
+			key, version: ++this.#version, valueText, deleted: request.method === 'DELETE',
 		};
 		this.#objects.set(key, stored);
 		this.#history.push(stored);
@@ -176,7 +178,7 @@
 		if (found === undefined) {
 			sendJson(response, 404, {error: `key: no object named ${key}`});
 		} else {
-			sendJson(response, 200, found);
+			sendText(response, 200, formatObject(found));
 		}
 	}
 
@@ -185,14 +187,14 @@
 		const after = Number(url.searchParams.get('after') ?? 0);
 		const listing = this.#list(prefix, after);
 		if (listing.objects.length > 0) {
-			sendJson(response, 200, listing);
+			sendText(response, 200, formatListing(listing));
 			return;
 		}
 
 		const finish = () => {
 			clearTimeout(timer);
 			this.#waiters.delete(waiter);
-			sendJson(response, 200, this.#list(prefix, after));
+			sendText(response, 200, formatListing(this.#list(prefix, after)));
 		};
 
 		const waiter: WatchWaiter = {prefix, after, answer: finish};
@@ -212,12 +214,11 @@
 		}
 	}
 
-	#list(prefix: string, after: number): {version: number; objects: Array<Omit<StoredObject, 'deleted'>>} {
+	#list(prefix: string, after: number): Listing {
 		const version = Math.max(0, this.#version - this.faults.staleVersions);
 		const latest = this.faults.staleVersions === 0 ? this.#objects : this.#objectsAtVersion(version);
 		const objects = [...latest.values()]
-			.filter(object => !object.deleted && object.key.startsWith(prefix) && object.version > after)
-			.map(({key, version, value}) => ({key, version, value}));
+			.filter(object => !object.deleted && object.key.startsWith(prefix) && object.version > after);
 		return {version, objects};
 	}
 
@@ -230,9 +231,21 @@
 	return decodeURIComponent(url.pathname.replace(/^\/objects\//v, ''));
 }
 
+function formatObject({key, version, valueText}: StoredObject): string {
+	return `{"key":${JSON.stringify(key)},"version":${version},"value":${valueText}}`;
+}
+
+function formatListing({version, objects}: Listing): string {
+	return `{"version":${version},"objects":[${objects.map(object => formatObject(object)).join(',')}]}`;
+}
+
 function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	sendText(response, status, JSON.stringify(value));
+}
+
+function sendText(response: ServerResponse, status: number, text: string): void {
 	if (!response.destroyed) {
 		response.writeHead(status, {'content-type': 'application/json'});
-		response.end(JSON.stringify(value));
+		response.end(text);
 	}
 }
