On the product's own path, an object counts under its own key and with a generation that was written

Under the service's own key a sane generation that is written afterwards was not followed either.

Cause: the name in a value was never compared with its key, and a generation had no limit. Now name and key agree, for join records, too, and a generation is at most the version of the object in the store: each generation is a write, which raises it.

Before: oddproductentries.test.ts, "an odd object", 3 of 8 failed. Now: 8 of 8 pass; the 5 others (deep, endless and long ones) passed before and guard what held.

--- a/src/daemon/platformtask.ts
+++ b/src/daemon/platformtask.ts
@@ -1,3 +1,4 @@
+import type * as z from 'zod';
 import {type ConfigObject, type JoinRecord, type PlatformRequest} from '../core/index.js';
 import {configObjectSchema, joinRecordSchema} from '../config/index.js';
 import {
@@ -135,26 +136,33 @@
 
 	// An invalid object is skipped as a whole, so the configuration already in force stays.
 	#parseConfigObjects(stored: readonly StoredObject[]): ConfigObject[] {
-		return this.#keepValid(stored, value => configObjectSchema.safeParse(value));
+		return this.#keepValid(stored, configObjectSchema, ({name, generation}, {key, version}) => {
+			if (key !== CONFIG_PREFIX + name) {
+				return 'name: expected the name in the key';
+			}
+
+			// Each generation is a write, and each write raises the version.
+			return generation > version ? 'generation: expected at most the version in the store' : undefined;
+		});
 	}
 
 	#parseJoinRecords(stored: readonly StoredObject[]): JoinRecord[] {
-		return this.#keepValid(stored, value => joinRecordSchema.safeParse(value));
+		return this.#keepValid(stored, joinRecordSchema, ({id}, {key}) => key === JOIN_PREFIX + id ? undefined : 'id: expected the id in the key');
 	}
 
-	#keepValid<T>(stored: readonly StoredObject[], parse: (value: unknown) => {success: boolean; data?: T; error?: Error}): T[] {
-		const valid: T[] = [];
-		for (const {key, value} of stored) {
-			const {success, data, error} = parse(value);
-			if (success) {
-				valid.push(data as T);
-			} else {
-				this.#rejectedObjects++;
-				this.#log.error('object_rejected', {key, reason: error?.message.replaceAll(/\s+/gv, ' ') ?? ''});
+	/** @param findFault returns why a value of the right shape can't be what is stored there; undefined if it can */
+	#keepValid<T>(stored: readonly StoredObject[], schema: z.ZodType<T>, findFault: (value: T, object: StoredObject) => string | undefined): T[] {
+		return stored.flatMap(object => {
+			const {success, data, error} = schema.safeParse(object.value);
+			const reason = success ? findFault(data, object) : error.message.replaceAll(/\s+/gv, ' ');
+			if (success && reason === undefined) {
+				return [data];
 			}
-		}
 
-		return valid;
+			this.#rejectedObjects++;
+			this.#log.error('object_rejected', {key: object.key, reason: reason ?? ''});
+			return [];
+		});
 	}
 }
 
--- a/test/failures/oddproductentries.test.ts
+++ b/test/failures/oddproductentries.test.ts
@@ -5,6 +5,7 @@
 } from 'vitest';
 import {DaemonPair} from '../../standins/daemonpair.js';
 
+const DEEP = `${'{"a":'.repeat(170_000)}1${'}'.repeat(170_000)}`;
 const RECORDS = 30;
 
 let pair: DaemonPair;
@@ -47,3 +48,31 @@
 		expect(await pair.call('/back/look')).toBe(200);
 	}, 20_000);
 });
+
+describe('on the product\'s own path, an odd object among the configurations', () => {
+	// Guards against an object of another writer that no later configuration exceeds.
+	it.each([
+		['a large generation under another key', 'config/odd', '{"name":"service/back","generation":9007199254740991,"operationId":"a"}'],
+		['another key', 'config/odd', '{"name":"service/back","generation":3,"operationId":"a"}'],
+		['a large generation', 'config/service/back', '{"name":"service/back","generation":9007199254740991,"operationId":"a"}'],
+		['a number that has no end', 'config/service/back', '{"name":"service/back","generation":1e400,"operationId":"a"}'],
+		['a deep value', 'config/odd', DEEP],
+		['a deep specification', 'config/odd', `{"name":"odd","generation":1,"operationId":"a","spec":${DEEP}}`],
+		['a deep unknown field', 'config/service/back', `{"name":"service/back","generation":2,"operationId":"a","odd":${DEEP}}`],
+		['a long unknown field', 'config/odd', `{"${'x'.repeat(900_000)}":1}`],
+	])('with %s is refused, and what is written later is followed', async (_part, key, text) => {
+		await pair.start();
+		const answer = await fetch(`${pair.platformUrl}/objects/${encodeURIComponent('config/service/back')}`);
+		const before = await answer.json() as {value: unknown};
+		await write(key, text);
+		await write('joins/odd', text);
+		await expect.poll(() => errors.filter(line => line.includes('object_rejected')).length, {timeout: 5000}).toBeGreaterThan(0);
+		// The operator repairs what stands under the key of the service.
+		await write('config/service/back', JSON.stringify(before.value));
+		await pair.configure(['look']);
+		await expect.poll(async () => pair.call('/back/submit', 'POST'), {timeout: 5000}).toBe(404);
+		expect(await pair.call('/back/look')).toBe(200);
+		expect(unexpected()).toEqual([]);
+		expect(Math.max(...errors.map(line => line.length))).toBeLessThan(5000);
+	}, 20_000);
+});
