An age in a peer's news that is no time is no confirmation

The time of a daemon's next call to the store becomes NaN as well, and each call to the store is followed by the next at once: 2510 calls in 2 s by two daemons. With -1e308 or -1e15 the lease ends beyond what a timer can hold, so that it fires at once and is set again: 2535 and 2749 timers in 2 s.

Cause: the age was checked for its type alone. An age below 0 or none at all confirms nothing now; the next news does.

Before: oddentries.test.ts, "an odd age", 3 of 6 failed. Now: 6 of 6 pass.

--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -135,7 +135,8 @@
 
 	/** Takes in a peer's confirmation of a configuration. @returns whether it is so new that other peers should hear of it */
 	confirm(siteVersion: number, ageMs: number): boolean {
-		const isNew = siteVersion === (this.site?.version ?? 0) && this.#lease.confirm(this.#parts.clock.nowMs() - ageMs);
+		// A confirmation of the future would put off all later ones.
+		const isNew = ageMs >= 0 && siteVersion === (this.site?.version ?? 0) && this.#lease.confirm(this.#parts.clock.nowMs() - ageMs);
 		if (isNew) {
 			this.#scheduleLeaseEnd();
 		}
--- a/test/failures/oddentries.test.ts
+++ b/test/failures/oddentries.test.ts
@@ -3,10 +3,14 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import {WebSocket} from 'ws';
 import {Mesh, createRoute, createSiteSpec} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
 import {StoreError} from '../../src/relay/index.js';
+import {FrameTag} from '../../src/relay/peers/frame.js';
+import {PEER_PATH} from '../../src/relay/peers/link.js';
+import {pack} from '../../src/wire/index.js';
 
 const HOST_KIND = 'comfreydyke-hosts';
 const ODD_TARGET = {
@@ -140,3 +144,29 @@
 		expect(mesh.logLines.filter(line => line.includes('call stack'))).toEqual([]);
 	}, 20_000);
 });
+
+describe('an odd age in the news of a peer', () => {
+	// Guards against a busy loop of calls to the store, or of timers, once the time of the next call is no time.
+	it.each([Number.NaN, -1e308, -1e15, -1, 1e308, Number.POSITIVE_INFINITY])('of %s ms brings no more calls to the store', async ageMs => {
+		const warnings: Error[] = [];
+		const onWarning = (warning: Error) => {
+			warnings.push(warning);
+		};
+
+		process.on('warning', onWarning);
+		const {back, port} = await mesh.addPair();
+		const socket = new WebSocket(`ws://127.0.0.1:${back.settings.listen.peers.port}${PEER_PATH}`);
+		await new Promise(resolve => {
+			socket.on('open', resolve);
+		});
+		socket.send(pack([FrameTag.news, 1, ageMs, 0, null]));
+		const callsBefore = mesh.store.callCount;
+		await sleep(2000);
+		const calls = mesh.store.callCount - callsBefore;
+		socket.terminate();
+		process.off('warning', onWarning);
+		expect(calls).toBeLessThan(100);
+		expect(warnings.filter(({name}) => name === 'TimeoutOverflowWarning')).toEqual([]);
+		await expectStatus(port);
+	}, 20_000);
+});
