--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -23,6 +23,8 @@
 	readonly retryAfter: string | undefined;
 	/** Whether it was sent on a connection that had carried requests before. */
 	readonly isOnUsedConnection: boolean;
+	/** The time that it allows for its answer, in ms. */
+	readonly deadlineMs: number;
 	/** When its last byte was sent; undefined if it never was. */
 	readonly lastByteMs: number | undefined;
 	/** Whether the answer is a target's. */
@@ -121,7 +123,7 @@
 			const headers = {...createAttemptHeaders(attemptId, DEADLINE_MS), [meshHeaders.organisation]: 'forged', ...(key !== undefined && {authorization: `Bearer ${key}`})};
 			const end = (seen: Pick<SentRequest, 'status' | 'isWhole'> & Partial<SentRequest>) => {
 				this.requests.push({
-					attemptId, stream, path, key, host: host.index, sentMs, endedMs: Date.now(), isNotRun: false, answeredAttemptId: undefined, retryAfter: undefined, isOnUsedConnection: request.reusedSocket, lastByteMs: sentMs, isSigned: false, isRight: true, ...seen,
+					attemptId, stream, path, key, host: host.index, sentMs, endedMs: Date.now(), isNotRun: false, answeredAttemptId: undefined, retryAfter: undefined, isOnUsedConnection: request.reusedSocket, deadlineMs: DEADLINE_MS, lastByteMs: sentMs, isSigned: false, isRight: true, ...seen,
 				});
 				resolve();
 			};
--- a/soak/connectioncallers.ts
+++ b/soak/connectioncallers.ts
@@ -10,7 +10,7 @@
 import {PIPELINED_PREFIX, encodeWork} from './work.js';
 
 /** How long these requests may take, in ms: beyond the end of the grace period for those that come late in it. */
-export const LONG_DEADLINE_MS = 4500;
+const LONG_DEADLINE_MS = 4500;
 const CONNECTIONS_PER_HOST = 2;
 /** The mean pause between what is sent at once on a connection: of some connections there is always an answer due. */
 const MEAN_PAUSES_MS = [80, 400];
@@ -117,7 +117,7 @@
 					port: host.ports[0], attemptId, deadlineMs: LONG_DEADLINE_MS, agent,
 				}).then(outcome => {
 					this.#requests.push({
-						attemptId, stream: name, path: created.path, key: undefined, host: host.index, sentMs, endedMs: Date.now(), retryAfter: undefined, ...outcome,
+						attemptId, stream: name, path: created.path, key: undefined, host: host.index, deadlineMs: LONG_DEADLINE_MS, sentMs, endedMs: Date.now(), retryAfter: undefined, ...outcome,
 					});
 				});
 				this.#open.add(ended);
@@ -128,7 +128,7 @@
 
 	#record(stream: string, host: FleetHost, {headers, ...outcome}: PipelinedOutcome): void {
 		this.#requests.push({
-			...outcome, stream, key: undefined, host: host.index, endedMs: Date.now(), isNotRun: headers.has(meshHeaders.notRun), answeredAttemptId: headers.get(meshHeaders.attemptId), retryAfter: headers.get('retry-after'), isSigned: headers.has(meshHeaders.signature),
+			...outcome, stream, key: undefined, host: host.index, deadlineMs: LONG_DEADLINE_MS, endedMs: Date.now(), isNotRun: headers.has(meshHeaders.notRun), answeredAttemptId: headers.get(meshHeaders.attemptId), retryAfter: headers.get('retry-after'), isSigned: headers.has(meshHeaders.signature),
 		});
 	}
 }
--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -1,4 +1,3 @@
-import {LONG_DEADLINE_MS} from './connectioncallers.js';
 import {type SentRequest} from './callers.js';
 import {type Receipt, type SoakRecord, type Violation} from './checks.js';
 import {CONFIG_MS, GRACE_MS} from './fleet.js';
@@ -80,9 +79,11 @@
 }
 
 /** Whether an answer may end early: the target or its deadline ended it, a daemon on its way was killed or stood still, or the grace period of one ends. */
-function mayBreakOff({history}: SoakRecord, {host, sentMs, endedMs, lastByteMs}: SentRequest, runs: readonly Receipt[]): boolean {
+function mayBreakOff({history}: SoakRecord, {
+	host, sentMs, endedMs, deadlineMs, lastByteMs,
+}: SentRequest, runs: readonly Receipt[]): boolean {
 	const hosts = [host, ...runs.map(run => run.host)];
-	if (endedMs - sentMs >= LONG_DEADLINE_MS || runs.some(({end}) => end?.outcome === 'crashed')) {
+	if (endedMs - sentMs >= deadlineMs || runs.some(({end}) => end?.outcome === 'crashed')) {
 		return true;
 	}
 
