--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -94,7 +94,12 @@
 	/** Listens once a predecessor that drains has given the address up. */
 	async listen(): Promise<void> {
 		const {host: ip, port} = this.#options;
-		await listen(this.server, {ip, port}, {maxMs: HAND_OVER_MS});
+		await listen(this.server, {ip, port}, {
+			maxMs: HAND_OVER_MS,
+			onWaiting: (reason, waitedMs) => {
+				this.#log.warn('address_unavailable', {address: `${ip}:${port}`, reason, waitedMs});
+			},
+		});
 	}
 
 	/** Each response from now on closes its connection. */
