The end of the grace period writes the answers that wait behind one that it breaks off

A client with several requests at a time on a connection got only the first answer, 502, when the grace period ended while the first request was at work: those behind it had been answered by their target, waited for their turn, and were dropped.

At its end the daemon aborted what was open, and closed every connection in the same turn of the event loop. The server writes pipelined answers one after the other, each once the one before has been written, so the others came too late. It also closed its HTTP server by a method that destroys connections whose answers have ended and aren't written.

Now a connection closes once its answers are written, for which a stop leaves a twentieth of the grace period; all of it ends before the process is ended by force.

The test failed before with one and with five answers behind ([502] instead of [502, 200, ...]).

--- a/proof/rules/lifecycle.ts
+++ b/proof/rules/lifecycle.ts
@@ -47,7 +47,7 @@
 		sabotage: {
 			title: 'a stop closes open connections at once',
 			apply: () => replaceMethod(RequestServer.prototype, 'stop', function (this: RequestServer) {
-				this.close();
+				void this.close(0);
 			}),
 		},
 	},
--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -71,6 +71,9 @@
 		this.#unansweredRequests--;
 		this.#answeredBytes = this.#socket.bytesRead;
 		this.#unusedSinceMs = this.#nowMs();
+		if (this.#isClosed) {
+			this.close();
+		}
 	}
 
 	/** Whether requests behind the one of this answer have been read. */
@@ -86,7 +89,14 @@
 	/** Closes the connection unless it is in use. */
 	closeIfUnused(): void {
 		if (!this.isInUse()) {
-			this.#isClosed = true;
+			this.close();
+		}
+	}
+
+	/** Closes the connection once the answers that are due on it are written. */
+	close(): void {
+		this.#isClosed = true;
+		if (this.#unansweredRequests === 0) {
 			closeLingering(this.#socket);
 		}
 	}
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -2,6 +2,7 @@
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {sleep} from '../../clock/index.js';
 import {
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
@@ -159,16 +160,23 @@
 		}
 	}
 
-	/** Aborts the requests that are still open and closes all connections. */
-	close(): void {
-		this.#server.close();
+	/**
+	 * Aborts the requests that are still open and closes all connections, once the answers that wait on them are written.
+	 * @param maxMs how long it waits for that, in ms
+	 */
+	async close(maxMs: number): Promise<void> {
+		void stopListening(this.#server, 0);
 		for (const exchange of this.#exchanges) {
 			exchange.abort();
 		}
 
-		for (const socket of this.#connections.keys()) {
-			socket.end();
-		}
+		const closed = [...this.#connections].map(async ([socket, connection]) => {
+			connection.close();
+			await new Promise(resolve => {
+				socket.once('close', resolve);
+			});
+		});
+		await Promise.race([Promise.all(closed), sleep(maxMs)]);
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -37,6 +37,8 @@
 const DRAIN_SHARE = 0.6;
 /** The fraction of the grace period after which a stopping daemon ends even if calls are still open. */
 const STOP_SHARE = 0.84;
+/** The fraction of the grace period in which the answers that are there by then are written. */
+const LAST_ANSWERS_SHARE = 0.05;
 const STOP_CHECK_INTERVAL_MS = 50;
 /** How long before the end of the lame-duck period a stopping daemon starts to refuse calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
@@ -325,7 +327,7 @@
 		this.#log.event('stopped', {
 			open: this.#requestServer.openRequests, connections: this.#requestServer.openConnections, running: this.#targetOwner.running, tookMs: Math.round(this.#clock.nowMs() - startMs),
 		});
-		this.#requestServer.close();
+		await this.#requestServer.close(this.#settings.graceMs * LAST_ANSWERS_SHARE);
 		this.#announcementEndpoint.close();
 		this.#readinessEndpoint.close();
 		this.#metricsEndpoint.close();
