The answer to what is no request ends its connection in two steps, too

A client that sends something that is no request, stays, and never closes its side kept its connection open for ever: the daemon had only half-closed it. On the product's own path what comes behind the last answer is no bad input any more.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -71,15 +71,8 @@
 				this.#closingAnswers.delete(socket);
 			});
 		});
-		this.server.on('clientError', (error, socket) => {
-			this.#rejectedRequests++;
-			if (this.#closingAnswers.get(socket as Socket)?.isAnswering === true) {
-				// A response here would be taken for the answer to an earlier request.
-				socket.destroy();
-				return;
-			}
-
-			socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#onClientError(error, socket);
 		});
 		bus.handle('respond', ({id, answer}) => {
 			this.#respond(id, answer);
@@ -146,6 +139,23 @@
 		});
 	}
 
+	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
+			// What comes after the last answer is for nobody.
+			return;
+		}
+
+		this.#rejectedRequests++;
+		if (this.#closingAnswers.get(socket)?.isAnswering === true) {
+			// A response here would be taken for the answer to an earlier request.
+			socket.destroy();
+			return;
+		}
+
+		socket.write('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+		socket.destroySoon();
+	}
+
 	#readBody(request: IncomingMessage, response: ServerResponse, onBody: (body: Buffer) => void): void {
 		const collected = new BodyCollector();
 		let length = 0;
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -324,7 +324,8 @@
 		if (isAnswering) {
 			socket.destroy();
 		} else {
-			socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			socket.destroySoon();
 		}
 	}
 
--- a/test/failures/productstop.test.ts
+++ b/test/failures/productstop.test.ts
@@ -10,6 +10,9 @@
 /** The stop must end within this time, whatever clients send, in ms. */
 const MAX_STOP_MS = 4000;
 
+/** More than a client's own buffer takes, and less than the daemon's. */
+const LARGE_BYTES = 400_000;
+
 /** The address of the first daemon. */
 const FRONT = '127.0.3.1';
 
@@ -144,6 +147,35 @@
 		expect(text.match(/HTTP\/1\.1 200/gv) ?? []).toHaveLength(ran.length);
 	});
 
+	// Guards against an answer that the kernel drops as it resets a closed connection on which a request still comes.
+	it('sends an answer whole that its client reads late, with a request behind it', async () => {
+		pair.onRequest = socket => {
+			setTimeout(() => {
+				socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n${'x'.repeat(LARGE_BYTES)}`);
+			}, 150);
+		};
+
+		const socket = connect(pair.port, FRONT);
+		socket.pause();
+		socket.write(`${HEAD}\r\n`);
+		await sleep(50);
+		const stopped = pair.daemons[0].stop();
+		await sleep(800);
+		socket.write(`${HEAD}\r\n`);
+		await sleep(100);
+		let length = 0;
+		const closed = new Promise(resolve => {
+			socket.on('error', () => undefined);
+			socket.on('data', bytes => {
+				length += bytes.length;
+			});
+			socket.on('close', resolve);
+		});
+		socket.resume();
+		await Promise.all([closed, stopped]);
+		expect(length).toBeGreaterThan(LARGE_BYTES);
+	});
+
 	it('is reported if it closes at once', async () => {
 		vi.spyOn(RequestServer.prototype, 'stopAccepting').mockImplementation(async function (this: RequestServer) {
 			this.server.close();
