An answer to a rejected request isn't lost to what the client sends behind it

What callers saw: no 400 or 431, and a reset, if they were still sending; a proper request's answer lost to a malformed one behind an answer that closes the connection; and a stop that lasted until the end of its time beside a client that keeps a rejected connection open.

Cause: the rejection half-closed the connection, and the parser's next error destroyed it, with unread bytes and at once; without one, nothing closed it.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -120,6 +120,23 @@
 		})))]);
 	}
 
+	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
+			// What comes behind the last answer is for nobody.
+			return;
+		}
+
+		this.#rejectedRequests++;
+		if (this.#closingAnswers.get(socket)?.isAnswering === true) {
+			// A response here would be taken for the answer to an earlier request.
+			socket.destroy();
+			return;
+		}
+
+		socket.write('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+		socket.destroySoon();
+	}
+
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
 		const closingAnswer = this.#closingAnswers.get(request.socket)!;
 		if (closingAnswer.isSettled) {
@@ -139,23 +156,6 @@
 		});
 	}
 
-	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
-			// What comes after the last answer is for nobody.
-			return;
-		}
-
-		this.#rejectedRequests++;
-		if (this.#closingAnswers.get(socket)?.isAnswering === true) {
-			// A response here would be taken for the answer to an earlier request.
-			socket.destroy();
-			return;
-		}
-
-		socket.write('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
-		socket.destroySoon();
-	}
-
 	#readBody(request: IncomingMessage, response: ServerResponse, onBody: (body: Buffer) => void): void {
 		const collected = new BodyCollector();
 		let length = 0;
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -313,6 +313,11 @@
 	}
 
 	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
+			// What comes behind the last answer is for nobody.
+			return;
+		}
+
 		this.#options.log.registry.count('bad_input', {address: 'requests'});
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
