A stopping daemon waits until its peers have closed their links

What callers saw: an answer that the target had given broke off midway, or was replaced by a 502 or a repeat, when the daemon beside the target stopped.

The process ended with its links half closed; what a peer sent behind that (credit, pings, gossip, calls) was answered by the kernel with a reset, which drops what the peer hasn't received. Only bytes that the socket hadn't taken were waited for.

Now the links are closed by both sides before the process ends, for which a stop waits a second at most, within its grace period. The peers' address is given up after that, so that a successor still waits for it.

--- a/src/relay/peers/peerserver.ts
+++ b/src/relay/peers/peerserver.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Server, createServer} from 'node:http';
 import {type WebSocket, WebSocketServer} from 'ws';
-import {type Clock} from '../../clock/index.js';
+import {type Clock, sleep} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {type LoadReport} from '../../mesh/index.js';
 import {type ListenPatience, MAX_FRAME_BYTES, listen} from '../../wire/index.js';
@@ -85,11 +85,13 @@
 		}
 	}
 
-	close(): void {
-		for (const link of this.#links) {
-			link.close();
-		}
-
+	/**
+	 * Closes the links, and gives the address up once the peers have closed them, too: what they send to a process that has ended
+	 * would reset a link with answers on their way.
+	 * @param maxMs how long it waits for the peers, in ms
+	 */
+	async close(maxMs: number): Promise<void> {
+		await Promise.race([Promise.all([...this.#links].map(async link => link.close())), sleep(maxMs)]);
 		this.#webSocketServer.close();
 		this.#server.close();
 		this.#parts.log.event('peers_closed');
@@ -142,8 +144,13 @@
 		}
 	}
 
-	close(): void {
+	/** Resolves when the peer has closed the link, too. */
+	async close(): Promise<void> {
+		const closed = new Promise(resolve => {
+			this.#socket.once('close', resolve);
+		});
 		this.#socket.close();
+		await closed;
 	}
 
 	/** Removes a call that ended, and sends the known floors to its sender unless that was done recently. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -39,6 +39,9 @@
 const STOP_SHARE = 0.84;
 /** The fraction of the grace period in which the answers that are there by then are written. */
 const LAST_ANSWERS_SHARE = 0.05;
+/** The fraction of the grace period after which a stopping daemon waits for its peers no longer, and how long it waits for them at most, in ms. */
+const CLOSED_SHARE = 0.91;
+const CLOSE_LINKS_MS = 1000;
 const STOP_CHECK_INTERVAL_MS = 50;
 /** How long before the end of the lame-duck period a stopping daemon starts to refuse calls, in ms: most runs end within it. */
 const LAST_CALLS_MS = 600;
@@ -331,7 +334,7 @@
 		this.#announcementEndpoint.close();
 		this.#readinessEndpoint.close();
 		this.#metricsEndpoint.close();
-		this.#peerServer.close();
+		await this.#peerServer.close(Math.max(0, Math.min(CLOSE_LINKS_MS, startMs + (this.#settings.graceMs * CLOSED_SHARE) - this.#clock.nowMs())));
 		this.#links.close();
 		this.#shareExchange.close();
 		this.#quarantineExchange.close();
