--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -165,7 +165,6 @@
 	 * @param maxMs how long it waits for that, in ms
 	 */
 	async close(maxMs: number): Promise<void> {
-		void stopListening(this.#server, 0);
 		for (const exchange of this.#exchanges) {
 			exchange.abort();
 		}
@@ -176,7 +175,7 @@
 				socket.once('close', resolve);
 			});
 		});
-		await Promise.race([Promise.all(closed), sleep(maxMs)]);
+		await Promise.all([stopListening(this.#server, 0), Promise.race([Promise.all(closed), sleep(maxMs)])]);
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
