The soak doesn't count pipelined requests whose deadline is over

The rule doesn't count a request whose deadline was reached. Clients that stay away from a daemon that stops are held to an answer in any case, as before.

--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -21,13 +21,17 @@
 export function * checkAnswered({requests, begunAttemptIds, history}: SoakRecord): Iterable<Violation> {
 	const begun = new Set(begunAttemptIds);
 	for (const request of requests) {
-		const {attemptId, status, error, host, sentMs, endedMs, lastByteMs, isBehind, isOnUsedConnection} = request;
+		const {
+			attemptId, status, error, host, sentMs, endedMs, deadlineMs, lastByteMs, isBehind, isOnUsedConnection,
+		} = request;
 		const isExcused = error === REFUSED || history.isDisturbed(['killed'], sentMs, endedMs, host)
 			// A process that stood still has less of its grace left.
 			|| (history.isDisturbed(['stopped'], sentMs, endedMs, host) && history.isDisturbed(['frozen'], sentMs - CONFIG_MS, endedMs, host));
 		// Without its last byte a request can't have been read; on a connection that is used until it is closed, one may cross the close.
 		const isRead = lastByteMs !== undefined && (isBehind === undefined || begun.has(attemptId) || (!isBehind && endedMs > lastByteMs + LOSS_SLACK_MS));
-		if (status === 0 && isRead && !isExcused) {
+		// An answer before it that is cut at its deadline resets the connection.
+		const isOver = isBehind !== undefined && endedMs - sentMs >= deadlineMs;
+		if (status === 0 && isRead && !isOver && !isExcused) {
 			yield {promise: 'every accepted request is answered', attemptId, detail: `${String(error)} after ${endedMs - sentMs} ms at host ${host}${isOnUsedConnection ? ', on a kept connection' : ''}${begun.has(attemptId) ? ', passed on to a target' : ''}`};
 		}
 	}
