--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -122,7 +122,7 @@
 
 	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
 		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
-			// What comes behind the last answer is for nobody.
+			// Bytes behind the last answer are ignored.
 			return;
 		}
 
