--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -99,7 +99,7 @@
 	readonly #connection: TargetConnection;
 
 	constructor(origin: URL, options: object) {
-		const connection = {wasReset: false, socket: undefined};
+		const connection: TargetConnection = {wasReset: false, end: 'open', socket: undefined};
 		super(origin, {...options, connect: markResets(connection, CONNECT_TIMEOUT_MS)});
 		this.#connection = connection;
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -111,7 +111,7 @@
 		this.#quarantine = new Quarantine(settings.quarantineMs);
 		this.#lifecycle = new TargetLifecycle(settings.drainMs * DRAIN_SHARE);
 		this.#targetSignals = new TargetSignalTable(settings.drainMs * DRAIN_SHARE);
-		this.#targetClient = new TargetClient(settings.target, adapter, nowMs);
+		this.#targetClient = new TargetClient(settings.target, adapter, nowMs, this.#log);
 		this.#targetOwner = new TargetOwner({
 			clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, target: settings.target, loadShedder: this.#loadShedder,
 			onSlowness: slowness => {
--- a/src/relay/target/ownedcall.ts
+++ b/src/relay/target/ownedcall.ts
@@ -24,6 +24,8 @@
 	abstract onRunFailed(owned: OwnedCall, reason: FailureReason): void;
 	/** Called when the connection of a run broke. @param settle called within moments with whether the target has crashed */
 	abstract onRunLost(owned: OwnedCall, settle: (reason: FailureReason) => void): void;
+	/** Called when a whole answer ended with its connection. */
+	abstract onUnframedAnswer(owned: OwnedCall): void;
 	abstract onUnreachable(owned: OwnedCall): void;
 	abstract onMisdirected(owned: OwnedCall): void;
 	/** Called with what the target says of itself in its answer to the call. */
@@ -59,6 +61,7 @@
 	readonly #arrivedMs: number;
 	readonly #nestedTime = new BusyTime();
 	#isStreamed = false;
+	#isUnframed = false;
 	#answer: RunOutcome = 'lost';
 	#pendingChunks: Array<{bytes: Buffer; isLast: boolean}> = [];
 	#isOver = false;
@@ -166,6 +169,7 @@
 	// Called by the run at the target.
 
 	onHead(head: AnswerHead, body: Buffer, isWhole: boolean): void {
+		this.#isUnframed = head.isUnframed;
 		this.#answer = head.status < 500 ? 'answered' : (this.hasNestedFailure ? 'failed-below' : 'failed');
 		if (isWhole) {
 			this.#end(true, this.#answer);
@@ -241,6 +245,10 @@
 
 	#end(isServed: boolean, outcome: RunOutcome): void {
 		this.#isOver = true;
+		if (isServed && this.#isUnframed) {
+			this.#owner.onUnframedAnswer(this);
+		}
+
 		this.#owner.onRunEnded(this, isServed, outcome);
 	}
 
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -2,6 +2,7 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type TargetSignals} from '../../mesh/index.js';
+import {type ConnectionEnd} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
@@ -32,6 +33,7 @@
 /** What a run needs from the connection that it uses. */
 export type RunConnection = {
 	readonly wasReset: () => boolean;
+	readonly end: () => ConnectionEnd;
 	readonly unknownHeaders: UnknownHeaders;
 	/** The bytes that the connection has received since it was opened. */
 	readonly receivedBytes: () => number;
@@ -115,6 +117,11 @@
 		};
 	}
 
+	/** What shows whether its answer was whole: the bytes of the body, whether the connection had carried another answer before, and how it ended. */
+	describe(): {readonly bodyBytes: number; readonly connection: 'new' | 'reused'; readonly end: ConnectionEnd} {
+		return {bodyBytes: this.#bodyBytes, connection: this.#receivedBytesBefore > 0 ? 'reused' : 'new', end: this.#connection.end()};
+	}
+
 	/** Sends another chunk of a streamed request body. */
 	write(bytes: Buffer, isLast: boolean): void {
 		if (this.#bodyStream === undefined || this.#isOver) {
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -1,4 +1,5 @@
 import {Client} from 'undici';
+import {type EventLog} from '../../log/index.js';
 import {IdleConnectionLimit, type TargetSignals} from '../../mesh/index.js';
 import {type TargetConnection, markResets} from '../../wire/index.js';
 import {type Adapter, type HeaderNames} from '../adapter.js';
@@ -26,14 +27,16 @@
 	readonly #origin: string;
 	readonly #idleLimit = new IdleConnectionLimit();
 	readonly #unknownHeaders: UnknownHeaders;
+	readonly #log: EventLog;
 	#noReuseUntilMs = 0;
 	#generation = 0;
 
-	constructor(address: Address, {headers, headerPrefixes}: Pick<Adapter, 'headers' | 'headerPrefixes'>, nowMs: () => number) {
+	constructor(address: Address, {headers, headerPrefixes}: Pick<Adapter, 'headers' | 'headerPrefixes'>, nowMs: () => number, log: EventLog) {
 		this.#origin = originOf(address);
 		this.#names = headers;
 		this.#unknownHeaders = new UnknownHeaders(headers, headerPrefixes);
 		this.#nowMs = nowMs;
+		this.#log = log;
 	}
 
 	/** Closes all idle connections, and those in use once their request ends, because the target was replaced. */
@@ -67,6 +70,7 @@
 		const generation = this.#generation;
 		const run = new Run(call, this.#names, sink, {
 			wasReset: () => connection.wasReset,
+			end: () => connection.end,
 			receivedBytes: () => connection.socket?.bytesRead ?? 0,
 			unknownHeaders: this.#unknownHeaders,
 			onLost: () => {
@@ -100,13 +104,16 @@
 	}
 
 	#openConnection(): Connection {
-		const connection: ConnectionState = {wasReset: false, socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY};
+		const connection: ConnectionState = {
+			wasReset: false, end: 'open', socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY,
+		};
 		const client = new Client(this.#origin, {
 			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection, CONNECT_TIMEOUT_MS), maxHeaderSize: MAX_HEADER_BYTES,
 		});
 		client.on('disconnect', (_origin, _targets, error) => {
 			// The target sent bytes that belong to no request: a surplus answer, or data that isn't HTTP.
 			if (error.name === 'HTTPParserError') {
+				this.#log.event('target_surplus_bytes', {target: this.#origin, reason: error.message});
 				this.#suspendReuse();
 			}
 		});
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -243,6 +243,15 @@
 		this.onOutcome(owned, true);
 		this.#options.log.event('run_failed', {
 			attempt: call.attemptId, route: call.template.route, reason, instance: call.instance, ranMs: Math.round(this.#options.clock.nowMs() - startedMs), leftMs: Math.round(call.leftMs),
+			...owned.run?.describe(),
+		});
+	}
+
+	override onUnframedAnswer({call: {attemptId, template: {route}, instance}, run}: OwnedCall): void {
+		const description = run!.describe();
+		this.#options.log.registry.count('unframed_answers', {connection: description.connection, end: description.end});
+		this.#options.log.event('answer_unframed', {
+			attempt: attemptId, route, instance, ...description,
 		});
 	}
 
