A reset that is read late no longer ends an answer without a length

Callers got a part of an answer as the whole (MIXED): its target reset the connection behind the part, and the daemon read both in one turn of its event loop. libuv then reports an end and never asks for the error, and undici completes the answer; after an error for the reset it does, too.

One connector now opens the connections to targets, for health checks and to the platform's store: an end without a known peer is an error, and a reset is no longer named so that the HTTP client takes it for an end. wasReset goes, as nobody has to ask after the event. A health check counts once its answer is whole.

--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -1,8 +1,8 @@
 import {type Buffer} from 'node:buffer';
-import {Client, type Dispatcher, Pool} from 'undici';
+import {type Dispatcher, Pool} from 'undici';
 import {type Output} from '../core/index.js';
 import {
-	type HttpMessage, type TargetConnection, filterForwardableHeaders, header, markResets,
+	type HttpMessage, createOrderlyConnector, filterForwardableHeaders, header,
 } from '../wire/index.js';
 import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
@@ -41,7 +41,7 @@
 			this.#origin = origin;
 			this.#pool = new Pool(origin, {
 				connections, pipelining: 1, keepAliveTimeout: IDLE_TIMEOUT_MS, headersTimeout: 0, bodyTimeout: 0,
-				factory: (...args) => new TrackedClient(...args),
+				connect: createOrderlyConnector({timeoutMs: CONNECT_TIMEOUT_MS}),
 			});
 		}
 	}
@@ -69,10 +69,7 @@
 			method: (message.method ?? 'GET'),
 			headers: this.#buildHeaders(output, message, context),
 			body: message.body.length > 0 ? message.body : null,
-			onConnection(connection) {
-				run.connection = connection;
-			},
-		} satisfies TrackedOptions as Dispatcher.DispatchOptions, run);
+		}, run);
 	}
 
 	#buildHeaders(output: Dispatch, message: HttpMessage, context: string): string[] {
@@ -91,31 +88,10 @@
 	}
 }
 
-/** Options of a request that wants to know its connection. */
-type TrackedOptions = Dispatcher.DispatchOptions & {readonly onConnection: (connection: TargetConnection) => void};
-
-/** One connection of the pool, which tells each request how it ended. */
-class TrackedClient extends Client {
-	readonly #connection: TargetConnection;
-
-	constructor(origin: URL, options: object) {
-		const connection: TargetConnection = {wasReset: false, end: 'open', socket: undefined};
-		super(origin, {...options, connect: markResets(connection, CONNECT_TIMEOUT_MS)});
-		this.#connection = connection;
-	}
-
-	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		(options as TrackedOptions).onConnection(this.#connection);
-		return super.dispatch(options, handler);
-	}
-}
-
 type ReportResult = (result: Extract<Parameters<MessageBus['send']>[0], {type: 'target'}>['result']) => void;
 
 /** One request to the target: collects the whole response, or reports whether the request was sent before it failed. */
 class Run implements Dispatcher.DispatchHandler {
-	/** Undefined until the request has got one. */
-	connection: TargetConnection | undefined;
 	readonly #context: string;
 	readonly #maxBodyBytes: number;
 	readonly #reportResult: ReportResult;
@@ -180,11 +156,6 @@
 	}
 
 	onResponseEnd(): void {
-		if (this.connection?.wasReset === true) {
-			this.#finish({kind: 'broken', isLost: true});
-			return;
-		}
-
 		const payload: HttpMessage = {status: this.#status, headers: this.#headers, body: this.#body.toBuffer()};
 		this.#finish({
 			kind: 'whole', status: this.#status, payload, claimsNotRun: this.#claimsNotRun,
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -2,7 +2,6 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type TargetSignals} from '../../mesh/index.js';
-import {type ConnectionEnd} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
@@ -32,8 +31,6 @@
 
 /** What a run needs from the connection that it uses. */
 export type RunConnection = {
-	readonly wasReset: () => boolean;
-	readonly end: () => ConnectionEnd;
 	readonly unknownHeaders: UnknownHeaders;
 	/** The bytes that the connection has received since it was opened. */
 	readonly receivedBytes: () => number;
@@ -74,7 +71,10 @@
 	#bufferedBytes = 0;
 	#bodyBytes = 0;
 	#interimAnswers = 0;
-	readonly #receivedBytesBefore: number;
+	/** What the connection had received before this request. */
+	#receivedBytesBefore = 0;
+	/** Why the connection ended before the answer did. */
+	#lossCause: string | undefined;
 	#unreportedBytes = 0;
 	#isStreaming = false;
 	#isOver = false;
@@ -85,7 +85,6 @@
 		this.#names = names;
 		this.#sink = sink;
 		this.#connection = connection;
-		this.#receivedBytesBefore = connection.receivedBytes();
 		if (call.hasMoreBody) {
 			this.#bodyStream = new Readable({
 				read: () => {
@@ -117,9 +116,9 @@
 		};
 	}
 
-	/** What shows whether its answer was whole: the bytes of the body, whether the connection had carried another answer before, and how it ended. */
-	describe(): {readonly bodyBytes: number; readonly connection: 'new' | 'reused'; readonly end: ConnectionEnd} {
-		return {bodyBytes: this.#bodyBytes, connection: this.#receivedBytesBefore > 0 ? 'reused' : 'new', end: this.#connection.end()};
+	/** What shows whether its answer was whole: the bytes of the body, whether the connection had carried another answer before, and why it was lost. */
+	describe(): {readonly bodyBytes: number; readonly connection: 'new' | 'reused'; readonly cause?: string} {
+		return {bodyBytes: this.#bodyBytes, connection: this.#receivedBytesBefore > 0 ? 'reused' : 'new', ...(this.#lossCause !== undefined && {cause: this.#lossCause})};
 	}
 
 	/** Sends another chunk of a streamed request body. */
@@ -172,6 +171,7 @@
 
 	onConnect(abort: (error?: Error) => void): void {
 		this.#abortRequest = abort;
+		this.#receivedBytesBefore = this.#connection.receivedBytes();
 		if (this.#isOver) {
 			abort(new Error('cancelled'));
 		}
@@ -245,11 +245,6 @@
 			return;
 		}
 
-		if (this.#connection.wasReset()) {
-			this.#fail('broken');
-			return;
-		}
-
 		this.#isOver = true;
 		this.#bodyStream?.destroy();
 		// If the target repeats an answer that names no attempt, nothing tells it from the answer to the next request.
@@ -272,6 +267,7 @@
 		if ((error as NodeJS.ErrnoException).code === INVALID_REQUEST_CODE && !this.#isOver) {
 			this.#endNotRun('malformed');
 		} else {
+			this.#lossCause ??= error.message;
 			this.#onLost();
 		}
 	}
--- a/src/relay/target/targetclient.ts
+++ b/src/relay/target/targetclient.ts
@@ -1,7 +1,8 @@
+import {type Socket} from 'node:net';
 import {Client} from 'undici';
 import {type EventLog} from '../../log/index.js';
 import {IdleConnectionLimit, type TargetSignals} from '../../mesh/index.js';
-import {type TargetConnection, markResets} from '../../wire/index.js';
+import {createOrderlyConnector} from '../../wire/index.js';
 import {type Adapter, type HeaderNames} from '../adapter.js';
 import {type Call} from '../call.js';
 import {type Address} from '../settings.js';
@@ -13,6 +14,8 @@
 const CONNECT_TIMEOUT_MS = 1000;
 /** The timeout of a health check, in ms; it waits for a slot like any other request. */
 const PROBE_TIMEOUT_MS = 1000;
+/** The largest body of its answer, in bytes. */
+const MAX_PROBE_BYTES = 1_048_576;
 /** How long connections aren't reused after the target sent bytes that belong to no request, in ms. */
 const NO_REUSE_MS = 5000;
 
@@ -49,12 +52,13 @@
 	 * Sends one health check to the target.
 	 * @returns its id, its load header and what else it says of itself, if it answers 200 with the first two
 	 * @throws {DecodeError} when what it says of itself is malformed
+	 * @throws {Error} when its answer isn't whole in time, or too large
 	 */
 	async probe(path: string): Promise<{id: string; load: string; signals: TargetSignals} | undefined> {
-		const client = new Client(this.#origin);
+		const client = new Client(this.#origin, {maxResponseSize: MAX_PROBE_BYTES, connect: createOrderlyConnector({timeoutMs: PROBE_TIMEOUT_MS})});
 		try {
 			const response = await client.request({method: 'GET', path, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
-			await response.body.dump();
+			await response.body.text();
 			const id = response.headers[this.#names.instance];
 			const load = response.headers[this.#names.load];
 			return response.statusCode === 200 && typeof id === 'string' && typeof load === 'string' ? {id, load, signals: readTargetSignals(response.headers, this.#names)} : undefined;
@@ -69,8 +73,6 @@
 		const idleMs = this.#nowMs() - connection.idleSinceMs;
 		const generation = this.#generation;
 		const run = new Run(call, this.#names, sink, {
-			wasReset: () => connection.wasReset,
-			end: () => connection.end,
 			receivedBytes: () => connection.socket?.bytesRead ?? 0,
 			unknownHeaders: this.#unknownHeaders,
 			onLost: () => {
@@ -104,11 +106,15 @@
 	}
 
 	#openConnection(): Connection {
-		const connection: ConnectionState = {
-			wasReset: false, end: 'open', socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY,
-		};
+		const connection: ConnectionState = {socket: undefined, idleSinceMs: Number.POSITIVE_INFINITY};
 		const client = new Client(this.#origin, {
-			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: markResets(connection, CONNECT_TIMEOUT_MS), maxHeaderSize: MAX_HEADER_BYTES,
+			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, maxHeaderSize: MAX_HEADER_BYTES,
+			connect: createOrderlyConnector({
+				timeoutMs: CONNECT_TIMEOUT_MS,
+				onConnected(socket) {
+					connection.socket = socket;
+				},
+			}),
 		});
 		client.on('disconnect', (_origin, _targets, error) => {
 			// The target sent bytes that belong to no request: a surplus answer, or data that isn't HTTP.
@@ -144,7 +150,9 @@
 	}
 }
 
-type ConnectionState = TargetConnection & {
+type ConnectionState = {
+	/** Undefined until it is open. */
+	socket: Socket | undefined;
 	/** When the connection became idle, in ms; infinite for one that has carried no request yet. */
 	idleSinceMs: number;
 };
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -249,7 +249,7 @@
 
 	override onUnframedAnswer({call: {attemptId, template: {route}, instance}, run}: OwnedCall): void {
 		const description = run!.describe();
-		this.#options.log.registry.count('unframed_answers', {connection: description.connection, end: description.end});
+		this.#options.log.registry.count('unframed_answers', {connection: description.connection});
 		this.#options.log.event('answer_unframed', {
 			attempt: attemptId, route, instance, ...description,
 		});
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -3,7 +3,7 @@
 } from './codec.js';
 export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
-export {type ConnectionEnd, type TargetConnection, markResets} from './markresets.js';
+export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
 export {type ListenPatience, listen} from './listen.js';
 export {LINGER_MS, closeLingering, lingerOnClose} from './lingeringclose.js';
 export {ClosingAnswer} from './closinganswer.js';
