A connection that ends while its answer is paused ends the answer, not the daemon

Two of three daemons ended by themselves under load (LOST): undici asserts that its parser isn't paused when a connection ends, nobody handles that error, and the 21st in 10 s ends the process; each such answer hung until its deadline. Node emits the end as soon as nothing is buffered, whether or not the reader has paused; an answer pauses when its receiver's window is used up.

The connector keeps the end back until the reader reads on.

--- a/src/wire/orderlyconnector.ts
+++ b/src/wire/orderlyconnector.ts
@@ -14,7 +14,7 @@
 
 /**
  * Creates a connector for HTTP clients whose answers may end with their connections. A connection ends only if its peer closed
- * it; a reset is an error at any time.
+ * it, and once its reader has taken all before the end; a reset is an error at any time.
  */
 export function createOrderlyConnector({timeoutMs, onConnected}: OrderlyConnectorOptions): buildConnector.connector {
 	return ({hostname, port, localAddress}, callback) => {
@@ -41,6 +41,9 @@
 }
 
 class OrderlySocket extends Socket {
+	/** Whether the peer has closed the connection, and the reader doesn't know yet. */
+	#isAtEnd = false;
+
 	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
 		if (chunk !== null) {
 			return super.push(chunk, encoding);
@@ -52,7 +55,20 @@
 			return false;
 		}
 
-		return super.push(null);
+		this.#isAtEnd = true;
+		this.emit('readable');
+		return false;
+	}
+
+	// The HTTP client has no answer to an end that comes while it has paused; then it doesn't read.
+	override read(bytes?: number): unknown {
+		const chunk: unknown = super.read(bytes);
+		if (chunk === null && bytes === undefined && this.#isAtEnd) {
+			this.#isAtEnd = false;
+			super.push(null);
+		}
+
+		return chunk;
 	}
 
 	// The HTTP client takes an answer without a length as whole if its connection ends with the system's error for a reset.
