The platform's bundle holds the HTTP client's errors

No test ran that code from the bundle. A test now compares what the daemon imports with what the replacements of two libraries hold; it failed before.

--- a/scripts/undicisubset.cjs
+++ b/scripts/undicisubset.cjs
@@ -2,11 +2,11 @@
 'use strict';
 
 const api = require('undici/lib/api/index.js');
-const buildConnector = require('undici/lib/core/connect.js');
+const errors = require('undici/lib/core/errors.js');
 const Client = require('undici/lib/dispatcher/client.js');
 const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
 const Pool = require('undici/lib/dispatcher/pool.js');
 
 Object.assign(Dispatcher.prototype, api);
 
-module.exports = {buildConnector, Client, Pool};
+module.exports = {errors, Client, Pool};
--- a/test/build.test.ts
+++ b/test/build.test.ts
@@ -1,6 +1,9 @@
 import {execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -14,6 +17,19 @@
 	expect(errors).toEqual([]);
 });
 
+// Guards against a name that is undefined only where the bundle runs: the bundler doesn't check what it takes from these modules.
+it.each([['undici', '../scripts/undicisubset.cjs'], ['hdr-histogram-js', '../scripts/hdrhistogramsubset.cjs']])('takes from %s only what its replacement in the bundle has', (library, replacement) => {
+	const files = ['platform', 'src/relay', 'src/wire', 'src/log']
+		.flatMap(folder => readdirSync(folder, {recursive: true, encoding: 'utf8'}).map(file => path.join(folder, file)))
+		.filter(file => file.endsWith('.ts'));
+	const names = files.flatMap(file => [...readFileSync(file, 'utf8').matchAll(/^import \{(?<names>[^\}]*)\} from '(?<source>[^']+)';$/gmv)]
+		.filter(({groups}) => groups!.source === library)
+		.flatMap(({groups}) => groups!.names.split(',').map(name => name.trim()).filter(name => !name.startsWith('type '))));
+	const held = Object.keys(createRequire(import.meta.url)(replacement) as object);
+	expect(names.length).toBeGreaterThan(0);
+	expect(names.filter(name => !held.includes(name))).toEqual([]);
+});
+
 it('starts the daemon from its snapshot with the settings of the moment', async () => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-build-'));
 	execFileSync(process.execPath, ['scripts/bundle-platform.mjs', folder]);
