A body in small chunks costs a daemon by its bytes, not by its chunks

Here an answer in chunks of a byte did so: each chunk had a buffer, a frame between daemons and a place in what is held back for a client, some two hundred times its length.

Chunks under 4 KiB that follow within 5 ms are merged, a lone one is passed on at once; up to 64 KiB an answer or a request is collected as the own path collects it (BodyCollector, now in src/wire, whose blocks grow with the body). Uploads, the other direction, take the same way.

--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -2,9 +2,8 @@
 import {Client, type Dispatcher, Pool} from 'undici';
 import {ConnectionReuse, type Output, type TargetResult} from '../core/index.js';
 import {
-	type HttpMessage, createOrderlyConnector, filterForwardableHeaders, header,
+	BodyCollector, type HttpMessage, createOrderlyConnector, filterForwardableHeaders, header,
 } from '../wire/index.js';
-import {BodyCollector} from './bodycollector.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
 
--- a/src/relay/clients/requestbody.ts
+++ b/src/relay/clients/requestbody.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {BodyCollector} from '../../wire/index.js';
+import {ChunkMerger} from '../chunkmerger.js';
 import {MAX_INLINE_BODY_BYTES, BODY_WINDOW_BYTES} from '../call.js';
 
 const EMPTY = Buffer.alloc(0);
@@ -17,6 +19,7 @@
 export class RequestBody {
 	readonly #request: IncomingMessage;
 	#firstChunk: Buffer = EMPTY;
+	#merger: ChunkMerger | undefined;
 	#isStreaming = false;
 	#isDropped = false;
 	#creditBytes = BODY_WINDOW_BYTES;
@@ -36,7 +39,7 @@
 	}
 
 	read(maxBytes: number, events: BodyListener): void {
-		const chunks: Buffer[] = [];
+		const inline = new BodyCollector();
 		let length = 0;
 		this.#request.on('data', (chunk: Buffer) => {
 			length += chunk.length;
@@ -46,11 +49,14 @@
 					events.onTooLarge();
 				}
 			} else if (this.#isStreaming) {
-				this.#forward(chunk, events);
+				this.#forward(chunk);
 			} else {
-				chunks.push(chunk);
+				inline.add(chunk);
 				if (length > MAX_INLINE_BODY_BYTES) {
-					this.#firstChunk = Buffer.concat(chunks);
+					this.#merger = new ChunkMerger(merged => {
+						events.onChunk(merged, false);
+					});
+					this.#firstChunk = inline.toBuffer();
 					this.#isStreaming = true;
 					this.#creditBytes -= length;
 					events.onReady();
@@ -59,9 +65,10 @@
 		});
 		this.#request.on('end', () => {
 			if (this.#isStreaming) {
+				this.#merger?.flush();
 				events.onChunk(EMPTY, true);
 			} else {
-				this.#firstChunk = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+				this.#firstChunk = inline.toBuffer();
 				events.onReady();
 			}
 		});
@@ -78,12 +85,14 @@
 	/** Reads and discards the rest of the body, so that the next request on the connection can be read. */
 	drop(): void {
 		this.#isDropped = true;
+		this.#merger?.close();
+		this.#merger = undefined;
 		this.#request.resume();
 	}
 
-	#forward(chunk: Buffer, events: BodyListener): void {
+	#forward(chunk: Buffer): void {
 		this.#creditBytes -= chunk.length;
-		events.onChunk(chunk, false);
+		this.#merger?.add(chunk);
 		if (this.#creditBytes <= 0 && !this.#isDropped) {
 			this.#request.pause();
 		}
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -2,10 +2,12 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type TargetSignals} from '../../mesh/index.js';
+import {BodyCollector} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
 } from '../call.js';
+import {ChunkMerger} from '../chunkmerger.js';
 import {type DecodeError} from '../error.js';
 import {AnswerHeaders} from './answerheaders.js';
 import {readTargetSignals} from './targetsignals.js';
@@ -69,8 +71,12 @@
 	#notRunReason: RefusalReason | undefined;
 	/** Whether the answer names the attempt that it belongs to. */
 	#isNamed = false;
-	#chunks: Buffer[] = [];
-	#bufferedBytes = 0;
+	/** The body as long as it may be small enough to be sent inline. */
+	#inline: BodyCollector | undefined = new BodyCollector();
+	readonly #merger = new ChunkMerger(chunk => {
+		this.#sink.onChunk(chunk, false);
+	});
+
 	#bodyBytes = 0;
 	#interimAnswers = 0;
 	/** What the connection had received before this request. */
@@ -78,7 +84,6 @@
 	/** Why the connection ended before the answer did. */
 	#lossCause: string | undefined;
 	#unreportedBytes = 0;
-	#isStreaming = false;
 	#isOver = false;
 	#creditBytes = BODY_WINDOW_BYTES;
 
@@ -164,10 +169,7 @@
 	/** Aborts the run; the target sees its connection close. */
 	cancel(): void {
 		if (!this.#isOver) {
-			this.#isOver = true;
-			this.#abortRequest?.(new Error('cancelled'));
-			this.#bodyStream?.destroy();
-			this.#connection.release(false);
+			this.#abort('cancelled');
 		}
 	}
 
@@ -232,17 +234,15 @@
 			return true;
 		}
 
-		if (this.#isStreaming) {
+		if (this.#inline === undefined) {
 			this.#creditBytes -= chunk.length;
-			this.#sink.onChunk(chunk, false);
+			this.#merger.add(chunk);
 		} else {
-			this.#chunks.push(chunk);
-			this.#bufferedBytes += chunk.length;
-			if (this.#bufferedBytes > MAX_INLINE_BODY_BYTES) {
-				this.#isStreaming = true;
-				this.#creditBytes -= this.#bufferedBytes;
-				this.#sink.onHead(this.#head!, Buffer.concat(this.#chunks), false);
-				this.#chunks = [];
+			this.#inline.add(chunk);
+			if (this.#inline.length > MAX_INLINE_BODY_BYTES) {
+				this.#creditBytes -= this.#inline.length;
+				this.#sink.onHead(this.#head!, this.#inline.toBuffer(), false);
+				this.#inline = undefined;
 			}
 		}
 
@@ -254,16 +254,15 @@
 			return;
 		}
 
-		this.#isOver = true;
-		this.#bodyStream?.destroy();
+		this.#merger.flush();
 		// If the target repeats an answer that names no attempt, nothing tells it from the answer to the next request.
-		this.#connection.release(this.#isNamed);
+		this.#end(this.#isNamed);
 		if (this.#notRunReason !== undefined) {
 			this.#sink.onNotRun(this.#notRunReason);
-		} else if (this.#isStreaming) {
+		} else if (this.#inline === undefined) {
 			this.#sink.onChunk(Buffer.alloc(0), true);
 		} else {
-			this.#sink.onHead(this.#head!, this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks), true);
+			this.#sink.onHead(this.#head!, this.#inline.toBuffer(), true);
 		}
 	}
 
@@ -286,9 +285,7 @@
 			return;
 		}
 
-		this.#isOver = true;
-		this.#bodyStream?.destroy();
-		this.#connection.release(false);
+		this.#end(false);
 		if (this.#abortRequest === undefined) {
 			this.#sink.onNotRun('unreachable');
 		} else {
@@ -346,19 +343,27 @@
 		}
 	}
 
-	#endNotRun(reason: RefusalReason): void {
+	#abort(reason: string): void {
 		this.#isOver = true;
 		this.#abortRequest?.(new Error(reason));
+		this.#end(false);
+	}
+
+	/** @param isReusable whether the connection may carry another request */
+	#end(isReusable: boolean): void {
+		this.#isOver = true;
 		this.#bodyStream?.destroy();
-		this.#connection.release(false);
+		this.#merger.close();
+		this.#connection.release(isReusable);
+	}
+
+	#endNotRun(reason: RefusalReason): void {
+		this.#abort(reason);
 		this.#sink.onNotRun(reason);
 	}
 
 	#fail(reason: FailureReason): void {
-		this.#isOver = true;
-		this.#abortRequest?.(new Error(reason));
-		this.#bodyStream?.destroy();
-		this.#connection.release(false);
+		this.#abort(reason);
 		this.#sink.onFailed(reason);
 	}
 
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,3 +1,4 @@
+export {BodyCollector} from './bodycollector.js';
 export {
 	FrameError, decodeFrame, encodeFrame, MAX_FRAME_BYTES, pack, unpack,
 } from './codec.js';
--- a/test/failures/endlessanswer.test.ts
+++ b/test/failures/endlessanswer.test.ts
@@ -2,12 +2,14 @@
 import process from 'node:process';
 import {type ServerResponse} from 'node:http';
 import {type Socket, connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {Mesh} from '../../standins/mesh.js';
+import {Mesh, createRoute} from '../../standins/mesh.js';
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
+import {PipelinedClient, buildHead} from '../../standins/pipelinedclient.js';
 
 const DEADLINE_MS = 1200;
 const FILL = 'x'.repeat(16_384);
@@ -117,6 +119,83 @@
 	});
 });
 
+const OUTSIDE: ReadonlyArray<{readonly name: string; readonly begin: (id: string) => string; readonly afterMs: number; readonly next: () => string}> = [
+	{
+		name: 'behind a whole answer', begin: id => `${signed(id)}content-length: 2\r\n\r\nok`, afterMs: 0, next: () => FILL,
+	},
+	{
+		name: 'on an idle connection', begin: id => `${signed(id)}content-length: 2\r\n\r\nok`, afterMs: 50, next: () => FILL,
+	},
+	{
+		name: 'on an idle connection, of an answer to nothing', begin: id => `${signed(id)}content-length: 2\r\n\r\nok`, afterMs: 50, next: () => 'HTTP/1.1 200 OK\r\n'.padEnd(16_384, 'x'),
+	},
+	{
+		name: 'on an idle connection, of line ends', begin: id => `${signed(id)}content-length: 2\r\n\r\nok`, afterMs: 50, next: () => '\r\n'.repeat(8192),
+	},
+];
+
+describe('bytes without end that belong to no answer', () => {
+	it.each(OUTSIDE)('cost the daemon no memory, and no other call its answer: $name', async ({begin, afterMs, next}) => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair();
+		back.target.behaviourOverride = (request, response) => {
+			const socket = response.socket!;
+			socket.write(begin(String(request.headers[meshHeaders.attemptId])));
+			setTimeout(() => {
+				pour(socket, next);
+			}, afterMs);
+		};
+
+		const heldBefore = process.memoryUsage().rss;
+		let mostHeld = 0;
+		for (let number = 0; number < 10; number++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			const {status, body} = await call(port, '/x/', {headers: createAttemptHeaders(`a${number}`)});
+			expect(status === 502 || body.toString() === 'ok').toBe(true);
+			// eslint-disable-next-line no-await-in-loop -- the bytes go on meanwhile
+			await sleep(100);
+			mostHeld = Math.max(mostHeld, process.memoryUsage().rss - heldBefore);
+		}
+
+		expect(mostHeld / MEBIBYTE).toBeLessThan(MAX_HELD_BYTES / MEBIBYTE);
+	});
+});
+
+describe('an answer in chunks of a byte', () => {
+	/** Callers that read nothing, and have sent a second request behind the first: the daemon holds the first answer back. */
+	const CALLERS = 4;
+	const SENDING_MS = 4000;
+
+	// Guards against a daemon that runs out of memory, because each chunk takes much more of it than its bytes.
+	it('takes about as much memory as it has bytes', async () => {
+		mesh = new Mesh();
+		const {back, port} = await mesh.addPair({routes: [createRoute('x', 'back', {timeoutMs: 2 * SENDING_MS})], back: {slots: 2 * CALLERS}});
+		back.target.behaviourOverride = (request, response) => {
+			response.socket!.write(`${signed(String(request.headers[meshHeaders.attemptId]))}transfer-encoding: chunked\r\n\r\n`);
+			pour(response.socket!, () => '1\r\nx\r\n'.repeat(8000));
+		};
+
+		const heldBefore = process.memoryUsage().rss;
+		let mostHeld = 0;
+		const watch = setInterval(() => {
+			mostHeld = Math.max(mostHeld, process.memoryUsage().rss - heldBefore);
+		}, 20);
+		const clients = Array.from({length: CALLERS}, (_, number) => {
+			const client = new PipelinedClient(port);
+			client.pause();
+			client.send(['first', 'second'].map(name => buildHead('GET', '/x/', `${name}-${number}`, {deadlineMs: SENDING_MS})).join(''));
+			return client;
+		});
+		await sleep(SENDING_MS);
+		clearInterval(watch);
+		for (const client of clients) {
+			client.close();
+		}
+
+		expect(mostHeld / MEBIBYTE).toBeLessThan(MAX_HELD_BYTES / MEBIBYTE);
+	});
+});
+
 describe('a header of an answer that holds bytes beyond ASCII', () => {
 	it.each([['utf8', Buffer.from('Łódź')], ['no utf8', Buffer.from([0x4C, 0xE9, 0xFF])]])('reaches the caller and ends no other call: %s', async (_name, value) => {
 		mesh = new Mesh();
