The soak sends answers without a length, halves of them with a reset behind, and second answers that come late

All callers now check the bodies, those with pipelined requests also of answers that end with their connection.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,9 +1,11 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request as httpRequest} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Random} from '../fakes/index.js';
 import {createAttemptHeaders, meshHeaders} from '../standins/meshadapter.js';
 import {type FleetHost} from './fleet.js';
 import {DEADLY_PATH} from './plan.js';
+import {PLAIN_BODY} from './target.js';
 
 /** What a caller sent and saw. `status` is 0 if there was no answer; times in ms since 1970. */
 export type SentRequest = {
@@ -131,10 +133,14 @@
 			const request = httpRequest({
 				host: '127.0.0.1', port: host.ports[0], path, headers, agent: isKeptAlive ? this.#agent : false, timeout: MAX_WAIT_MS,
 			}, response => {
-				response.resume();
+				const chunks: Buffer[] = [];
+				response.on('data', (chunk: Buffer) => {
+					chunks.push(chunk);
+				});
 				response.on('error', () => undefined);
 				response.on('close', () => {
 					end({
+						isRight: response.statusCode !== 200 || !response.complete || Buffer.concat(chunks).equals(Buffer.from(PLAIN_BODY)),
 						status: response.statusCode!, isWhole: response.complete, isNotRun: response.headers[meshHeaders.notRun] !== undefined,
 						isSigned: response.headers[meshHeaders.signature] !== undefined, answeredAttemptId: response.headers[meshHeaders.attemptId] as string | undefined, retryAfter: response.headers['retry-after'],
 					});
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -142,19 +142,35 @@
 	async disturbTarget(index: number, behaviour: TargetFault, forMs: number): Promise<void> {
 		const {target} = this.hosts[index];
 		const fromMs = Date.now();
-		if (behaviour === 'crash') {
-			await target.crashAndRestart(forMs);
-		} else if (behaviour === 'slow') {
-			target.slowness = SLOW;
-		} else {
-			target.behaviourOverride = (request, response) => {
-				response.writeHead(503, {[meshHeaders.attemptId]: String(request.headers[meshHeaders.attemptId]), [meshHeaders.notRun]: '1', 'content-length': 0});
-				response.end();
-			};
+		switch (behaviour) {
+			case 'crash': {
+				await target.crashAndRestart(forMs);
+				break;
+			}
+
+			case 'slow': {
+				target.slowness = SLOW;
+				break;
+			}
+
+			case 'spoil': {
+				target.isSpoiling = true;
+				break;
+			}
+
+			case 'shedding': {
+				target.behaviourOverride = (request, response) => {
+					response.writeHead(503, {[meshHeaders.attemptId]: String(request.headers[meshHeaders.attemptId]), [meshHeaders.notRun]: '1', 'content-length': 0});
+					response.end();
+				};
+
+				break;
+			}
 		}
 
 		await sleep(behaviour === 'crash' ? 0 : forMs);
 		target.slowness = 1;
+		target.isSpoiling = false;
 		target.behaviourOverride = undefined;
 		this.history.disturbances.push({
 			fromMs, untilMs: Date.now(), what: 'target', host: index,
--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -82,12 +82,12 @@
 	}
 }
 
-/** Whether an answer may end early: the target or its deadline ended it, a daemon on its way was killed or stood still, or the grace period of one ends. */
+/** Whether an answer may end early: its target or its deadline ended it, a daemon on its way was killed or stood still, or the grace period of one ends. */
 function mayBreakOff({history}: SoakRecord, {
 	host, sentMs, endedMs, deadlineMs, lastByteMs,
 }: SentRequest, runs: readonly Receipt[]): boolean {
 	const hosts = [host, ...runs.map(run => run.host)];
-	if (endedMs - sentMs >= deadlineMs || runs.some(({end}) => end?.outcome === 'crashed')) {
+	if (endedMs - sentMs >= deadlineMs || runs.some(({end}) => end?.outcome === 'crashed' || end?.outcome === 'cut')) {
 		return true;
 	}
 
--- a/soak/pipelining.ts
+++ b/soak/pipelining.ts
@@ -47,6 +47,12 @@
 				this.#answers++;
 			}
 		});
+		this.#socket.on('end', () => {
+			// Otherwise it was reset: the operating system no longer knows the peer.
+			if (this.#socket.remoteAddress !== undefined && this.#readAnswer(true)) {
+				this.#answers++;
+			}
+		});
 		this.#socket.on('error', (error: NodeJS.ErrnoException) => {
 			this.#error = error.code ?? error.message;
 		});
@@ -89,14 +95,15 @@
 		this.#socket.destroy(new Error(reason));
 	}
 
-	/** Takes a whole answer from what was received. @returns whether there was one */
-	#readAnswer(): boolean {
+	/** Takes a whole answer from what was received. @param isAtEnd whether the connection has ended, as an answer without a length does @returns whether there was one */
+	#readAnswer(isAtEnd = false): boolean {
 		const head = this.#readHead();
-		if (head === undefined || this.#received.length < head.endsAt) {
+		const endsAt = head?.endsAt ?? (isAtEnd ? this.#received.length : Number.POSITIVE_INFINITY);
+		if (head === undefined || this.#received.length < endsAt) {
 			return false;
 		}
 
-		const {status, headers, bodyAt, endsAt} = head;
+		const {status, headers, bodyAt} = head;
 		const body = this.#received.subarray(bodyAt, endsAt);
 		this.#received = this.#received.subarray(endsAt);
 		this.#isClosing ||= headers.get('connection') === 'close';
@@ -112,7 +119,7 @@
 		return true;
 	}
 
-	#readHead(): {status: number; headers: Map<string, string>; bodyAt: number; endsAt: number} | undefined {
+	#readHead(): {status: number; headers: Map<string, string>; bodyAt: number; endsAt: number | undefined} | undefined {
 		const headEnd = this.#received.indexOf(HEAD_END);
 		if (headEnd === -1) {
 			return undefined;
@@ -121,8 +128,9 @@
 		const [statusLine, ...lines] = this.#received.toString('latin1', 0, headEnd).split('\r\n');
 		const headers = new Map(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]));
 		const bodyAt = headEnd + HEAD_END.length;
+		const length = headers.get('content-length');
 		return {
-			status: Number(/^HTTP\/1\.1 (?<status>\d{3}) /v.exec(`${statusLine} `)?.groups?.status ?? 0), headers, bodyAt, endsAt: bodyAt + Number(headers.get('content-length') ?? 0),
+			status: Number(/^HTTP\/1\.1 (?<status>\d{3}) /v.exec(`${statusLine} `)?.groups?.status ?? 0), headers, bodyAt, endsAt: length === undefined ? undefined : bodyAt + Number(length),
 		};
 	}
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -5,8 +5,8 @@
 
 /** What happens to a daemon's process: SIGTERM or SIGKILL and a new start, SIGSTOP for a time, SIGHUP. */
 export type DaemonFault = 'stop' | 'kill' | 'freeze' | 'reload';
-/** What happens to a target: it is slow, sheds all calls, or crashes and is down for a time. */
-export type TargetFault = 'slow' | 'shedding' | 'crash';
+/** What happens to a target: it is slow, sheds all calls, spoils answers, or crashes and is down for a time. */
+export type TargetFault = 'slow' | 'shedding' | 'spoil' | 'crash';
 /** How the operator changes an organisation. */
 export type OrganisationChange = 'withdraw' | 'withdraw-all' | 'move' | 'add' | 'limit';
 
@@ -111,7 +111,7 @@
 
 		case 'target': {
 			return {
-				type, atMs, host, behaviour: random.pick(['slow', 'shedding', 'crash', 'crash']), forMs,
+				type, atMs, host, behaviour: random.pick(['slow', 'shedding', 'spoil', 'spoil', 'crash', 'crash']), forMs,
 			};
 		}
 
--- a/soak/target.ts
+++ b/soak/target.ts
@@ -5,14 +5,34 @@
 import {MeshTarget} from '../standins/meshtarget.js';
 import {decodeWork} from './work.js';
 
+/** The body of an answer to a request that asks for no work. */
+export const PLAIN_BODY = 'x'.repeat(10);
+/** How late the target sends an answer again, in ms: at times while the next one is under way on the connection. */
+const COPY_DELAYS_MS = [5, 15, 40];
+/** How long the target takes between the two halves of an answer without a length, in ms. */
+const HALF_MS = 20;
+/** What becomes of each answer in turn while the target spoils its answers. */
+const SPOILT = ['unframed', 'whole', 'cut', 'twice', 'unframed', 'twice'] as const;
+
+type Spoilt = typeof SPOILT[number];
+
 /** A target whose requests say in their paths what it takes to answer them. */
 export class SoakTarget extends MeshTarget {
+	/** Whether some answers have no length, some of these are cut, and some are sent twice. */
+	isSpoiling = false;
+	#answers = 0;
+
 	override answer(response: ServerResponse, attemptId: string, status = 200, body?: Buffer<ArrayBuffer>): void {
 		const work = decodeWork(response.req.url!);
-		if (work === undefined || status !== 200) {
-			super.answer(response, attemptId, status, body);
-		} else if (work.chunks === 1) {
-			super.answer(response, attemptId, status, contentOf(attemptId, work.chunkBytes));
+		const content = body ?? (work === undefined ? Buffer.from(PLAIN_BODY) : contentOf(attemptId, work.chunks * work.chunkBytes));
+		const spoilt: Spoilt = this.isSpoiling && status === 200 ? SPOILT[this.#answers++ % SPOILT.length] : 'whole';
+		if (spoilt === 'unframed' || spoilt === 'cut') {
+			void this.#answerUnframed(response, attemptId, content, spoilt === 'cut');
+		} else if (work === undefined || status !== 200 || work.chunks === 1) {
+			super.answer(response, attemptId, status, content);
+			if (spoilt === 'twice') {
+				this.#repeat(response, attemptId, content);
+			}
 		} else {
 			void this.#stream(response, attemptId, work);
 		}
@@ -24,7 +44,7 @@
 
 	async #stream(response: ServerResponse, attemptId: string, {chunks, chunkBytes, pauseMs, hasLength}: NonNullable<ReturnType<typeof decodeWork>>): Promise<void> {
 		const body = contentOf(attemptId, chunks * chunkBytes);
-		response.writeHead(200, {[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.id}/${attemptId}`, ...(hasLength && {'content-length': body.length})});
+		response.writeHead(200, {...this.#sign(attemptId), ...(hasLength && {'content-length': body.length})});
 		for (let index = 0; index < chunks && !response.destroyed; index++) {
 			response.write(body.subarray(index * chunkBytes, (index + 1) * chunkBytes));
 			// eslint-disable-next-line no-await-in-loop -- the chunks are spread over the time
@@ -33,6 +53,36 @@
 
 		response.end();
 	}
+
+	/** Sends an answer that ends with its connection, or only a half of it and a reset right behind. */
+	async #answerUnframed(response: ServerResponse, attemptId: string, body: Buffer, isCut: boolean): Promise<void> {
+		const half = Math.floor(body.length / 2);
+		response.useChunkedEncodingByDefault = false;
+		response.shouldKeepAlive = false;
+		response.writeHead(200, this.#sign(attemptId));
+		response.write(body.subarray(0, half));
+		if (isCut) {
+			setImmediate(() => {
+				this.cut(response);
+			});
+			return;
+		}
+
+		await sleep(HALF_MS);
+		response.end(body.subarray(half));
+	}
+
+	/** Sends the answer a second time, as a target that stutters. */
+	#repeat({socket}: ServerResponse, attemptId: string, body: Buffer): void {
+		const fields = Object.entries({...this.#sign(attemptId), 'content-length': body.length}).map(([name, value]) => `${name}: ${value}\r\n`);
+		setTimeout(() => {
+			socket?.write(Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\n${fields.join('')}\r\n`), body]));
+		}, COPY_DELAYS_MS[this.#answers % COPY_DELAYS_MS.length]);
+	}
+
+	#sign(attemptId: string): Record<string, string> {
+		return {[meshHeaders.attemptId]: attemptId, [meshHeaders.signature]: `${this.id}/${attemptId}`};
+	}
 }
 
 /** The body of a request or of its answer: whoever knows the attempt can check it. */
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -19,8 +19,8 @@
 /** Handles a request in place of the usual run and answer. */
 export type BehaviourOverride = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 
-/** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target crashed. */
-export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | 'crashed'};
+/** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target cut its answer or crashed. */
+export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | 'cut' | 'crashed'};
 
 /** Tells whether a request crashes the target. */
 export type CrashRule = (request: IncomingMessage, body: Buffer) => boolean;
@@ -68,6 +68,7 @@
 	readonly options: MeshTargetOptions;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #cutResponses = new WeakSet<ServerResponse>();
 	#seq = 0;
 	#port = 0;
 	#start = 0;
@@ -183,6 +184,12 @@
 		response.end(body);
 	}
 
+	/** Resets the connection of an answer. */
+	protected cut(response: ServerResponse): void {
+		this.#cutResponses.add(response);
+		response.socket?.resetAndDestroy();
+	}
+
 	/** How long the target works on a request, in ms. */
 	protected workMsOf(_url: string): number {
 		return this.options.workMs;
@@ -221,7 +228,8 @@
 		const index = this.receivedRequests.push(request) - 1;
 		const {crashCount} = this;
 		response.on('close', () => {
-			this.receivedEnds[index] = {endedMs: Date.now(), outcome: response.writableFinished ? 'answered' : (this.crashCount === crashCount ? 'broken-off' : 'crashed')};
+			const outcome = this.#cutResponses.has(response) ? 'cut' : (this.crashCount === crashCount ? 'broken-off' : 'crashed');
+			this.receivedEnds[index] = {endedMs: Date.now(), outcome: response.writableFinished ? 'answered' : outcome};
 		});
 		this.receivedBodies.push(body);
 		this.receivedTimesMs.push(Date.now());
