--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -79,8 +79,8 @@
 
 	#bodyBytes = 0;
 	#interimAnswers = 0;
-	/** What the connection had received before this request. */
-	#receivedBytesBefore = 0;
+	/** What the connection had received before this request, in bytes. */
+	#receivedBytesBefore: number;
 	/** Why the connection ended before the answer did. */
 	#lossCause: string | undefined;
 	#unreportedBytes = 0;
@@ -92,6 +92,7 @@
 		this.#names = names;
 		this.#sink = sink;
 		this.#connection = connection;
+		this.#receivedBytesBefore = connection.receivedBytes();
 		if (call.hasMoreBody) {
 			this.#bodyStream = new Readable({
 				read: () => {
@@ -175,6 +176,7 @@
 
 	onConnect(abort: (error?: Error) => void): void {
 		this.#abortRequest = abort;
+		// It may be another connection than the one that stood when the request was made.
 		this.#receivedBytesBefore = this.#connection.receivedBytes();
 		if (this.#isOver) {
 			abort(new Error('cancelled'));
--- a/test/failures/pausedend.test.ts
+++ b/test/failures/pausedend.test.ts
@@ -79,7 +79,11 @@
 	hasMoreBody: false,
 });
 
-const portOf = (server: Server) => (server.address() as AddressInfo).port;
+function createClient(server: Server): TargetClient {
+	const clock = new SystemClock();
+	const log = new EventLog(new Logger('a', 'info', () => undefined), clock);
+	return new TargetClient({ip: '127.0.0.1', port: (server.address() as AddressInfo).port}, new MeshAdapter(new MemoryStore().createView()), () => clock.nowMs(), log);
+}
 
 let target: Server;
 let client: TargetClient;
@@ -108,9 +112,7 @@
 	await new Promise<void>(resolve => {
 		target.listen(0, '127.0.0.1', resolve);
 	});
-	const clock = new SystemClock();
-	const log = new EventLog(new Logger('a', 'info', () => undefined), clock);
-	client = new TargetClient({ip: '127.0.0.1', port: portOf(target)}, new MeshAdapter(new MemoryStore().createView()), () => clock.nowMs(), log);
+	client = createClient(target);
 });
 afterEach(() => {
 	process.off('uncaughtException', record);
@@ -149,3 +151,30 @@
 		}
 	});
 });
+
+// Guards against a request that fails as garbled before it is sent, because of what its connection received before.
+describe('a request on a connection that has received much', () => {
+	it('is judged by its own answer only', async () => {
+		const answers = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				const {id} = (/^attempt-id: (?<id>\w+)/mv.exec(data.toString())!.groups!);
+				const body = 'x'.repeat(id === 'large' ? BODY_WINDOW_BYTES : 2);
+				socket.write(`HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+			});
+		});
+		await new Promise<void>(resolve => {
+			answers.listen(0, '127.0.0.1', resolve);
+		});
+		const keeping = createClient(answers);
+		const [first, second] = [new SlowSink(), new SlowSink()];
+		const large = keeping.run(createCall('large'), first);
+		large.grantCredit(BODY_WINDOW_BYTES);
+		await expect.poll(() => first.end).toBe('whole');
+		keeping.run(createCall('small'), second).checkReceivedBytes();
+		await expect.poll(() => second.end).toBeDefined();
+		expect([second.end, second.receivedBytes]).toEqual(['whole', 2]);
+		keeping.discardConnections();
+		answers.close();
+	});
+});
