An answer whose last transfer coding isn't chunked ends with its connection, too

Only the absence of both headers was taken for it: with 'transfer-encoding: identity' a copy of another answer was part of the body, and the client got chunks, whose end says that the body is whole.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -4,8 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {
-	BodyCollector,
-	type HttpMessage, ClosingAnswer, LINGER_MS, header, lingerOnClose, listen, stopListening,
+	BodyCollector, type HttpMessage, ClosingAnswer, LINGER_MS, header, lingerOnClose, listen, stopListening,
 } from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher, Pool} from 'undici';
 import {ConnectionReuse, type Output, type TargetResult} from '../core/index.js';
 import {
-	BodyCollector, type HttpMessage, createOrderlyConnector, filterForwardableHeaders, header,
+	BodyCollector, type HttpMessage, createOrderlyConnector, endsInChunked, filterForwardableHeaders, header,
 } from '../wire/index.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
@@ -242,7 +242,8 @@
 }
 
 function isUnframed(status: number, headers: Record<string, string | string[] | undefined>): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && status !== 204 && status !== 304;
+	const encoding = headers['transfer-encoding'];
+	return headers['content-length'] === undefined && !(encoding !== undefined && endsInChunked(String(encoding))) && status !== 204 && status !== 304;
 }
 
 function flattenHeaders(headers: Record<string, string | string[] | undefined>): string[] {
--- a/src/relay/target/answerheaders.ts
+++ b/src/relay/target/answerheaders.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {HOP_BY_HOP_HEADERS} from '../../wire/index.js';
+import {HOP_BY_HOP_HEADERS, endsInChunked} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 
 /** The headers of a target's answer, read once and in their order; values of a header that is repeated are joined. */
@@ -14,7 +14,8 @@
 	length: string | undefined;
 	isNotRun = false;
 	isEncoded = false;
-	isTransferEncoded = false;
+	/** Whether its body says where it ends, whatever the connection does. */
+	isChunked = false;
 
 	constructor(rawHeaders: readonly Buffer[], names: HeaderNames) {
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
@@ -65,7 +66,7 @@
 			}
 
 			case 'transfer-encoding': {
-				this.isTransferEncoded = true;
+				this.isChunked = endsInChunked(value);
 				return;
 			}
 
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -197,7 +197,7 @@
 		const headers = new AnswerHeaders(rawHeaders, this.#names);
 		const {signature, length} = headers;
 		this.#judge(status, headers);
-		const isUnframed = length === undefined && !headers.isTransferEncoded && status !== 204 && status !== 304;
+		const isUnframed = length === undefined && !headers.isChunked && status !== 204 && status !== 304;
 		if (isUnframed && this.#call.template.method !== 'HEAD') {
 			this.#connection.onUnframed();
 			// The target may repeat an earlier answer late, and all bytes until the end of the connection would be the body.
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -29,6 +29,11 @@
 const NOT_FORWARDED = new Set([...HOP_BY_HOP_HEADERS, 'content-length', 'expect', 'host']);
 const DAEMON_HEADER_PREFIX = 'comfreydyke-';
 
+/** Whether a Transfer-Encoding marks the end of the body. If its last coding is another, only the end of the connection does. */
+export function endsInChunked(transferEncoding: string): boolean {
+	return /(?:^|[,\s])chunked\s*$/iv.test(transferEncoding);
+}
+
 /** Removes the hop-by-hop headers, those that each hop sets, and the daemons' own. Names and values alternate. */
 export function filterForwardableHeaders(rawHeaders: readonly string[]): string[] {
 	const headers: string[] = [];
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -2,7 +2,9 @@
 export {
 	FrameError, decodeFrame, encodeFrame, MAX_FRAME_BYTES, pack, unpack,
 } from './codec.js';
-export {type HttpMessage, HOP_BY_HOP_HEADERS, filterForwardableHeaders} from './http.js';
+export {
+	type HttpMessage, HOP_BY_HOP_HEADERS, endsInChunked, filterForwardableHeaders,
+} from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
 export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
 export {type ListenPatience, listen} from './listen.js';
--- a/test/failures/latecopy.test.ts
+++ b/test/failures/latecopy.test.ts
@@ -140,10 +140,11 @@
 
 describe('a second copy of an answer inside one without a length', () => {
 	const BODY = 'own body of this answer';
-	const unframed = (id: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: of-${id}\r\nconnection: close\r\n\r\n`;
+	const unframed = (id: string, more: string) => `HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${id}\r\n${meshHeaders.signature}: of-${id}\r\nconnection: close\r\n${more}\r\n`;
+	const cases = INSIDE.flatMap(inside => ['', 'transfer-encoding: identity\r\n'].map(more => ({...inside, more})));
 
 	// Guards against bytes of another answer that pass for a part of the body (MIXED).
-	it.each(INSIDE)('is no part of it, and later ones arrive: $name', async ({parts}) => {
+	it.each(cases)('is no part of it, and later ones arrive: $name, $more', async ({parts, more}) => {
 		mesh = new Mesh();
 		const {back, port} = await mesh.addPair({routes: [createRoute('x', 'back', {repeatability: 'unsafe'})], back: {slots: 4}});
 		const previousIds = new WeakMap<Socket, string>();
@@ -157,7 +158,7 @@
 				return;
 			}
 
-			socket.write(unframed(id));
+			socket.write(unframed(id, more));
 			for (const part of previous === undefined ? [BODY] : parts(BODY, answerTo(previous))) {
 				// eslint-disable-next-line no-await-in-loop -- one piece after the other
 				await sleep(10);
