--- a/test/failures/endlessanswer.test.ts
+++ b/test/failures/endlessanswer.test.ts
@@ -138,9 +138,8 @@
 	it.each(OUTSIDE)('cost the daemon no memory, and no other call its answer: $name', async ({begin, afterMs, next}) => {
 		mesh = new Mesh();
 		const {back, port} = await mesh.addPair();
-		back.target.behaviourOverride = (request, response) => {
-			const socket = response.socket!;
-			socket.write(begin(String(request.headers[meshHeaders.attemptId])));
+		back.target.behaviourOverride = ({headers, socket}) => {
+			socket.write(begin(String(headers[meshHeaders.attemptId])));
 			setTimeout(() => {
 				pour(socket, next);
 			}, afterMs);
