A run builds its merger of chunks only for a streamed answer, and a refusal without a length spoils no connection

Most answers come whole in one piece and need no merger; the body of a refusal is for nobody, so that its missing length says nothing of the answers that follow.

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -73,10 +73,8 @@
 	#isNamed = false;
 	/** The body as long as it may be small enough to be sent inline. */
 	#inline: BodyCollector | undefined = new BodyCollector();
-	readonly #merger = new ChunkMerger(chunk => {
-		this.#sink.onChunk(chunk, false);
-	});
-
+	/** Set once the body is streamed. */
+	#merger: ChunkMerger | undefined;
 	#bodyBytes = 0;
 	#interimAnswers = 0;
 	/** What the connection had received before this request, in bytes. */
@@ -198,10 +196,11 @@
 		const {signature, length} = headers;
 		this.#judge(status, headers);
 		const isUnframed = length === undefined && !headers.isChunked && status !== 204 && status !== 304;
-		if (isUnframed && this.#call.template.method !== 'HEAD') {
+		// The body of a refusal is for nobody.
+		if (isUnframed && this.#notRunReason === undefined && this.#call.template.method !== 'HEAD') {
 			this.#connection.onUnframed();
 			// The target may repeat an earlier answer late, and all bytes until the end of the connection would be the body.
-			this.#fault ??= this.#isReused && this.#notRunReason === undefined ? 'unframed' : undefined;
+			this.#fault ??= this.#isReused ? 'unframed' : undefined;
 		}
 
 		// An answer that doesn't show that this target made it says nothing of the target.
@@ -238,13 +237,11 @@
 
 		if (this.#inline === undefined) {
 			this.#creditBytes -= chunk.length;
-			this.#merger.add(chunk);
+			this.#merger!.add(chunk);
 		} else {
 			this.#inline.add(chunk);
 			if (this.#inline.length > MAX_INLINE_BODY_BYTES) {
-				this.#creditBytes -= this.#inline.length;
-				this.#sink.onHead(this.#head!, this.#inline.toBuffer(), false);
-				this.#inline = undefined;
+				this.#startStreaming(this.#inline.toBuffer());
 			}
 		}
 
@@ -256,7 +253,7 @@
 			return;
 		}
 
-		this.#merger.flush();
+		this.#merger?.flush();
 		// If the target repeats an answer that names no attempt, nothing tells it from the answer to the next request.
 		this.#end(this.#isNamed);
 		if (this.#notRunReason !== undefined) {
@@ -282,6 +279,15 @@
 		}
 	}
 
+	#startStreaming(first: Buffer): void {
+		this.#inline = undefined;
+		this.#creditBytes -= first.length;
+		this.#merger = new ChunkMerger(chunk => {
+			this.#sink.onChunk(chunk, false);
+		});
+		this.#sink.onHead(this.#head!, first, false);
+	}
+
 	#onLost(): void {
 		if (this.#isOver) {
 			return;
@@ -355,7 +361,7 @@
 	#end(isReusable: boolean): void {
 		this.#isOver = true;
 		this.#bodyStream?.destroy();
-		this.#merger.close();
+		this.#merger?.close();
 		this.#connection.release(isReusable);
 	}
 
