--- a/src/wire/orderlyconnector.ts
+++ b/src/wire/orderlyconnector.ts
@@ -3,6 +3,8 @@
 
 /** How much a connection reads ahead of its reader, in bytes. */
 const READ_AHEAD_BYTES = 65_536;
+/** The port of an origin that names none. */
+const HTTP_PORT = 80;
 /** How long a connection is silent before the operating system asks whether its peer is there, in ms. */
 const KEEP_ALIVE_DELAY_MS = 60_000;
 
@@ -29,7 +31,7 @@
 		};
 
 		socket.setTimeout(timeoutMs, onTimeout);
-		socket.connect({host: hostname, port: Number(port), ...(localAddress && {localAddress})}, () => {
+		socket.connect({host: hostname, port: port === '' ? HTTP_PORT : Number(port), ...(localAddress && {localAddress})}, () => {
 			socket.off('error', fail);
 			socket.setTimeout(0, onTimeout);
 			onConnected?.(socket);
