A daemon no longer takes its own pause for the silence or lateness of others

What callers saw: a daemon that was suspended, or got no processor, for 1.2 s ended all its links as silent: unsafe calls in flight were answered 502 though their answers waited in its sockets. After its calls' deadlines it answered 504 for answers that its own target had given in time, and after four announcement intervals it dropped its target (target_silent) and refused what was queued.

Cause: timers run before sockets are read, and silence was measured on a clock that goes on while the process doesn't. Class: time in which nobody listened counts as silence.

Silence of peers and of the target is measured by a clock that counts what the process ran (RunningClock), and links and deadlines are judged after the sockets were served. A dead peer is found as soon as before, unless this daemon itself was held up.

What a request's time lost while it waited in a socket during a pause still isn't counted on this path.

--- a/src/clock/cachedclock.ts
+++ b/src/clock/cachedclock.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {Clock} from './clock.js';
+import {Clock, SystemClock} from './clock.js';
 
 /** Reads another clock once for each callback of the event loop, because reading the time is a system call on some hosts. */
 export class CachedClock extends Clock {
@@ -7,7 +7,7 @@
 	#nowMs = 0;
 	#isFresh = false;
 
-	constructor(source: Clock) {
+	constructor(source: Clock = new SystemClock()) {
 		super();
 		this.#source = source;
 	}
--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,3 +1,4 @@
 export {Clock, ManualClock, SystemClock} from './clock.js';
 export {CachedClock} from './cachedclock.js';
+export {RunningClock} from './runningclock.js';
 export {sleep} from './sleep.js';
--- a/src/mesh/membership/targetlifecycle.ts
+++ b/src/mesh/membership/targetlifecycle.ts
@@ -15,7 +15,6 @@
 export class TargetLifecycle {
 	readonly #drainMs: number;
 	#current: Announcement | undefined;
-	#lastHeardMs = 0;
 	#drainingSinceMs: number | undefined;
 	#ended: EndedStart | undefined;
 
@@ -32,11 +31,6 @@
 		return this.#drainingSinceMs !== undefined;
 	}
 
-	/** Time of the last accepted announcement, in ms. */
-	get lastHeardMs(): number {
-		return this.#lastHeardMs;
-	}
-
 	/** The last start that has deregistered, and with it all earlier ones under its id. */
 	get ended(): EndedStart | undefined {
 		return this.#ended;
@@ -49,7 +43,6 @@
 			return 'stale';
 		}
 
-		this.#lastHeardMs = nowMs;
 		this.#current = next;
 		if (held?.id !== next.id || (held.bornMs !== next.bornMs && held.bornMs !== UNKNOWN_START_MS)) {
 			this.#drainingSinceMs = next.state === 'draining' ? nowMs : undefined;
--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {WebSocket} from 'ws';
+import {type Clock} from '../../clock/index.js';
 import {MAX_FRAME_BYTES} from '../../wire/index.js';
 import {
 	type Call, type CallHandle, type CallSink, type FailureReason, type RefusalReason,
@@ -33,6 +34,9 @@
 
 type AnswerTemplate = {readonly status: number; readonly headers: readonly string[]; readonly isUnframed: boolean; readonly reached: readonly string[]; readonly isFailedBelow: boolean; readonly signals: unknown};
 
+/** The clocks of a link: of deadlines, and of the silence of its peer. */
+export type LinkClocks = {readonly clock: Clock; readonly runningClock: Clock};
+
 /** Receives the events of a link that belong to none of its calls. */
 export abstract class LinkEvents {
 	abstract onOpen(link: Link): void;
@@ -56,7 +60,7 @@
 	readonly #calls = new Map<number, LinkCall>();
 	readonly #callTemplates = new TemplateWriter();
 	readonly #answerTemplates = new TemplateReader<AnswerTemplate>();
-	readonly #nowMs: () => number;
+	readonly #clocks: LinkClocks;
 	readonly #unsent = new UnsentFrames<LinkCall>();
 	readonly #stallDetector = new StallDetector(() => {
 		this.#events.onStalled(this, true);
@@ -64,18 +68,19 @@
 	});
 
 	#nextId = 1;
+	/** When the peer was heard, and a call sent, last: in ms on the running clock. */
 	#lastHeardMs: number;
 	#lastCallMs: number;
 	#isKept = false;
 	#isClosed = false;
 
-	constructor(host: string, address: string, events: LinkEvents, nowMs: () => number) {
+	constructor(host: string, address: string, events: LinkEvents, clocks: LinkClocks) {
 		super();
 		this.host = host;
 		this.address = address;
 		this.#events = events;
-		this.#nowMs = nowMs;
-		this.#lastHeardMs = nowMs();
+		this.#clocks = clocks;
+		this.#lastHeardMs = this.#runningMs;
 		this.#lastCallMs = this.#lastHeardMs;
 		this.#socket = new WebSocket(`ws://${address}${PEER_PATH}`, {
 			perMessageDeflate: false, handshakeTimeout: OPEN_TIMEOUT_MS, maxPayload: MAX_FRAME_BYTES, skipUTF8Validation: true,
@@ -97,6 +102,10 @@
 		});
 	}
 
+	get #runningMs(): number {
+		return this.#clocks.runningClock.nowMs();
+	}
+
 	get inFlight(): number {
 		return this.#calls.size;
 	}
@@ -115,12 +124,12 @@
 	}
 
 	call(call: Call, sink: CallSink): CallHandle {
+		this.#lastCallMs = this.#runningMs;
 		if (this.#calls.size === 0) {
-			this.#lastHeardMs = this.#nowMs();
+			this.#lastHeardMs = this.#lastCallMs;
 		}
 
-		this.#lastCallMs = this.#nowMs();
-		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#lastCallMs);
+		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#clocks.clock.nowMs());
 		if (this.#isClosed || this.#socket.bufferedAmount + this.#unsent.bytes > MAX_BUFFERED_BYTES) {
 			sink.onRefused('unreachable', undefined);
 			return linkCall;
@@ -155,7 +164,8 @@
 	}
 
 	/** Pings the link if it has calls in flight and is silent; closes it if it is dead or idle. */
-	checkLiveness(nowMs: number): void {
+	checkLiveness(): void {
+		const nowMs = this.#runningMs;
 		this.#sendUnsent();
 		if (this.#stallDetector.isStalled) {
 			this.#events.onStalled(this, false);
@@ -216,7 +226,7 @@
 	}
 
 	#onHeard(): void {
-		this.#lastHeardMs = this.#nowMs();
+		this.#lastHeardMs = this.#runningMs;
 		if (this.#stallDetector.onHeard()) {
 			this.#events.onResumed(this);
 		}
@@ -249,14 +259,14 @@
 	};
 
 	#onOpen(): void {
-		this.#lastHeardMs = this.#nowMs();
+		this.#lastHeardMs = this.#runningMs;
 		this.#events.onOpen(this);
 		this.#sendUnsent();
 	}
 
 	#sendCall(linkCall: LinkCall): void {
 		linkCall.isSent = true;
-		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#nowMs()), this.#callTemplates)), this.#onWritten);
+		this.#socket.send(encodeFrame(buildCallFrame(linkCall.id, linkCall.withRemainingTime(this.#clocks.clock.nowMs()), this.#callTemplates)), this.#onWritten);
 		linkCall.flush();
 	}
 
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '../../clock/index.js';
+import {type Clock, type RunningClock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
 	type HostEntry, type HostTable, UnreachableHosts, type LoadBalancer, type LoadShedder,
@@ -21,6 +21,9 @@
 /** How often floors are passed on to the neighbors while targets turn calls away, in ms: a few steps reach all daemons within half a second. */
 const SPREAD_INTERVAL_MS = 80;
 
+/** The most that the running clock counts between two of its ticks, in ms: the usual delay of a timer is within it. */
+export const MAX_CLOCK_STEP_MS = 1.25 * LIVENESS_INTERVAL_MS;
+
 /** Why a link is closed whose host has another address now, and is as reachable as before. */
 const MOVED = 'moved';
 
@@ -32,6 +35,8 @@
 	readonly host: string;
 	readonly failureDomain: string;
 	readonly clock: Clock;
+	/** Ticks with the timer of the links. */
+	readonly runningClock: RunningClock;
 	readonly log: EventLog;
 	readonly hosts: HostTable;
 	readonly loadBalancer: LoadBalancer;
@@ -81,10 +86,13 @@
 		});
 		// All links share one timer because each timer wakes the process up.
 		this.#timer = setInterval(() => {
-			const nowMs = parts.clock.nowMs();
-			for (const link of this.#links.values()) {
-				link.checkLiveness(nowMs);
-			}
+			parts.runningClock.tick();
+			// If this process itself was held up, its sockets are served before its peers are judged.
+			setImmediate(() => {
+				for (const link of this.#links.values()) {
+					link.checkLiveness();
+				}
+			});
 		}, LIVENESS_INTERVAL_MS);
 	}
 
@@ -100,7 +108,7 @@
 		}
 
 		existing?.close(MOVED);
-		const link = new Link(host, address, this, () => this.#parts.clock.nowMs());
+		const link = new Link(host, address, this, this.#parts);
 		link.isWatched = this.#watched.has(host);
 		this.#links.set(host, link);
 		return link;
--- a/src/relay/periodiccheck.ts
+++ b/src/relay/periodiccheck.ts
@@ -19,10 +19,13 @@
 
 		this.#isScheduled = true;
 		setTimeout(() => {
-			this.#isScheduled = false;
-			if (this.#check()) {
-				this.schedule();
-			}
+			// If this process itself was held up, answers that have arrived are read before the check.
+			setImmediate(() => {
+				this.#isScheduled = false;
+				if (this.#check()) {
+					this.schedule();
+				}
+			});
 		}, CHECK_INTERVAL_MS);
 	}
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,4 +1,4 @@
-import {type Clock, SystemClock, CachedClock} from '../clock/index.js';
+import {type Clock, CachedClock, RunningClock} from '../clock/index.js';
 import {
 	ErrorLimit, EventLog, Logger, StatsdReporter,
 } from '../log/index.js';
@@ -17,7 +17,7 @@
 import {RefusalCounts} from './clients/refusalcounts.js';
 import {RequestServer} from './clients/requestserver.js';
 import {FrameTag} from './peers/frame.js';
-import {Links} from './peers/links.js';
+import {MAX_CLOCK_STEP_MS, Links} from './peers/links.js';
 import {QuarantineExchange} from './peers/quarantineexchange.js';
 import {ShareExchange} from './peers/shareexchange.js';
 import {MetricsEndpoint} from './operators/metricsendpoint.js';
@@ -93,13 +93,14 @@
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
 
-	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(new SystemClock()), write, refreshSettings}: RelayOptions = {}) {
+	constructor(settings: RelaySettings, adapter: Adapter, {clock = new CachedClock(), write, refreshSettings}: RelayOptions = {}) {
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#log = new EventLog(new Logger(settings.host, 'info', write), clock);
 		this.#binder = new AddressBinder(this.#log);
 		const {random} = Math;
 		const nowMs = () => clock.nowMs();
+		const runningClock = new RunningClock(clock, MAX_CLOCK_STEP_MS);
 		this.#loadBalancer = new LoadBalancer(settings.failureDomain, LOAD_BALANCING, random);
 		const sharing = new BudgetSharing({
 			host: settings.host, room: settings.quotaRoom ?? QUOTA_ROOM, random, onLow: () => {
@@ -148,10 +149,10 @@
 		this.#links = new Links({
 			host: settings.host,
 			failureDomain: settings.failureDomain,
-			clock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, quarantineExchange: this.#quarantineExchange, random,
+			clock, runningClock, log: this.#log, hosts: this.#hosts, loadBalancer: this.#loadBalancer, loadShedder: this.#loadShedder, directory: this.#directory, shareExchange: this.#shareExchange, quarantineExchange: this.#quarantineExchange, random,
 		});
 		this.#targetMonitor = new TargetMonitor({
-			settings: () => this.#settings, refreshSettings: refreshSettings ?? (() => undefined), adapter, clock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
+			settings: () => this.#settings, refreshSettings: refreshSettings ?? (() => undefined), adapter, clock, runningClock, log: this.#log, lifecycle: this.#lifecycle, targetClient: this.#targetClient, owner: this.#targetOwner, directory: this.#directory,
 		});
 		this.#requestServer = new RequestServer({
 			clock,
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '../../clock/index.js';
+import {type Clock, type RunningClock} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
 	type Announcement, type Deregistration, type HostEntry, type TargetLifecycle, UNKNOWN_START_MS, usableSlots,
@@ -20,6 +20,7 @@
 	readonly refreshSettings: () => void;
 	readonly adapter: Adapter;
 	readonly clock: Clock;
+	readonly runningClock: RunningClock;
 	readonly log: EventLog;
 	readonly lifecycle: TargetLifecycle;
 	readonly targetClient: TargetClient;
@@ -31,6 +32,8 @@
 export class TargetMonitor {
 	readonly #parts: TargetMonitorParts;
 	readonly #startMs: number;
+	/** When the target was heard last, in ms on the running clock. */
+	#lastHeardMs = 0;
 	#probeCount = 0;
 	/** Whether it is known what this daemon published before its start: a target that has left may still answer health checks. */
 	#isOwnEntryKnown = false;
@@ -38,7 +41,7 @@
 
 	constructor(parts: TargetMonitorParts) {
 		this.#parts = parts;
-		this.#startMs = parts.clock.nowMs();
+		this.#startMs = parts.runningClock.nowMs();
 	}
 
 	/** The longest silence, in ms, after which the target still counts as running. */
@@ -77,8 +80,8 @@
 
 	/** Probes a target that isn't known yet, and drops one that has been silent for too long. */
 	check(): void {
-		const {clock, log, lifecycle, owner} = this.#parts;
-		const {current, lastHeardMs} = lifecycle;
+		const {runningClock, log, lifecycle, owner} = this.#parts;
+		const {current} = lifecycle;
 		if (current === undefined) {
 			if (this.#isOwnEntryKnown && !this.#parts.settings().isFirstStart && this.#probeCount < MAX_PROBES) {
 				void this.#probe();
@@ -88,7 +91,7 @@
 			return;
 		}
 
-		const silentMs = clock.nowMs() - lastHeardMs;
+		const silentMs = runningClock.nowMs() - this.#lastHeardMs;
 		if (silentMs > this.#maxSilenceMs) {
 			log.warn('target_silent', {instance: current.id, silentMs: Math.round(silentMs)});
 			lifecycle.forget();
@@ -99,8 +102,8 @@
 
 	// Without this, an entry from before this daemon's start would keep naming a target that is gone.
 	#checkMissing(): void {
-		const {clock, log} = this.#parts;
-		const waitedMs = clock.nowMs() - this.#startMs;
+		const {runningClock, log} = this.#parts;
+		const waitedMs = runningClock.nowMs() - this.#startMs;
 		if (!this.#isReportedMissing && waitedMs > this.#maxSilenceMs) {
 			this.#isReportedMissing = true;
 			log.warn('target_missing', {waitedMs: Math.round(waitedMs)});
@@ -119,7 +122,7 @@
 
 	#onAnnouncement(announcement: Announcement): void {
 		const {
-			clock, log, lifecycle, targetClient, owner,
+			clock, runningClock, log, lifecycle, targetClient, owner,
 		} = this.#parts;
 		const {id, bornMs, seq, service, state, slots} = announcement;
 		if (service !== this.#parts.settings().service) {
@@ -133,6 +136,10 @@
 		}
 
 		const change = lifecycle.announce(announcement, clock.nowMs());
+		if (change !== 'stale') {
+			this.#lastHeardMs = runningClock.nowMs();
+		}
+
 		if (change === 'none') {
 			return;
 		}
--- a/test/failures/resetlink.test.ts
+++ b/test/failures/resetlink.test.ts
@@ -13,6 +13,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {bundle} from '../../scripts/bundle.mjs';
+import {SystemClock} from '../../src/clock/index.js';
 import {type AnswerHead, type Call, CallSink} from '../../src/relay/call.js';
 import {FrameTag} from '../../src/relay/peers/frame.js';
 import {Link, LinkEvents} from '../../src/relay/peers/link.js';
@@ -78,6 +79,7 @@
 let target: MeshTarget;
 let daemon: ChildProcess | undefined;
 let proxy: Server;
+const CLOCK = new SystemClock();
 let link: Link | undefined;
 let folder: string;
 let log = '';
@@ -162,7 +164,7 @@
 			};
 		};
 
-		link = new Link('back', `127.0.0.1:${port}`, new NoEvents(), () => performance.now());
+		link = new Link('back', `127.0.0.1:${port}`, new NoEvents(), {clock: CLOCK, runningClock: CLOCK});
 		const outcome = new Outcome();
 		const call: Call = {
 			template: {
--- a/test/relay/unsentcalls.test.ts
+++ b/test/relay/unsentcalls.test.ts
@@ -6,6 +6,7 @@
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {type WebSocket, WebSocketServer} from 'ws';
+import {SystemClock} from '../../src/clock/index.js';
 import {type Call, type CallHandle, CallSink} from '../../src/relay/call.js';
 import {FrameTag, decodeFrame} from '../../src/relay/peers/frame.js';
 import {Link, LinkEvents} from '../../src/relay/peers/link.js';
@@ -70,6 +71,7 @@
 
 let server: WebSocketServer;
 let events: SeenEvents;
+const CLOCK = new SystemClock();
 let link: Link;
 let peer: WebSocket;
 let receivedIds: number[];
@@ -95,7 +97,7 @@
 			}
 		});
 	});
-	link = new Link('peer', `127.0.0.1:${(server.address() as AddressInfo).port}`, events, () => performance.now());
+	link = new Link('peer', `127.0.0.1:${(server.address() as AddressInfo).port}`, events, {clock: CLOCK, runningClock: CLOCK});
 	await vi.waitUntil(() => link.isOpen && peer !== undefined);
 });
 afterEach(() => {
