A stopping daemon reads a connection before it closes it as unused

What callers saw: a request that reached a stopping daemon on a new connection while the daemon was held up for longer than connections may take to send their first request (200 ms) was read behind the close and never answered; the stop itself could also end before it was read.

Cause: the stop's timer runs before the sockets are read, and judged from what had been read before. Now only connections that were unused before two turns are closed after them, if they still are, and a stop ends only once every connection is closed.

Evidence: test/failures/lateclose, new case failed in 3 of 3 runs, passes in 3 of 3.

--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -2,6 +2,7 @@
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {sleep} from '../../clock/index.js';
 import {
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
@@ -126,11 +127,6 @@
 		return this.#exchanges.size;
 	}
 
-	/** Whether a client waits for an answer or for the rest of one, or is sending a request. */
-	get isInUse(): boolean {
-		return this.#exchanges.size > 0 || [...this.#connections.values()].some(connection => connection.isInUse());
-	}
-
 	async listen(address: Address, patience: ListenPatience): Promise<void> {
 		await listen(this.#server, address, patience);
 	}
@@ -153,9 +149,13 @@
 		await stopListening(this.#server, (endMs - this.#options.clock.nowMs()) * ACCEPT_SHARE);
 	}
 
-	/** Closes the connections that aren't in use. */
-	closeUnusedConnections(): void {
-		for (const connection of this.#connections.values()) {
+	/** Closes the connections that aren't in use, once what has arrived on them is read. */
+	async closeUnusedConnections(): Promise<void> {
+		const unused = [...this.#connections.values()].filter(connection => !connection.isInUse());
+		// After a turn that was held up, the next one reads what came meanwhile.
+		await nextTurn();
+		await nextTurn();
+		for (const connection of unused) {
 			connection.closeIfUnused();
 		}
 	}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -318,10 +318,10 @@
 			const timer = setInterval(() => {
 				const nowMs = this.#clock.nowMs();
 				if (isDrained) {
-					this.#requestServer.closeUnusedConnections();
+					void this.#requestServer.closeUnusedConnections();
 				}
 
-				const isIdle = !this.#requestServer.isInUse && !this.#peerServer.isSending && this.#targetOwner.running === 0;
+				const isIdle = this.#requestServer.openConnections === 0 && this.#requestServer.openRequests === 0 && !this.#peerServer.isSending && this.#targetOwner.running === 0;
 				if ((isDrained && isIdle) || nowMs >= endMs) {
 					clearInterval(timer);
 					resolve();
--- a/test/failures/lateclose.test.ts
+++ b/test/failures/lateclose.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {holdUp} from '../../standins/holdup.js';
 import {
 	Mesh, createRoute, createSiteSpec,
 } from '../../standins/mesh.js';
@@ -107,6 +108,24 @@
 	});
 });
 
+describe('a request that reaches a stopping daemon while it is held up', () => {
+	// Guards against a connection that is closed as unused before what waits in it is read (LOST).
+	it('is answered', async () => {
+		const {stop, port} = await addPair();
+		const long = occupy(port);
+		const stopped = stop();
+		await sleep(LAME_DUCK_MS - 50);
+		const late = new PipelinedClient(port);
+		await sleep(150);
+		late.send(get('5', 'late'));
+		holdUp(400);
+		await expect.poll(() => late.isClosed, {timeout: 5000}).toBe(true);
+		expect(late.statuses).toEqual([200]);
+		await stopped;
+		await expect.poll(() => long.statuses).toEqual([200]);
+	});
+});
+
 describe('a request behind an answer that closes the connection', () => {
 	// Guards against requests that run though their connection closes before their answer.
 	it('is not run: the body before it was too large', async () => {
