An idle connection is read once more before it is closed, and closed in two steps

What callers saw: a request that had arrived on a kept connection before its idle timeout was reset if the daemon was held up meanwhile: the HTTP server's timer runs before the sockets are read, and destroys the connection with the request in the kernel.

The idle timeout of both request servers is handled by us now: the connection is closed only if two turns of the event loop have read nothing on it, half-closed first. The own path's timeout is a setting (limits.idleTimeoutMs, 65 s as before), which its test needs.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -31,6 +31,7 @@
 		bodyBytes: z.int().min(1024).max(3_000_000).default(1_048_576),
 		requests: z.int().min(1).default(10_000).describe('The most requests that the daemon holds at the same time'),
 		ledgerKeys: z.int().min(1).default(100_000),
+		idleTimeoutMs: z.int().min(1000).max(3_600_000).default(65_000).describe('How long a caller\'s connection may stay idle after an answer, in ms'),
 	}).prefault({}),
 });
 
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {
-	BodyCollector, type HttpMessage, ClosingAnswer, LINGER_MS, header, lingerOnClose, listen, stopListening,
+	BodyCollector, type HttpMessage, ClosingAnswer, LINGER_MS, closeLingering, closeWhenIdle, header, lingerOnClose, listen, stopListening,
 } from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
@@ -14,7 +14,6 @@
 import {type RequestHead, parseRequestHead} from './request.js';
 
 const MAX_HEADER_BYTES = 32_768;
-const IDLE_TIMEOUT_MS = 65_000;
 /** How long a daemon that stops waits for clients that read their answers slowly, in ms. */
 const MAX_WRITE_MS = 10_000;
 
@@ -32,6 +31,8 @@
 	readonly bodyBytes: number;
 	/** Most requests open at once; further ones are refused as overload. */
 	readonly requests: number;
+	/** How long a connection may stay idle after an answer, in ms. */
+	readonly idleTimeoutMs: number;
 	/** Receives the requests whose path begins with the daemon's own prefix. */
 	readonly handleOwnEndpoint: OwnEndpointHandler;
 };
@@ -59,7 +60,7 @@
 		this.#log = log;
 		this.#options = options;
 		this.server = http.createServer({
-			maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true,
+			maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: options.idleTimeoutMs, noDelay: true,
 		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
@@ -70,6 +71,10 @@
 				this.#closingAnswers.delete(socket);
 			});
 		});
+		closeWhenIdle(this.server, socket => {
+			this.#closingAnswers.get(socket)?.settle();
+			closeLingering(socket);
+		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#onClientError(error, socket);
 		});
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -8,7 +8,7 @@
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
 import {
-	type ListenPatience, HOP_BY_HOP_HEADERS, stopListening, listen,
+	type ListenPatience, HOP_BY_HOP_HEADERS, closeWhenIdle, stopListening, listen,
 } from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
 import {type Address} from '../settings.js';
@@ -114,6 +114,9 @@
 				}
 			});
 		});
+		closeWhenIdle(this.#server, socket => {
+			this.#connections.get(socket)?.close();
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#onClientError(error, socket);
 		});
--- a/src/wire/closinganswer.ts
+++ b/src/wire/closinganswer.ts
@@ -20,6 +20,11 @@
 		return response !== this.#lastResponse;
 	}
 
+	/** Records that the connection closes without a further answer. */
+	settle(): void {
+		this.#isSettled = true;
+	}
+
 	onRequest(response: ServerResponse): void {
 		this.#lastResponse = response;
 	}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -8,7 +8,9 @@
 export {HandshakeError, Handshake} from './handshake.js';
 export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
 export {type ListenPatience, listen} from './listen.js';
-export {LINGER_MS, closeLingering, lingerOnClose} from './lingeringclose.js';
+export {
+	LINGER_MS, closeLingering, closeWhenIdle, lingerOnClose,
+} from './lingeringclose.js';
 export {ClosingAnswer} from './closinganswer.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {stopListening} from './stoplistening.js';
--- a/src/wire/lingeringclose.ts
+++ b/src/wire/lingeringclose.ts
@@ -1,4 +1,6 @@
+import {type Server} from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 
 /** How long a client may send on to a connection whose last answer is written, in ms. */
 export const LINGER_MS = 1000;
@@ -14,6 +16,26 @@
 	};
 }
 
+/**
+ * Closes the connections on which no request follows an answer in time. The HTTP server would destroy them, and do so before it has read
+ * what came while the process was held up.
+ * @param close closes a connection in two steps, after which no request on it is taken
+ */
+export function closeWhenIdle(server: Server, close: (socket: Socket) => void): void {
+	const closeUnlessRead = async (socket: Socket) => {
+		const {bytesRead} = socket;
+		await nextTurn();
+		await nextTurn();
+		if (socket.bytesRead === bytesRead) {
+			close(socket);
+		}
+	};
+
+	server.on('timeout', (socket: Socket) => {
+		void closeUnlessRead(socket);
+	});
+}
+
 /** Half-closes a connection, and closes it when the client does or after a while. */
 export function closeLingering(socket: Socket): void {
 	if (socket.writableEnded) {
--- a/test/failures/slowclient.test.ts
+++ b/test/failures/slowclient.test.ts
@@ -19,7 +19,7 @@
 		}
 	});
 	const server = new RequestServer(bus, new ContextTokens(), new Logger('d', 'info', () => undefined), {
-		host: HOST, port: 0, bodyBytes: 1000, requests: 10, handleOwnEndpoint: () => undefined,
+		host: HOST, port: 0, bodyBytes: 1000, idleTimeoutMs: 1000, requests: 10, handleOwnEndpoint: () => undefined,
 	});
 	await server.listen();
 	const socket = connect((server.server.address() as AddressInfo).port, HOST);
