Soak: overlapping poisons end with the last; a front that stood still excuses no answer

An answer may break off because the daemon of its target stood still (its peers give it up), no longer because the client's own did: the answer waits in its sockets (heldupdaemon).

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -75,6 +75,8 @@
 	readonly #folder: string;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#version = 0;
+	/** How many times over one request crashes targets now. */
+	#poisons = 0;
 	#isClosed = false;
 
 	/** @param folder where the logs and settings are written */
@@ -128,14 +130,16 @@
 	/** Has one request crash each target that runs it. */
 	async poison(forMs: number): Promise<void> {
 		const fromMs = Date.now();
+		this.#poisons++;
 		for (const {target} of this.hosts) {
 			target.crashesOn = ({url}) => url === DEADLY_PATH;
 		}
 
 		await sleep(forMs);
 		this.history.poisons.push({fromMs, untilMs: Date.now()});
+		this.#poisons--;
 		for (const {target} of this.hosts) {
-			target.crashesOn = undefined;
+			target.crashesOn = this.#poisons === 0 ? undefined : target.crashesOn;
 		}
 	}
 
--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -82,16 +82,18 @@
 	}
 }
 
-/** Whether an answer may end early: its target or its deadline ended it, a daemon on its way was killed or stood still, or the grace period of one ends. */
+/** Whether an answer may end early: its target or its deadline ended it, a daemon on its way was killed, that of its target stood still, or the grace period of one ends. */
 function mayBreakOff({history}: SoakRecord, {
 	host, sentMs, endedMs, deadlineMs, lastByteMs,
 }: SentRequest, runs: readonly Receipt[]): boolean {
-	const hosts = [host, ...runs.map(run => run.host)];
+	const owners = runs.map(run => run.host);
+	const hosts = [host, ...owners];
 	if (endedMs - sentMs >= deadlineMs || runs.some(({end}) => end?.outcome === 'crashed' || end?.outcome === 'cut')) {
 		return true;
 	}
 
-	if (hosts.some(one => history.isDisturbed(['killed', 'frozen'], sentMs - CONTACT_MS, endedMs, one))) {
+	const isDisturbed = (how: 'killed' | 'frozen') => (one: number) => history.isDisturbed([how], sentMs - CONTACT_MS, endedMs, one);
+	if (hosts.some(isDisturbed('killed')) || owners.some(isDisturbed('frozen'))) {
 		return true;
 	}
 
