Own path: a start waits for its settings, and a SIGHUP ends no daemon

What operators saw: the product's own daemon ended with 1 at once if its settings file was missing, empty or half written at that moment, and at a SIGHUP at any time: nothing handled it.

It waits for valid settings as the platform's daemon does (the same SettingsFile, 10 s, settings_rejected for each new reason, then the error that names field and reason), and answers a SIGHUP with the line reload_ignored: its settings are read at the start only.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -1,8 +1,13 @@
 import process from 'node:process';
 import {type CAC} from 'cac';
-import {parseSettings} from '../config/index.js';
+import {type Settings, parseSettings} from '../config/index.js';
 import {Daemon} from '../daemon/index.js';
-import {readJson} from './file.js';
+import {Logger} from '../log/index.js';
+import {MAX_SETTINGS_WAIT_MS, SettingsFile} from '../relay/index.js';
+import {decodeJson} from './file.js';
+
+/** The daemon's name in its log until the settings name it. */
+const UNNAMED = 'comfreydyke';
 
 /** Adds the command that runs a daemon. */
 export function registerDaemonCommand(cli: CAC): void {
@@ -29,7 +34,11 @@
 		});
 	}
 
-	const daemon = new Daemon(parseSettings(await readJson(path)));
+	const log = new Logger(UNNAMED, 'info');
+	process.on('SIGHUP', () => {
+		log.warn('reload_ignored', {reason: 'settings are read at the start only'});
+	});
+	const daemon = new Daemon(await readSettings(path, log));
 	// An error that no task expected costs what that task was doing, and not all open requests with it.
 	process.on('uncaughtException', error => {
 		if (!daemon.survivesUnexpectedError(error)) {
@@ -39,3 +48,14 @@
 	await daemon.start();
 	stopStarted = async () => daemon.stop();
 }
+
+/** Reads the settings, which another process may still be writing. @throws {ConfigError} when they aren't valid in time */
+async function readSettings(path: string, log: Logger): Promise<Settings> {
+	const file = new SettingsFile(path, text => parseSettings(decodeJson(path, text)));
+	return file.readWhenValid({
+		maxMs: MAX_SETTINGS_WAIT_MS,
+		onWaiting(reason, waitedMs) {
+			log.warn('settings_rejected', {reason, waitedMs});
+		},
+	});
+}
--- a/src/cli/file.ts
+++ b/src/cli/file.ts
@@ -3,13 +3,15 @@
 
 /** @throws {ConfigError} if the file can't be read or isn't valid JSON */
 export async function readJson(path: string): Promise<unknown> {
-	let text: string;
 	try {
-		text = await readFile(path, 'utf8');
+		return decodeJson(path, await readFile(path, 'utf8'));
 	} catch (error) {
-		throw new ConfigError([{path, reason: (error as Error).message}]);
+		throw error instanceof ConfigError ? error : new ConfigError([{path, reason: (error as Error).message}]);
 	}
+}
 
+/** @throws {ConfigError} if the text of the file isn't valid JSON */
+export function decodeJson(path: string, text: string): unknown {
 	try {
 		return JSON.parse(text);
 	} catch (error) {
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -6,6 +6,7 @@
 } from './adapter.js';
 export {addressSchema, localAddressSchema} from './addressschema.js';
 export {decode} from './decode.js';
+export {MAX_SETTINGS_WAIT_MS, SettingsFile} from './settingsfile.js';
 export {slotsSchema, startSchema} from './numberschema.js';
 export {DecodeError, StoreError} from './error.js';
 export {
--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -4,7 +4,7 @@
 import {type Adapter} from './adapter.js';
 import {Relay} from './relay.js';
 import {type RelaySettings} from './settings.js';
-import {SettingsFile} from './settingsfile.js';
+import {MAX_SETTINGS_WAIT_MS, SettingsFile} from './settingsfile.js';
 
 /** The share of the shutdown grace period after which the process exits, even if the relay hasn't stopped yet. */
 const FORCED_EXIT_GRACE_SHARE = 0.93;
@@ -12,8 +12,6 @@
 const SETTINGS_CHECK_MS = 2000;
 /** How soon a changed settings file that is invalid is checked again, in ms: it may be half written. */
 const SETTINGS_RECHECK_MS = 100;
-/** How long a start waits for valid settings, in ms. */
-const MAX_SETTINGS_WAIT_MS = 10_000;
 /** The daemon's name in its log until the settings name its host. */
 const UNNAMED = 'comfreydyke';
 
--- a/src/relay/settingsfile.ts
+++ b/src/relay/settingsfile.ts
@@ -1,6 +1,8 @@
 import {readFileSync} from 'node:fs';
 import {sleep} from '../clock/index.js';
 
+/** How long a start waits for valid settings, in ms. */
+export const MAX_SETTINGS_WAIT_MS = 10_000;
 /** How often a file that holds no valid settings is read again at the start, in ms. */
 const RETRY_INTERVAL_MS = 50;
 
--- a/test/failures/productstart.test.ts
+++ b/test/failures/productstart.test.ts
@@ -1,6 +1,8 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -33,6 +35,8 @@
 	child.kill('SIGKILL');
 });
 
+const settingsPath = () => path.join(folder, 'settings.json');
+
 function start(): void {
 	child = spawn(process.execPath, [path.join(folder, 'main.mjs'), 'daemon', path.join(folder, 'settings.json')], {stdio: ['ignore', 'pipe', 'pipe']});
 	child.stdout!.on('data', data => {
@@ -59,3 +63,33 @@
 		holder.close();
 	});
 });
+
+// Guards against a daemon of the product's own path that ends by itself because its settings file is still being written.
+describe('a daemon of the product\'s own path whose settings are incomplete', () => {
+	it.each([
+		['missing', () => undefined, 'ENOENT'], ['empty', () => '', 'invalid JSON'], ['half written', (text: string) => text.slice(0, text.length / 2), 'invalid JSON'],
+	])('waits for them: %s', async (_name, cut, reason) => {
+		const text = readFileSync(settingsPath(), 'utf8');
+		const incomplete = cut(text);
+		rmSync(settingsPath());
+		if (incomplete !== undefined) {
+			writeFileSync(settingsPath(), incomplete);
+		}
+
+		start();
+		await expect.poll(() => log, {timeout: 10_000}).toMatch(new RegExp(`event=settings_rejected .*${reason}`, 'v'));
+		writeFileSync(settingsPath(), text);
+		await expect.poll(() => log, {timeout: 10_000}).toContain('event=started');
+	});
+});
+
+describe('a daemon of the product\'s own path', () => {
+	// Guards against a daemon that a SIGHUP ends.
+	it('goes on after a SIGHUP, and says that it reads no settings then', async () => {
+		start();
+		await expect.poll(() => log, {timeout: 10_000}).toContain('event=started');
+		child.kill('SIGHUP');
+		await expect.poll(() => log, {timeout: 10_000}).toContain('event=reload_ignored');
+		expect([child.exitCode, child.signalCode]).toEqual([null, null]);
+	});
+});
