A silent link waits for the answers that no other host may give

What callers saw: a peer that was held up for more than 1.2 s, by a suspension or for want of a processor, cost every call in flight there its answer: the link was closed as silent.

Cause: silence alone was taken for the peer's end, though calls that may not be sent again have nothing to gain from that. Now a silent link is detached: it takes nothing more, its host counts as unreachable and is dialled anew as before, calls that another host may run fail over at the same moment as before; the others stay until their answers or deadlines, as long as the peer's kernel accepts connections (asked once each 1.2 s, for up to 0.5 s). A dead host, a cut or an ended process accepts none: those calls fail up to 0.5 s later than before.

Evidence: test/relay/unsentcalls, 'wait for their answers' failed before (closing put back: failed); 'fail if its host accepts no connections' holds the other case.

--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -8,7 +8,9 @@
 import {
 	type Frame, TemplateReader, TemplateWriter, FrameTag, buildCallFrame, decodeFrame, encodeFrame, readLoadReport, readSignals,
 } from './frame.js';
+import {acceptsConnections} from './acceptsconnections.js';
 import {CallCarrier, LinkCall} from './linkcall.js';
+import {type LinkEvents} from './linkevents.js';
 import {StallDetector} from './stalldetector.js';
 import {UnsentFrames} from './unsentframes.js';
 
@@ -22,7 +24,7 @@
 const PING_SILENCE_MS = 600;
 /** The silence in ms after which a further call on a link with calls in flight is followed by a ping. */
 const ASK_SILENCE_MS = 100;
-/** Limits the silence of a link with calls in flight, in ms; after that it counts as dead. */
+/** Limits the silence of a link with calls in flight, in ms; after that it takes no more calls. */
 const SILENCE_TIMEOUT_MS = 1200;
 /** The idle timeout of a link without calls, in ms; reopening a link costs a round trip. */
 const IDLE_TIMEOUT_MS = 20_000;
@@ -37,18 +39,6 @@
 /** The clocks of a link: of deadlines, and of the silence of its peer. */
 export type LinkClocks = {readonly clock: Clock; readonly runningClock: Clock};
 
-/** Receives the events of a link that belong to none of its calls. */
-export abstract class LinkEvents {
-	abstract onOpen(link: Link): void;
-	/** Handles a frame that belongs to no call. */
-	abstract onFrame(link: Link, frame: Frame): void;
-	/** Called when the peer owes a sign of life, and again at intervals while it does, then with `isNew` false. */
-	abstract onStalled(link: Link, isNew: boolean): void;
-	/** Called when the peer of a stalled link is heard again. */
-	abstract onResumed(link: Link): void;
-	abstract onClosed(link: Link, reason: string): void;
-}
-
 /** One WebSocket connection to the daemon beside a target; it multiplexes the calls that this daemon sends there. */
 export class Link extends CallCarrier {
 	readonly host: string;
@@ -72,6 +62,9 @@
 	#lastHeardMs: number;
 	#lastCallMs: number;
 	#isKept = false;
+	#isDetached = false;
+	/** When the host of a silent peer was last asked for a connection, in ms on the running clock. */
+	#probedMs = Number.NEGATIVE_INFINITY;
 	#isClosed = false;
 
 	constructor(host: string, address: string, events: LinkEvents, clocks: LinkClocks) {
@@ -110,6 +103,10 @@
 		return this.#calls.size;
 	}
 
+	get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
 	get isOpen(): boolean {
 		return this.#socket.readyState === WebSocket.OPEN;
 	}
@@ -130,7 +127,7 @@
 		}
 
 		const linkCall = new LinkCall(this, this.#nextId++, call, sink, this.#clocks.clock.nowMs());
-		if (this.#isClosed || this.#socket.bufferedAmount + this.#unsent.bytes > MAX_BUFFERED_BYTES) {
+		if (this.#isClosed || this.#isDetached || this.#socket.bufferedAmount + this.#unsent.bytes > MAX_BUFFERED_BYTES) {
 			sink.onRefused('unreachable', undefined);
 			return linkCall;
 		}
@@ -171,7 +168,9 @@
 			this.#events.onStalled(this, false);
 		}
 
-		if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
+		if (this.#isDetached) {
+			this.#checkDetached(nowMs);
+		} else if (this.#calls.size === 0 && (this.#isKept || this.isWatched)) {
 			this.#checkQuiet(nowMs);
 		} else if (this.#calls.size === 0) {
 			this.#lastHeardMs = nowMs;
@@ -179,7 +178,7 @@
 				this.close('idle');
 			}
 		} else if (nowMs - this.#lastHeardMs > SILENCE_TIMEOUT_MS) {
-			this.close('silent');
+			this.#detach(nowMs);
 		} else if (nowMs - this.#lastHeardMs >= PING_SILENCE_MS) {
 			this.#ping();
 		}
@@ -207,7 +206,10 @@
 		this.#socket.terminate();
 		const calls = [...this.#calls.values()];
 		this.#unsent.clear();
-		this.#events.onClosed(this, reason);
+		if (!this.#isDetached) {
+			this.#events.onClosed(this, reason);
+		}
+
 		this.#calls.clear();
 		for (const {sink, isSent} of calls) {
 			if (isSent) {
@@ -242,6 +244,37 @@
 		}
 	}
 
+	/** Ends the calls that another host may run. If the peer was only held up, the others are better off with a late answer than with none. */
+	#detach(nowMs: number): void {
+		this.#isDetached = true;
+		this.#stallDetector.onHeard();
+		this.#events.onDetached(this);
+		this.#refuseUnsent();
+		for (const linkCall of this.#calls.values()) {
+			if (linkCall.mayBeSentAgain) {
+				this.cancelCall(linkCall);
+				linkCall.sink.onFailed('link-lost', undefined);
+			}
+		}
+
+		this.#checkDetached(nowMs);
+	}
+
+	#checkDetached(nowMs: number): void {
+		if (this.#calls.size === 0) {
+			this.close('silent');
+		} else if (Math.min(nowMs - this.#lastHeardMs, nowMs - this.#probedMs) > SILENCE_TIMEOUT_MS) {
+			this.#probedMs = nowMs;
+			void this.#probe();
+		}
+	}
+
+	async #probe(): Promise<void> {
+		if (!await acceptsConnections(this.address, OPEN_TIMEOUT_MS)) {
+			this.close('silent');
+		}
+	}
+
 	#checkQuiet(nowMs: number): void {
 		const silentMs = nowMs - this.#lastHeardMs;
 		if (silentMs > QUIET_TIMEOUT_MS) {
@@ -326,7 +359,9 @@
 			}
 
 			default: {
-				this.#events.onFrame(this, frame);
+				if (!this.#isDetached) {
+					this.#events.onFrame(this, frame);
+				}
 			}
 		}
 	}
@@ -338,6 +373,7 @@
 			return;
 		}
 
+		linkCall.isAnswered = true;
 		if (isWhole === true) {
 			this.#calls.delete(linkCall.id);
 		}
--- a/src/relay/peers/linkcall.ts
+++ b/src/relay/peers/linkcall.ts
@@ -16,6 +16,8 @@
 	readonly sink: CallSink;
 	readonly bodyBytes: number;
 	isSent = false;
+	/** Whether the head of its answer has arrived. */
+	isAnswered = false;
 	readonly #link: CallCarrier;
 	readonly #call: Call;
 	readonly #createdMs: number;
@@ -31,6 +33,11 @@
 		this.#createdMs = nowMs;
 	}
 
+	/** Whether another host may run it although it may have run here. */
+	get mayBeSentAgain(): boolean {
+		return this.#call.template.repeatability === 'safe' && !this.#call.hasMoreBody && !this.isAnswered;
+	}
+
 	/** Returns the call with its remaining times reduced by the time that it waited to be sent. */
 	withRemainingTime(nowMs: number): Call {
 		const waitedMs = nowMs - this.#createdMs;
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -8,7 +8,8 @@
 	type Frame, type FrameChannel, FrameTag, buildFloorReportFrame, readFloorReports,
 } from './frame.js';
 import {Gossip} from './gossip.js';
-import {Link, LinkEvents, LIVENESS_INTERVAL_MS} from './link.js';
+import {Link, LIVENESS_INTERVAL_MS} from './link.js';
+import {LinkEvents} from './linkevents.js';
 import {type QuarantineExchange} from './quarantineexchange.js';
 import {type ShareExchange} from './shareexchange.js';
 
@@ -51,6 +52,8 @@
 export class Links extends LinkEvents {
 	readonly #parts: LinksParts;
 	readonly #links = new Map<string, Link>();
+	/** Links to silent peers on which calls are still in flight; the host may have a new one. */
+	readonly #detached = new Set<Link>();
 	/** Hosts whose link broke; this daemon reconnects to them so that a restarted daemon receives the configuration. */
 	readonly #unreachable: UnreachableHosts;
 	/** Hosts that refused the last connection: no daemon runs there. */
@@ -89,9 +92,7 @@
 			parts.runningClock.tick();
 			// If this process itself was held up, its sockets are served before its peers are judged.
 			setImmediate(() => {
-				for (const link of this.#links.values()) {
-					link.checkLiveness();
-				}
+				this.#checkLinks();
 			});
 		}, LIVENESS_INTERVAL_MS);
 	}
@@ -287,6 +288,11 @@
 		this.#parts.log.event('link_closed', {host: link.host, reason, inFlight: link.inFlight});
 	}
 
+	override onDetached(link: Link): void {
+		this.#detached.add(link);
+		this.onClosed(link, 'silent');
+	}
+
 	// The address now belongs to another host, so the host that had it no longer exists.
 	#onHostReplaced(link: Link, otherHost: string): void {
 		const {log, hosts, loadBalancer, directory, clock, random} = this.#parts;
@@ -301,6 +307,15 @@
 		loadBalancer.markUnreachable(link.host, clock.nowMs());
 	}
 
+	#checkLinks(): void {
+		for (const link of [...this.#links.values(), ...this.#detached]) {
+			link.checkLiveness();
+			if (link.isClosed) {
+				this.#detached.delete(link);
+			}
+		}
+	}
+
 	#onHostsChanged(): void {
 		this.#gossip.onHostsChanged();
 		this.#parts.shareExchange.onHostsChanged();
--- a/test/failures/resetlink.test.ts
+++ b/test/failures/resetlink.test.ts
@@ -16,7 +16,8 @@
 import {SystemClock} from '../../src/clock/index.js';
 import {type AnswerHead, type Call, CallSink} from '../../src/relay/call.js';
 import {FrameTag} from '../../src/relay/peers/frame.js';
-import {Link, LinkEvents} from '../../src/relay/peers/link.js';
+import {Link} from '../../src/relay/peers/link.js';
+import {LinkEvents} from '../../src/relay/peers/linkevents.js';
 import {createRoute, createSiteSpec} from '../../standins/mesh.js';
 import {meshHeaders} from '../../standins/meshadapter.js';
 import {MeshTarget} from '../../standins/meshtarget.js';
@@ -70,6 +71,10 @@
 		// As above.
 	}
 
+	override onDetached(): void {
+		// The test has no silent peer.
+	}
+
 	override onClosed(): void {
 		// The call's sink is told.
 	}
--- a/test/relay/unsentcalls.test.ts
+++ b/test/relay/unsentcalls.test.ts
@@ -8,8 +8,11 @@
 import {type WebSocket, WebSocketServer} from 'ws';
 import {SystemClock} from '../../src/clock/index.js';
 import {type Call, type CallHandle, CallSink} from '../../src/relay/call.js';
-import {FrameTag, decodeFrame} from '../../src/relay/peers/frame.js';
-import {Link, LinkEvents} from '../../src/relay/peers/link.js';
+import {
+	FrameTag, decodeFrame, encodeFrame, packLoadReport,
+} from '../../src/relay/peers/frame.js';
+import {Link} from '../../src/relay/peers/link.js';
+import {LinkEvents} from '../../src/relay/peers/linkevents.js';
 import {StallDetector} from '../../src/relay/peers/stalldetector.js';
 
 const CALLS = 240;
@@ -56,6 +59,10 @@
 		this.seen.push('resumed');
 	}
 
+	override onDetached(): void {
+		this.seen.push('detached');
+	}
+
 	override onClosed(): void {
 		// The test closes the link itself.
 	}
@@ -215,3 +222,53 @@
 		link.close('over');
 	});
 });
+
+describe('calls on a link whose peer is silent for too long', () => {
+	const unsafe = {...call, body: Buffer.alloc(0)};
+	const safe: Call = {...unsafe, template: {...call.template, repeatability: 'safe'}};
+	let timer: NodeJS.Timeout;
+
+	/** Sends a call that no other host may run, and one that any may, and waits until the link takes no more. @returns their outcomes */
+	async function outlastSilence(): Promise<Outcome[]> {
+		const outcomes = [new Outcome(), new Outcome()];
+		for (const [index, each] of [unsafe, safe].entries()) {
+			link.call(each, outcomes[index]);
+		}
+
+		await vi.waitUntil(() => receivedIds.length === 2, 5000);
+		answersPings = false;
+		timer = setInterval(() => {
+			link.checkLiveness();
+		}, 100);
+		await vi.waitUntil(() => events.seen.includes('detached'), 5000);
+		return outcomes;
+	}
+
+	afterEach(() => {
+		clearInterval(timer);
+	});
+
+	// Guards against answers that are lost because their peer was held up for longer than a link may be silent.
+	it('wait for their answers if no other host may run them and its own accepts connections', async () => {
+		const outcomes = await outlastSilence();
+		const late = new Outcome();
+		link.call(unsafe, late);
+		await sleep(1000);
+		expect([...outcomes, late].map(({ends}) => ends)).toEqual([[], ['failed link-lost'], ['refused unreachable']]);
+		const head = {
+			status: 200, headers: [], isUnframed: false, reached: [], isFailedBelow: false, signals: null,
+		};
+		peer.send(encodeFrame([FrameTag.answer, receivedIds[0], 0, head, 's', null, null, true, packLoadReport({
+			running: 0, queued: 0, limit: 1, serviceMs: 1,
+		})]));
+		await vi.waitUntil(() => link.isClosed, 5000);
+		expect(outcomes[0].ends).toEqual(['answered']);
+	});
+
+	it('fail if its host accepts no connections either', async () => {
+		server.close();
+		const outcomes = await outlastSilence();
+		await vi.waitUntil(() => link.isClosed, 5000);
+		expect(outcomes.map(({ends}) => ends)).toEqual([['failed link-lost'], ['failed link-lost']]);
+	});
+});
