A silent link isn't closed if its peer was heard while its host was asked

Found by reading: on a lossy link the question may be lost (a connection's first packet is sent again after 1 s, the question waits for 0.5 s) while the peer's answer arrives; the link was closed and its calls lost all the same.

Evidence: test/relay/unsentcalls, 'wait on if it is heard' failed before.

--- a/src/relay/peers/link.ts
+++ b/src/relay/peers/link.ts
@@ -270,7 +270,8 @@
 	}
 
 	async #probe(): Promise<void> {
-		if (!await acceptsConnections(this.address, OPEN_TIMEOUT_MS)) {
+		const heardMs = this.#lastHeardMs;
+		if (!await acceptsConnections(this.address, OPEN_TIMEOUT_MS) && this.#lastHeardMs === heardMs) {
 			this.close('silent');
 		}
 	}
--- a/test/relay/unsentcalls.test.ts
+++ b/test/relay/unsentcalls.test.ts
@@ -11,10 +11,13 @@
 import {
 	FrameTag, decodeFrame, encodeFrame, packLoadReport,
 } from '../../src/relay/peers/frame.js';
+import {acceptsConnections} from '../../src/relay/peers/acceptsconnections.js';
 import {Link} from '../../src/relay/peers/link.js';
 import {LinkEvents} from '../../src/relay/peers/linkevents.js';
 import {StallDetector} from '../../src/relay/peers/stalldetector.js';
 
+vi.mock('../../src/relay/peers/acceptsconnections.js', {spy: true});
+
 const CALLS = 240;
 const BODY = Buffer.alloc(64_000);
 
@@ -265,6 +268,18 @@
 		expect(outcomes[0].ends).toEqual(['answered']);
 	});
 
+	it('wait on if it is heard while its host is asked for a connection', async () => {
+		vi.mocked(acceptsConnections).mockImplementationOnce(async () => {
+			peer.pong();
+			await sleep(200);
+			return false;
+		});
+		const [outcome] = await outlastSilence();
+		await sleep(500);
+		expect([outcome.ends, link.isClosed]).toEqual([[], false]);
+		link.close('over');
+	});
+
 	it('fail if its host accepts no connections either', async () => {
 		server.close();
 		const outcomes = await outlastSilence();
