--- /dev/null
+++ b/review/lib-2/http.mjs
@@ -0,0 +1,46 @@
+import {Buffer} from 'node:buffer';
+import {request as send} from 'node:http';
+
+/** Reads a whole body. */
+export async function readBytes(stream) {
+	const chunks = [];
+	for await (const chunk of stream) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+}
+
+/** Reads a whole body as text. */
+export async function readText(stream) {
+	const bytes = await readBytes(stream);
+	return bytes.toString();
+}
+
+/**
+ * Sends one request and reads its whole answer.
+ * @returns the status, the headers and the body; status 0 with the error if the connection ended before the answer did
+ */
+export async function exchange({
+	ip, port, method = 'GET', path, headers = {}, body, agent, timeoutMs = 10_000,
+}) {
+	return new Promise(resolve => {
+		const request = send({
+			host: ip, port, method, path, headers, agent, timeout: timeoutMs,
+		}, async response => {
+			try {
+				const bytes = await readBytes(response);
+				resolve({status: response.statusCode, headers: response.headers, body: bytes, isComplete: response.complete});
+			} catch (error) {
+				resolve({status: 0, error: error.code ?? error.message, headers: response.headers, body: Buffer.alloc(0)});
+			}
+		});
+		request.on('timeout', () => {
+			request.destroy(new Error('timeout'));
+		});
+		request.on('error', error => {
+			resolve({status: 0, error: error.code ?? error.message, headers: {}, body: Buffer.alloc(0)});
+		});
+		request.end(body);
+	});
+}
