--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable camelcase -- the names of the users' pages */
 import {spawn} from 'node:child_process';
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
@@ -16,7 +17,21 @@
 const PLACEHOLDER = /\{\{(?<name>[a-z_0-9.]+)(?<json>\|json)?\}\}/gv;
 /** As in the settings of the site threshold-prod. */
 const BOUNDS = {
-	seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 6, loss_slack_ms: 200, config_ms: 2000, downgrade_ms: 250, max_skew_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 48, recover_s: 15,
+	seed_lag_s: 3,
+	reuse_after_s: 2,
+	contact_ms: 3000,
+	ack_ms: 4000,
+	catch_up_s: 4,
+	drain_ms: 2000,
+	grace_s: 6,
+	loss_slack_ms: 200,
+	config_ms: 2000,
+	downgrade_ms: 250,
+	max_skew_ms: 5000,
+	retry_budget_ratio: 0.2,
+	budget_window_s: 10,
+	budget_slack: 48,
+	recover_s: 15,
 };
 const ADDRESS_NAMES = ['inbound', 'outbound', 'ready', 'control'];
 const STORE_IP = '127.56.0.1';
@@ -71,7 +86,21 @@
 		const ports = await findFreePorts(ip, ADDRESS_NAMES.length);
 		const addresses = Object.fromEntries(ADDRESS_NAMES.map((name, place) => [name, `${ip}:${ports[place]}`]));
 		const settings = {
-			node: `sidecar-${zone}-${index + 1}`, role: 'daemon', machine_class: 'sidecar', serves: ['sidecar'], ip, zone, region: 'region', listen_addrs: addresses, seeds: [], bootstrap: true, heartbeat_ms: 1500, bounds: BOUNDS, app_addr: upstream.address, service: upstream.service, platform: {address: this.store.address},
+			node: `sidecar-${zone}-${index + 1}`,
+			role: 'daemon',
+			machine_class: 'sidecar',
+			serves: ['sidecar'],
+			ip,
+			zone,
+			region: 'region',
+			listen_addrs: addresses,
+			seeds: [],
+			bootstrap: true,
+			heartbeat_ms: 1500,
+			bounds: BOUNDS,
+			app_addr: upstream.address,
+			service: upstream.service,
+			platform: {address: this.store.address},
 		};
 		return new Machine(path.join(this.#folder, `machine-${index + 1}`), settings, upstream);
 	}
@@ -112,7 +141,11 @@
 		const deploy = readFileSync('deploy/system.toml', 'utf8');
 		const template = readFileSync(TEMPLATE_LINE.exec(deploy).groups.file, 'utf8');
 		writeFileSync(this.#path, template.replaceAll(PLACEHOLDER, (_whole, name, json) => {
-			const value = name.split('.').reduce((held, key) => held?.[key], this.settings);
+			let value = this.settings;
+			for (const key of name.split('.')) {
+				value = value?.[key];
+			}
+
 			return value === undefined ? '' : (json === undefined ? String(value) : JSON.stringify(value));
 		}));
 	}
--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -19,27 +19,39 @@
 
 /**
  * Sends one request and reads its whole answer.
- * @returns the status, the headers and the body; status 0 with the error if the connection ended before the answer did
+ * @returns the status, the headers, the body and its length; status 0 with the error and what came of the body if the connection ended before the answer did
  */
 export async function exchange({
 	ip, port, method = 'GET', path, headers = {}, body, agent, timeoutMs = 10_000,
 }) {
 	return new Promise(resolve => {
+		let receivedBytes = 0;
+		const fail = (error, headers) => {
+			resolve({
+				status: 0, error: error.code ?? error.message, headers, body: Buffer.alloc(0), receivedBytes,
+			});
+		};
+
 		const request = send({
 			host: ip, port, method, path, headers, agent, timeout: timeoutMs,
 		}, async response => {
+			response.on('data', chunk => {
+				receivedBytes += chunk.length;
+			});
 			try {
 				const bytes = await readBytes(response);
-				resolve({status: response.statusCode, headers: response.headers, body: bytes, isComplete: response.complete});
+				resolve({
+					status: response.statusCode, headers: response.headers, body: bytes, isComplete: response.complete, receivedBytes,
+				});
 			} catch (error) {
-				resolve({status: 0, error: error.code ?? error.message, headers: response.headers, body: Buffer.alloc(0)});
+				fail(error, response.headers);
 			}
 		});
 		request.on('timeout', () => {
 			request.destroy(new Error('timeout'));
 		});
 		request.on('error', error => {
-			resolve({status: 0, error: error.code ?? error.message, headers: {}, body: Buffer.alloc(0)});
+			fail(error, {});
 		});
 		request.end(body);
 	});
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -43,6 +43,7 @@
 		}
 
 		console.log(lines.at(-1));
+		// eslint-disable-next-line unicorn/no-process-exit -- requests of a case that has failed may still be open
 		process.exit(code);
 	}
 }
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable camelcase -- the names of the users' pages */
 import {createServer} from 'node:http';
 import {readText} from './http.mjs';
 
@@ -9,8 +10,8 @@
 	#kinds = new Map();
 	#events = [];
 	#watchers = new Set();
-	#server = createServer((request, response) => {
-		void this.#serve(request, response);
+	#server = createServer(async (request, response) => {
+		await this.#serve(request, response);
 	});
 
 	async listen(ip) {
@@ -28,7 +29,9 @@
 	/** Writes an object as the operator does. */
 	write(kind, name, spec) {
 		const known = this.#kindOf(kind).get(name);
-		return this.#put(kind, {name, spec, status: known?.status ?? null, createdRevision: known?.metadata.created_rev});
+		return this.#put(kind, {
+			name, spec, status: known?.status ?? null, createdRevision: known?.metadata.created_rev,
+		});
 	}
 
 	#kindOf(kind) {
@@ -72,7 +75,9 @@
 
 		const [kind, name] = url.pathname.slice(OBJECTS_PATH.length).split('/');
 		if (request.method === 'GET') {
-			await this.#read(url, {kind, name, send, response});
+			await this.#read(url, {
+				kind, name, send, response,
+			});
 		} else {
 			this.#change(request.method, {
 				kind, name, url, send, body: text === '' ? undefined : JSON.parse(text),
@@ -132,7 +137,9 @@
 		} else if (known !== undefined && JSON.stringify(known.spec) === JSON.stringify(body.spec)) {
 			send(200, known);
 		} else {
-			send(200, this.#put(kind, {name, spec: body.spec, status: known?.status ?? null, createdRevision: known?.metadata.created_rev}));
+			send(200, this.#put(kind, {
+				name, spec: body.spec, status: known?.status ?? null, createdRevision: known?.metadata.created_rev,
+			}));
 		}
 	}
 }
--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -1,9 +1,11 @@
+/* eslint-disable camelcase -- the names of the users' pages */
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {exchange, readBytes} from './http.mjs';
 
 export const HEARTBEAT_MS = 1500;
 const HEARTBEAT_TIMEOUT_MS = 1000;
+const JSON_TYPE = {'content-type': 'application/json'};
 
 /** An upstream: runs up to `slots` requests at once, queues none, and tells the daemon on its machine of itself. */
 export class Upstream {
@@ -21,8 +23,8 @@
 	#seq = 0;
 	#bornMs = Date.now();
 	#timer;
-	#server = createServer({keepAliveTimeout: 10_000, maxHeaderSize: 65_536}, (request, response) => {
-		void this.#serve(request, response);
+	#server = createServer({keepAliveTimeout: 10_000, maxHeaderSize: 65_536}, async (request, response) => {
+		await this.#serve(request, response);
 	});
 
 	/** @param options id, service, zone, ip, slots, workMs, and `answer`, which writes the answer of a run in place of the usual one */
@@ -48,8 +50,8 @@
 
 	/** Sends heartbeats to the daemon's control address from now on. */
 	beatTo(control) {
-		const beat = () => {
-			void this.beat(control);
+		const beat = async () => {
+			await this.beat(control);
 		};
 
 		beat();
@@ -68,7 +70,7 @@
 		});
 		await sleep(this.heartbeatDelayMs());
 		const {status} = await exchange({
-			...splitAddress(control), method: 'POST', path: `/v1/rpc?call=instances.heartbeat&of=${id}`, headers: {'content-type': 'application/json', 'content-length': body.length}, body, timeoutMs: HEARTBEAT_TIMEOUT_MS,
+			...splitAddress(control), method: 'POST', path: `/v1/rpc?call=instances.heartbeat&of=${id}`, headers: {...JSON_TYPE, 'content-length': body.length}, body, timeoutMs: HEARTBEAT_TIMEOUT_MS,
 		});
 		if (status >= 200 && status < 300) {
 			this.onAcknowledged(state, Date.now());
@@ -77,10 +79,15 @@
 		return status;
 	}
 
-	/** Stops listening, so that another server can take its address; heartbeats go on. */
-	replace() {
-		this.#server.close();
-		this.#server.closeAllConnections();
+	/** Deregisters and exits, as an upstream does at the end of its drain. */
+	async leave(control) {
+		this.stopBeating();
+		const {id} = this.#options;
+		const body = JSON.stringify({born: this.#bornMs});
+		await exchange({
+			...splitAddress(control), method: 'POST', path: `/v1/rpc?call=instances.deregister&of=${id}`, headers: {...JSON_TYPE, 'content-length': body.length}, body, timeoutMs: HEARTBEAT_TIMEOUT_MS,
+		});
+		this.close();
 	}
 
 	stopBeating() {
@@ -124,7 +131,9 @@
 		this.runs.push(run);
 		const headers = {'x-comfreydyke-attempt-id': attemptId, 'x-comfreydyke-response-signature': `sig-${attemptId}`, 'x-comfreydyke-upstream-load': this.#load};
 		try {
-			await (answer ?? answerShortly)({request, response, headers, run, workMs});
+			await (answer ?? answerShortly)({
+				request, response, headers, run, workMs,
+			});
 		} catch {
 			// The sender has closed the connection, and nobody waits for the rest.
 			response.destroy();
