--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -34,7 +34,9 @@
 	recover_s: 15,
 };
 const ADDRESS_NAMES = ['inbound', 'outbound', 'ready', 'control'];
-const STORE_IP = '127.56.0.1';
+/** The addresses of a fleet are its own, so that two can run beside each other. */
+const NET = `127.${10 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 200)}`;
+const STORE_IP = `${NET}.250`;
 const READY_WAIT_MS = 20_000;
 
 export {BOUNDS};
@@ -77,7 +79,7 @@
 	}
 
 	async #createMachine(index, options) {
-		const ip = `127.56.1.${index + 1}`;
+		const ip = `${NET}.${index + 1}`;
 		const zone = options.zone ?? 'zone-a';
 		const upstream = new Upstream({
 			id: `i-${index + 1}`, zone, ip, ...options,
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -124,22 +124,28 @@
 	#change(method, {kind, name: pathName, url, send, body}) {
 		const name = pathName ?? body?.metadata?.name;
 		const known = this.#kindOf(kind).get(name);
-		const expected = body?.metadata?.revision ?? (url.searchParams.has('revision') ? Number(url.searchParams.get('revision')) : undefined);
-		if (method !== 'POST' && known === undefined) {
+		const isCreation = method === 'POST';
+		const expected = body?.metadata?.revision ?? url.searchParams.get('revision') ?? known?.metadata.revision;
+		if (!isCreation && known === undefined) {
 			send(404);
-		} else if ((method === 'POST' && known !== undefined) || (expected !== undefined && expected !== known?.metadata.revision)) {
+		} else if (known !== undefined && (isCreation || Number(expected) !== known.metadata.revision)) {
 			send(409, known);
 		} else if (method === 'DELETE') {
-			this.#revision++;
-			this.#kindOf(kind).delete(name);
-			this.#tell(kind, {object: {...known, metadata: {...known.metadata, revision: this.#revision}}, deleted: true});
-			send(200, known);
-		} else if (known !== undefined && JSON.stringify(known.spec) === JSON.stringify(body.spec)) {
+			this.#remove(kind, known);
 			send(200, known);
 		} else {
-			send(200, this.#put(kind, {
-				name, spec: body.spec, status: known?.status ?? null, createdRevision: known?.metadata.created_rev,
-			}));
+			send(200, this.#replace(kind, name, {known, spec: body.spec}));
 		}
 	}
+
+	#remove(kind, object) {
+		this.#revision++;
+		this.#kindOf(kind).delete(object.metadata.name);
+		this.#tell(kind, {object: {...object, metadata: {...object.metadata, revision: this.#revision}}, deleted: true});
+	}
+
+	/** Writes what a daemon sends; what changes nothing has no new revision. */
+	#replace(kind, name, {known, spec}) {
+		return known !== undefined && JSON.stringify(known.spec) === JSON.stringify(spec) ? known : this.write(kind, name, spec);
+	}
 }
