Review: a script that is stopped ends its daemons

Cause: a script that ended by an error, or by a signal, left its daemons running; two of the first tries of case 10 were found so. Seen: stopped by SIGTERM after 5 s, case 8 leaves no process; cases 7, 8 and 10 give the same results as before.

--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -68,6 +68,13 @@
 		await sleep(1500);
 	}
 
+	/** Ends all daemons at once, when this process ends before it could close. */
+	abandon() {
+		for (const machine of this.machines) {
+			machine.abandon();
+		}
+	}
+
 	async close() {
 		for (const {upstream} of this.machines) {
 			upstream.close();
@@ -173,6 +180,10 @@
 		this.#child = child;
 	}
 
+	abandon() {
+		this.#child?.kill('SIGKILL');
+	}
+
 	/** Kills the daemon, as a kill of the platform does. */
 	async kill(signal = 'SIGKILL') {
 		const child = this.#child;
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -23,6 +23,16 @@
 	};
 
 	const fleet = new Fleet();
+	process.once('exit', () => {
+		fleet.abandon();
+	});
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.once(signal, () => {
+			// eslint-disable-next-line unicorn/no-process-exit -- the daemons end with it
+			process.exit(2);
+		});
+	}
+
 	let code = 2;
 	try {
 		const broken = await Promise.race([play(fleet, note), sleep(MAX_MS).then(() => {
