--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -28,7 +28,6 @@
 	});
 	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 		process.once(signal, () => {
-			// eslint-disable-next-line unicorn/no-process-exit -- the daemons end with it
 			process.exit(2);
 		});
 	}
