Review: each record has what was sent, answered and run, however its script ends

Cause: the records had what broke the rule and totals, were written at the end only, and no file in a case's folder named them.

--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,6 +1,7 @@
 /** An upstream that says it is draining, and whose daemon is killed and started again, gets requests long after `drain_ms`. */
 
 import {Agent} from 'node:http';
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {BOUNDS, createConfig} from '../lib-2/fleet.mjs';
 import {exchange} from '../lib-2/http.mjs';
@@ -19,7 +20,7 @@
 const EXIT_MS = 3800;
 const AFTER_MS = 2000;
 
-await runCase(import.meta.dirname, async (fleet, note) => {
+await runCase(path.join(import.meta.dirname, 'record.txt'), async (fleet, note) => {
 	await fleet.start([{service: 'portal', slots: 8, workMs: 5}, {service: 'submissions', slots: 20, workMs: WORK_MS}], createConfig([
 		{
 			name: 'submit', service: 'submissions', kind: 'unsafe', timeoutMs: 2000,
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,5 +1,6 @@
 /** An upstream sends bytes that are no answer, and its daemon stands still for seconds: its clients get no answer at their route's timeout. */
 /* eslint-disable no-await-in-loop -- what happens in a case comes one after the other */
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createConfig} from '../lib-2/fleet.mjs';
 import {exchange} from '../lib-2/http.mjs';
@@ -17,7 +18,7 @@
 const SPOILED = ['HTTP/1.1 000 None\r\n\r\n', 'HTTP/1.1 101 Switching Protocols\r\n\r\n'];
 const PROBE_MS = 100;
 
-await runCase(import.meta.dirname, async (fleet, note) => {
+await runCase(path.join(import.meta.dirname, 'record.txt'), async (fleet, note) => {
 	let spoilsFromMs = Number.POSITIVE_INFINITY;
 	let spoilable = 0;
 	let spoiled = 0;
--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {request as send} from 'node:http';
+import {trace} from './trace.mjs';
 
 /** Reads a whole body. */
 export async function readBytes(stream) {
@@ -24,7 +25,23 @@
 export async function exchange({
 	ip, port, method = 'GET', path, headers = {}, body, agent, timeoutMs = 10_000,
 }) {
-	return new Promise(resolve => {
+	const attemptId = headers['x-comfreydyke-attempt-id'];
+	return new Promise(done => {
+		let isDone = false;
+		const resolve = result => {
+			// A connection that ends within an answer is an error of both.
+			if (attemptId !== undefined && !isDone) {
+				trace.note(`answered ${attemptId}: ${result.status === 0 ? `none, ${result.error}` : result.status}, ${result.receivedBytes} bytes`);
+			}
+
+			isDone = true;
+			done(result);
+		};
+
+		if (attemptId !== undefined) {
+			trace.note(`sent ${attemptId} ${method} ${path} to ${ip}`);
+		}
+
 		let receivedBytes = 0;
 		const fail = (error, headers) => {
 			resolve({
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -1,8 +1,8 @@
 import {writeFileSync} from 'node:fs';
-import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Fleet} from './fleet.mjs';
+import {trace} from './trace.mjs';
 
 /** Longer than any case, in ms: one that hangs couldn't run. */
 const MAX_MS = 110_000;
@@ -12,18 +12,20 @@
 
 /**
  * Plays a case: exits with 1 if its rule was broken, 0 if it held, 2 if the case couldn't run.
- * @param folder the case's folder, in which `record.txt` is written
+ * @param file the case's record: what was sent, answered and run, and what follows from it
  * @param play gets a fleet and a function that records a line; it returns why the rule is broken, or undefined if it held
  */
-export async function runCase(folder, play) {
+export async function runCase(file, play) {
 	const startMs = Date.now();
 	const lines = [];
 	const note = line => {
 		lines.push(`${((Date.now() - startMs) / 1000).toFixed(3)} ${line}`);
 	};
 
+	trace.note = note;
 	const fleet = new Fleet();
 	process.once('exit', () => {
+		writeFileSync(file, `${lines.join('\n')}\n`);
 		fleet.abandon();
 	});
 	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
@@ -46,7 +48,6 @@
 	try {
 		await fleet.close();
 	} finally {
-		writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
 		if (process.env.LOGS !== undefined) {
 			writeFileSync(process.env.LOGS, fleet.machines.map(({log}) => log).join('\n=====\n'));
 		}
--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {exchange, readBytes} from './http.mjs';
+import {trace} from './trace.mjs';
 
 export const HEARTBEAT_MS = 1500;
 const HEARTBEAT_TIMEOUT_MS = 1000;
@@ -129,6 +130,7 @@
 		});
 		const run = {id: attemptId, atMs: Date.now(), request};
 		this.runs.push(run);
+		trace.note(`ran ${attemptId} at ${id}`);
 		const headers = {'x-comfreydyke-attempt-id': attemptId, 'x-comfreydyke-response-signature': `sig-${attemptId}`, 'x-comfreydyke-upstream-load': this.#load};
 		try {
 			await (answer ?? answerShortly)({
