A daemon that starts again gives a draining target no further calls

Cause: the drain time began at the first announcement that the process heard, though an earlier process may have acknowledged the drain long before. Found with it: a late announcement from before the drain, a drain that begins with an answer or a deregistration after a restart, and one that goes on after the target was dropped as silent.

Now a drain begins only if this process has heard what came before it, otherwise it counts as over; and the state in the own entry binds a daemon that starts again. Nothing waits for the store, so a silent one makes no difference.

The sabotage in afterrestart.test.ts takes away the second memory too, without which it no longer breaks the rule: as strict as before.

--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -118,8 +118,8 @@
 			onSlowness: slowness => {
 				this.#links.gossip.floodSlowness({host: settings.host, slowness, measuredMs: clock.nowMs()});
 			},
-			onLeaving: instance => {
-				this.#targetMonitor.handleLeaving(instance);
+			onLeaving: (instance, isFirstAnswer) => {
+				this.#targetMonitor.handleLeaving(instance, isFirstAnswer);
 			},
 			decodeMachineLoad: settings.usesMachineLoad === true ? load => adapter.decodeMachineLoad(load) : undefined,
 			quarantine: this.#quarantine,
--- a/src/relay/target/ownsignals.ts
+++ b/src/relay/target/ownsignals.ts
@@ -11,8 +11,8 @@
 	readonly log: EventLog;
 	readonly lifecycle: TargetLifecycle;
 	readonly queue: AdmissionQueue<OwnedCall>;
-	/** Called when the target says in an answer that it leaves. */
-	readonly onLeaving: (instance: string) => void;
+	/** Called when the target says in an answer that it leaves, with whether that is its first answer here. */
+	readonly onLeaving: (instance: string, isFirstAnswer: boolean) => void;
 };
 
 /** Acts on what the target beside this daemon says of itself: its rate limit, and that it leaves. */
@@ -55,7 +55,7 @@
 			instance, rateLimitPerS: signals.rateLimitPerS ?? 'none', isLeaving: signals.isLeaving, running: queue.running, queued: queue.queued,
 		});
 		if (signals.isLeaving) {
-			onLeaving(instance);
+			onLeaving(instance, isFirst);
 		}
 	}
 
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -62,18 +62,28 @@
 	handleOwnEntry(entry: HostEntry | undefined): void {
 		const {log, lifecycle, owner} = this.#parts;
 		this.#isOwnEntryKnown = true;
-		if (entry?.ended !== undefined && lifecycle.restoreEnded(entry.ended)) {
-			log.event('target_ended_before', {instance: entry.ended.id, bornMs: entry.ended.bornMs});
+		const {ended, target} = entry ?? {};
+		const hasEnded = ended !== undefined && lifecycle.restoreEnded(ended);
+		if (hasEnded) {
+			log.event('target_ended_before', {instance: ended.id, bornMs: ended.bornMs});
+		}
+
+		const wasDraining = target?.state === 'draining' && target.bornMs !== undefined && lifecycle.restoreDrained({id: target.id, bornMs: target.bornMs});
+		if (wasDraining) {
+			log.event('target_drained_before', {instance: target.id, bornMs: target.bornMs ?? UNKNOWN_START_MS});
+		}
+
+		if (hasEnded || wasDraining) {
 			owner.onTargetGone();
 			this.#publish();
 		}
 	}
 
 	/** Begins the drain of a target that said in an answer that it leaves. */
-	handleLeaving(instance: string): void {
+	handleLeaving(instance: string, isFirstAnswer: boolean): void {
 		const {clock, log, lifecycle} = this.#parts;
-		if (lifecycle.startDrain(instance, clock.nowMs())) {
-			log.event('target_leaving', {instance});
+		if (lifecycle.startDrain(instance, clock.nowMs(), isFirstAnswer)) {
+			log.event('target_leaving', {instance, isFirstAnswer});
 			this.#publish();
 		}
 	}
@@ -102,11 +112,12 @@
 
 	// Without this, an entry from before this daemon's start would keep naming a target that is gone.
 	#checkMissing(): void {
-		const {runningClock, log} = this.#parts;
+		const {runningClock, log, lifecycle} = this.#parts;
 		const waitedMs = runningClock.nowMs() - this.#startMs;
 		if (!this.#isReportedMissing && waitedMs > this.#maxSilenceMs) {
 			this.#isReportedMissing = true;
 			log.warn('target_missing', {waitedMs: Math.round(waitedMs)});
+			lifecycle.forget();
 			this.#publish();
 		}
 	}
@@ -114,7 +125,9 @@
 	#onDeregistration(deregistration: Deregistration): void {
 		const {clock, log, lifecycle} = this.#parts;
 		const change = lifecycle.deregister(deregistration, clock.nowMs());
-		log.event('target_farewell', {instance: deregistration.id, bornMs: deregistration.bornMs ?? 0, change});
+		log.event('target_farewell', {
+			instance: deregistration.id, bornMs: deregistration.bornMs ?? 0, change, drain: lifecycle.drainProgress(clock.nowMs()),
+		});
 		if (change !== 'stale') {
 			this.#publish();
 		}
@@ -145,7 +158,7 @@
 		}
 
 		log.event('target_announced', {
-			instance: id, bornMs, seq, state, change,
+			instance: id, bornMs, seq, state, change, drain: lifecycle.drainProgress(clock.nowMs()),
 		});
 		if (change === 'stale') {
 			return;
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -33,8 +33,8 @@
 	readonly weightOf: (organisation: string) => number;
 	/** Called when peers should hear by what factor the target is slower than usual; 1 if it no longer is. */
 	readonly onSlowness: (slowness: number) => void;
-	/** Called when the target says in an answer that it leaves. */
-	readonly onLeaving: (instance: string) => void;
+	/** Called when the target says in an answer that it leaves, with whether that is its first answer here. */
+	readonly onLeaving: (instance: string, isFirstAnswer: boolean) => void;
 	/** Reads the load of the target's machine from its load header; absent if it isn't used. */
 	readonly decodeMachineLoad?: ((load: string) => number | undefined) | undefined;
 };
--- a/test/failures/afterrestart.test.ts
+++ b/test/failures/afterrestart.test.ts
@@ -85,6 +85,7 @@
 
 	it('is reported as used again if daemons forget at a restart which target has left', async () => {
 		vi.spyOn(TargetLifecycle.prototype, 'restoreEnded').mockReturnValue(false);
+		vi.spyOn(TargetLifecycle.prototype, 'restoreDrained').mockReturnValue(false);
 		const {port, back} = await leaveAndRestart(100);
 		expect(await countRuns(port, back.target)).toBe(3);
 	});
