The acknowledgement of a leaving waits for the store, half a second at most

What callers could see (DRAIN): a target that deregisters, whose daemon is killed right behind the acknowledgement, was used again by the next process, from a late announcement or a health check; the store's entry still said ready.

Cause: the acknowledgement was written before the entry. And a daemon that had read a stale list at its start overwrote the newer entry without reading it.

Evidence: test/failures/restartdrain.test.ts "gets the acknowledgement once the store has it" failed before ("expected true to be false").

The acknowledgement now resolves when the store holds the entry or after half a second, of the second that a target waits; the log names the latter (leaving_unstored). A copy that is replaced is taken in first.

--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -200,9 +200,7 @@
 				this.#links.removeChannel(channel);
 			},
 		});
-		this.#announcementEndpoint = new AnnouncementEndpoint(adapter, this.#log, message => {
-			this.#targetMonitor.handleMessage(message);
-		});
+		this.#announcementEndpoint = new AnnouncementEndpoint(adapter, this.#log, async message => this.#targetMonitor.handleMessage(message));
 		this.#metricsEndpoint = new MetricsEndpoint(this.#log.registry, new RelayReporter({
 			host: settings.host, site: () => this.#directory.site, confirmationAgeMs: () => this.#directory.confirmationAgeMs,
 			revocation: settings.revocation, sharing, refusalCounts: this.#refusalCounts, nowMs,
--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -73,6 +73,7 @@
 			random,
 			startedMs: this.#startedMs,
 			mayStoreBeRestored: () => this.#storeEpoch.mayBeRestored,
+			events: parts.events,
 			onVersion(entry, revision) {
 				parts.hosts.setOwnRevision(parts.host, revision);
 				parts.events.onRecords([{host: parts.host, revision, entry}]);
@@ -115,17 +116,18 @@
 		this.#scheduleLeaseEnd();
 	}
 
-	/** Publishes this daemon's own entry to the store and to its peers. */
-	publish(entry: HostEntry): void {
+	/** Publishes this daemon's own entry to the store and to its peers. @returns whether the store holds it within half a second */
+	async publish(entry: HostEntry): Promise<boolean> {
 		if (this.#ownEntry.publish(entry)) {
 			this.#parts.hosts.putOwn(entry);
 		}
+
+		return this.#ownEntry.untilStored();
 	}
 
 	/** Applies a configuration from a peer if it is newer than the one in force. */
 	offerSite(value: unknown, revision: number): void {
-		const {configuration} = this.#parts.adapter;
-		this.#active.offer({name: configuration.name, revision, value});
+		this.#active.offer({name: this.#parts.adapter.configuration.name, revision, value});
 	}
 
 	/** Takes in the epoch of the store that a peer names. @returns whether other peers should hear of it */
@@ -181,8 +183,7 @@
 	/** Elects the watchers anew, and removes the hosts whose entries were deleted from the store and not written again within the grace period. */
 	check(): void {
 		const elected = this.#parts.electWatchers();
-		const isSettled = this.#parts.clock.nowMs() - this.#startedMs >= this.#parts.settlingMs;
-		const watchers = {...elected, isElected: elected.isElected && isSettled};
+		const watchers = {...elected, isElected: elected.isElected && this.#parts.clock.nowMs() - this.#startedMs >= this.#parts.settlingMs};
 		if (watchers.isElected !== this.#watchers.isElected) {
 			this.#parts.log.event(watchers.isElected ? 'watching' : 'not_watching', {watchers: watchers.count, hosts: this.#parts.hosts.size});
 		}
--- a/src/relay/store/hostentry.ts
+++ b/src/relay/store/hostentry.ts
@@ -31,6 +31,11 @@
 	return decode(hostEntrySchema, value);
 }
 
+/** The daemon's entry that a value is; undefined if it is none. */
+export function findHostEntry(value: unknown): HostEntry | undefined {
+	return hostEntrySchema.safeParse(value).data;
+}
+
 /** Whether an entry may have this name; what the store or a peer says of others, deletions included, concerns no host. */
 export function isHostName(name: string): boolean {
 	return nameSchema.safeParse(name).success;
--- a/src/relay/store/ownentry.ts
+++ b/src/relay/store/ownentry.ts
@@ -3,6 +3,8 @@
 import {type EventLog} from '../../log/index.js';
 import {type HostEntry} from '../../mesh/index.js';
 import {StoreError} from '../error.js';
+import {type DirectoryEvents} from './directoryevents.js';
+import {findHostEntry} from './hostentry.js';
 import {type ObjectStore} from './store.js';
 import {INITIAL_BACKOFF_MS, MAX_BACKOFF_MS} from './storewatch.js';
 
@@ -14,6 +16,8 @@
 const RECHECK_SPREAD_MS = 1000;
 /** How long a write may take before peers hear of the entry without it, in ms: well within the time for which they keep a host whose entry is missing. */
 const ANNOUNCE_DELAY_MS = 200;
+/** How long a wait for the store to hold the entry lasts at most, in ms: a target waits a second for the acknowledgement of its leaving. */
+const MAX_STORED_WAIT_MS = 500;
 /** The start time of a daemon, in seconds, modulo this number becomes the fraction of its entry's first revision. */
 const START_RANGE_S = 1e6;
 
@@ -25,6 +29,8 @@
 	readonly startedMs: number;
 	/** Whether the store may have given out the same revisions twice. */
 	readonly mayStoreBeRestored: () => boolean;
+	/** Hears of the store's copy if it differs from the entry, before it is replaced: an earlier process may have known more. */
+	readonly events: Pick<DirectoryEvents, 'onOwnEntry'>;
 	/** Called when peers should hear of a new version of the entry. */
 	readonly onVersion: (entry: HostEntry, revision: number) => void;
 };
@@ -46,6 +52,8 @@
 	#stored: HostEntry | undefined;
 	/** The entry that peers were told last. */
 	#told: HostEntry | undefined;
+	/** Called when the store's copy has become equal to the entry. */
+	readonly #onStored = new Set<() => void>();
 	#isWriting = false;
 	#isClosed = false;
 
@@ -70,11 +78,30 @@
 		return true;
 	}
 
+	/** Waits until the store's copy is equal to the entry, half a second at most. @returns whether it is */
+	async untilStored(): Promise<boolean> {
+		if (this.#isStored || this.#isClosed) {
+			return this.#isStored;
+		}
+
+		return new Promise(resolve => {
+			const settle = () => {
+				clearTimeout(timer);
+				this.#onStored.delete(settle);
+				resolve(this.#isStored);
+			};
+
+			const timer = setTimeout(settle, MAX_STORED_WAIT_MS);
+			this.#onStored.add(settle);
+		});
+	}
+
 	/** Takes in a version of the entry that the store or a peer holds: one of this daemon's earlier life, or this one. */
 	observe(entry: HostEntry | undefined, revision: number): void {
 		if (Number.isInteger(revision) && revision > this.#storeRevision) {
 			this.#storeRevision = revision;
 			this.#stored = entry;
+			this.#settleWaits();
 		}
 
 		const isNewer = revision > this.#revision;
@@ -170,6 +197,18 @@
 		this.#isClosed = true;
 	}
 
+	get #isStored(): boolean {
+		return this.#stored !== undefined && isDeepStrictEqual(this.#stored, this.#entry);
+	}
+
+	#settleWaits(): void {
+		if (this.#onStored.size > 0 && this.#isStored) {
+			for (const settle of this.#onStored) {
+				settle();
+			}
+		}
+	}
+
 	/** @returns `reachable` if the store answers reads, but the write failed */
 	async #tryWrite(entry: HostEntry): Promise<'written' | 'conflict' | 'reachable' | 'unavailable'> {
 		const {store, log} = this.#options;
@@ -204,6 +243,8 @@
 			const isSame = isDeepStrictEqual(stored.value, entry);
 			if (isSame) {
 				this.#onWritten(entry, stored.revision);
+			} else {
+				this.#options.events.onOwnEntry(findHostEntry(stored.value));
 			}
 
 			return isSame ? 'same' : 'different';
@@ -238,6 +279,7 @@
 	#onWritten(entry: HostEntry, revision: number): void {
 		this.#storeRevision = revision;
 		this.#stored = entry;
+		this.#settleWaits();
 		const isAhead = revision > this.#revision;
 		this.#revision = Math.max(this.#revision, revision);
 		if (isAhead && !this.#options.mayStoreBeRestored()) {
--- a/src/relay/target/announcementendpoint.ts
+++ b/src/relay/target/announcementendpoint.ts
@@ -9,8 +9,8 @@
 
 /** Receives announcements and deregistrations from the target beside this daemon and acknowledges them. */
 export class AnnouncementEndpoint extends HttpEndpoint {
-	/** @param onMessage processes a message; the message is acknowledged when it returns and rejected when it throws */
-	constructor(adapter: Adapter, log: EventLog, onMessage: (message: TargetMessage) => void) {
+	/** @param onMessage processes a message; the message is acknowledged when its promise resolves and rejected when it rejects */
+	constructor(adapter: Adapter, log: EventLog, onMessage: (message: TargetMessage) => Promise<void>) {
 		super((request, response) => {
 			const chunks: Buffer[] = [];
 			let length = 0;
@@ -20,7 +20,7 @@
 					chunks.push(chunk);
 				}
 			});
-			request.on('end', () => {
+			const answer = async () => {
 				let status = 200;
 				let body = '{}';
 				try {
@@ -28,7 +28,7 @@
 						throw new DecodeError(`body: expected at most ${MAX_BODY_BYTES} bytes`);
 					}
 
-					onMessage(adapter.decodeTargetMessage(request.method!, request.url!, Buffer.concat(chunks).toString()));
+					await onMessage(adapter.decodeTargetMessage(request.method!, request.url!, Buffer.concat(chunks).toString()));
 				} catch (error) {
 					const {message} = error as Error;
 					log.registry.count('bad_input', {address: 'announcements'});
@@ -39,6 +39,10 @@
 
 				response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
 				response.end(body);
+			};
+
+			request.on('end', () => {
+				void answer();
 			});
 		});
 	}
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -38,6 +38,8 @@
 	/** Whether it is known what this daemon published before its start: a target that has left may still answer health checks. */
 	#isOwnEntryKnown = false;
 	#isReportedMissing = false;
+	/** Whether the store holds what was published last, once that is known. */
+	#published: Promise<boolean> | undefined;
 
 	constructor(parts: TargetMonitorParts) {
 		this.#parts = parts;
@@ -49,13 +51,18 @@
 		return this.#parts.settings().announceIntervalMs * MAX_MISSED_ANNOUNCEMENTS;
 	}
 
-	/** Processes an announcement or deregistration from the target. */
-	handleMessage(message: TargetMessage): void {
+	/** Processes an announcement or deregistration from the target. Resolves when it may be acknowledged. */
+	async handleMessage(message: TargetMessage): Promise<void> {
 		if (message.type === 'farewell') {
 			this.#onDeregistration(message.farewell);
 		} else {
 			this.#onAnnouncement(message.announcement);
 		}
+
+		// If this process is killed, the next one is bound by the acknowledgement and must find what was acknowledged.
+		if (this.#parts.lifecycle.isDraining && !await this.#published) {
+			this.#parts.log.event('leaving_unstored', {instance: this.#parts.lifecycle.current?.id ?? ''});
+		}
 	}
 
 	/** Takes in this daemon's own entry, which may be of before its start. */
@@ -179,7 +186,7 @@
 		const entry = {
 			host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`, ...(ended && {ended}),
 		};
-		directory.publish(current === undefined
+		this.#published = directory.publish(current === undefined
 			? entry
 			: {
 				...entry,
--- a/test/failures/restartdrain.test.ts
+++ b/test/failures/restartdrain.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {HOST_KIND} from '../../src/relay/store/ownentry.js';
 import {Mesh, type MeshHost} from '../../standins/mesh.js';
 import {createAttemptHeaders} from '../../standins/meshadapter.js';
 import {MeshTarget, call} from '../../standins/meshtarget.js';
@@ -58,6 +59,30 @@
 	return target.receivedRequests.length - before;
 }
 
+describe('a target whose leaving its daemon hasn\'t written to the store yet', () => {
+	it('gets the acknowledgement once the store has it', async () => {
+		const {back} = await createPair();
+		mesh.store.fault = 'down';
+		let isAcknowledged = false;
+		const leaving = (async () => {
+			expect(await back.target.deregister(back.settings.listen.announcements.port)).toBe(200);
+			isAcknowledged = true;
+		})();
+		await sleep(100);
+		expect(isAcknowledged).toBe(false);
+		mesh.store.fault = 'none';
+		await leaving;
+		const {value} = mesh.store.get(HOST_KIND, back.name);
+		expect(value).toMatchObject({ended: {id: 'i-back', bornMs: 1}});
+	});
+
+	it('gets it in time if the store stays away', async () => {
+		const {back} = await createPair();
+		mesh.store.fault = 'down';
+		expect(await back.target.deregister(back.settings.listen.announcements.port)).toBe(200);
+	});
+});
+
 describe('a draining target whose daemon starts again', () => {
 	it.each([
 		{name: 'at once', pauseMs: 0},
--- a/test/relay/ownentry.test.ts
+++ b/test/relay/ownentry.test.ts
@@ -5,6 +5,7 @@
 import {MemoryStore} from '../../fakes/memorystore.js';
 import {SystemClock} from '../../src/clock/index.js';
 import {EventLog, Logger} from '../../src/log/index.js';
+import {type HostEntry} from '../../src/mesh/index.js';
 import {ObjectStore, StoreError, type StoredObject} from '../../src/relay/index.js';
 import {HOST_KIND, OwnEntry} from '../../src/relay/store/ownentry.js';
 
@@ -64,17 +65,24 @@
 let store: FaultyStore;
 let ownEntry: OwnEntry;
 let revisions: number[];
+let copies: Array<HostEntry | undefined>;
 
 beforeEach(() => {
 	memory = new MemoryStore();
 	store = new FaultyStore(memory.createView());
 	revisions = [];
+	copies = [];
 	ownEntry = new OwnEntry({
 		store,
 		log: new EventLog(new Logger('h', 'info', () => undefined), new SystemClock()),
 		random: Math.random,
 		startedMs: STARTED_MS,
 		mayStoreBeRestored: () => memory.epoch > 0,
+		events: {
+			onOwnEntry(copy) {
+				copies.push(copy);
+			},
+		},
 		onVersion(_entry, revision) {
 			revisions.push(revision);
 		},
@@ -106,6 +114,22 @@
 		expect([revisions, store.writes, store.reads]).toEqual([[memory.get(HOST_KIND, 'h').revision], 1, 1]);
 	});
 
+	it('is waited for until the store holds it, and no longer than half a second', async () => {
+		ownEntry.publish(entry);
+		expect(await ownEntry.untilStored()).toBe(true);
+		store.fault = 'refused';
+		ownEntry.publish({...entry, failureDomain: 'b'});
+		expect(await ownEntry.untilStored()).toBe(false);
+	});
+
+	it('that an earlier process wrote is heard of before it is replaced, also where a stale list didn\'t show it', async () => {
+		const ended = {...entry, ended: {id: 'i', bornMs: 1}};
+		memory.set(HOST_KIND, 'h', ended);
+		ownEntry.publish(entry);
+		expect(await ownEntry.untilStored()).toBe(true);
+		expect(copies).toEqual([ended]);
+	});
+
 	it('is not written again after a restart, but told to peers under a new revision', async () => {
 		const {revision} = memory.set(HOST_KIND, 'h', entry);
 		ownEntry.observe(entry, revision);
