A failed assertion of a library no longer stops the daemon for seconds

Cause: the HTTP client asserts what such answers break, and Node.js makes the message of an assertion by parsing its source from the beginning of the line; the bundle has lines of 283 kB.

Bundles, of both paths, take assert from a replacement whose message needs no source. So it makes no difference which library asserts, or whose bytes do it.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,8 +2,11 @@
 
 /** Bundles a TypeScript entry point into a single file with esbuild. */
 import process from 'node:process';
+import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
+const ASSERT = fileURLToPath(new URL('assert.cjs', import.meta.url));
+
 const OPTIONAL_MODULES = /^(?:msgpackr-extract|unix-dgram|dtrace-provider|mv|safe-json-stringify|moment|bufferutil|utf-8-validate|source-map-support)$/;
 
 // The libraries import these optional modules in a try block and work without them, so the bundle excludes them.
@@ -15,6 +18,13 @@
 	},
 };
 
+const replaceAssert = {
+	name: 'replace-assert',
+	setup(bundler) {
+		bundler.onResolve({filter: /^(?:node:)?assert$/}, ({path, importer}) => importer === ASSERT ? {path, external: true} : {path: ASSERT});
+	},
+};
+
 /** Returns the esbuild options for an entry point, without the output file. */
 export function bundleOptions(entry, format) {
 	return {
@@ -23,7 +33,7 @@
 		platform: 'node',
 		target: 'node20',
 		format,
-		plugins: [excludeOptionalModules],
+		plugins: [excludeOptionalModules, replaceAssert],
 		sourcemap: format === 'esm' ? 'inline' : false,
 		banner: format === 'esm' ? {js: 'import {createRequire as __createRequire} from \'node:module\'; const require = __createRequire(import.meta.url);'} : {},
 		logLevel: 'error',
--- a/test/build.test.ts
+++ b/test/build.test.ts
@@ -1,3 +1,4 @@
+import type nodeAssert from 'node:assert';
 import {execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
@@ -8,7 +9,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
-import {expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import {bundleOptions} from '../scripts/bundle.mjs';
 import {deployNodeFlags} from '../scripts/nodeflags.mjs';
 
@@ -30,6 +31,44 @@
 	expect(names.filter(name => !held.includes(name))).toEqual([]);
 });
 
+// Guards against a daemon that stands still for seconds because an assertion of a library failed: Node.js makes its message by parsing the bundle.
+describe('a bundle', () => {
+	it.each(['src/cli/main.ts', 'platform/snapshot.ts'])('of %s takes no assertions from Node.js but those that read no source', async entry => {
+		const {outputFiles} = await build({...bundleOptions(entry, 'cjs'), write: false, logLevel: 'silent'});
+		const [{text}] = outputFiles;
+		expect([...text.matchAll(/require\("(?:node:)?assert(?:\/strict)?"\)/gv)]).toHaveLength(1);
+	});
+
+	it('has assertions that fail like those of Node.js, with a message of their own', () => {
+		const assert: typeof nodeAssert = createRequire(import.meta.url)('../scripts/assert.cjs');
+		const checks: ReadonlyArray<(value: unknown, message?: string | Error) => void> = [assert, assert.ok, assert.strict, assert.strict.ok];
+		const fails = (check: () => void) => {
+			try {
+				check();
+			} catch (error) {
+				const {code, message, generatedMessage} = error as Error & {code?: string; generatedMessage?: boolean};
+				return [code, message, generatedMessage];
+			}
+
+			return undefined;
+		};
+
+		const other = new RangeError('other');
+		expect(checks.map(check => [fails(() => {
+			check(1);
+		}), fails(() => {
+			check(0);
+		}), fails(() => {
+			check(0, 'reason');
+		}), fails(() => {
+			check(0, other);
+		})])).toEqual(Array.from({length: 4}, () => [undefined, ['ERR_ASSERTION', 'assertion failed', false], ['ERR_ASSERTION', 'reason', false], [undefined, 'other', undefined]]));
+		expect(fails(() => {
+			assert.strictEqual(1, 2, 'unequal');
+		})?.[0]).toBe('ERR_ASSERTION');
+	});
+});
+
 it('starts the daemon from its snapshot with the settings of the moment', async () => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-build-'));
 	execFileSync(process.execPath, ['scripts/bundle-platform.mjs', folder]);
