--- a/test/build.test.ts
+++ b/test/build.test.ts
@@ -40,7 +40,7 @@
 	});
 
 	it('has assertions that fail like those of Node.js, with a message of their own', () => {
-		const assert: typeof nodeAssert = createRequire(import.meta.url)('../scripts/assert.cjs');
+		const assert: typeof nodeAssert = createRequire(import.meta.url)('../scripts/assert.cjs') as typeof nodeAssert;
 		const checks: ReadonlyArray<(value: unknown, message?: string | Error) => void> = [assert, assert.ok, assert.strict, assert.strict.ok];
 		const fails = (check: () => void) => {
 			try {
