An answer with a status that no answer has is none, on both paths

Callers saw (MIXED): a target's status of 600 to 999 as the answer, on both paths; on the product's own path, from a head with a status below 200 or from an interim one that says "not-run", a 503 that promises that nothing ran.

Cause: neither path checked the status of a head. Below 200 only an assertion in the HTTP client kept such answers from callers of the platform's path.

Evidence: test/failures/oddstatus.test.ts: 47 of 86 cases failed before, e.g. "expected [ 200, 600, 600, 200 ] to deeply equal [ 200, 502, 502, 200 ]" and "[ 200, 503, 503, 200 ]". None fails now.

--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher, Pool} from 'undici';
 import {ConnectionReuse, type Output, type TargetResult} from '../core/index.js';
 import {
-	BodyCollector, type HttpMessage, createOrderlyConnector, endsInChunked, filterForwardableHeaders, header,
+	BodyCollector, type HttpMessage, StatusCheck, createOrderlyConnector, endsInChunked, filterForwardableHeaders, header,
 } from '../wire/index.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
@@ -144,6 +144,7 @@
 	readonly #maxBodyBytes: number;
 	readonly #listener: RunListener;
 	readonly #body = new BodyCollector();
+	readonly #statusCheck = new StatusCheck();
 	#status = 0;
 	#headers: string[] = [];
 	#claimsNotRun = false;
@@ -183,6 +184,15 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+		const kind = this.#statusCheck.kindOf(status);
+		if (kind === 'invalid') {
+			this.#abort(controller, `answer with status ${status}`);
+		}
+
+		if (kind !== 'final') {
+			return;
+		}
+
 		const echoed = headers[header.CONTEXT];
 		if (echoed !== undefined && echoed !== this.#context) {
 			this.#abort(controller, 'answer to another request');
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -2,7 +2,7 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type TargetSignals} from '../../mesh/index.js';
-import {BodyCollector} from '../../wire/index.js';
+import {BodyCollector, StatusCheck} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 import {
 	type AnswerHead, type Call, type FailureReason, MAX_INLINE_BODY_BYTES, type RefusalReason, BODY_WINDOW_BYTES,
@@ -50,8 +50,6 @@
 /** The code of the HTTP client's error for a request that it can't write. */
 const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG';
 
-/** Limits the interim answers (1xx) before an answer. */
-const MAX_INTERIM_ANSWERS = 32;
 /** Limits what the target sends beside the body of an answer, in bytes: its head, and for each byte of the body what its framing may take. */
 const MAX_HEAD_BYTES = 131_072;
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
@@ -63,6 +61,7 @@
 	readonly #sink: RunSink;
 	readonly #connection: RunConnection;
 	readonly #bodyStream: Readable | undefined;
+	readonly #statusCheck = new StatusCheck();
 	/** Set once the request is written to a connection. */
 	#abortRequest: ((error: Error) => void) | undefined;
 	#resumeAnswer: (() => void) | undefined;
@@ -76,7 +75,6 @@
 	/** Set once the body is streamed. */
 	#merger: ChunkMerger | undefined;
 	#bodyBytes = 0;
-	#interimAnswers = 0;
 	/** What the connection had received before this request, in bytes. */
 	#receivedBytesBefore: number;
 	/** Why the connection ended before the answer did. */
@@ -182,12 +180,13 @@
 	}
 
 	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
-		if (status < 200) {
-			this.#interimAnswers++;
-			if (this.#interimAnswers > MAX_INTERIM_ANSWERS && !this.#isOver) {
-				this.#fail('garbled');
-			}
+		const kind = this.#statusCheck.kindOf(status);
+		if (kind === 'invalid' && !this.#isOver) {
+			this.#lossCause = `status ${status}`;
+			this.#fail('garbled');
+		}
 
+		if (kind !== 'final') {
 			return true;
 		}
 
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -13,5 +13,6 @@
 } from './lingeringclose.js';
 export {ClosingAnswer} from './closinganswer.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
+export {type StatusKind, StatusCheck} from './statuscheck.js';
 export {stopListening} from './stoplistening.js';
 export * as header from './header.js';
