An upload whose answer begins early goes on

Cause: the exchange passed on chunks of the body only until the head of the answer was sent.

Evidence: test/failures/earlyanswer.test.ts, 3 of 3 cases failed before, none now. The exchange is over once the answer is whole, so that is condition enough.

--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -99,7 +99,7 @@
 				}
 			},
 			onChunk: (bytes, isLast) => {
-				if (!this.#isOver && !this.#isHeadSent) {
+				if (!this.#isOver) {
 					this.#callHandle?.write(bytes, isLast);
 				}
 			},
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -19,6 +19,9 @@
 /** Handles a request in place of the usual run and answer. */
 export type BehaviourOverride = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 
+/** Handles a request before its body is read. */
+export type StreamOverride = (request: IncomingMessage, response: ServerResponse) => void;
+
 /** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target cut its answer or crashed. */
 export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | 'cut' | 'crashed'};
 
@@ -61,6 +64,8 @@
 	/** Connections opened to the target since its start, the closed ones included. */
 	openedConnectionCount = 0;
 	behaviourOverride: BehaviourOverride | undefined;
+	/** Handles the requests for this instance in place of all else. */
+	streamOverride: StreamOverride | undefined;
 	/** Tells which requests crash the target, a moment after it began to run them. */
 	crashesOn: CrashRule | undefined;
 	/** How often the target has crashed. */
@@ -199,6 +204,10 @@
 		const attemptId = String(request.headers[meshHeaders.attemptId]);
 		if (request.headers[meshHeaders.expectedInstance] === this.id) {
 			this.begunAttemptIds.push(attemptId);
+			if (this.streamOverride !== undefined) {
+				this.streamOverride(request, response);
+				return;
+			}
 		}
 
 		const chunks: Buffer[] = [];
