A link keeps templates of a bounded length

Cause: each side of a link kept up to 1000 templates, counted and not measured; the receiver also those behind numbers that had started anew.

Evidence: test/relay/callframe.test.ts, 2 of 3 new cases failed before.

--- a/src/relay/peers/frame.ts
+++ b/src/relay/peers/frame.ts
@@ -58,6 +58,8 @@
 
 /** Limits the templates remembered for a link; when it is reached, the writer forgets all and numbers them from 0 again. */
 const MAX_TEMPLATES = 1000;
+/** The length of their keys from which on no more are kept, in characters: a large fleet has hundreds of links. */
+const MAX_TEMPLATES_LENGTH = 32_768;
 
 /** A frame as it is encoded in msgpack: a tag, then the fields in a fixed order. */
 export type Frame = readonly [tag: number, ...fields: unknown[]];
@@ -81,9 +83,13 @@
 	return value as unknown as Frame;
 }
 
-/** Assigns a number to each distinct value, so that a repeated value is sent whole once and by its number afterwards. */
+/**
+ * Assigns a number to each distinct value, so that a repeated value is sent whole once and by its number afterwards. The numbers start anew
+ * when there are too many values, or too large ones: those with a header of each user's own may never come again.
+ */
 export class TemplateWriter {
 	readonly #numbersByKey = new Map<string, number>();
+	#keyLength = 0;
 
 	/** @returns the number, and the value, or null if the other side already has it */
 	write(key: string, value: unknown): readonly [number, unknown] {
@@ -92,12 +98,14 @@
 			return [number, null];
 		}
 
-		if (this.#numbersByKey.size >= MAX_TEMPLATES) {
+		if (this.#numbersByKey.size >= MAX_TEMPLATES || this.#keyLength >= MAX_TEMPLATES_LENGTH) {
 			this.#numbersByKey.clear();
+			this.#keyLength = 0;
 		}
 
 		number = this.#numbersByKey.size;
 		this.#numbersByKey.set(key, number);
+		this.#keyLength += key.length;
 		return [number, value];
 	}
 }
@@ -106,9 +114,13 @@
 export class TemplateReader<T> {
 	readonly #valuesByNumber = new Map<number, T>();
 
-	/** @throws {FrameError} for a number whose value was never received */
+	/** @throws {FrameError} for a number whose value was never received, or not since the numbers started anew */
 	read(number: unknown, value: unknown): T {
 		if (value !== null && value !== undefined) {
+			if (number === 0) {
+				this.#valuesByNumber.clear();
+			}
+
 			this.#valuesByNumber.set(number as number, value as T);
 			return value as T;
 		}
--- a/test/relay/callframe.test.ts
+++ b/test/relay/callframe.test.ts
@@ -33,3 +33,40 @@
 		}
 	});
 });
+
+// Guards against a daemon that runs out of memory as each user's requests have a header of their own (LOST).
+describe('templates with a header that differs from request to request', () => {
+	const COOKIE_LENGTH = 12_000;
+	const templateOf = (user: number) => ({cookie: String(user).padStart(COOKIE_LENGTH, 'x')});
+
+	it('are kept neither by their sender nor by their receiver once others have come', () => {
+		const writer = new TemplateWriter();
+		const reader = new TemplateReader<{readonly cookie: string}>();
+		const write = (user: number) => writer.write(templateOf(user).cookie, templateOf(user));
+		const sent = Array.from({length: 40}, (_none, user) => write(user));
+		for (const [user, [number, value]] of sent.entries()) {
+			expect(reader.read(number, value)).toEqual(templateOf(user));
+		}
+
+		expect(Math.max(...sent.map(([number]) => number))).toBeLessThan(4);
+		expect(write(0)[1]).toEqual(templateOf(0));
+	});
+
+	it('leave none behind at the receiver that has another number', () => {
+		const reader = new TemplateReader<string>();
+		for (const [number, value] of [[0, 'a'], [1, 'b'], [0, 'c']] as const) {
+			expect(reader.read(number, value)).toBe(value);
+		}
+
+		expect(reader.read(0, null)).toBe('c');
+		expect(() => reader.read(1, null)).toThrow('template 1');
+	});
+
+	it('of a usual length are sent by number again and again', () => {
+		const writer = new TemplateWriter();
+		const keys = Array.from({length: 60}, (_none, index) => `${index}`.padStart(500, 'x'));
+		const [first, second] = [0, 1].map(() => keys.map(key => writer.write(key, key)[1]));
+		expect(first).toEqual(keys);
+		expect(second).toEqual(keys.map(() => null));
+	});
+});
