A daemon that has just started says of no resend that nothing has run

Cause: a resend counts as not run once every upstream that may have received it has promised so. A daemon that has just started has its configuration before it knows any upstream, and of none all had promised.

It is a fault by reading, too, and mended: what changed before the start isn't known, and without a configuration such a request is answered unknown.

Unit tests of the round, of the membership and of the site failed before.

--- a/src/core/daemoncore.ts
+++ b/src/core/daemoncore.ts
@@ -64,7 +64,7 @@
 		this.#lastTickMs = startMs;
 		const coreContext = new CoreContext(options.seed, startMs);
 		this.#coreContext = coreContext;
-		this.#membership = new Membership(options.region);
+		this.#membership = new Membership(options.region, startMs);
 		this.#links = new Links(coreContext);
 		this.#loadBalancer = new LoadBalancer(coreContext, this.#links, id);
 		this.#ledger = new Ledger(startMs, options.ledgerCapacity ?? DEFAULT_LEDGER_CAPACITY);
--- a/src/core/fenceround.ts
+++ b/src/core/fenceround.ts
@@ -59,7 +59,8 @@
 			return undefined;
 		}
 
-		if (verdicts.every(verdict => verdict === 'fenced')) {
+		// A daemon that has just started knows no upstream to ask, and so not whether an earlier attempt has run.
+		if (verdicts.length > 0 && verdicts.every(verdict => verdict === 'fenced')) {
 			return {kind: 'clear'};
 		}
 
--- a/src/core/ingress.ts
+++ b/src/core/ingress.ts
@@ -390,10 +390,11 @@
 		}
 	}
 
-	#refuseBeforeRouting({id, attempt}: Request, reason: Reason): void {
+	#refuseBeforeRouting({id, key, attempt}: Request, reason: Reason): void {
 		this.#parts.coreContext.counters.add('reasons', `||${reason}`);
 		const answer = createRefusal(reason, this.#retryAfter.fixedMs());
-		const mayHaveRun = attempt !== undefined && attempt > 1;
+		// Without a configuration, a request that names no attempt may be a resend.
+		const mayHaveRun = attempt === undefined ? key !== undefined && reason === 'no-config' : attempt > 1;
 		this.#parts.coreContext.emit({type: 'respond', id, answer: mayHaveRun ? {...answer, outcome: 'unknown'} : answer});
 	}
 }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -27,10 +27,13 @@
 	/** When this daemon recorded that a member had left or died, in ms since 1970. */
 	readonly #endedMs = new Map<string, number>();
 	readonly #region: string;
+	readonly #startMs: number;
 	readonly #digest = new Digest();
 
-	constructor(region: string) {
+	/** @param startMs when this daemon started, in ms since 1970 */
+	constructor(region: string, startMs: number) {
 		this.#region = region;
+		this.#startMs = startMs;
 	}
 
 	get digest(): number {
@@ -98,8 +101,9 @@
 		return [...this.#members.values()].filter(member => member.service === service);
 	}
 
+	/** Returns when the service's serving upstreams last changed, in ms since 1970. What changed before this daemon's start isn't known. */
 	servingChangedMs(service: string): number {
-		return this.#services.get(service)?.changedMs ?? 0;
+		return this.#services.get(service)?.changedMs ?? this.#startMs;
 	}
 
 	/** Returns the home upstream of a key: the same on every daemon that knows the same members. */
--- a/test/core/membership.test.ts
+++ b/test/core/membership.test.ts
@@ -12,7 +12,7 @@
 }
 
 function createMembership(...members: Member[]): Membership {
-	const membership = new Membership('r');
+	const membership = new Membership('r', 0);
 	for (const one of members) {
 		membership.apply(one, 0);
 	}
@@ -28,6 +28,13 @@
 		expect(createMembership(...records).digest).toBe(createMembership(...records.toReversed()).digest);
 	});
 
+	it('takes the upstreams of a service that it doesn\'t know for changed since its start', () => {
+		const membership = new Membership('r', 7);
+		expect(membership.servingChangedMs('s')).toBe(7);
+		membership.apply(createMember('a'), 9);
+		expect(membership.servingChangedMs('s')).toBe(9);
+	});
+
 	it.each<MemberStatus>(['leaving', 'left', 'dead'])('routes no calls to a member that is %s', status => {
 		expect(createMembership(createMember('a', {status})).servingUpstreams('s')).toEqual([]);
 	});
--- a/test/core/parts.test.ts
+++ b/test/core/parts.test.ts
@@ -166,6 +166,11 @@
 		expect(fence.result).toEqual({kind: 'unavailable'});
 	});
 
+	// Guards against "not-run" for a request that has run, from a daemon that has just started and knows no upstream.
+	it('does not let a key run when no upstream is known', () => {
+		expect(round().result).toEqual({kind: 'unavailable'});
+	});
+
 	it('has no result while an upstream is running the key', () => {
 		const fence = round();
 		fence.takeUnasked([member('a')]);
--- a/test/core/site.test.ts
+++ b/test/core/site.test.ts
@@ -125,6 +125,26 @@
 		expect(runs).toEqual([]);
 	});
 
+	// Guards against "not-run" for a request that has run, from a daemon that doesn't know yet whom to ask.
+	it.each([{attempt: 2}, {attempt: undefined}])('tells no resend that nothing has run while it knows no upstream after its start: attempt $attempt', ({attempt}) => {
+		const world = createWorld();
+		const key = createTimedKey(world.site.nowMs, 1);
+		expect(sendRequest(world, 'front-0', {key, attempt: 1})?.outcome).toBe('complete');
+		world.site.kill('back-0');
+		world.site.start('back-0');
+		const answers: Array<Pick<CallerAnswer, 'outcome' | 'reason'>> = [];
+		for (let sends = 0; sends < 100; sends++) {
+			world.send('back-0', createRequest(key, 'front', 'write'), {key, attempt}, ({outcome, reason}) => {
+				answers.push({outcome, reason});
+			});
+			world.site.run(1);
+		}
+
+		world.site.run(4000);
+		expect(answers).toHaveLength(100);
+		expect(answers.filter(({outcome}) => outcome === 'not-run')).toEqual([]);
+	});
+
 	it('refuses a key created in the future or before the resend window', () => {
 		const world = createWorld();
 		const future = createTimedKey(world.site.nowMs + 60_000, 1);
--- a/test/core/targetguard.test.ts
+++ b/test/core/targetguard.test.ts
@@ -57,7 +57,7 @@
 				quarantine: this.quarantine,
 				identity: new NameIdentity(),
 				target: 'host',
-				membership: new Membership('r'),
+				membership: new Membership('r', 0),
 				onNews: news => {
 					this.news.push(news);
 				},
