What is late is judged after a turn in which nothing held the process up

Cause: the judgement came in the check phase of the event loop, behind the poll phase that reads the sockets. A hold-up in that poll phase, behind the read of a socket, was counted against others, as what came meanwhile was unread.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,7 @@
 import {randomInt} from 'node:crypto';
-import {type Clock, SystemClock, sleep} from '../clock/index.js';
+import {
+	type Clock, SystemClock, afterSockets, sleep,
+} from '../clock/index.js';
 import {type Settings} from '../config/index.js';
 import {
 	DaemonCore, type Input, LAME_DUCK_MS, REFUSED_RETRY_AFTER_MS, createUnknownAnswer,
@@ -100,8 +102,7 @@
 	async start(): Promise<void> {
 		await this.#requestServer.listen();
 		this.#tickTimer = setInterval(() => {
-			// If this process itself was held up, what its sockets hold is read before the tick, which judges what is late.
-			setImmediate(() => {
+			afterSockets(() => {
 				this.#bus.send({type: 'tick'});
 			});
 		}, TICK_MS);
--- a/src/relay/peers/acceptsconnections.ts
+++ b/src/relay/peers/acceptsconnections.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {afterSockets} from '../../clock/index.js';
 
 /**
  * Tells whether a host accepts connections at an address: its kernel does so while the process that listens is held up,
@@ -10,8 +11,7 @@
 	const socket = connect(Number(address.slice(colon + 1)), address.slice(0, colon));
 	return new Promise(resolve => {
 		const timer = setTimeout(() => {
-			// If this process itself was held up, its sockets are served before the host is judged.
-			setImmediate(() => {
+			afterSockets(() => {
 				socket.destroy();
 			});
 		}, maxMs);
--- a/src/relay/peers/links.ts
+++ b/src/relay/peers/links.ts
@@ -1,4 +1,4 @@
-import {type Clock, type RunningClock} from '../../clock/index.js';
+import {type Clock, type RunningClock, afterSockets} from '../../clock/index.js';
 import {type EventLog} from '../../log/index.js';
 import {
 	type HostEntry, type HostTable, UnreachableHosts, type LoadBalancer, type LoadShedder,
@@ -90,8 +90,7 @@
 		// All links share one timer because each timer wakes the process up.
 		this.#timer = setInterval(() => {
 			parts.runningClock.tick();
-			// If this process itself was held up, its sockets are served before its peers are judged.
-			setImmediate(() => {
+			afterSockets(() => {
 				this.#checkLinks();
 			});
 		}, LIVENESS_INTERVAL_MS);
--- a/src/relay/peers/stalldetector.ts
+++ b/src/relay/peers/stalldetector.ts
@@ -1,3 +1,5 @@
+import {afterSockets} from '../../clock/index.js';
+
 /** How long the peer may owe a sign of life before its link counts as stalled, in ms: longer than a round trip between regions and than short pauses of a daemon. */
 const STALL_MS = 200;
 
@@ -30,8 +32,7 @@
 	onAsked(): void {
 		this.#timer ??= setTimeout(() => {
 			this.#isDue = true;
-			// If this process itself was held up, its sockets are served before it is judged.
-			setImmediate(() => {
+			afterSockets(() => {
 				if (this.#isDue) {
 					this.#isDue = false;
 					this.#isStalled = true;
--- a/src/relay/periodiccheck.ts
+++ b/src/relay/periodiccheck.ts
@@ -1,3 +1,5 @@
+import {afterSockets} from '../clock/index.js';
+
 /** How often open and running calls are checked against their deadlines, in ms: a fifth of the tolerance of a timeout, as each check wakes the process. */
 const CHECK_INTERVAL_MS = 50;
 
@@ -19,8 +21,7 @@
 
 		this.#isScheduled = true;
 		setTimeout(() => {
-			// If this process itself was held up, answers that have arrived are read before the check.
-			setImmediate(() => {
+			afterSockets(() => {
 				this.#isScheduled = false;
 				if (this.#check()) {
 					this.schedule();
--- a/test/failures/productheldup.test.ts
+++ b/test/failures/productheldup.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {request} from 'undici';
 import {DaemonPair} from '../../standins/daemonpair.js';
@@ -33,6 +33,36 @@
 		expect(statusCode).toBe(200);
 	});
 
+	it('delivers it also if it was held up after it had read its sockets, before it judged what is late', async () => {
+		const {setImmediate: schedule} = globalThis;
+		let holdUps = 0;
+		pair.onRequest = socket => {
+			let isArmed = true;
+			vi.spyOn(globalThis, 'setImmediate').mockImplementation((callback: () => void) => schedule(() => {
+				if (isArmed) {
+					isArmed = false;
+					holdUps++;
+					socket.write(ANSWER);
+					holdUp(PAUSE_MS);
+				}
+
+				callback();
+			}));
+		};
+
+		// Only a tick of the daemon beside the target shows it, and there are two daemons in this process.
+		for (let index = 0; index < 8; index++) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other
+			const {statusCode, body} = await request(`${pair.back}/back/submit`, {method: 'POST', body: 'x'});
+			// eslint-disable-next-line no-await-in-loop -- the same
+			await body.dump();
+			vi.restoreAllMocks();
+			expect(statusCode).toBe(200);
+		}
+
+		expect(holdUps).toBe(8);
+	}, 30_000);
+
 	it('doesn\'t run a request whose time has passed meanwhile', async () => {
 		let runs = 0;
 		pair.onRequest = socket => {
