Soak: targets that drain beside disturbed daemons, and odd statuses

Each seed has a drain now, alone or of all targets of a service, during which the daemons beside are killed, stopped or frozen and an announcement of before arrives late, and a target that sends statuses that no answer has. Both are drawn apart, so the other events of a seed stay as they are.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,12 +1,14 @@
 import {type RequestEnd} from '../standins/meshtarget.js';
 import {type SentRequest} from './callers.js';
-import {CONFIG_MS, MAX_AGE_MS, QUOTA_ROOM} from './fleet.js';
+import {
+	CONFIG_MS, DRAIN_MS, MAX_AGE_MS, QUOTA_ROOM,
+} from './fleet.js';
 import {type History} from './history.js';
 import {
 	checkAnswered, checkAnswers, checkBodies, checkOwnEnds,
 } from './losses.js';
 import {DEADLY_PATH, LIMITED} from './plan.js';
-import {isPublic} from './work.js';
+import {UPLOAD_PREFIX, isPublic} from './work.js';
 
 /** A request that a target received; `hasRun` is false for one that it shed. */
 export type Receipt = {
@@ -181,8 +183,20 @@
 	}
 }
 
+/** Finds requests that reached a draining target late, whatever became of its daemon meanwhile. Uploads take their time. */
+function * checkDrains({receipts, history}: SoakRecord): Iterable<Violation> {
+	for (const {host, acknowledgedMs, untilMs} of history.drains) {
+		for (const receipt of receipts) {
+			const lateMs = receipt.atMs - acknowledgedMs;
+			if (receipt.host === host && lateMs > DRAIN_MS && receipt.atMs < untilMs && !receipt.path.startsWith(UPLOAD_PREFIX)) {
+				yield {promise: 'a draining target gets nothing after the drain time', attemptId: receipt.attemptId, detail: `reached host ${host} ${lateMs} ms after the acknowledgement`};
+			}
+		}
+	}
+}
+
 /** All checks of a run. */
-export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkBodies, checkOwnEnds, checkKeys, checkRefusals, checkQuota, checkRecovery, checkPoison];
+export const CHECKS: readonly Check[] = [checkOnce, checkAnswers, checkNotRun, checkAnswered, checkBodies, checkOwnEnds, checkKeys, checkRefusals, checkQuota, checkRecovery, checkPoison, checkDrains];
 
 /** Checks what callers and targets saw against the promises. */
 export function findViolations(record: SoakRecord): Violation[] {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -27,7 +27,7 @@
 export const LONG_TIMEOUT_MS = 5000;
 /** How many times as long a slow copy takes. */
 const SLOW = 5;
-const DRAIN_MS = 1000;
+export const DRAIN_MS = 1000;
 export const GRACE_MS = 6000;
 /** How long a stopping daemon still accepts requests; clients stay away before its end. */
 export const LAME_DUCK_MS = 1500;
@@ -157,6 +157,16 @@
 				break;
 			}
 
+			case 'odd': {
+				target.isOdd = true;
+				break;
+			}
+
+			case 'drain': {
+				await this.#drain(index, forMs);
+				break;
+			}
+
 			case 'spoil': {
 				target.isSpoiling = true;
 				break;
@@ -172,9 +182,10 @@
 			}
 		}
 
-		await sleep(behaviour === 'crash' ? 0 : forMs);
+		await sleep(behaviour === 'crash' || behaviour === 'drain' ? 0 : forMs);
 		target.slowness = 1;
 		target.isSpoiling = false;
+		target.isOdd = false;
 		target.behaviourOverride = undefined;
 		this.history.disturbances.push({
 			fromMs, untilMs: Date.now(), what: 'target', host: index,
@@ -261,6 +272,24 @@
 		this.#store.close();
 	}
 
+	/** Has a target drain and then end. In the middle, an announcement of before arrives late. */
+	async #drain(index: number, forMs: number): Promise<void> {
+		const {target, ports} = this.hosts[index];
+		const {crashCount} = target;
+		target.drainAcknowledgedMs = undefined;
+		target.isDraining = true;
+		await sleep(forMs / 2);
+		await target.announceLate(ports[3]);
+		await sleep(forMs / 2);
+		// One that has crashed meanwhile has begun another start.
+		if (target.drainAcknowledgedMs !== undefined && target.crashCount === crashCount) {
+			this.history.drains.push({host: index, acknowledgedMs: target.drainAcknowledgedMs, untilMs: Date.now()});
+		}
+
+		target.isDraining = false;
+		await target.crashAndRestart();
+	}
+
 	#startDaemon(host: FleetHost, isFirstStart: boolean): void {
 		const {index, ports, target} = host;
 		const at = (port: number) => ({ip: '127.0.0.1', port});
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -14,6 +14,9 @@
 	/** When one request crashed targets. */
 	readonly poisons: Array<{readonly fromMs: number; readonly untilMs: number}> = [];
 
+	/** When a target drained: from the first acknowledgement until it ended. */
+	readonly drains: Array<{readonly host: number; readonly acknowledgedMs: number; readonly untilMs: number}> = [];
+
 	/** The organisations that a daemon may have known in this time: those of the newest site at its beginning, and of each later one. */
 	sitesBetween(fromMs: number, untilMs: number): WrittenSite[] {
 		const known = this.sites.filter(({atMs}, index) => {
--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -51,6 +51,10 @@
 			yield {promise: 'right answer', attemptId, detail: `got ${isRight ? `the answer of ${String(answeredAttemptId)}` : 'other bytes than the target\'s'}`};
 		}
 
+		if (status !== 0 && (status < 200 || status > 599)) {
+			yield {promise: 'right answer', attemptId, detail: `got the status ${status}`};
+		}
+
 		const isTransfer = decodeWork(path) !== undefined;
 		if (status !== 0 && !isWhole && !(isTransfer && mayBreakOff(record, request, runs))) {
 			yield {promise: 'whole answer', attemptId, detail: `${status} broke off after ${endedMs - sentMs} ms at host ${host}`};
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -5,8 +5,8 @@
 
 /** What happens to a daemon's process: SIGTERM or SIGKILL and a new start, SIGSTOP for a time, SIGHUP. */
 export type DaemonFault = 'stop' | 'kill' | 'freeze' | 'reload';
-/** What happens to a target: it is slow, sheds all calls, spoils answers, or crashes and is down for a time. */
-export type TargetFault = 'slow' | 'shedding' | 'spoil' | 'crash';
+/** What happens to a target: it is slow, sheds all calls, spoils answers, sends odd statuses, crashes and is down for a time, or drains and ends. */
+export type TargetFault = 'slow' | 'shedding' | 'spoil' | 'odd' | 'crash' | 'drain';
 /** How the operator changes an organisation. */
 export type OrganisationChange = 'withdraw' | 'withdraw-all' | 'move' | 'add' | 'limit';
 
@@ -56,6 +56,10 @@
 /** How many times as long as other faults a request crashes targets: longer than it is held. */
 const POISON_LENGTH = 3;
 
+/** How long a target drains, in ms: longer than its daemon may be away. */
+const MIN_DRAIN_MS = 3000;
+const MAX_DRAIN_MS = 5000;
+
 /** Creates the plan of a seed: the same one each time. */
 export function createPlan(seed: number, faultMs: number, hosts = DEFAULT_HOSTS): SoakPlan {
 	const random = new Random(mixSeed(seed));
@@ -74,11 +78,35 @@
 		atMs += random.exponential(MEAN_PAUSE_MS) + SERIES_PAUSE_MS;
 	}
 
+	events.push(...createDrains(seed, faultMs, hosts));
 	return {
 		seed, hosts, isStrict, faultMs, events: events.toSorted((a, b) => a.atMs - b.atMs),
 	};
 }
 
+/**
+ * Creates events in which a target drains while its daemon is disturbed, alone or with all others of its service, as a draining target gets calls when no
+ * other is left; and one in which a target sends odd statuses. They are drawn apart: the other events of a seed stay as they are.
+ */
+function createDrains(seed: number, faultMs: number, hosts: number): SoakEvent[] {
+	const random = new Random(mixSeed(`${seed}/drains`));
+	const first = random.below(hosts);
+	const isAlone = random.chance(0.3);
+	const draining = Array.from({length: hosts}, (_none, host) => host).filter(host => isAlone ? host === first : serviceOf(host) === serviceOf(first));
+	const atMs = Math.round(random.between(0, faultMs / 2));
+	const events = draining.flatMap((host): SoakEvent[] => [
+		{
+			type: 'target', atMs, host, behaviour: 'drain', forMs: Math.round(random.between(MIN_DRAIN_MS, MAX_DRAIN_MS)),
+		},
+		...Array.from({length: 1 + random.below(MAX_SERIES)}, (): SoakEvent => ({
+			type: 'daemon', atMs: Math.round(atMs + random.between(MIN_FAULT_MS, MIN_DRAIN_MS)), host, fault: random.pick(['kill', 'kill', 'stop', 'freeze']), forMs: Math.round(random.between(0, MIN_FAULT_MS)),
+		})),
+	]);
+	return [...events, {
+		type: 'target', atMs: Math.round(random.between(0, faultMs)), host: random.below(hosts), behaviour: 'odd', forMs: Math.round(random.between(MIN_FAULT_MS, MAX_FAULT_MS)),
+	}];
+}
+
 // The first numbers of neighbouring seeds would be much alike.
 /** Derives the seed of a sequence of random numbers. */
 export function mixSeed(seed: number | string): number {
--- a/soak/target.ts
+++ b/soak/target.ts
@@ -14,15 +14,30 @@
 /** What becomes of each answer in turn while the target spoils its answers. */
 const SPOILT = ['unframed', 'whole', 'cut', 'twice', 'unframed', 'twice'] as const;
 
+/** Statuses that no answer has, and how many answers in turn have one of these while the target sends them. */
+const ODD_STATUSES = ['000', '700', '101', '099'];
+const ODD_EVERY = 3;
+
 type Spoilt = typeof SPOILT[number];
 
 /** A target whose requests say in their paths what it takes to answer them. */
 export class SoakTarget extends MeshTarget {
 	/** Whether some answers have no length, some of these are cut, and some are sent twice. */
 	isSpoiling = false;
+	/** Whether some answers have a status that no answer has. */
+	isOdd = false;
+	/** Whether it announces that it drains. */
+	isDraining = false;
+	/** When its daemon first acknowledged that, in ms since 1970. */
+	drainAcknowledgedMs: number | undefined;
 	#answers = 0;
 
 	override answer(response: ServerResponse, attemptId: string, status = 200, body?: Buffer<ArrayBuffer>): void {
+		if (this.isOdd && status === 200 && this.#answers++ % ODD_EVERY === 0) {
+			this.#answerOddly(response, attemptId);
+			return;
+		}
+
 		const work = decodeWork(response.req.url!);
 		const content = body ?? (work === undefined ? Buffer.from(PLAIN_BODY) : contentOf(attemptId, work.chunks * work.chunkBytes));
 		const spoilt: Spoilt = this.isSpoiling && status === 200 ? SPOILT[this.#answers++ % SPOILT.length] : 'whole';
@@ -38,6 +53,16 @@
 		}
 	}
 
+	override async announce(port: number): Promise<number> {
+		const {isDraining} = this;
+		const status = await super.announce(port, isDraining ? 'draining' : 'ready');
+		if (isDraining && status === 200) {
+			this.drainAcknowledgedMs ??= Date.now();
+		}
+
+		return status;
+	}
+
 	protected override workMsOf(url: string): number {
 		return decodeWork(url)?.workMs ?? super.workMsOf(url);
 	}
@@ -72,6 +97,12 @@
 		response.end(body.subarray(half));
 	}
 
+	#answerOddly(response: ServerResponse, attemptId: string): void {
+		const fields = Object.entries(this.#sign(attemptId)).map(([name, value]) => `${name}: ${value}\r\n`);
+		this.spoil(response);
+		response.socket?.write(`HTTP/1.1 ${ODD_STATUSES[this.#answers % ODD_STATUSES.length]} Odd\r\n${fields.join('')}content-length: 0\r\n\r\n`);
+	}
+
 	/** Sends the answer a second time, as a target that stutters. */
 	#repeat({socket}: ServerResponse, attemptId: string, body: Buffer): void {
 		const fields = Object.entries({...this.#sign(attemptId), 'content-length': body.length}).map(([name, value]) => `${name}: ${value}\r\n`);
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -168,11 +168,11 @@
 	}
 
 	/** Does the same as `announce`, for a target that listens on another port. */
-	async announceAs(targetPort: number, port: number, state: 'ready' | 'draining' = 'ready', bornMs = this.#start + 1): Promise<number> {
+	async announceAs(targetPort: number, port: number, state: 'ready' | 'draining' = 'ready', bornMs = this.#start + 1, seq = ++this.#seq): Promise<number> {
 		const {id} = this;
 		const {service, slots} = this.options;
 		const announcement = {
-			id, bornMs, seq: ++this.#seq, service, failureDomain: 'a', address: `127.0.0.1:${targetPort}`, slots, state, warmUpLeftMs: 0,
+			id, bornMs, seq, service, failureDomain: 'a', address: `127.0.0.1:${targetPort}`, slots, state, warmUpLeftMs: 0,
 		};
 		return post(port, {type: 'announcement', announcement});
 	}
@@ -189,12 +189,22 @@
 		response.end(body);
 	}
 
+	/** Sends an announcement that was made earlier, before the present state. */
+	async announceLate(port: number): Promise<number> {
+		return this.announceAs(this.port, port, 'ready', undefined, 1);
+	}
+
 	/** Resets the connection of an answer. */
 	protected cut(response: ServerResponse): void {
-		this.#cutResponses.add(response);
+		this.spoil(response);
 		response.socket?.resetAndDestroy();
 	}
 
+	/** Records that the target itself ends an answer early, or sends none. */
+	protected spoil(response: ServerResponse): void {
+		this.#cutResponses.add(response);
+	}
+
 	/** How long the target works on a request, in ms. */
 	protected workMsOf(_url: string): number {
 		return this.options.workMs;
--- a/test/failures/restartdrain.test.ts
+++ b/test/failures/restartdrain.test.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
@@ -41,14 +40,6 @@
 	return successor;
 }
 
-/** Sends an announcement that the target made earlier. */
-async function announceLate({target, settings}: MeshHost, seq: number): Promise<void> {
-	const announcement = {
-		id: target.id, bornMs: 1, seq, service: 'back', failureDomain: 'a', address: `127.0.0.1:${target.port}`, slots: 4, state: 'ready', warmUpLeftMs: 0,
-	};
-	await call(settings.listen.announcements.port, '/target', {method: 'POST', body: Buffer.from(JSON.stringify({type: 'announcement', announcement}))});
-}
-
 async function countRuns(port: number, target: MeshTarget): Promise<number> {
 	const before = target.receivedRequests.length;
 	for (let index = 0; index < 3; index++) {
@@ -122,7 +113,7 @@
 		back.target.announce = async () => 0;
 		const successor = await restart(back);
 		await mesh.settle();
-		await announceLate(successor, 1);
+		await back.target.announceLate(successor.settings.listen.announcements.port);
 		expect(await countRuns(port, back.target)).toBe(0);
 		await drain(successor);
 		await mesh.settle();
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {type SentRequest} from '../soak/callers.js';
 import {type Receipt, type SoakRecord, findViolations} from '../soak/checks.js';
+import {DRAIN_MS} from '../soak/fleet.js';
 import {History} from '../soak/history.js';
 import {DEADLY_PATH, USUAL_ORGANISATIONS, createPlan} from '../soak/plan.js';
 
@@ -63,6 +64,14 @@
 });
 const replacedRun = (endedAfterMs = 3000) => run('/kept/400-1-10-0-1', 'broken-off', endedAfterMs);
 
+/** Has the target of the usual receipt drain, with the receipt so long after the acknowledgement. */
+function drain(lateMs: number, more: Partial<Receipt> = {}): SoakRecord {
+	const record = createRecord([request('r')], [receipt('r', more)]);
+	const acknowledgedMs = BEGIN_MS + AFTER_MS + 10 - lateMs;
+	record.history.drains.push({host: 2, acknowledgedMs, untilMs: acknowledgedMs + 5000});
+	return record;
+}
+
 function endAlone(record: SoakRecord, afterMs: number): SoakRecord {
 	record.history.disturbances.push({
 		fromMs: BEGIN_MS, untilMs: BEGIN_MS + AFTER_MS, what: 'frozen', host: 1,
@@ -107,6 +116,9 @@
 		['a run that is broken off at the end of the grace period', () => stop(createRecord([replaced()], [replacedRun()]), 1, 2100)],
 		['a run whose deadline is over', () => stop(createRecord([replaced({deadlineMs: 3000})], [replacedRun()]), 1, 1000)],
 		['a run whose answer another daemon\'s stop replaces', () => stop(createRecord([replaced()], [replacedRun()]), 2, 1000)],
+		['a request that reaches a target within its drain time', () => drain(DRAIN_MS)],
+		['a request that reaches the next start of a target that drained', () => drain(5000)],
+		['a request that reaches another target while one drains', () => drain(DRAIN_MS + 1, {host: 3})],
 		['a daemon that ends within a moment after it stood still', () => endAlone(createRecord(), 900)],
 	])('allow %s', (_, create) => {
 		expect(findViolations(create())).toEqual([]);
@@ -124,6 +136,8 @@
 
 	it.each<[string, () => SoakRecord]>([
 		['at most once', () => createRecord([request('r')], [receipt('r'), receipt('r')])],
+		['a draining target gets nothing after the drain time', () => drain(DRAIN_MS + 1)],
+		['right answer', () => createRecord([refused(700)])],
 		['right answer', () => createRecord([request('r', {answeredAttemptId: 'other'})])],
 		['whole answer', () => createRecord([request('r', {isWhole: false})])],
 		['has not run', () => createRecord([refused(503, {isNotRun: true})], [receipt('r')])],
