--- a/proof/rules/lifecycle.ts
+++ b/proof/rules/lifecycle.ts
@@ -4,6 +4,7 @@
 import {Links} from '../../src/relay/peers/links.js';
 import {OwnedCall} from '../../src/relay/target/ownedcall.js';
 import {type Mesh, createRoute} from '../../standins/mesh.js';
+import {MeshTarget} from '../../standins/meshtarget.js';
 import {
 	type RuleCheck, violationIf, replaceMethod, sendAttempt,
 } from './rulecheck.js';
@@ -69,6 +70,45 @@
 			apply: () => replaceMethod(TargetLifecycle.prototype, 'mayServe', () => true),
 		},
 	},
+	{
+		rule: 'DRAIN, across a restart',
+		settings: {isFirstStart: false},
+		async run(mesh) {
+			const {back, port} = await frontAndBack(mesh, 1);
+			await sendAttempt(port, '/x/', 'a1');
+			const {target, settings: {listen}} = back;
+			target.announce = async announcements => MeshTarget.prototype.announce.call(target, announcements, 'draining');
+			await target.announce(listen.announcements.port);
+			await sleep(DRAIN_MS);
+			await back.stop();
+			const ports = [listen.requests, listen.peers, listen.readiness, listen.announcements].map(address => address.port);
+			mesh.hosts.splice(1, 1, await mesh.startDaemon('back', target, ports));
+			const before = target.ranAttemptIds.length;
+			await sendAttempt(port, '/x/', 'a2', {deadlineMs: 500});
+			return violationIf(target.ranAttemptIds.length > before, 'a draining target was given work again after its daemon had restarted');
+		},
+		sabotage: {
+			title: 'a daemon that restarts lets the drain begin anew',
+			apply() {
+				const {announce} = TargetLifecycle.prototype;
+				const undos = [
+					replaceMethod(TargetLifecycle.prototype, 'restoreDrained', () => false),
+					replaceMethod(TargetLifecycle.prototype, 'announce', function (this: TargetLifecycle, next, nowMs) {
+						if (this.current === undefined) {
+							announce.call(this, {...next, state: 'ready', seq: next.seq - 1}, nowMs);
+						}
+
+						return announce.call(this, next, nowMs);
+					}),
+				];
+				return () => {
+					for (const undo of undos) {
+						undo();
+					}
+				};
+			},
+		},
+	},
 	{
 		rule: 'RECOVER',
 		async run(mesh) {
