review/11: a daemon that was frozen answers 408 and passes the request on

Cause: the check for late heads counts the freeze against a request that waits in the kernel, and the connection that was answered 408 isn't marked as closing, so its request is read and sent on.

--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,67 +1,69 @@
-/** Kills the clients' daemon once, in the middle of answers that have no length. */
-/* eslint-disable no-await-in-loop -- one piece after the other */
-import {Buffer} from 'node:buffer';
+/** Freezes the clients' daemon for a few seconds, with requests on their way on connections that are new. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {RawClient, hasTrouble, runCase} from '../lib-3/deployment.mjs';
 
-const WHOLE_BYTES = 4_000_000;
-const PIECE_BYTES = 50_000;
-const PIECE_MS = 20;
-const KILL_AT_BYTES = 1_800_000;
-const CLIENTS = 3;
+/** The daemon's HTTP server looks for late heads each 30 s from its start on; the freeze lies around one of these times. */
+const CHECK_INTERVAL_MS = 30_000;
+const BEFORE_CHECK_MS = 1500;
+const FREEZE_MS = 3500;
+const CLIENTS = 6;
+/** How long after its connection a client sends its request. */
+const SEND_AFTER_MS = 100;
+const WORK_MS = 50;
 const DEADLINE_MS = 5000;
 
 await runCase(import.meta.url, async deployment => {
+	const startMs = Date.now();
 	await deployment.start([
 		{name: 'm1', service: 'portal'},
 		{
-			name: 'm2', service: 'files', async work(_request, response, id) {
-				const {socket} = response;
-				const headers = Object.entries(this.headersOf(id, `sig.${WHOLE_BYTES}`)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
-				socket.write(`HTTP/1.1 200 OK\r\n${headers}Connection: close\r\n\r\n`);
-				for (let sent = 0; sent < WHOLE_BYTES && !socket.destroyed; sent += PIECE_BYTES) {
-					if (!socket.write(Buffer.alloc(PIECE_BYTES, 'x'))) {
-						await new Promise(resolve => {
-							socket.once('drain', resolve);
-							socket.once('close', resolve);
-						});
-					}
-
-					await sleep(PIECE_MS);
-				}
-
-				socket.end();
-				deployment.record(`upstream answered attempt=${id}`);
+			name: 'm2', service: 'bookings', async work(_request, response, id) {
+				await sleep(WORK_MS);
+				response.writeHead(200, {...this.headersOf(id, 'sig.2'), 'content-length': 2});
+				response.end('ok');
 			},
 		},
-	], [{name: 'file', kind: 'safe', service: 'files'}]);
-	const [front] = deployment.machines;
+	], [{
+		name: 'book', kind: 'unsafe', service: 'bookings', attempts: 1,
+	}]);
+	const [front, {upstream}] = deployment.machines;
+	const send = (client, id) => {
+		client.socket.write(`POST /book/ HTTP/1.1\r\nHost: site.example\r\nX-Comfreydyke-Attempt-Id: ${id}\r\nX-Comfreydyke-Deadline-Ms: ${DEADLINE_MS}\r\nContent-Length: 4\r\n\r\nbook`);
+		deployment.record(`sent attempt=${id}`);
+	};
+
 	await deployment.until('a request is served', async () => {
 		const client = new RawClient(front.outbound);
-		client.get('/file/warm', `warm${Date.now()}`, DEADLINE_MS);
-		await client.closed;
+		send(client, `warm${Math.random()}`);
+		await deployment.until('it is answered', () => client.answer !== undefined || client.end !== undefined);
+		client.socket.destroy();
 		return client.answer?.status === 200;
 	});
+	await sleep(startMs + CHECK_INTERVAL_MS - BEFORE_CHECK_MS - Date.now());
 
-	await deployment.settle();
 	const clients = Array.from({length: CLIENTS}, () => new RawClient(front.outbound));
+	await sleep(SEND_AFTER_MS);
+	if (hasTrouble) {
+		front.signal('SIGSTOP');
+		await sleep(SEND_AFTER_MS);
+	}
+
 	for (const [index, client] of clients.entries()) {
-		client.get('/file/1', `a${index}`, DEADLINE_MS);
-		deployment.record(`sent attempt=a${index}`);
+		send(client, `a${index}`);
 	}
 
-	await deployment.until('answers are under way', () => clients.every(({received}) => received > KILL_AT_BYTES), DEADLINE_MS);
 	if (hasTrouble) {
-		front.signal('SIGKILL');
+		await sleep(FREEZE_MS);
+		front.signal('SIGCONT');
 	}
 
-	await Promise.all(clients.map(async ({closed}) => closed));
+	await sleep(DEADLINE_MS - FREEZE_MS + 500);
 	return clients.flatMap((client, index) => {
-		const {status, headers, body} = client.answer;
-		const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-		const signature = headers['x-comfreydyke-response-signature'];
-		const text = `attempt=a${index} status=${status} signature=${signature} framed=${isFramed} body=${body.length} of ${WHOLE_BYTES} bytes, connection ended by ${client.end}`;
-		deployment.record(`answered ${text}`);
-		return status === 200 && signature !== undefined && !isFramed && client.end === 'end' && body.length < WHOLE_BYTES ? [text] : [];
+		const id = `a${index}`;
+		const status = client.answer?.status;
+		const runs = upstream.ran.filter(one => one.id === id).length;
+		const text = `attempt=${id} was answered ${status}, and the upstream has run it ${runs} times`;
+		deployment.record(text);
+		return [408, 421, 429, 503].includes(status) && runs > 0 ? [text] : [];
 	});
 });
