--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -27,6 +27,8 @@
 	inbound: 8300, app: 8301, ready: 8302, outbound: 8304, control: 8306, store: 8309, metrics: 9464,
 };
 const START_MS = 15_000;
+/** A case may take 120 s. */
+const MAX_CASE_MS = 110_000;
 /** A machine counts as in touch once it has run for `contact_ms`. */
 const SETTLE_MS = 3300;
 
@@ -136,6 +138,9 @@
 	async addUpstream(id, work) {
 		this.upstream = new Upstream({
 			id, service: this.service, zone: this.zone, ip: this.ip, port: PORTS.app, controlPort: PORTS.control, heartbeatMs: HEARTBEAT_MS, work,
+			onRun: attemptId => {
+				this.#deployment.record(`run attempt=${attemptId} upstream=${id}`);
+			},
 		});
 		await this.upstream.start();
 	}
@@ -150,12 +155,16 @@
 		}
 	}
 
-	async close() {
-		this.upstream?.close();
+	/** Ends the daemon at once. */
+	kill() {
 		if (this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null) {
 			this.#child.kill('SIGKILL');
 		}
+	}
 
+	async close() {
+		this.upstream?.close();
+		this.kill();
 		await this.#exit;
 	}
 }
@@ -254,6 +263,26 @@
 	const deployment = new Deployment(caseUrl);
 	deployment.record(`trouble=${hasTrouble ? 1 : 0}`);
 	let code = 2;
+	const giveUp = reason => {
+		deployment.record(`not run: ${reason}`);
+		console.log(`not run: ${reason}`);
+		for (const machine of deployment.machines) {
+			machine.kill();
+		}
+
+		// eslint-disable-next-line unicorn/no-process-exit -- the result of the case
+		process.exit(2);
+	};
+
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			giveUp(signal);
+		});
+	}
+
+	setTimeout(() => {
+		giveUp(`not over after ${MAX_CASE_MS} ms`);
+	}, MAX_CASE_MS).unref();
 	try {
 		const breaks = await play(deployment);
 		for (const text of breaks) {
--- a/review/lib-3/upstream.mjs
+++ b/review/lib-3/upstream.mjs
@@ -14,10 +14,13 @@
 	#timer;
 	#server;
 
-	/** @param work answers a request that is for this instance: `work(request, response, id, body)` */
-	constructor({id, service, zone, ip, port, controlPort, heartbeatMs, bornMs = Date.now(), work}) {
+	/**
+	 * @param work answers a request that is for this instance: `work(request, response, id, body)`
+	 * @param onRun called with the attempt id of each request that it begins to work on
+	 */
+	constructor({id, service, zone, ip, port, controlPort, heartbeatMs, bornMs = Date.now(), work, onRun}) {
 		Object.assign(this, {
-			id, service, zone, ip, port, controlPort, heartbeatMs, bornMs, work,
+			id, service, zone, ip, port, controlPort, heartbeatMs, bornMs, work, onRun,
 		});
 		this.#server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
 			this.#serve(request, response);
@@ -96,6 +99,7 @@
 			return;
 		}
 
+		this.onRun(attemptId);
 		this.ran.push({id: attemptId, atMs: Date.now(), caller: headers['x-comfreydyke-caller-service']});
 		this.#running++;
 		response.on('close', () => {
