Both request servers share the owner of a client's connection

ServerConnection takes the place of ClosingAnswer and of the part of ClientConnection that repeated it: the answers that are due, and whether the connection closes.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer, createUnknownAnswer} from '../core/index.js';
 import {
-	BodyCollector, type HttpMessage, ClosingAnswer, LINGER_MS, closeLingering, closeWhenIdle, header, lingerOnClose, listen, stopListening,
+	BodyCollector, type HttpMessage, LINGER_MS, ServerConnection, closeWhenIdle, header, listen, stopListening,
 } from '../wire/index.js';
 import {type Logger} from '../log/index.js';
 import {buildHttpAnswer} from './answer.js';
@@ -48,8 +48,7 @@
 	readonly #log: Logger;
 	readonly #options: RequestServerOptions;
 	readonly #openResponses = new Map<number, ServerResponse>();
-	/** By connection, while it is open. */
-	readonly #closingAnswers = new Map<Socket, ClosingAnswer>();
+	readonly #connections = new Map<Socket, ServerConnection>();
 	#nextId = 1;
 	#isClosing = false;
 	#rejectedRequests = 0;
@@ -65,15 +64,13 @@
 			this.#onRequest(request, response);
 		});
 		this.server.on('connection', (socket: Socket) => {
-			this.#closingAnswers.set(socket, new ClosingAnswer());
-			lingerOnClose(socket);
+			this.#connections.set(socket, new ServerConnection(socket));
 			socket.once('close', () => {
-				this.#closingAnswers.delete(socket);
+				this.#connections.delete(socket);
 			});
 		});
 		closeWhenIdle(this.server, socket => {
-			this.#closingAnswers.get(socket)?.settle();
-			closeLingering(socket);
+			this.#connections.get(socket)?.close();
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#onClientError(error, socket);
@@ -118,7 +115,7 @@
 
 	/** Resolves when clients have closed their side of the connections that this daemon has closed, or take too long. */
 	async waitForClients(): Promise<void> {
-		const closing = [...this.#closingAnswers.keys()].filter(({writableEnded}) => writableEnded);
+		const closing = [...this.#connections.keys()].filter(({writableEnded}) => writableEnded);
 		await Promise.race([sleep(LINGER_MS, undefined, {ref: false}), Promise.all(closing.map(async socket => new Promise(resolve => {
 			socket.once('close', resolve);
 		})))]);
@@ -131,7 +128,7 @@
 		}
 
 		this.#rejectedRequests++;
-		if (this.#closingAnswers.get(socket)?.isAnswering === true) {
+		if ((this.#connections.get(socket)?.unansweredRequests ?? 0) > 0) {
 			// A response here would be taken for the answer to an earlier request.
 			socket.destroy();
 			return;
@@ -142,14 +139,14 @@
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
-		const closingAnswer = this.#closingAnswers.get(request.socket)!;
-		if (closingAnswer.isSettled) {
+		const connection = this.#connections.get(request.socket)!;
+		if (connection.isClosing) {
 			// The answer to an earlier request closes the connection, so this request counts as not read.
 			request.resume();
 			return;
 		}
 
-		closingAnswer.onRequest(response);
+		connection.onRequest(response);
 		this.#readBody(request, response, body => {
 			if (request.url?.startsWith(header.OWN_PATH_PREFIX)) {
 				this.#closeIfStopping(response);
@@ -248,7 +245,7 @@
 
 	#closeIfStopping(response: ServerResponse): void {
 		if (this.#isClosing) {
-			this.#closingAnswers.get(response.req.socket)?.trySettle(response);
+			this.#connections.get(response.req.socket)?.tryCloseAfter(response);
 		}
 	}
 
@@ -270,7 +267,7 @@
 		const body = JSON.stringify({
 			type: 'about:blank', title: 'The request was not run', status: error.status, detail: error.message, outcome: 'not-run',
 		});
-		this.#closingAnswers.get(response.req.socket)?.trySettle(response);
+		this.#connections.get(response.req.socket)?.tryCloseAfter(response);
 		response.writeHead(error.status, {
 			'content-type': 'application/problem+json',
 			'content-length': Buffer.byteLength(body),
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -192,10 +192,6 @@
 		}
 
 		connection.onRequest(response);
-		response.on('finish', () => {
-			connection.onAnswerWritten();
-		});
-
 		response.sendDate = false;
 		const site = getSite();
 		if (site === undefined) {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -8,10 +8,8 @@
 export {HandshakeError, Handshake} from './handshake.js';
 export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
 export {type ListenPatience, listen} from './listen.js';
-export {
-	LINGER_MS, closeLingering, closeWhenIdle, lingerOnClose,
-} from './lingeringclose.js';
-export {ClosingAnswer} from './closinganswer.js';
+export {LINGER_MS, closeWhenIdle} from './lingeringclose.js';
+export {ServerConnection} from './serverconnection.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {type StatusKind, StatusCheck} from './statuscheck.js';
 export {stopListening} from './stoplistening.js';
