--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -316,15 +316,16 @@
 			return;
 		}
 
+		const unanswered = this.#connections.get(socket)?.unansweredRequests ?? 0;
 		this.#options.log.registry.count('bad_input', {address: 'requests'});
+		this.#options.log.event('client_error', {code: error.code ?? 'unknown', unanswered, bytesRead: socket.bytesRead});
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 			return;
 		}
 
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		const isAnswering = (this.#connections.get(socket)?.unansweredRequests ?? 0) > 0;
-		if (isAnswering) {
+		if (unanswered > 0) {
 			socket.destroy();
 		} else {
 			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
