A head that isn't complete in time ends within a second

Seen: with a limit of 0.4 s, a connection on which a head was begun wasn't ended within 9 s. The HTTP server checks heads each 30 s unless told otherwise, so that one could occupy its connection for half a minute longer than the operator allows. It is told to check each second now.

--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -22,6 +22,8 @@
 
 /** The largest header block accepted from a client, in bytes; the configuration can't raise it. */
 const MAX_HEADER_BYTES = 65_536;
+/** How often the heads that clients send are checked against their time limit, in ms: it is part of how long a head may take. */
+const HEAD_CHECK_INTERVAL_MS = 1000;
 /** The Retry-After value of a daemon that has no configuration yet, in s. */
 const NO_SITE_RETRY_AFTER_S = '0.4';
 
@@ -100,7 +102,9 @@
 				this.#connections.get(exchange.socket)?.exchanges.delete(exchange);
 			},
 		};
-		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true}, (request, response) => {
+		this.#server = createServer({
+			maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, noDelay: true,
+		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
 		this.#server.on('connection', (socket: Socket) => {
