What is no request is answered by the owner of its connection, and judged late after the sockets were read

Cause: the HTTP server's check of heads comes before the sockets are read, so that a freeze counts against the client; and the handler wrote 408, 400 or 431 past the object that knows whether the connection closes, so that what was read next ran. The product's own path did so, too, with 400. Fix: ServerConnection answers what is no request, on both paths: the connection counts as closing from then on, answers that are due come first. What is late is judged after the sockets were read.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -64,7 +64,10 @@
 			this.#onRequest(request, response);
 		});
 		this.server.on('connection', (socket: Socket) => {
-			this.#connections.set(socket, new ServerConnection(socket));
+			this.#connections.set(socket, new ServerConnection(socket, (outcome, code) => {
+				this.#rejectedRequests += outcome === 'in-time' ? 0 : 1;
+				this.#log.info('client_error', {code, outcome});
+			}));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
@@ -73,7 +76,7 @@
 			this.#connections.get(socket)?.close();
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			this.#onClientError(error, socket);
+			this.#connections.get(socket)?.onClientError(error);
 		});
 		bus.handle('respond', ({id, answer}) => {
 			this.#respond(id, answer);
@@ -121,23 +124,6 @@
 		})))]);
 	}
 
-	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
-			// Bytes behind the last answer are ignored.
-			return;
-		}
-
-		this.#rejectedRequests++;
-		if ((this.#connections.get(socket)?.unansweredRequests ?? 0) > 0) {
-			// A response here would be taken for the answer to an earlier request.
-			socket.destroy();
-			return;
-		}
-
-		socket.write('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
-		socket.destroySoon();
-	}
-
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
 		const connection = this.#connections.get(request.socket)!;
 		if (connection.isClosing) {
--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -1,5 +1,5 @@
 import {type Socket} from 'node:net';
-import {ServerConnection} from '../../wire/index.js';
+import {type OnClientError, ServerConnection} from '../../wire/index.js';
 import {type Exchange} from './exchange.js';
 
 /** How long a request may take to follow its connection, or the answer before it, in ms: some round trips. */
@@ -17,8 +17,8 @@
 	#endedBy: 'client' | 'daemon' | undefined;
 	#errorCode = 'none';
 
-	constructor(socket: Socket, nowMs: () => number) {
-		super(socket);
+	constructor(socket: Socket, nowMs: () => number, onClientError: OnClientError) {
+		super(socket, onClientError);
 		this.#nowMs = nowMs;
 		this.#unusedSinceMs = nowMs();
 		// Before the HTTP server, which ends its side then.
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -8,7 +8,7 @@
 	type Authentication, type AuthenticationRefusal, type ClientLimits, type RevocationOptions, type Route, type Site, Authenticator, TrafficSplitter, readBearerKey,
 } from '../../mesh/index.js';
 import {
-	type ListenPatience, HOP_BY_HOP_HEADERS, closeWhenIdle, stopListening, listen,
+	type ClientErrorOutcome, type ListenPatience, HOP_BY_HOP_HEADERS, closeWhenIdle, stopListening, listen,
 } from '../../wire/index.js';
 import {type Call, type CallTemplate} from '../call.js';
 import {type Address} from '../settings.js';
@@ -108,7 +108,9 @@
 			this.#onRequest(request, response);
 		});
 		this.#server.on('connection', (socket: Socket) => {
-			const connection = new ClientConnection(socket, () => options.clock.nowMs());
+			const connection = new ClientConnection(socket, () => options.clock.nowMs(), (outcome, code) => {
+				this.#logClientError(connection, outcome, code);
+			});
 			this.#connections.set(socket, connection);
 			socket.on('close', () => {
 				this.#connections.delete(socket);
@@ -122,7 +124,7 @@
 			this.#connections.get(socket)?.close();
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			this.#onClientError(error, socket);
+			this.#connections.get(socket)?.onClientError(error);
 		});
 	}
 
@@ -297,6 +299,14 @@
 		}
 	}
 
+	#logClientError({unansweredRequests}: ClientConnection, outcome: ClientErrorOutcome, code: string): void {
+		if (outcome !== 'in-time') {
+			this.#options.log.registry.count('bad_input', {address: 'requests'});
+		}
+
+		this.#options.log.event('client_error', {code, outcome, unanswered: unansweredRequests});
+	}
+
 	#closeIfStopping(response: ServerResponse): void {
 		if (this.#isStopping) {
 			this.#tryCloseAfter(response);
@@ -314,29 +324,6 @@
 		response.end();
 	}
 
-	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (error.code !== 'ECONNRESET' && socket.writableEnded) {
-			// Bytes behind the last answer are ignored.
-			return;
-		}
-
-		const unanswered = this.#connections.get(socket)?.unansweredRequests ?? 0;
-		this.#options.log.registry.count('bad_input', {address: 'requests'});
-		this.#options.log.event('client_error', {code: error.code ?? 'unknown', unanswered, bytesRead: socket.bytesRead});
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-			return;
-		}
-
-		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		if (unanswered > 0) {
-			socket.destroy();
-		} else {
-			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-			socket.destroySoon();
-		}
-	}
-
 	#checkDeadlines(): boolean {
 		const nowMs = this.#options.clock.nowMs();
 		for (const exchange of this.#exchanges) {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -9,7 +9,7 @@
 export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
 export {type ListenPatience, listen} from './listen.js';
 export {LINGER_MS, closeWhenIdle} from './lingeringclose.js';
-export {ServerConnection} from './serverconnection.js';
+export {type ClientErrorOutcome, type OnClientError, ServerConnection} from './serverconnection.js';
 export {FINGERPRINT_BYTES, digestRequest} from './requestdigest.js';
 export {type StatusKind, StatusCheck} from './statuscheck.js';
 export {stopListening} from './stoplistening.js';
--- a/standins/pipelinedclient.ts
+++ b/standins/pipelinedclient.ts
@@ -52,6 +52,11 @@
 		this.#socket.resume();
 	}
 
+	/** Closes its side in an orderly way. */
+	end(): void {
+		this.#socket.end();
+	}
+
 	close(): void {
 		this.#socket.destroy();
 	}
