No answer or upgrade of the HTTP server passes the owner of a connection

On the product's own path an upgrade behind a request at work was answered 101 in place of that request's answer.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -77,7 +77,9 @@
 			},
 		});
 		this.#peerLinks = new PeerLinks(this.#bus, this.#log, id, settings.siteKey);
-		this.#peerLinks.acceptUpgrades(this.#requestServer.server);
+		this.#requestServer.onUpgrade((request, socket, head) => {
+			this.#peerLinks.acceptUpgrade(request, socket, head);
+		});
 		this.#platformTask = new PlatformTask(this.#bus, this.#log, platform.url, platform.timeoutMs);
 		this.#metrics = settings.metrics && new Metrics(settings.metrics, id, () => this.#core.status());
 		this.#bus.handle('log', ({event, fields}) => {
--- a/src/daemon/peerlinks.ts
+++ b/src/daemon/peerlinks.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {type IncomingMessage, type Server} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {type Duplex} from 'node:stream';
 import {WebSocket, WebSocketServer} from 'ws';
 import {type Frame, type LinkSide} from '../core/index.js';
@@ -45,17 +45,15 @@
 		});
 	}
 
-	/** Accepts links from peers, as WebSocket upgrades on the port that also serves callers. */
-	acceptUpgrades(server: Server): void {
-		server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
-			if (request.url !== header.PEER_PATH) {
-				socket.destroy();
-				return;
-			}
+	/** Accepts a link from a peer, as a WebSocket upgrade on the port that also serves callers. */
+	acceptUpgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+		if (request.url !== header.PEER_PATH) {
+			socket.destroy();
+			return;
+		}
 
-			this.#server.handleUpgrade(request, socket, head, ws => {
-				this.#runHandshake(ws, 'in', undefined);
-			});
+		this.#server.handleUpgrade(request, socket, head, ws => {
+			this.#runHandshake(ws, 'in', undefined);
 		});
 	}
 
--- a/src/daemon/request.ts
+++ b/src/daemon/request.ts
@@ -37,6 +37,10 @@
 		throw new RequestError(404, 'path: must be /<service>/<path>');
 	}
 
+	if (request.httpVersion === '1.1' && request.headers.host === undefined) {
+		throw new RequestError(400, 'host: missing');
+	}
+
 	if (request.headers[''] !== undefined) {
 		throw new RequestError(400, 'headers: one has no name');
 	}
--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -59,7 +59,7 @@
 		this.#log = log;
 		this.#options = options;
 		this.server = http.createServer({
-			maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: options.idleTimeoutMs, noDelay: true,
+			maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: options.idleTimeoutMs, noDelay: true, requireHostHeader: false,
 		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
@@ -99,6 +99,18 @@
 		});
 	}
 
+	/** Hands over the connections that clients want to use for another protocol, unless an answer is due on them. */
+	onUpgrade(handle: (request: IncomingMessage, socket: Socket, head: Buffer) => void): void {
+		this.server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
+			const connection = this.#connections.get(socket);
+			if (connection === undefined || connection.isClosing || connection.unansweredRequests > 0) {
+				socket.destroy();
+			} else {
+				handle(request, socket, head);
+			}
+		});
+	}
+
 	/** Each response from now on closes its connection. */
 	closeAfterResponses(): void {
 		this.#isClosing = true;
--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -5,6 +5,9 @@
 /** How long a request may take to follow its connection, or the answer before it, in ms: some round trips. */
 const NEXT_REQUEST_MS = 200;
 
+/** The HTTP server's code of a head that is too large. */
+const OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
+
 /** A client's connection, with the requests on it that aren't answered. */
 export class ClientConnection extends ServerConnection {
 	readonly exchanges = new Set<Exchange>();
@@ -62,6 +65,10 @@
 		return !this.isClosing && (this.socket.bytesRead > this.#answeredBytes || this.#nowMs() - this.#unusedSinceMs < NEXT_REQUEST_MS);
 	}
 
+	protected override rejectionStatus(code: string): string {
+		return code === OVERFLOW_CODE ? '431 Request Header Fields Too Large' : super.rejectionStatus(code);
+	}
+
 	protected override onAnswerWritten(): void {
 		this.#answeredBytes = this.socket.bytesRead;
 		this.#unusedSinceMs = this.#nowMs();
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -103,7 +103,7 @@
 			},
 		};
 		this.#server = createServer({
-			maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, noDelay: true,
+			maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS, noDelay: true, requireHostHeader: false,
 		}, (request, response) => {
 			this.#onRequest(request, response);
 		});
--- a/src/wire/serverconnection.ts
+++ b/src/wire/serverconnection.ts
@@ -5,10 +5,6 @@
 
 /** The HTTP server's code of a request that isn't complete in time. */
 const LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
-/** The status lines of answers to what isn't a request, by the HTTP server's code; that of all others is 400. */
-const STATUS_BY_CODE: Readonly<Record<string, string>> = {HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large', [LATE_CODE]: '408 Request Timeout'};
-const MALFORMED_STATUS = '400 Bad Request';
-
 /** What is done about an error that the HTTP server reports of a connection: it is answered in its turn, ends the connection at once, or was none because the request has come. */
 export type ClientErrorOutcome = 'rejected' | 'destroyed' | 'in-time';
 
@@ -98,6 +94,11 @@
 		}
 	}
 
+	/** The status line of the answer to what isn't a request, by the HTTP server's code. */
+	protected rejectionStatus(code: string): string {
+		return code === LATE_CODE ? '408 Request Timeout' : '400 Bad Request';
+	}
+
 	/** Called when an answer is fully written to the socket. */
 	protected onAnswerWritten(): void {
 		// For subclasses.
@@ -141,7 +142,7 @@
 		this.#isClosed = true;
 		// The rest of a body belongs to a request that has its answer.
 		if (this.#lastResponse?.req.complete !== false) {
-			this.#rejection = STATUS_BY_CODE[code] ?? MALFORMED_STATUS;
+			this.#rejection = this.rejectionStatus(code);
 		}
 
 		this.#closeIfDue();
