An unsigned answer is no refusal unless the target says so

Cause: an answer without a name and a signature that isn't a success was passed on as it was, and its status is a promise to the client. Evidence: eight of ten tests failed before: 429, 503, 404 and 500 for requests that ran. (408 as surplus was met once by a connection that had ended before, in a first form of the test, which sent the bytes by a timer.) Fix: without signature and mark, 408, 429 and 503 end as 502, as do all unnamed ones on a used connection.

--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -50,6 +50,9 @@
 /** The code of the HTTP client's error for a request that it can't write. */
 const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG';
 
+/** The statuses by which clients are told that their request has not run and never will. */
+const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
+
 /** Limits what the target sends beside the body of an answer, in bytes: its head, and for each byte of the body what its framing may take. */
 const MAX_HEAD_BYTES = 131_072;
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
@@ -323,6 +326,9 @@
 			this.#notRunReason = status === 421 ? 'misdirected' : 'shed-by-target';
 		} else if (status < 300 && (signature === undefined || echoedAttemptId === undefined || isEncoded)) {
 			this.#fault = 'garbled';
+		} else if (signature === undefined && (PROMISE_STATUSES.has(status) || (!this.#isNamed && this.#isReused))) {
+			// To a client such a status says that the request has not run, which this answer doesn't; or it may belong to an earlier request.
+			this.#fault = 'garbled';
 		}
 	}
 
