A head that holds a second status line is no answer

Cause: the beginning of a surplus answer runs together with the next answer of its connection; the parser reads one head where there are two. Evidence: seven tests failed before, two of them on the product's own path: 200 or 201 for a 500. Fix: on a used connection a reason phrase or a header's value that ends in a status line makes the answer garbled.

--- a/proof/rules/answers.ts
+++ b/proof/rules/answers.ts
@@ -48,8 +48,8 @@
 		},
 		sabotage: {
 			title: 'every answer counts as signed by the target',
-			apply: () => replaceMethod(Run.prototype, 'onHeaders', function (this: Run, status, rawHeaders, resume) {
-				return onHeaders.call(this, status, [...rawHeaders, Buffer.from(meshHeaders.signature), Buffer.from('any')], resume);
+			apply: () => replaceMethod(Run.prototype, 'onHeaders', function (this: Run, status, rawHeaders, resume, reason) {
+				return onHeaders.call(this, status, [...rawHeaders, Buffer.from(meshHeaders.signature), Buffer.from('any')], resume, reason);
 			}),
 		},
 	},
--- a/src/daemon/targetclient.ts
+++ b/src/daemon/targetclient.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher, Pool} from 'undici';
 import {ConnectionReuse, type Output, type TargetResult} from '../core/index.js';
 import {
-	BodyCollector, type HttpMessage, StatusCheck, createOrderlyConnector, endsInChunked, filterForwardableHeaders, header,
+	BodyCollector, type HttpMessage, StatusCheck, createOrderlyConnector, endsInChunked, endsInStatusLine, filterForwardableHeaders, header,
 } from '../wire/index.js';
 import {type MessageBus} from './messagebus.js';
 import {type ContextTokens} from './contexttokens.js';
@@ -183,7 +183,7 @@
 		this.connection!.hasCarriedRequest = true;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>, reason = ''): void {
 		const kind = this.#statusCheck.kindOf(status);
 		if (kind === 'invalid') {
 			this.#abort(controller, `answer with status ${status}`);
@@ -199,6 +199,11 @@
 			return;
 		}
 
+		if (this.#isReused && [reason, ...Object.values(headers).flat()].some(text => text !== undefined && endsInStatusLine(text))) {
+			this.#abort(controller, 'two heads in one');
+			return;
+		}
+
 		if (this.#hasBody && isUnframed(status, headers)) {
 			this.#listener.onUnframed();
 			if (this.#isReused) {
--- a/src/relay/target/answerheaders.ts
+++ b/src/relay/target/answerheaders.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {HOP_BY_HOP_HEADERS, endsInChunked} from '../../wire/index.js';
+import {HOP_BY_HOP_HEADERS, endsInChunked, endsInStatusLine} from '../../wire/index.js';
 import {type HeaderNames} from '../adapter.js';
 
 /** The headers of a target's answer, read once and in their order; values of a header that is repeated are joined. */
@@ -17,9 +17,15 @@
 	/** Whether its body says where it ends, whatever the connection does. */
 	isChunked = false;
 
-	constructor(rawHeaders: readonly Buffer[], names: HeaderNames) {
+	/** Whether the head holds the beginning of another one. */
+	isMerged: boolean;
+
+	constructor(reason: string, rawHeaders: readonly Buffer[], names: HeaderNames) {
+		this.isMerged = endsInStatusLine(reason);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-			this.#read(rawHeaders[index].toString('latin1').toLowerCase(), rawHeaders[index + 1].toString('latin1'), names);
+			const value = rawHeaders[index + 1].toString('latin1');
+			this.isMerged ||= endsInStatusLine(value);
+			this.#read(rawHeaders[index].toString('latin1').toLowerCase(), value, names);
 		}
 	}
 
--- a/src/relay/target/run.ts
+++ b/src/relay/target/run.ts
@@ -182,7 +182,7 @@
 		}
 	}
 
-	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void, reason: string): boolean {
 		const kind = this.#statusCheck.kindOf(status);
 		if (kind === 'invalid' && !this.#isOver) {
 			this.#lossCause = `status ${status}`;
@@ -194,7 +194,7 @@
 		}
 
 		this.#resumeAnswer = resume;
-		const headers = new AnswerHeaders(rawHeaders, this.#names);
+		const headers = new AnswerHeaders(reason, rawHeaders, this.#names);
 		const {signature, length} = headers;
 		this.#judge(status, headers);
 		const isUnframed = length === undefined && !headers.isChunked && status !== 204 && status !== 304;
@@ -313,11 +313,11 @@
 	}
 
 	// Sets why the answer is none, if it isn't.
-	#judge(status: number, {signature, attemptId: echoedAttemptId, isNotRun, isEncoded}: AnswerHeaders): void {
+	#judge(status: number, {signature, attemptId: echoedAttemptId, isNotRun, isEncoded, isMerged}: AnswerHeaders): void {
 		this.#isNamed = echoedAttemptId === this.#call.attemptId;
 		const isOfOther = echoedAttemptId !== undefined && echoedAttemptId !== this.#call.attemptId;
 		// A target signs what it has run, and names the attempt: without that it may be of another.
-		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined)) {
+		if (isOfOther || (signature !== undefined && echoedAttemptId === undefined) || (isMerged && this.#isReused)) {
 			this.#fault = 'garbled';
 		} else if ((isNotRun || status === 421) && !this.#isNamed && this.#isReused) {
 			// It may be a repeated one that the target made for an earlier request.
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -7,6 +7,7 @@
 } from './http.js';
 export {HandshakeError, Handshake} from './handshake.js';
 export {type OrderlyConnectorOptions, createOrderlyConnector} from './orderlyconnector.js';
+export {endsInStatusLine} from './mergedhead.js';
 export {type ListenPatience, listen} from './listen.js';
 export {LINGER_MS, closeWhenIdle} from './lingeringclose.js';
 export {type ClientErrorOutcome, type OnClientError, ServerConnection} from './serverconnection.js';
--- a/test/failures/surplusanswers.test.ts
+++ b/test/failures/surplusanswers.test.ts
@@ -2,6 +2,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {DaemonPair} from '../../standins/daemonpair.js';
 import {Mesh, createRoute} from '../../standins/mesh.js';
 import {createAttemptHeaders, meshHeaders} from '../../standins/meshadapter.js';
 import {call} from '../../standins/meshtarget.js';
@@ -55,6 +56,11 @@
 	it.each([404, 500])('are no answer to that request: %i', async surplusStatus => {
 		expect(await sendTwo(`HTTP/1.1 ${surplusStatus} Any\r\ncontent-length: 0\r\n\r\n`, {status: 200})).toEqual({status: 502, signature: undefined, runs: 1});
 	});
+
+	// Guards against a success in the place of a failure (MIXED): the parser takes the rest of the line for a reason phrase or a header's value.
+	it.each(['HTTP/1.1 200 ', 'HTTP/1.1 200 O', 'HTTP/1.1 201 Created', 'HTTP/1.1 200 OK\r\nserver: boo', 'HTTP/1.1 200 OK\r\nserver: '])('don\'t run together with its answer: %j', async surplus => {
+		expect(await sendTwo(surplus, {status: 500})).toEqual({status: 502, signature: undefined, runs: 1});
+	});
 });
 
 describe('an answer without a name', () => {
@@ -71,3 +77,30 @@
 		expect(await sendTwo('', {status: 503})).toEqual({status: 503, signature: 's/second', runs: 1});
 	});
 });
+
+describe('the beginning of a surplus answer, on the product\'s own path', () => {
+	let pair: DaemonPair;
+	afterEach(async () => {
+		await pair.close();
+	});
+
+	it.each(['HTTP/1.1 200 O', 'HTTP/1.1 200 OK\r\nserver: boo'])('doesn\'t run together with the next answer: %j', async surplus => {
+		pair = new DaemonPair();
+		await pair.start();
+		let isFirst = true;
+		pair.onRequest = socket => {
+			if (isFirst) {
+				isFirst = false;
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+			} else {
+				socket.write(surplus);
+				setTimeout(() => {
+					socket.write('HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n');
+				}, WORK_MS);
+			}
+		};
+
+		expect(await pair.call('/back/submit', 'POST')).toBe(200);
+		expect(await pair.call('/back/submit', 'POST')).not.toBe(200);
+	});
+});
