The end of a process resets connections with answers that aren't written

Cause: a request counts as over once its answer is handed to the response; what the kernel hasn't taken by the end of the process is dropped, and its connection ends in an orderly way. Fix: connections with unwritten answers are reset at the end of a stop, and before the process ends at once.

--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -170,7 +170,8 @@
 	}
 
 	/**
-	 * Aborts the requests that are still open and closes all connections, once the answers that wait on them are written.
+	 * Aborts the requests that are still open and closes all connections, once the answers that wait on them are written. Resets those
+	 * on which they aren't by then.
 	 * @param maxMs how long it waits for that, in ms
 	 */
 	async close(maxMs: number): Promise<void> {
@@ -185,6 +186,19 @@
 			});
 		});
 		await Promise.all([stopListening(this.#server, 0), Promise.race([Promise.all(closed), sleep(maxMs)])]);
+		this.resetUnwritten();
+	}
+
+	/** Resets the connections with answers that aren't fully written: at the end of the process the kernel would close them as if they were. */
+	resetUnwritten(): void {
+		const unwritten = [...this.#connections].filter(([, {unansweredRequests}]) => unansweredRequests > 0);
+		for (const [socket] of unwritten) {
+			socket.resetAndDestroy();
+		}
+
+		if (unwritten.length > 0) {
+			this.#options.log.event('answers_unwritten', {connections: unwritten.length});
+		}
 	}
 
 	#onRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -271,6 +271,11 @@
 		return this.#stopped;
 	}
 
+	/** To be called before the process ends at once: no answer that isn't fully written may look whole. */
+	resetUnwrittenAnswers(): void {
+		this.#requestServer.resetUnwritten();
+	}
+
 	async #listen(): Promise<void> {
 		const {listen, graceMs} = this.#settings;
 		if (listen.metrics !== undefined) {
--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -116,6 +116,7 @@
 	async #stop(): Promise<void> {
 		if (this.#relay !== undefined) {
 			setTimeout(() => {
+				this.#relay?.resetUnwrittenAnswers();
 				// eslint-disable-next-line unicorn/no-process-exit -- the platform kills the process when the grace period ends
 				process.exit(1);
 			}, this.#graceMs * FORCED_EXIT_GRACE_SHARE).unref();
@@ -132,6 +133,7 @@
 		}
 
 		if (this.#relay?.survivesUnexpectedError(error) !== true) {
+			this.#relay?.resetUnwrittenAnswers();
 			// eslint-disable-next-line unicorn/no-process-exit -- as without a handler
 			process.exit(1);
 		}
