A request behind a streamed answer waits until that is whole

Cause: an answer is held back only for requests that were there when its head was written; one that came later was passed on though its answer hung on the one before. Fix: such a request is passed on once the answer before it is whole; it is refused as unrun at its deadline.

--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -44,6 +44,29 @@
 			};
 	}
 
+	/** Whether an answer before that of this request may still break off, and end the connection with it. */
+	mayLoseAnswer(exchange: Exchange): boolean {
+		for (const previous of this.exchanges) {
+			if (previous === exchange) {
+				return false;
+			}
+
+			if (previous.mayBreakConnection) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Removes a request that has its answer, and starts those that waited for that. */
+	onExchangeEnded(exchange: Exchange): void {
+		this.exchanges.delete(exchange);
+		for (const next of this.exchanges) {
+			next.onPreviousEnded();
+		}
+	}
+
 	/** Counts a request that came while the connection was closing. */
 	onIgnoredRequest(): void {
 		this.#ignoredRequests++;
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -46,6 +46,8 @@
 	/** The status of an answer whose body is streamed. */
 	#streamedStatus = 0;
 	#isHeadSent = false;
+	/** Whether the request waits for the end of an answer before its own. */
+	#isDeferred = false;
 	#isOver = false;
 
 	constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse, options: ExchangeOptions) {
@@ -84,6 +86,11 @@
 		return this.#request.socket;
 	}
 
+	/** Whether a part of the answer is, or will be, written before it is whole: if it broke off, it would end the connection. */
+	get mayBreakConnection(): boolean {
+		return this.#isHeadSent && !this.#isOver && !this.#responseWriter.isHeld;
+	}
+
 	/** Reads the body, or its first chunk if it is too large to send inline, then sends the request to a host. */
 	start(hasBody: boolean, maxBodyBytes: number, giveBack?: () => void): void {
 		this.#giveBack = giveBack;
@@ -121,6 +128,14 @@
 		}
 	}
 
+	/** Starts the request if it waits for the end of an answer that has ended. */
+	onPreviousEnded(): void {
+		if (this.#isDeferred && !this.#isOver && !this.socket.destroyed) {
+			this.#isDeferred = false;
+			this.#sendOrWait();
+		}
+	}
+
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
 		if (!this.#isOver && nowMs >= this.deadlineMs && !this.#withdrawal.isPending(this.#callHandle, nowMs)) {
@@ -270,6 +285,12 @@
 			return;
 		}
 
+		if (this.#context.mayLoseAnswer(this)) {
+			this.#isDeferred = true;
+			this.#log.event('request_deferred', 'previous-answer');
+			return;
+		}
+
 		const decision = this.#options.parentCall === undefined && !this.#body.isStreaming ? this.#context.heldRequests?.receive(this, this.#body.firstChunk.length) : undefined;
 		if (typeof decision === 'number') {
 			this.#refuse('no-chance', 'overload', decision);
@@ -381,8 +402,9 @@
 	/** Ends a request whose answer has begun: it must not look complete. */
 	#cutAnswer(reason: EndReason): void {
 		this.#parentRun?.fail();
-		this.#finish();
+		// First, so that what waits behind it isn't started.
 		this.#responseWriter.resetConnection();
+		this.#finish();
 		this.#log.event('answer_cut', reason);
 	}
 
--- a/src/relay/clients/responsewriter.ts
+++ b/src/relay/clients/responsewriter.ts
@@ -27,7 +27,6 @@
 	readonly #attemptId: string;
 	/** What is to be written once the answers before this one on the connection are; undefined if nothing waits for them. */
 	#waiting: Array<() => void> | undefined;
-	/** Whether the answer is held back until it is whole. */
 	#isHeld = false;
 	#heldBytes = 0;
 
@@ -38,6 +37,11 @@
 		this.#attemptId = attemptId;
 	}
 
+	/** Whether the answer is held back until it is whole. */
+	get isHeld(): boolean {
+		return this.#isHeld;
+	}
+
 	/** Closes the connection after the answer, because its end marks the end of the body or part of the request remains unread. @returns whether that is possible */
 	tryCloseAfterResponse(): boolean {
 		return this.#context.tryCloseAfter(this.#response);
--- a/test/failures/cutpipelined.test.ts
+++ b/test/failures/cutpipelined.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
@@ -15,6 +16,8 @@
 const WORK_MS = 300;
 
 let mesh: Mesh;
+/** The attempts that the target has begun. */
+let ran: string[];
 afterEach(async () => {
 	await mesh.close();
 });
@@ -24,9 +27,11 @@
 /** Adds two daemons and a target whose answers to `cut` break off, while `slow` takes its time. */
 async function addPair(): Promise<number> {
 	mesh = new Mesh();
+	ran = [];
 	const {back: {target}, port} = await mesh.addPair({back: {slots: 20}});
 	target.behaviourOverride = (request, response) => {
 		const id = String(request.headers[meshHeaders.attemptId]);
+		ran.push(id);
 		const work = request.url!.split('/')[2];
 		const headers = {[meshHeaders.attemptId]: id, [meshHeaders.signature]: 's'};
 		if (work.startsWith('cut')) {
@@ -37,6 +42,12 @@
 					response.socket!.end();
 				}, work === 'cut-late' ? WORK_MS : 0);
 			});
+		} else if (work === 'late') {
+			response.writeHead(200, {...headers, 'content-length': STREAMED_BYTES + 1});
+			response.write(Buffer.alloc(STREAMED_BYTES, 'x'));
+			setTimeout(() => {
+				response.end('x');
+			}, WORK_MS);
 		} else if (work === 'long') {
 			response.writeHead(200, {...headers, 'content-length': LONG_BYTES});
 			response.end(Buffer.alloc(LONG_BYTES, 'x'));
@@ -91,6 +102,49 @@
 		expect(client.statuses).toEqual([200]);
 	});
 
+	// Guards against requests that sound targets run and whose answers are lost with that connection (LOST).
+	it('takes no request along that came after its beginning', async () => {
+		const port = await addPair();
+		const client = new PipelinedClient(port);
+		client.send(get('cut-late', 'b'));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200]);
+		client.send(get('slow', 'c') + get('quick', 'd'));
+		await client.closed;
+		expect(ran).toEqual(['b']);
+	});
+
+	it('takes none along that came before its turn, but after its head', async () => {
+		const port = await addPair();
+		const client = new PipelinedClient(port);
+		client.send(get('slow', 'a') + get('cut-late', 'b'));
+		await expect.poll(() => ran, {timeout: 5000}).toEqual(['a', 'b']);
+		await sleep(WORK_MS / 3);
+		client.send(get('quick', 'c'));
+		await client.closed;
+		expect(client.statuses).toEqual([200, 200]);
+		expect(ran).toEqual(['a', 'b']);
+	});
+
+	it('lets those behind it run once it is whole', async () => {
+		const port = await addPair();
+		const client = new PipelinedClient(port);
+		client.send(get('late', 'b'));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200]);
+		client.send(get('slow', 'c') + get('quick', 'd'));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200, 200, 200]);
+		expect(ran.toSorted()).toEqual(['b', 'c', 'd']);
+	});
+
+	it('has those behind it refused at their deadline, unrun, if it lasts longer', async () => {
+		const port = await addPair();
+		const client = new PipelinedClient(port);
+		client.send(get('late', 'b'));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200]);
+		client.send(buildHead('GET', '/x/quick', 'c', {deadlineMs: 50}));
+		await expect.poll(() => client.statuses, {timeout: 5000}).toEqual([200, 503]);
+		expect(ran).toEqual(['b']);
+	});
+
 	it('arrives whole otherwise, however long it is', async () => {
 		const port = await addPair();
 		const client = await pipeline(port, [get('slow', 'a'), get('long', 'b'), get('quick', 'c')]);
