A bundle takes the place of an earlier one whole

Seen by the users: daemons of soaks that run beside each other end with 0 at once. Each run writes the bundles anew, in place, and a daemon that starts meanwhile loads an empty or half written module. Evidence: a file opened before is changed by the next bundle (the test failed before); that a daemon of a soak ended so wasn't reproduced here.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -8,6 +8,7 @@
  * the `node` and the flags that built it.
  */
 import {execFileSync} from 'node:child_process';
+import {renameSync} from 'node:fs';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
@@ -52,7 +53,10 @@
 	legalComments: 'none',
 	outfile: `${folder}/daemon.cjs`,
 });
+// A daemon that starts from an earlier snapshot meanwhile finds that or this one whole.
+const unfinished = `${folder}/daemon.blob.${process.pid}`;
 // Of each built-in module that the snapshot holds `node` warns that not all of its uses were verified.
-execFileSync(process.execPath, [...deployNodeFlags, '--snapshot-blob', `${folder}/daemon.blob`, '--build-snapshot', `${folder}/daemon.cjs`], {
+execFileSync(process.execPath, [...deployNodeFlags, '--snapshot-blob', unfinished, '--build-snapshot', `${folder}/daemon.cjs`], {
 	env: {...process.env, NODE_NO_WARNINGS: '1'}, stdio: 'inherit',
 });
+renameSync(unfinished, `${folder}/daemon.blob`);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,7 @@
 /* eslint-disable require-unicode-regexp -- esbuild's filters accept no flags */
 
 /** Bundles a TypeScript entry point into a single file with esbuild. */
+import {renameSync} from 'node:fs';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
@@ -41,6 +42,9 @@
 	};
 }
 
+/** Writes a bundle. Processes that load an earlier one from the same file meanwhile find that or this one whole. */
 export async function bundle(entry, outfile, format = 'esm') {
-	await build({...bundleOptions(entry, format), outfile});
+	const unfinished = `${outfile}.${process.pid}`;
+	await build({...bundleOptions(entry, format), outfile: unfinished});
+	renameSync(unfinished, outfile);
 }
--- a/test/build.test.ts
+++ b/test/build.test.ts
@@ -2,7 +2,7 @@
 import {execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync,
+	closeSync, mkdtempSync, openSync, readFileSync, readdirSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
@@ -10,7 +10,7 @@
 import process from 'node:process';
 import {build} from 'esbuild';
 import {describe, expect, it} from 'vitest';
-import {bundleOptions} from '../scripts/bundle.mjs';
+import {bundle, bundleOptions} from '../scripts/bundle.mjs';
 import {deployNodeFlags} from '../scripts/nodeflags.mjs';
 
 it('bundles the program as CommonJS without errors, which the single executable requires', async () => {
@@ -18,6 +18,23 @@
 	expect(errors).toEqual([]);
 });
 
+// Guards against processes that end at once, without an error, because they load a bundle that is being written.
+it('leaves the file of an earlier bundle as it is for those that have opened it', async () => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-bundle-'));
+	const file = path.join(folder, 'bundle.mjs');
+	try {
+		await bundle('src/clock/index.ts', file);
+		const opened = openSync(file, 'r');
+		await bundle('src/wire/mergedhead.ts', file);
+		expect(readFileSync(opened, 'utf8')).toContain('afterSockets');
+		expect(readFileSync(file, 'utf8')).toContain('endsInStatusLine');
+		expect(readdirSync(folder)).toEqual(['bundle.mjs']);
+		closeSync(opened);
+	} finally {
+		rmSync(folder, {recursive: true, force: true});
+	}
+});
+
 // Guards against a name that is undefined only where the bundle runs: the bundler doesn't check what it takes from these modules.
 it.each([['undici', '../scripts/undicisubset.cjs'], ['hdr-histogram-js', '../scripts/hdrhistogramsubset.cjs']])('takes from %s only what its replacement in the bundle has', (library, replacement) => {
 	const files = ['platform', 'src/relay', 'src/wire', 'src/log']
