--- a/src/relay/runrelay.ts
+++ b/src/relay/runrelay.ts
@@ -1,3 +1,5 @@
+import {watch} from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 import {SystemClock} from '../clock/index.js';
 import {EventLog, Logger} from '../log/index.js';
@@ -82,9 +84,27 @@
 		setInterval(() => {
 			this.#refresh();
 		}, SETTINGS_CHECK_MS);
+		this.#watchSettings();
 		await this.#relay.start();
 	}
 
+	/** The checks at an interval remain: not every file system reports changes. */
+	#watchSettings(): void {
+		const {dir, base} = path.parse(this.#options.settingsPath);
+		try {
+			// The folder, as the file may be replaced.
+			watch(dir === '' ? '.' : dir, (_event, name) => {
+				if (name === null || name === base) {
+					this.#refresh();
+				}
+			}).on('error', error => {
+				this.#log.warn('settings_unwatched', {reason: error.message});
+			});
+		} catch (error) {
+			this.#log.warn('settings_unwatched', {reason: (error as Error).message});
+		}
+	}
+
 	#reload(): void {
 		this.#apply(() => this.#file.read());
 	}
--- a/test/failures/halfwrittensettings.test.ts
+++ b/test/failures/halfwrittensettings.test.ts
@@ -1,4 +1,6 @@
-import {utimesSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	renameSync, rmSync, utimesSync, writeFileSync,
+} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, describe, expect, it,
@@ -95,3 +97,26 @@
 		expect(daemon.end).toBe(undefined);
 	});
 });
+
+describe('a daemon whose settings change without a signal', () => {
+	// Guards against requests that run under the name of the service that ran on this host before (UNASKED): the file was only looked at every 2 s.
+	it.each([['written in place', (text: string) => {
+		write(text);
+	}], ['replaced', (text: string) => {
+		writeFileSync(`${daemon.settingsPath}.new`, text);
+		renameSync(`${daemon.settingsPath}.new`, daemon.settingsPath);
+	}]])('takes them at once: %s', async (_name, change) => {
+		daemon.startWith();
+		await expect.poll(() => daemon.log, {timeout: 10_000}).toContain('event=started');
+		await sleep(100);
+		const names = Array.from({length: 10}, (_, index) => `other-${index}`);
+		for (const service of names) {
+			change(settings({service}));
+			// eslint-disable-next-line no-await-in-loop -- one change after the other
+			await sleep(200);
+		}
+
+		// Each of them was in force before the next one came.
+		expect([...daemon.log.matchAll(/event=reloaded service=(?<service>\S+)/gv)].map(({groups}) => groups!.service)).toEqual(names);
+	});
+});
