A trial that can't start ends

Cause: the owner refuses the call, but the trial waits for the end of a run that doesn't exist. Evidence: the test failed before: the queue stayed paused and no further trial began. Fix: starting says whether the call runs.

--- a/src/core/quarantine/trials.ts
+++ b/src/core/quarantine/trials.ts
@@ -32,8 +32,8 @@
 export type TrialsOptions<T extends TrialCall> = {
 	readonly quarantine: Quarantine;
 	readonly queue: TrialQueue;
-	/** Begins to run a call that holds a slot. */
-	readonly start: (call: T) => void;
+	/** Begins to run a call that holds a slot. @returns false if it doesn't: the call is refused then, and the slot is free again */
+	readonly start: (call: T) => boolean;
 	/** Decides on a call that is no suspect any longer, as if it had just arrived. */
 	readonly admit: (call: T) => void;
 	readonly refuse: (call: T, reason: TrialRefusal) => void;
@@ -103,7 +103,10 @@
 			this.cancel(this.#onTrial);
 			this.#schedule.onBegun(nowMs);
 			onBegun(this.#onTrial);
-			start(this.#onTrial);
+			if (!start(this.#onTrial)) {
+				this.#end(nowMs);
+				this.#resumeIfIdle();
+			}
 		}
 	}
 
--- a/src/core/targetguard.ts
+++ b/src/core/targetguard.ts
@@ -35,7 +35,7 @@
 	readonly service: () => string | undefined;
 	/** Whether a run that began until then is still in flight. */
 	readonly hasRunsFrom: (untilMs: number) => boolean;
-	readonly start: (received: ReceivedCall) => void;
+	readonly start: (received: ReceivedCall) => boolean;
 	readonly admit: (received: ReceivedCall) => void;
 	readonly finish: (received: ReceivedCall, answer: Answer) => void;
 };
--- a/src/relay/target/quarantineguard.ts
+++ b/src/relay/target/quarantineguard.ts
@@ -41,8 +41,8 @@
 	readonly queue: AdmissionQueue<OwnedCall>;
 	/** Whether a run that began before this time is still in flight. */
 	readonly hasRunsFrom: (beforeMs: number) => boolean;
-	/** Begins to run a call that holds a slot. */
-	readonly start: (owned: OwnedCall) => void;
+	/** Begins to run a call that holds a slot. @returns false if it doesn't: the call is refused then, and the slot is free again */
+	readonly start: (owned: OwnedCall) => boolean;
 	/** Decides on a call that is no suspect any longer, as if it had just arrived. */
 	readonly admit: (owned: OwnedCall) => void;
 	readonly refuse: (owned: OwnedCall, reason: RefusalReason) => void;
--- a/src/relay/target/targetowner.ts
+++ b/src/relay/target/targetowner.ts
@@ -79,9 +79,7 @@
 			...options,
 			queue: this.#queue,
 			hasRunsFrom: beforeMs => [...this.#running].some(({startedMs}) => startedMs < beforeMs),
-			start: owned => {
-				this.#start(owned);
-			},
+			start: owned => this.#start(owned),
 			admit: owned => {
 				this.#admit(owned);
 			},
@@ -339,18 +337,19 @@
 		}
 	}
 
-	#start(owned: OwnedCall): void {
+	/** @returns false if the call doesn't run */
+	#start(owned: OwnedCall): boolean {
 		const nowMs = this.#options.clock.nowMs();
 		if (!this.#options.lifecycle.mayServe(owned.call.instance, nowMs)) {
 			this.#queue.release(undefined);
 			this.#refuse(owned, 'not-here');
-			return;
+			return false;
 		}
 
 		// It may have become a suspect while it waited in the queue.
 		if (this.#guard.trials.take(owned, nowMs)) {
 			this.#queue.release(undefined);
-			return;
+			return false;
 		}
 
 		this.#running.add(owned);
@@ -361,6 +360,7 @@
 		owned.machineLoad = this.#runRecorder.machineLoadAt(nowMs);
 		owned.usedShare = this.#queue.running / this.#queue.limit;
 		owned.start(this.#options.targetClient, nowMs);
+		return true;
 	}
 
 	#startQueued(): void {
--- a/test/relay/trials.test.ts
+++ b/test/relay/trials.test.ts
@@ -42,7 +42,7 @@
 }
 
 /** Trials at a target, with two suspects. */
-function createTrials({isLastTarget = false} = {}) {
+function createTrials({isLastTarget = false, mayStart = (): boolean => true} = {}) {
 	const suspects = ['/a', '/b'].map(path => createCall(path));
 	const quarantine = new Quarantine(HOLD_MS);
 	for (const id of [1, 2]) {
@@ -58,7 +58,17 @@
 	};
 
 	const trials = new Trials({
-		quarantine, queue, start: record('start'), admit: record('admit'), onBegun: () => undefined, isLastTarget: () => isLastTarget,
+		quarantine,
+		queue,
+		start(owned) {
+			if (!mayStart()) {
+				queue.release(undefined);
+			}
+
+			record(mayStart() ? 'start' : 'not started')(owned);
+			return mayStart();
+		},
+		admit: record('admit'), onBegun: () => undefined, isLastTarget: () => isLastTarget,
 		refuse(owned, reason) {
 			events.push(`${reason} ${owned.call.path}`);
 		},
@@ -133,4 +143,16 @@
 		trials.advance(120);
 		expect(queue.isPaused).toBe(false);
 	});
+
+	// Guards against a trial that never ends as its target was replaced: later suspects were refused as if the queue were full.
+	it('let the next one run if one can\'t start', () => {
+		let isThere = false;
+		const {suspects: [a, b], queue, events, trials} = createTrials({mayStart: () => isThere});
+		trials.take(a, 0);
+		expect([events, queue.isPaused, trials.isActive]).toEqual([['not started /a'], false, false]);
+		isThere = true;
+		trials.take(b, 10);
+		trials.advance(20);
+		expect(events).toEqual(['not started /a', 'start /b']);
+	});
 });
