--- a/src/mesh/routing/route.ts
+++ b/src/mesh/routing/route.ts
@@ -28,16 +28,19 @@
 export class RouteTable {
 	readonly #hosts = new Map<string, Map<string, Route>>();
 	/** The length of the longest prefix; what follows in a path need not be looked at. */
-	readonly #prefixLength = 0;
+	readonly #prefixLength: number;
 
 	constructor(routes: readonly Route[]) {
+		let prefixLength = 0;
 		for (const route of routes) {
 			const host = normalizeHost(route.host);
 			const prefixes = this.#hosts.get(host) ?? new Map<string, Route>();
 			prefixes.set(route.prefix, route);
 			this.#hosts.set(host, prefixes);
-			this.#prefixLength = Math.max(this.#prefixLength, route.prefix.length);
+			prefixLength = Math.max(prefixLength, route.prefix.length);
 		}
+
+		this.#prefixLength = prefixLength;
 	}
 
 	/** @param requestTarget path and query of the request */
