Soak: an answer that its target has written isn't read yet if the target crashes right after

Cause: the check took the answer for whole, as the target had handed it to the kernel; the target crashed as planned within 7 ms, and the reset dropped what the daemon hadn't read. The trace: the target's end of the answer at .426, run_crashed of its daemon at .433 with "connection reset by its peer" after 142,536 of its bytes. Narrowed: an answer written up to 20 ms before a crash, on a connection that the crash resets, counts as ended by the crash. Nothing else changes; an answer that breaks off in any other way is reported as before.

--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -9,6 +9,8 @@
 /** The path of health checks. */
 export const HEALTH_PATH = '/health';
 
+/** How long before a crash an answer may have been written that the other side hasn't read, in ms. */
+const UNREAD_MS = 20;
 /** How long a target runs a request that crashes it, and how long it is down then, in ms. */
 export const CRASH_AFTER_MS = 20;
 const CRASHED_MS = 400;
@@ -126,6 +128,14 @@
 		this.runningCount = 0;
 		this.#port = this.port;
 		this.#server.close();
+		for (const [index, end] of this.receivedEnds.entries()) {
+			const {socket} = this.receivedRequests[index];
+			// The reset drops what the other side hasn't read yet.
+			if (end?.outcome === 'answered' && Date.now() - end.endedMs <= UNREAD_MS && this.#sockets.has(socket)) {
+				this.receivedEnds[index] = {...end, outcome: 'crashed'};
+			}
+		}
+
 		for (const socket of this.#sockets) {
 			socket.resetAndDestroy();
 		}
