Soak: clients with silent connections and half heads

Hesitant clients keep new connections silent for up to 3.5 s, and pause as long within their first head, also while daemons stop, stand still and are killed. 408 and 421 count as a promise that the request doesn't run.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -38,6 +38,9 @@
 /** A promise that was broken, and the request that shows it, if it is one. */
 export type Violation = {readonly promise: string; readonly detail: string; readonly attemptId?: string};
 
+/** What says that a request has not run and never will. */
+const NOT_RUN_STATUSES = new Set([401, 408, 421, 429, 503]);
+
 type Check = (record: SoakRecord) => Iterable<Violation>;
 
 /** What a busy machine may add to a bound, in ms. */
@@ -70,7 +73,7 @@
 function * checkNotRun({requests, receipts}: SoakRecord): Iterable<Violation> {
 	const ran = new Set(receipts.filter(({hasRun}) => hasRun).map(({attemptId}) => attemptId));
 	for (const {attemptId, status, isNotRun} of requests) {
-		if (ran.has(attemptId) && (isNotRun || status === 401 || status === 429 || status === 503)) {
+		if (ran.has(attemptId) && (isNotRun || NOT_RUN_STATUSES.has(status))) {
 			yield {promise: 'has not run', attemptId, detail: `${status} said so, and it ran`};
 		}
 	}
--- a/soak/connectioncallers.ts
+++ b/soak/connectioncallers.ts
@@ -20,6 +20,11 @@
 /** Most answers come whole; the largest is streamed. */
 const PIPELINED_BYTES = [10, 10, 2000, 20_000, 90_000];
 const TRANSFERS_PER_S: ReadonlyArray<[name: string, perS: number]> = [['upload', 5], ['stream', 3], ['reader', 1.5]];
+/** How long hesitant clients wait with a new connection before the first byte, and with a begun head before the rest, in ms: some for longer than a head may take. */
+const SILENT_MS = [0, 0, 300, 1500, 2700, 3500];
+const HALF_HEAD_MS = [20, 300, 1500, 2700, 3500];
+const MEAN_HESITANT_PAUSE_MS = 250;
+const MAX_FIRST_BYTES = 100;
 /** Longer than any deadline and any freeze. */
 const MAX_WAIT_MS = 8000;
 const CHECK_INTERVAL_MS = 100;
@@ -46,6 +51,8 @@
 			for (let index = 0; index < CONNECTIONS_PER_HOST; index++) {
 				this.#running.push(this.#pipeline(host, `pipelined-${host.index}-${index}`));
 			}
+
+			this.#running.push(this.#hesitate(host, `hesitant-${host.index}`));
 		}
 
 		for (const [name, perS] of TRANSFERS_PER_S) {
@@ -90,15 +97,39 @@
 			}
 		}
 
-		while (connections.some(({pendingRequests}) => pendingRequests > 0)) {
-			// eslint-disable-next-line no-await-in-loop -- waits for the answers
-			await sleep(CHECK_INTERVAL_MS);
-			closeUnanswered(connections);
-		}
+		await closeAnswered(connections);
+	}
 
-		for (const connection of connections) {
-			connection.close('end of the run');
+	/** Sends one or two requests on each of many new connections, on some only after a while, and with a pause within the first head. */
+	async #hesitate(host: FleetHost, name: string): Promise<void> {
+		const random = new Random(mixSeed(`${this.#seed} ${name}`));
+		const connections: PipelinedConnection[] = [];
+		const delayed: Array<Promise<void>> = [];
+		for (let dueMs = Date.now(), sent = 0; !this.#isEnded;) {
+			dueMs += random.exponential(MEAN_HESITANT_PAUSE_MS);
+			const [silentMs, pauseMs, firstBytes] = [random.pick(SILENT_MS), random.pick(HALF_HEAD_MS), 1 + random.below(MAX_FIRST_BYTES)];
+			const requests = Array.from({length: 1 + random.below(2)}, () => ({
+				attemptId: `${name}-${sent++}`, path: encodeWork(PIPELINED_PREFIX, {
+					workMs: random.pick(PIPELINED_WORK_MS), chunks: 1, chunkBytes: PIPELINED_BYTES[0], pauseMs: 0, hasLength: true,
+				}),
+			}));
+			// eslint-disable-next-line no-await-in-loop -- the connections are spread over the time
+			await sleep(Math.max(0, dueMs - Date.now()));
+			if (host.isOffered) {
+				const connection = new PipelinedConnection(host.ports[0], LONG_DEADLINE_MS, outcome => {
+					this.#record('hesitant', host, outcome);
+				});
+				connections.push(connection);
+				delayed.push(sleep(silentMs).then(() => {
+					if (connection.isUsable) {
+						connection.send(requests, firstBytes, pauseMs);
+					}
+				}));
+			}
 		}
+
+		await Promise.all(delayed);
+		await closeAnswered(connections);
 	}
 
 	async #transfer(name: string, perS: number): Promise<void> {
@@ -133,6 +164,19 @@
 	}
 }
 
+/** Waits for the answers that are due on connections, and closes these. */
+async function closeAnswered(connections: readonly PipelinedConnection[]): Promise<void> {
+	while (connections.some(({pendingRequests}) => pendingRequests > 0)) {
+		// eslint-disable-next-line no-await-in-loop -- waits for the answers
+		await sleep(CHECK_INTERVAL_MS);
+		closeUnanswered(connections);
+	}
+
+	for (const connection of connections) {
+		connection.close('end of the run');
+	}
+}
+
 function closeUnanswered(connections: readonly PipelinedConnection[]): void {
 	for (const connection of connections) {
 		if (connection.waitedMs > MAX_WAIT_MS) {
--- a/soak/pipelining.ts
+++ b/soak/pipelining.ts
@@ -6,6 +6,7 @@
 
 const HEAD_END = '\r\n\r\n';
 const CLOSED = 'connection closed';
+const TOO_LATE = 408;
 
 /** What became of a request on a pipelined connection; `status` is 0 if no part of an answer came. */
 export type PipelinedOutcome = {
@@ -75,19 +76,33 @@
 		return this.#pending.length === 0 ? 0 : Date.now() - this.#pending[0].sentMs;
 	}
 
-	/** Sends requests with one write. */
-	send(requests: ReadonlyArray<{readonly attemptId: string; readonly path: string}>): void {
+	/**
+	 * Sends requests with one write, or with two.
+	 * @param firstBytes how much it writes at once; the rest follows after `pauseMs`
+	 */
+	send(requests: ReadonlyArray<{readonly attemptId: string; readonly path: string}>, firstBytes = Number.POSITIVE_INFINITY, pauseMs = 0): void {
 		const sent = requests.map((request): Pending => ({...request, sentMs: Date.now(), lastByteMs: undefined}));
 		this.#pending.push(...sent);
-		const heads = sent.map(({attemptId, path}) => {
+		const text = sent.map(({attemptId, path}) => {
 			const fields = Object.entries(createAttemptHeaders(attemptId, this.#deadlineMs)).map(([name, value]) => `${name}: ${value}\r\n`);
 			return `GET ${path} HTTP/1.1\r\n${fields.join('')}\r\n`;
-		});
-		this.#socket.write(heads.join(''), error => {
-			for (const pending of sent) {
-				pending.lastByteMs = error ? undefined : Date.now();
+		}).join('');
+		const sendRest = () => {
+			if (this.#socket.writable) {
+				this.#socket.write(text.slice(firstBytes), error => {
+					for (const pending of sent) {
+						pending.lastByteMs = error ? undefined : Date.now();
+					}
+				});
 			}
-		});
+		};
+
+		this.#socket.write(text.slice(0, firstBytes));
+		if (firstBytes < text.length) {
+			setTimeout(sendRest, pauseMs);
+		} else {
+			sendRest();
+		}
 	}
 
 	/** @param reason the error of the requests that have no answer */
@@ -107,6 +122,11 @@
 		const body = this.#received.subarray(bodyAt, endsAt);
 		this.#received = this.#received.subarray(endsAt);
 		this.#isClosing ||= headers.get('connection') === 'close';
+		if (status === TOO_LATE && this.#pending.length === 0) {
+			// The connection was silent for too long.
+			return true;
+		}
+
 		const pending = this.#pending.shift() ?? {
 			attemptId: 'nobody', path: '', sentMs: Date.now(), lastByteMs: undefined,
 		};
