--- a/soak/connectioncallers.ts
+++ b/soak/connectioncallers.ts
@@ -21,9 +21,9 @@
 const PIPELINED_BYTES = [10, 10, 2000, 20_000, 90_000];
 const TRANSFERS_PER_S: ReadonlyArray<[name: string, perS: number]> = [['upload', 5], ['stream', 3], ['reader', 1.5]];
 /** How long hesitant clients wait with a new connection before the first byte, and with a begun head before the rest, in ms: some for longer than a head may take. */
-const SILENT_MS = [0, 0, 300, 1500, 2700, 3500];
-const HALF_HEAD_MS = [20, 300, 1500, 2700, 3500];
-const MEAN_HESITANT_PAUSE_MS = 250;
+const SILENT_MS = [0, 0, 300, 700, 1000, 1500];
+const HALF_HEAD_MS = [20, 300, 700, 1000, 1500];
+const MEAN_HESITANT_PAUSE_MS = 150;
 const MAX_FIRST_BYTES = 100;
 /** Longer than any deadline and any freeze. */
 const MAX_WAIT_MS = 8000;
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -38,6 +38,8 @@
 /** How long a request that crashes targets is refused at first. */
 const QUARANTINE_MS = 3000;
 export const QUOTA_ROOM = {windowMs: 5000, over: 0.1, slack: 20};
+/** How long a head may take: about as long as the hesitant clients take, and as the shorter freezes last. */
+const HEADER_TIMEOUT_MS = 1000;
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
 /** After which time a daemon that ended by itself is started again, as the platform does. */
 const RESTART_MS = 500;
@@ -116,7 +118,8 @@
 	configure(organisations: readonly Organisation[]): void {
 		this.#version++;
 		this.history.sites.push({atMs: Date.now(), organisations});
-		this.#store.put('site', 'main', {...createSiteSpec(ROUTES, this.#version), organisations});
+		const spec = createSiteSpec(ROUTES, this.#version);
+		this.#store.put('site', 'main', {...spec, limits: {...spec.limits, headerTimeoutMs: HEADER_TIMEOUT_MS}, organisations});
 	}
 
 	async disturbStore(fault: StoreFault, forMs: number): Promise<void> {
