--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -22,7 +22,7 @@
 
 /** The largest header block accepted from a client, in bytes; the configuration can't raise it. */
 const MAX_HEADER_BYTES = 65_536;
-/** How often the heads that clients send are checked against their time limit, in ms: it is part of how long a head may take. */
+/** How often the heads that clients send are checked against their time limit, in ms: by so much a head may exceed it. */
 const HEAD_CHECK_INTERVAL_MS = 1000;
 /** The Retry-After value of a daemon that has no configuration yet, in s. */
 const NO_SITE_RETRY_AFTER_S = '0.4';
