A deferred start belongs to its connection, and the calls of a request to a file of their own

What waits for an answer before it is kept by ClientConnection, createCall and HeldRequests.create have left Exchange and Relay.

--- a/src/core/admissioncontroller.ts
+++ b/src/core/admissioncontroller.ts
@@ -66,7 +66,6 @@
 			hasRunsFrom: untilMs => [...this.#receivedCalls.values()].some(({startedMs}) => startedMs > 0 && startedMs <= untilMs),
 			start: received => {
 				this.#run(received);
-				return true;
 			},
 			admit: received => {
 				this.#runOrEnqueue(received);
--- a/src/core/targetguard.ts
+++ b/src/core/targetguard.ts
@@ -35,7 +35,7 @@
 	readonly service: () => string | undefined;
 	/** Whether a run that began until then is still in flight. */
 	readonly hasRunsFrom: (untilMs: number) => boolean;
-	readonly start: (received: ReceivedCall) => boolean;
+	readonly start: (received: ReceivedCall) => void;
 	readonly admit: (received: ReceivedCall) => void;
 	readonly finish: (received: ReceivedCall, answer: Answer) => void;
 };
@@ -53,6 +53,10 @@
 		this.#answered = new AnsweredCalls(call => options.identity.fingerprintOf(call));
 		this.trials = new Trials({
 			...options,
+			start(received) {
+				options.start(received);
+				return true;
+			},
 			refuse: (received, reason) => {
 				options.finish(received, this.#createRefusal(received, reason));
 			},
--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -11,6 +11,8 @@
 /** A client's connection, with the requests on it that aren't answered. */
 export class ClientConnection extends ServerConnection {
 	readonly exchanges = new Set<Exchange>();
+	/** How the requests start that wait for the end of an answer before their own. */
+	readonly #deferred = new Map<Exchange, () => void>();
 	readonly #nowMs: () => number;
 	/** When the connection was accepted, or its last answer written. */
 	#unusedSinceMs: number;
@@ -44,14 +46,15 @@
 			};
 	}
 
-	/** Whether an answer before that of this request may still break off, and end the connection with it. */
-	mayLoseAnswer(exchange: Exchange): boolean {
+	/** Defers the start of a request while an answer before its own may break off, and end the connection with it. @returns whether it does */
+	tryDefer(exchange: Exchange, start: () => void): boolean {
 		for (const previous of this.exchanges) {
 			if (previous === exchange) {
 				return false;
 			}
 
 			if (previous.mayBreakConnection) {
+				this.#deferred.set(exchange, start);
 				return true;
 			}
 		}
@@ -59,11 +62,20 @@
 		return false;
 	}
 
-	/** Removes a request that has its answer, and starts those that waited for that. */
+	/** Removes a request that has its answer, and starts those that were deferred, unless another answer keeps them. */
 	onExchangeEnded(exchange: Exchange): void {
 		this.exchanges.delete(exchange);
-		for (const next of this.exchanges) {
-			next.onPreviousEnded();
+		this.#deferred.delete(exchange);
+		if (this.socket.destroyed) {
+			return;
+		}
+
+		const deferred = [...this.#deferred];
+		this.#deferred.clear();
+		for (const [next, start] of deferred) {
+			if (this.exchanges.has(next)) {
+				start();
+			}
 		}
 	}
 
--- a/src/relay/clients/exchange.ts
+++ b/src/relay/clients/exchange.ts
@@ -5,8 +5,9 @@
 	Attempts, type LoadReport, type Route, type Priority, type RootRequest, chooseRetryAfterMs,
 } from '../../mesh/index.js';
 import {
-	type AnswerHead, type Call, type CallHandle, CallSink, type FailureReason, type RefusalReason,
+	type AnswerHead, type CallHandle, CallSink, type FailureReason, type RefusalReason,
 } from '../call.js';
+import {createCall} from './createcall.js';
 import {type ExchangeContext} from './exchangecontext.js';
 import {ExchangeLog} from './exchangelog.js';
 import {type ExchangeOptions} from './exchangeoptions.js';
@@ -46,8 +47,6 @@
 	/** The status of an answer whose body is streamed. */
 	#streamedStatus = 0;
 	#isHeadSent = false;
-	/** Whether the request waits for the end of an answer before its own. */
-	#isDeferred = false;
 	#isOver = false;
 
 	constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse, options: ExchangeOptions) {
@@ -128,14 +127,6 @@
 		}
 	}
 
-	/** Starts the request if it waits for the end of an answer that has ended. */
-	onPreviousEnded(): void {
-		if (this.#isDeferred && !this.#isOver && !this.socket.destroyed) {
-			this.#isDeferred = false;
-			this.#sendOrWait();
-		}
-	}
-
 	/** Ends the request if its deadline has passed. */
 	checkTime(nowMs: number): void {
 		if (!this.#isOver && nowMs >= this.deadlineMs && !this.#withdrawal.isPending(this.#callHandle, nowMs)) {
@@ -163,10 +154,9 @@
 
 	/** Ends the request with an error because the process stops before its answer arrives. */
 	abort(): void {
-		if (!this.#isOver && this.#cancelCall()) {
+		if (!this.#isOver) {
+			this.#cancelCall();
 			this.#refuse('cancelled', 'transient');
-		} else if (!this.#isOver) {
-			this.#endWithStatus(502, 'cancelled');
 		}
 	}
 
@@ -285,8 +275,9 @@
 			return;
 		}
 
-		if (this.#context.mayLoseAnswer(this)) {
-			this.#isDeferred = true;
+		if (this.#context.tryDefer(this, () => {
+			this.#sendOrWait();
+		})) {
 			this.#log.event('request_deferred', 'previous-answer');
 			return;
 		}
@@ -317,22 +308,10 @@
 			this.#log.event('placed_again', previousRefusal);
 		}
 
-		const call: Call = {
-			template: this.#options.template,
-			attemptId: this.attemptId,
-			path: this.#request.url!,
-			instance: entry.target!.id,
-			leftMs: this.deadlineMs - nowMs,
-			objectiveLeftMs: Math.max(0, ((this.#options.parentCall && this.#context.findObjectiveEndMs(this.#options.parentCall.attemptId)) ?? (this.#arrivedMs + this.route.objectiveMs)) - nowMs),
-			priority: this.#priority,
-			rateLimitPerS: this.#attempts.rateLimitPerS,
-			isNested: this.#options.parentCall !== undefined,
-			...(this.#options.organisation === undefined ? {} : {organisation: this.#options.organisation}),
-			body: this.#body.firstChunk,
-			hasMoreBody: this.#body.isStreaming,
-			isRepeat: this.#attempts.mayBeDuplicate,
-		};
-		this.#callHandle = undefined;
+		const call = createCall(this.#options, {
+			path: this.#request.url!, instance: entry.target!.id, priority: this.#priority, attempts: this.#attempts, body: this.#body, leftMs: this.deadlineMs - nowMs,
+			objectiveLeftMs: ((this.#options.parentCall && this.#context.findObjectiveEndMs(this.#options.parentCall.attemptId)) ?? (this.#arrivedMs + this.route.objectiveMs)) - nowMs,
+		});
 		const {count} = this.#attempts;
 		const handle = this.#context.send(entry, call, this);
 		// `send` can refuse synchronously, in which case the request has already been sent to another host.
@@ -399,10 +378,9 @@
 		this.#responseWriter.sendEmpty(status, headers);
 	}
 
-	/** Ends a request whose answer has begun: it must not look complete. */
+	/** Ends a request whose answer has begun: it must not look complete. The reset comes first, so that what waits behind it isn't started. */
 	#cutAnswer(reason: EndReason): void {
 		this.#parentRun?.fail();
-		// First, so that what waits behind it isn't started.
 		this.#responseWriter.resetConnection();
 		this.#finish();
 		this.#log.event('answer_cut', reason);
--- a/src/relay/clients/exchangecontext.ts
+++ b/src/relay/clients/exchangecontext.ts
@@ -23,8 +23,8 @@
 	readonly send: (entry: HostEntry, call: Call, sink: CallSink) => CallHandle;
 	/** When the objective of the root request that a running call is made for ends, in ms, by the call's attempt id. */
 	readonly findObjectiveEndMs: (attemptId: string) => number | undefined;
-	/** Whether an answer before that of this request may still break off, and end the connection with it. */
-	readonly mayLoseAnswer: (exchange: Exchange) => boolean;
+	/** Defers the start of a request while an answer before its own may break off, and end the connection with it. @returns whether it does */
+	readonly tryDefer: (exchange: Exchange, start: () => void) => boolean;
 	/** Whether the process lasts until then, so that a request with this deadline isn't cut off. */
 	readonly lastsUntil: (deadlineMs: number) => boolean;
 	readonly onEnded: (exchange: Exchange) => void;
--- a/src/relay/clients/heldrequests.ts
+++ b/src/relay/clients/heldrequests.ts
@@ -29,6 +29,11 @@
 
 /** Holds the root requests that wait at this daemon, and starts them again. */
 export class HeldRequests {
+	/** @param maxBytes the memory that held requests may take, in bytes; undefined if none are held */
+	static create(maxBytes: number | undefined, options: Omit<HeldRequestsOptions, 'maxBytes'>): HeldRequests | undefined {
+		return maxBytes === undefined ? undefined : new HeldRequests({...options, maxBytes});
+	}
+
 	readonly #options: HeldRequestsOptions;
 	readonly #admission: PatientAdmission<Held>;
 	readonly #heldByExchange = new Map<PatientExchange, Held>();
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -40,7 +40,7 @@
 /** Headers that apply to one connection only, or that this daemon sets itself. */
 const NOT_FORWARDED_HEADERS = new Set([...HOP_BY_HOP_HEADERS, 'expect', 'content-length']);
 
-export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'hasFollowers' | 'holdBudget' | 'mayLoseAnswer' | 'lastsUntil' | 'onEnded'> & {
+export type RequestServerOptions = Omit<ExchangeContext, 'onBudget' | 'onTargetSignals' | 'onBeforeHead' | 'tryCloseAfter' | 'hasFollowers' | 'holdBudget' | 'tryDefer' | 'lastsUntil' | 'onEnded'> & {
 	readonly site: () => Site | undefined;
 	/** The service that currently runs on this host. */
 	readonly callerService: () => string;
@@ -96,7 +96,7 @@
 			holdBudget: new HoldBudget(MAX_HELD_BYTES),
 			tryCloseAfter: response => this.#tryCloseAfter(response),
 			hasFollowers: response => this.#connections.get(response.req.socket)?.hasFollowers(response) === true,
-			mayLoseAnswer: exchange => this.#connections.get(exchange.socket)?.mayLoseAnswer(exchange) === true,
+			tryDefer: (exchange, start) => this.#connections.get(exchange.socket)?.tryDefer(exchange, start) === true,
 			lastsUntil: deadlineMs => deadlineMs <= this.#endMs,
 			onEnded: exchange => {
 				this.#exchanges.delete(exchange);
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -163,7 +163,9 @@
 			retryBudget: this.#retryBudget,
 			targetSignals: this.#targetSignals,
 			loadShedder: this.#loadShedder,
-			heldRequests: this.#createHeldRequests(random),
+			heldRequests: HeldRequests.create(settings.heldBytes, {
+				clock, log: this.#log, hosts: this.#hosts, loadShedder: this.#loadShedder, random,
+			}),
 			random,
 			send: (entry, call, sink) => this.#send(entry, call, sink),
 			site: () => this.#isStarted ? this.#directory.site : undefined,
@@ -347,14 +349,6 @@
 		await this.#directory.close();
 	}
 
-	#createHeldRequests(random: () => number): HeldRequests | undefined {
-		const {heldBytes: maxBytes} = this.#settings;
-		const options = {
-			clock: this.#clock, log: this.#log, hosts: this.#hosts, loadShedder: this.#loadShedder, random,
-		};
-		return maxBytes === undefined ? undefined : new HeldRequests({...options, maxBytes});
-	}
-
 	#send(entry: HostEntry, call: Call, sink: CallSink): CallHandle {
 		return entry.host === this.#settings.host ? this.#targetOwner.submit(call, sink) : this.#links.linkTo(entry).call(call, sink);
 	}
