A leaving that waits for the store isn't put off by the back-off of its writes

Callers: a target whose leaving was acknowledged could be used again by a daemon that is killed right afterwards, although the store had been back for up to 400 ms before the acknowledgement.

Cause: the wait lasts 500 ms, the pauses between writes up to 1.5 s, and the one didn't know of the other.

A wait is made once for each version of the entry, so a store that refuses gets a few writes more for each target that leaves.

--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -14,6 +14,7 @@
 import {
 	type ObjectStore, type StoreEpoch, type StoreEvent, type StoredObject,
 } from './store.js';
+import {SITE_PAUSE_MS, hostPauseMs, hostWatchMs} from './watchtiming.js';
 
 /** The share of the time in which a configuration must be in force for which a confirmation by the store is trusted. */
 const LEASE_SHARE = 0.6;
@@ -21,14 +22,6 @@
 const JITTER_SHARE = 0.25;
 /** The mean number of confirmations by the watchers of a site within a lease. */
 const CONFIRMATIONS_PER_LEASE = 2;
-/** How long a watch for hosts waits on average, in ms; a change is told by the daemon that makes it. */
-const HOST_WATCH_MS = 10_000;
-/** The pause of a watch for configurations after changes, in ms. */
-const SITE_WATCH_PAUSE_MS = 20;
-/** The pause of a watch for hosts after changes, for each known host, and its upper limit, in ms: a large fleet has more changes. */
-const HOST_WATCH_PAUSE_PER_HOST_MS = 20;
-const MAX_HOST_WATCH_PAUSE_MS = 1000;
-
 export type DirectoryParts = {
 	readonly adapter: Adapter;
 	readonly clock: Clock;
@@ -116,12 +109,15 @@
 		this.#scheduleLeaseEnd();
 	}
 
-	/** Publishes this daemon's own entry to the store and to its peers. @returns whether the store holds it within half a second */
-	async publish(entry: HostEntry): Promise<boolean> {
+	/** Publishes this daemon's own entry to the store and to its peers. */
+	publish(entry: HostEntry): void {
 		if (this.#ownEntry.publish(entry)) {
 			this.#parts.hosts.putOwn(entry);
 		}
+	}
 
+	/** Waits until the store holds the own entry, half a second at most. @returns whether it does */
+	async untilStored(): Promise<boolean> {
 		return this.#ownEntry.untilStored();
 	}
 
@@ -219,7 +215,7 @@
 			freshness: 'fresh',
 			isNeeded: hasListed => this.#watchers.isElected || (!hasListed && this.site === undefined),
 			chooseTimeoutMs: () => this.#watchers.count * configMs * LEASE_SHARE / CONFIRMATIONS_PER_LEASE * (0.5 + random()),
-			choosePauseMs: () => SITE_WATCH_PAUSE_MS,
+			choosePauseMs: () => SITE_PAUSE_MS,
 			onListing: objects => {
 				this.#applyListedSites(objects);
 			},
@@ -238,8 +234,8 @@
 			...this.#watchParts(HOST_KIND),
 			freshness: 'stale',
 			isNeeded: () => this.#watchers.isElected || this.#parts.hosts.size <= 1,
-			chooseTimeoutMs: () => HOST_WATCH_MS * (0.5 + this.#parts.random()),
-			choosePauseMs: () => Math.min(HOST_WATCH_PAUSE_PER_HOST_MS * this.#parts.hosts.size, MAX_HOST_WATCH_PAUSE_MS),
+			chooseTimeoutMs: () => hostWatchMs(this.#parts.random()),
+			choosePauseMs: () => hostPauseMs(this.#parts.hosts.size),
 			onListing: (objects, revision) => {
 				this.#applyHosts(objects, revision);
 			},
--- a/src/relay/store/ownentry.ts
+++ b/src/relay/store/ownentry.ts
@@ -54,6 +54,8 @@
 	#told: HostEntry | undefined;
 	/** Called when the store's copy has become equal to the entry. */
 	readonly #onStored = new Set<() => void>();
+	/** Ends a pause after failed writes early; undefined while there is none that may end so. */
+	#resume: (() => void) | undefined;
 	#isWriting = false;
 	#isClosed = false;
 
@@ -93,6 +95,7 @@
 
 			const timer = setTimeout(settle, MAX_STORED_WAIT_MS);
 			this.#onStored.add(settle);
+			this.#resume?.();
 		});
 	}
 
@@ -185,7 +188,7 @@
 				this.#announceOnce();
 				backoffMs = outcome === 'reachable' ? INITIAL_BACKOFF_MS : backoffMs;
 				// eslint-disable-next-line no-await-in-loop -- backs off before it writes again
-				await sleep(backoffMs * (0.5 + this.#options.random()));
+				await this.#pause(backoffMs * (0.5 + this.#options.random()));
 				backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
 			}
 		}
@@ -197,6 +200,24 @@
 		this.#isClosed = true;
 	}
 
+	/** Backs off. While the entry is waited for, only as long as after a first failure: the wait is shorter than the longest back-off. */
+	async #pause(pauseMs: number): Promise<void> {
+		const shortMs = Math.min(pauseMs, INITIAL_BACKOFF_MS * (0.5 + this.#options.random()));
+		await sleep(shortMs);
+		if (this.#onStored.size > 0 || pauseMs <= shortMs) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, pauseMs - shortMs);
+			this.#resume = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+		this.#resume = undefined;
+	}
+
 	get #isStored(): boolean {
 		return this.#stored !== undefined && isDeepStrictEqual(this.#stored, this.#entry);
 	}
--- a/src/relay/target/targetmonitor.ts
+++ b/src/relay/target/targetmonitor.ts
@@ -38,8 +38,8 @@
 	/** Whether it is known what this daemon published before its start: a target that has left may still answer health checks. */
 	#isOwnEntryKnown = false;
 	#isReportedMissing = false;
-	/** Whether the store holds what was published last, once that is known. */
-	#published: Promise<boolean> | undefined;
+	/** Resolves when the store holds the leaving that was published last, or doesn't in time; undefined until that is waited for. */
+	#leavingStored: Promise<void> | undefined;
 
 	constructor(parts: TargetMonitorParts) {
 		this.#parts = parts;
@@ -60,8 +60,9 @@
 		}
 
 		// If this process is killed, the next one is bound by the acknowledgement and must find what was acknowledged.
-		if (this.#parts.lifecycle.isDraining && !await this.#published) {
-			this.#parts.log.event('leaving_unstored', {instance: this.#parts.lifecycle.current?.id ?? ''});
+		if (this.#parts.lifecycle.isDraining) {
+			this.#leavingStored ??= this.#untilLeavingStored();
+			await this.#leavingStored;
 		}
 	}
 
@@ -186,7 +187,8 @@
 		const entry = {
 			host, failureDomain, address: `${listen.peers.ip}:${listen.peers.port}`, ...(ended && {ended}),
 		};
-		this.#published = directory.publish(current === undefined
+		this.#leavingStored = undefined;
+		directory.publish(current === undefined
 			? entry
 			: {
 				...entry,
@@ -200,6 +202,13 @@
 			});
 	}
 
+	async #untilLeavingStored(): Promise<void> {
+		const {directory, lifecycle, log} = this.#parts;
+		if (!await directory.untilStored()) {
+			log.event('leaving_unstored', {instance: lifecycle.current?.id ?? ''});
+		}
+	}
+
 	// A target that kept running while its daemon restarted announces itself only after a while.
 	async #probe(): Promise<void> {
 		const {
--- a/test/relay/gateways.test.ts
+++ b/test/relay/gateways.test.ts
@@ -40,7 +40,7 @@
 
 const gatewaysOf = ({members}: DirectoryMesh) => members.filter(({isUp, failureDomain, gossip}) => isUp && gossip.neighbors.some(neighbor => neighbor.failureDomain !== failureDomain));
 const withdraw = (member: MeshMember) => {
-	void member.directory.publish({...member.entry, target: undefined});
+	member.directory.publish({...member.entry, target: undefined});
 };
 
 /** The number of running daemons that know an entry with a target. */
--- a/test/relay/gossip.test.ts
+++ b/test/relay/gossip.test.ts
@@ -103,7 +103,7 @@
 		const countComparisons = () => mesh.members.reduce((sum, {sentFrames}) => sum + (sentFrames.get(FrameTag.versions) ?? 0), 0);
 		const before = countComparisons();
 		for (const member of mesh.members.slice(0, 50)) {
-			void member.directory.publish({...member.entry, target: undefined});
+			member.directory.publish({...member.entry, target: undefined});
 			// eslint-disable-next-line no-await-in-loop -- one after the other
 			await vi.advanceTimersByTimeAsync(50);
 		}
@@ -139,7 +139,7 @@
 		const mesh = await startMesh();
 		mesh.setAccess(mesh.members, 'refused');
 		const [changed] = mesh.members;
-		void changed.directory.publish({...changed.entry, target: undefined});
+		changed.directory.publish({...changed.entry, target: undefined});
 		await vi.advanceTimersByTimeAsync(2000);
 		expect(new Set(mesh.members.map(({hosts}) => hosts.get(changed.name)?.target))).toEqual(new Set([undefined]));
 		mesh.kill([changed]);
--- a/test/relay/ownentry.test.ts
+++ b/test/relay/ownentry.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {MemoryStore} from '../../fakes/memorystore.js';
 import {SystemClock} from '../../src/clock/index.js';
@@ -66,16 +66,18 @@
 let ownEntry: OwnEntry;
 let revisions: number[];
 let copies: Array<HostEntry | undefined>;
+let random: () => number;
 
 beforeEach(() => {
 	memory = new MemoryStore();
 	store = new FaultyStore(memory.createView());
 	revisions = [];
 	copies = [];
+	random = Math.random;
 	ownEntry = new OwnEntry({
 		store,
 		log: new EventLog(new Logger('h', 'info', () => undefined), new SystemClock()),
-		random: Math.random,
+		random: () => random(),
 		startedMs: STARTED_MS,
 		mayStoreBeRestored: () => memory.epoch > 0,
 		events: {
@@ -122,6 +124,47 @@
 		expect(await ownEntry.untilStored()).toBe(false);
 	});
 
+	describe('that is waited for', () => {
+		beforeEach(() => {
+			vi.useFakeTimers();
+		});
+		afterEach(() => {
+			vi.useRealTimers();
+		});
+
+		// Guards against a leaving that is acknowledged without being stored, as the write waits out its back-off after the store has come back.
+		it.each([
+			{name: 'has just been lost', awayMs: 0},
+			{name: 'was away for long', awayMs: 10_000},
+		])('is written within the wait if the store, which $name, comes back', async ({awayMs}) => {
+			const jitters = awayMs === 0 ? [0] : [];
+			random = () => jitters.shift() ?? 0.99;
+			memory.fault = 'down';
+			ownEntry.publish(entry);
+			await vi.advanceTimersByTimeAsync(awayMs);
+			ownEntry.publish({...entry, failureDomain: 'b'});
+			const stored = ownEntry.untilStored();
+			await vi.advanceTimersByTimeAsync(100);
+			memory.fault = 'none';
+			await vi.advanceTimersByTimeAsync(400);
+			expect(await stored).toBe(true);
+		});
+
+		it('is not written more often than after a first failure while the store refuses it', async () => {
+			store.fault = 'refused';
+			random = () => 0;
+			ownEntry.publish(entry);
+			await vi.advanceTimersByTimeAsync(10_000);
+			const {writes} = store;
+			const waits = Array.from({length: 20}, async () => ownEntry.untilStored());
+			await vi.advanceTimersByTimeAsync(500);
+			expect(await Promise.all(waits)).not.toContain(true);
+			expect(store.writes - writes).toBeLessThanOrEqual(7);
+			await vi.advanceTimersByTimeAsync(10_000);
+			expect(store.writes - writes).toBeLessThanOrEqual(7 + 20);
+		});
+	});
+
 	it('that an earlier process wrote is heard of before it is replaced, also where a stale list didn\'t show it', async () => {
 		const ended = {...entry, ended: {id: 'i', bornMs: 1}};
 		memory.set(HOST_KIND, 'h', ended);
--- a/test/relay/storedrill.test.ts
+++ b/test/relay/storedrill.test.ts
@@ -70,7 +70,7 @@
 		const [changed] = mesh.members;
 		const entry = {...changed.entry, target: {...changed.entry.target!, state: 'draining' as const}};
 		store.fault = 'lost-answers';
-		void changed.directory.publish(entry);
+		changed.directory.publish(entry);
 		await vi.advanceTimersByTimeAsync(1);
 		void drill(copy);
 		await vi.advanceTimersByTimeAsync(AWAY_MS + ENTRIES_MS);
