--- a/test/failures/unwrittenanswer.test.ts
+++ b/test/failures/unwrittenanswer.test.ts
@@ -50,12 +50,16 @@
 		mesh = new Mesh({graceMs: 4000});
 		const {front, back: {target}, port} = await mesh.addPair({routes: [createRoute('x', 'back', {timeoutMs: 8000})], back: {slots: 2 * SIZES.length}});
 		const sizeOf = (url: string) => Number(url.split('/')[2]);
+		let begun = 0;
 		target.behaviourOverride = ({url, headers, socket}) => {
+			begun++;
 			socket.write(`HTTP/1.1 200 OK\r\n${meshHeaders.attemptId}: ${String(headers[meshHeaders.attemptId])}\r\n${meshHeaders.signature}: s\r\nconnection: close\r\n\r\n`);
 			socket.end(Buffer.alloc(sizeOf(url!), 'x'));
 		};
 
 		const clients = SIZES.map(size => new PausedClient(port, buildHead('GET', `/x/${size}`, `a${size}`, {deadlineMs: 8000})));
+		// One that comes after the stop is refused, which needs no reset.
+		await expect.poll(() => begun, {timeout: 3000}).toBe(SIZES.length);
 		await sleep(500);
 		await front.stop();
 		for (const client of clients) {
