Of a connection's pipelined requests 32 at most have started unanswered

Cause: what comes with one read is run at once, however many answers are due before it; HTTP needs these first in any case.

Now the rest waits unrun, in order, by what already defers requests behind a streamed answer.

--- a/src/relay/clients/clientconnection.ts
+++ b/src/relay/clients/clientconnection.ts
@@ -5,13 +5,16 @@
 /** How long a request may take to follow its connection, or the answer before it, in ms: some round trips. */
 const NEXT_REQUEST_MS = 200;
 
+/** How many requests of a connection may have started without their answers being written: each may hold an answer in memory until its turn. */
+const MAX_STARTED_REQUESTS = 32;
+
 /** The HTTP server's code of a head that is too large. */
 const OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
 /** A client's connection, with the requests on it that aren't answered. */
 export class ClientConnection extends ServerConnection {
 	readonly exchanges = new Set<Exchange>();
-	/** How the requests start that wait for the end of an answer before their own. */
+	/** How the requests start that wait for answers before their own, in their order. */
 	readonly #deferred = new Map<Exchange, () => void>();
 	readonly #nowMs: () => number;
 	/** When the connection was accepted, or its last answer written. */
@@ -46,37 +49,25 @@
 			};
 	}
 
-	/** Defers the start of a request while an answer before its own may break off, and end the connection with it. @returns whether it does */
+	/**
+	 * Defers the start of a request while an answer before its own may break off, and end the connection with it, or while too many
+	 * answers before its own aren't written. @returns whether it does
+	 */
 	tryDefer(exchange: Exchange, start: () => void): boolean {
-		for (const previous of this.exchanges) {
-			if (previous === exchange) {
-				return false;
-			}
-
-			if (previous.mayBreakConnection) {
-				this.#deferred.set(exchange, start);
-				return true;
-			}
+		// The request itself isn't answered either.
+		if (this.unansweredRequests - this.#deferred.size > MAX_STARTED_REQUESTS || this.#isBehindBreakable(exchange)) {
+			this.#deferred.set(exchange, start);
+			return true;
 		}
 
 		return false;
 	}
 
-	/** Removes a request that has its answer, and starts those that were deferred, unless another answer keeps them. */
+	/** Removes a request that has its answer, and starts those that were deferred, unless other answers keep them. */
 	onExchangeEnded(exchange: Exchange): void {
 		this.exchanges.delete(exchange);
 		this.#deferred.delete(exchange);
-		if (this.socket.destroyed) {
-			return;
-		}
-
-		const deferred = [...this.#deferred];
-		this.#deferred.clear();
-		for (const [next, start] of deferred) {
-			if (this.exchanges.has(next)) {
-				start();
-			}
-		}
+		this.#startDeferred();
 	}
 
 	/** Counts a request that came while the connection was closing. */
@@ -107,5 +98,35 @@
 	protected override onAnswerWritten(): void {
 		this.#answeredBytes = this.socket.bytesRead;
 		this.#unusedSinceMs = this.#nowMs();
+		this.#startDeferred();
+	}
+
+	#isBehindBreakable(exchange: Exchange): boolean {
+		for (const previous of this.exchanges) {
+			if (previous === exchange) {
+				return false;
+			}
+
+			if (previous.mayBreakConnection) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	#startDeferred(): void {
+		if (this.socket.destroyed) {
+			return;
+		}
+
+		for (const [exchange, start] of this.#deferred) {
+			if (this.unansweredRequests - this.#deferred.size >= MAX_STARTED_REQUESTS || this.#isBehindBreakable(exchange)) {
+				return;
+			}
+
+			this.#deferred.delete(exchange);
+			start();
+		}
 	}
 }
