--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,8 +1,8 @@
 /* eslint-disable require-unicode-regexp -- esbuild's filters accept no flags */
 
 /**
- * Bundles the daemon for the users' platform and builds the snapshot in
- * `target/` (or the folder given) from which it starts: hundreds of daemons start at once, and each is
+ * Bundles the daemon for the users' platform (or the entry point given second) and builds the
+ * snapshot in `target/` (or the folder given first) from which it starts: hundreds of daemons start at once, and each is
  * charged for loading its code. The snapshot holds all modules as they are once
  * loaded, and no part of a library that the daemon doesn't use. It is valid for
  * the `node` and the flags that built it.
@@ -19,6 +19,7 @@
 
 /** Where everything is written. */
 const folder = process.argv[2] ?? 'target';
+const entry = process.argv[3] ?? 'platform/snapshot.ts';
 
 /** What stands in the bundle for a module that another imports, by the pattern of its path. */
 const replacements = [
@@ -43,7 +44,7 @@
 	},
 };
 
-const options = bundleOptions('platform/snapshot.ts', 'iife');
+const options = bundleOptions(entry, 'iife');
 await build({
 	...options,
 	plugins: [...options.plugins, replaceModules],
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -5,7 +5,7 @@
 import {bundle} from './bundle.mjs';
 
 /** Entry points that other programs start as separate processes, so they are bundled too. */
-const PROCESSES = ['src/cli/main.ts', 'standins/main.ts', 'soak/daemon.ts'];
+const PROCESSES = ['src/cli/main.ts', 'standins/main.ts'];
 
 const [entry, ...rest] = process.argv.slice(2);
 const outfile = path.resolve('.build', entry.replace(/\.ts$/v, '.mjs'));
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -10,6 +10,7 @@
 import {createRoute, createSiteSpec} from '../standins/mesh.js';
 import {meshHeaders} from '../standins/meshadapter.js';
 import {findFreePorts} from '../standins/ports.js';
+import {snapshotArguments} from '../standins/snapshot.js';
 import {type StoreFault, StoreStandin} from '../standins/store.js';
 import {
 	DEADLY_PATH, type DaemonFault, type SoakPlan, type TargetFault, serviceOf,
@@ -18,6 +19,7 @@
 import {SoakTarget} from './target.js';
 import {PIPELINED_PREFIX, STREAM_PREFIX, UPLOAD_PREFIX} from './work.js';
 
+const DAEMON_ENTRY = 'soak/daemon.ts';
 const ANNOUNCE_INTERVAL_MS = 500;
 const WORK_MS = 40;
 const SLOTS = 2;
@@ -319,7 +321,7 @@
 		};
 		const file = path.join(this.#folder, `host-${index}.json`);
 		writeFileSync(file, JSON.stringify({relay, storeAddress: this.#store.address}));
-		const child = spawn(process.execPath, [path.resolve('.build/soak/daemon.mjs')], {env: {...process.env, COMFREYDYKE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, snapshotArguments(DAEMON_ENTRY), {env: {...process.env, COMFREYDYKE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
 		const log = createWriteStream(path.join(this.#folder, `host-${index}.log`), {flags: 'a'});
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
--- a/standins/daemonprocess.ts
+++ b/standins/daemonprocess.ts
@@ -1,4 +1,4 @@
-import {type ChildProcess, execFileSync, spawn} from 'node:child_process';
+import {type ChildProcess, spawn} from 'node:child_process';
 import {
 	mkdtempSync, rmSync, writeFileSync,
 } from 'node:fs';
@@ -7,8 +7,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import {READINESS_PATH} from '../platform/names.js';
-import {deployNodeFlags} from '../scripts/nodeflags.mjs';
 import {findFreePorts} from './ports.js';
+import {snapshotArguments} from './snapshot.js';
 
 export const DAEMON_IP = '127.0.0.1';
 
@@ -16,27 +16,14 @@
 export const LISTEN_NAMES = ['requests', 'peers', 'readiness', 'announcements', 'metrics'] as const;
 export type ListenName = typeof LISTEN_NAMES[number];
 
-let bundleFolder: string | undefined;
-
-/** Bundles the daemon, once for all of a test file. @returns the folder of its snapshot */
-function bundle(): string {
-	if (bundleFolder === undefined) {
-		const folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-bundle-'));
-		execFileSync(process.execPath, ['scripts/bundle-platform.mjs', folder]);
-		process.once('exit', () => {
-			rmSync(folder, {recursive: true, force: true});
-		});
-		bundleFolder = folder;
-	}
-
-	return bundleFolder;
-}
+/** The daemon for the users' platform. */
+const ENTRY = 'platform/snapshot.ts';
 
 /** The daemon as the deploy file starts it: a process of its own that starts from the snapshot. */
 export class DaemonProcess {
 	/** Chooses the addresses of a daemon and bundles it; nothing is started. */
 	static async create(storeAddress = `${DAEMON_IP}:1`): Promise<DaemonProcess> {
-		bundle();
+		snapshotArguments(ENTRY);
 		return new DaemonProcess(await findFreePorts(LISTEN_NAMES.length), storeAddress);
 	}
 
@@ -76,7 +63,7 @@
 
 	/** Starts it with the settings file as it is. @param output where its output goes, `log` by default */
 	start(output: 'pipe' | number = 'pipe'): void {
-		const child = spawn(process.execPath, [...deployNodeFlags, '--snapshot-blob', path.join(bundle(), 'daemon.blob'), 'daemon'], {
+		const child = spawn(process.execPath, snapshotArguments(ENTRY), {
 			env: {PATH: process.env.PATH, COMFREYDYKE_SETTINGS: this.settingsPath}, stdio: ['ignore', output, output],
 		});
 		const onOutput = (data: unknown) => {
--- a/test/failures/resetlink.test.ts
+++ b/test/failures/resetlink.test.ts
@@ -12,7 +12,6 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {bundle} from '../../scripts/bundle.mjs';
 import {SystemClock} from '../../src/clock/index.js';
 import {type AnswerHead, type Call, CallSink} from '../../src/relay/call.js';
 import {FrameTag} from '../../src/relay/peers/frame.js';
@@ -22,8 +21,10 @@
 import {meshHeaders} from '../../standins/meshadapter.js';
 import {MeshTarget} from '../../standins/meshtarget.js';
 import {findFreePorts} from '../../standins/ports.js';
+import {snapshotArguments} from '../../standins/snapshot.js';
 import {StoreStandin} from '../../standins/store.js';
 
+const DAEMON_ENTRY = 'soak/daemon.ts';
 /** Within a call's window, and more than a socket takes while its program doesn't read. */
 const BODY_BYTES = 250_000;
 /** How long what the daemon sends is held up on its way to its peer once the process has ended or goes on to wait, in ms. */
@@ -91,7 +92,7 @@
 const answerSides = new Set<Socket>();
 beforeEach(async () => {
 	folder = mkdtempSync(path.join(tmpdir(), 'comfreydyke-resetlink-'));
-	await bundle('soak/daemon.ts', path.resolve('.build/soak/daemon.mjs'));
+	snapshotArguments(DAEMON_ENTRY);
 	store = new StoreStandin();
 	await store.listen();
 	store.put('site', 'main', createSiteSpec([createRoute('x', 'back', {timeoutMs: 5000})]));
@@ -146,7 +147,7 @@
 			retry: {ratio: 0.2, slack: 48, windowMs: 10_000},
 		},
 	}));
-	daemon = spawn(process.execPath, [path.resolve('.build/soak/daemon.mjs')], {env: {...process.env, COMFREYDYKE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
+	daemon = spawn(process.execPath, snapshotArguments(DAEMON_ENTRY), {env: {...process.env, COMFREYDYKE_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe']});
 	const onOutput = (data: unknown) => {
 		log += String(data);
 	};
