--- a/soak/target.ts
+++ b/soak/target.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {meshHeaders} from '../standins/meshadapter.js';
 import {MeshTarget} from '../standins/meshtarget.js';
@@ -31,8 +32,12 @@
 	/** When its daemon first acknowledged that, in ms since 1970. */
 	drainAcknowledgedMs: number | undefined;
 	#answers = 0;
+	/** The connections on which it has answered. */
+	readonly #usedSockets = new WeakSet<Socket>();
 
 	override answer(response: ServerResponse, attemptId: string, status = 200, body?: Buffer<ArrayBuffer>): void {
+		const isOnUsedConnection = this.#usedSockets.has(response.req.socket);
+		this.#usedSockets.add(response.req.socket);
 		if (this.isOdd && status === 200 && this.#answers++ % ODD_EVERY === 0) {
 			this.#answerOddly(response, attemptId);
 			return;
@@ -42,6 +47,11 @@
 		const content = body ?? (work === undefined ? Buffer.from(PLAIN_BODY) : contentOf(attemptId, work.chunks * work.chunkBytes));
 		const spoilt: Spoilt = this.isSpoiling && status === 200 ? SPOILT[this.#answers++ % SPOILT.length] : 'whole';
 		if (spoilt === 'unframed' || spoilt === 'cut') {
+			if (isOnUsedConnection) {
+				// Its daemon breaks it off: all that comes until the end of the connection would be the body (docs/incidents/inc14-ends-without-framing.md).
+				this.spoil(response, 'unframed');
+			}
+
 			void this.#answerUnframed(response, attemptId, content, spoilt === 'cut');
 		} else if (work === undefined || status !== 200 || work.chunks === 1) {
 			super.answer(response, attemptId, status, content);
--- a/standins/meshtarget.ts
+++ b/standins/meshtarget.ts
@@ -24,8 +24,11 @@
 /** Handles a request before its body is read. */
 export type StreamOverride = (request: IncomingMessage, response: ServerResponse) => void;
 
-/** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target cut its answer or crashed. */
-export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | 'cut' | 'crashed'};
+/** How the target itself keeps an answer from its sender: it cuts the answer, or sends one without a length on a connection that was used before. */
+export type SpoiltOutcome = 'cut' | 'unframed';
+
+/** When a request ended, in ms since 1970, and how: its answer was written, its sender closed the connection before, or the target spoilt its answer or crashed. */
+export type RequestEnd = {readonly endedMs: number; readonly outcome: 'answered' | 'broken-off' | SpoiltOutcome | 'crashed'};
 
 /** Tells whether a request crashes the target. */
 export type CrashRule = (request: IncomingMessage, body: Buffer) => boolean;
@@ -75,7 +78,7 @@
 	readonly options: MeshTargetOptions;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
-	readonly #cutResponses = new WeakSet<ServerResponse>();
+	readonly #spoiltResponses = new WeakMap<ServerResponse, SpoiltOutcome>();
 	#seq = 0;
 	#port = 0;
 	#start = 0;
@@ -210,9 +213,9 @@
 		response.socket?.resetAndDestroy();
 	}
 
-	/** Records that the target itself ends an answer early, or sends none. */
-	protected spoil(response: ServerResponse): void {
-		this.#cutResponses.add(response);
+	/** Records that the target itself ends an answer early, sends none, or one that its sender doesn't take. */
+	protected spoil(response: ServerResponse, outcome: SpoiltOutcome = 'cut'): void {
+		this.#spoiltResponses.set(response, outcome);
 	}
 
 	/** How long the target works on a request, in ms. */
@@ -257,7 +260,8 @@
 		const index = this.receivedRequests.push(request) - 1;
 		const {crashCount} = this;
 		response.on('close', () => {
-			const outcome = this.#cutResponses.has(response) ? 'cut' : (this.crashCount === crashCount ? 'broken-off' : 'crashed');
+			const spoilt = this.#spoiltResponses.get(response);
+			const outcome = this.crashCount === crashCount || spoilt === 'cut' ? spoilt ?? 'broken-off' : 'crashed';
 			this.receivedEnds[index] = {endedMs: Date.now(), outcome: response.writableFinished ? 'answered' : outcome};
 		});
 		this.receivedBodies.push(body);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,9 +1,13 @@
+import {Agent, request as httpRequest} from 'node:http';
 import {describe, expect, it} from 'vitest';
 import {type SentRequest} from '../soak/callers.js';
 import {type Receipt, type SoakRecord, findViolations} from '../soak/checks.js';
 import {DRAIN_MS} from '../soak/fleet.js';
 import {History} from '../soak/history.js';
 import {DEADLY_PATH, USUAL_ORGANISATIONS, createPlan} from '../soak/plan.js';
+import {SoakTarget} from '../soak/target.js';
+import {meshHeaders} from '../standins/meshadapter.js';
+import {type RequestEnd} from '../standins/meshtarget.js';
 
 const BEGIN_MS = 1_000_000;
 const CALM_MS = BEGIN_MS + 50_000;
@@ -57,12 +61,12 @@
 const cutStream = (more: Partial<SentRequest> = {}) => request('r', {
 	path: '/stream/5-20-10007-50-1', isWhole: false, endedMs: BEGIN_MS + AFTER_MS + 3000, ...more,
 });
-const run = (path: string, outcome: 'answered' | 'broken-off' | 'crashed', endedAfterMs = 3000, more: Partial<Receipt> = {}) => receipt('r', {path, end: {endedMs: BEGIN_MS + AFTER_MS + endedAfterMs, outcome}, ...more});
-const cutRun = (outcome: 'answered' | 'broken-off' | 'crashed', endedAfterMs?: number) => run('/stream/5-20-10007-50-1', outcome, endedAfterMs);
+const run = (path: string, outcome: RequestEnd['outcome'], endedAfterMs = 3000, more: Partial<Receipt> = {}) => receipt('r', {path, end: {endedMs: BEGIN_MS + AFTER_MS + endedAfterMs, outcome}, ...more});
+const cutRun = (outcome: RequestEnd['outcome'], endedAfterMs?: number) => run('/stream/5-20-10007-50-1', outcome, endedAfterMs);
 const replaced = (more: Partial<SentRequest> = {}) => refused(502, {
 	path: '/kept/400-1-10-0-1', isSigned: false, endedMs: BEGIN_MS + AFTER_MS + 3000, ...more,
 });
-const replacedRun = (endedAfterMs = 3000) => run('/kept/400-1-10-0-1', 'broken-off', endedAfterMs);
+const replacedRun = (endedAfterMs = 3000, outcome: RequestEnd['outcome'] = 'broken-off') => run('/kept/400-1-10-0-1', outcome, endedAfterMs);
 
 /** Has the target of the usual receipt drain, with the receipt so long after the acknowledgement. */
 function drain(lateMs: number, more: Partial<Receipt> = {}): SoakRecord {
@@ -93,6 +97,54 @@
 	});
 });
 
+describe('a target of the soak', () => {
+	it('tells an answer without a length on a used connection from one on a new connection', async () => {
+		const target = new SoakTarget({
+			id: 'i', service: 'back', slots: 1, workMs: 0,
+		});
+		await target.listen();
+		const send = async (id: string, agent: Agent) => new Promise<void>(resolve => {
+			const sent = httpRequest({
+				host: '127.0.0.1', port: target.port, path: '/read/', agent, headers: {[meshHeaders.attemptId]: id, [meshHeaders.expectedInstance]: 'i'},
+			}, response => {
+				// As a daemon does with what it doesn't take.
+				if (response.headers['content-length'] === undefined) {
+					response.destroy();
+				}
+
+				response.resume().on('close', resolve);
+			});
+			sent.end();
+		});
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		await send('usual', agent);
+		target.isSpoiling = true;
+		await send('on a used connection', agent);
+		target.isSpoiling = false;
+		await send('usual too', agent);
+		await expect.poll(() => target.receivedEnds.map(end => end?.outcome)).toEqual(['answered', 'unframed', 'answered']);
+		agent.destroy();
+		await target.close();
+	});
+
+	it('has an answer without a length on a new connection broken off', async () => {
+		const target = new SoakTarget({
+			id: 'i', service: 'back', slots: 1, workMs: 0,
+		});
+		await target.listen();
+		target.isSpoiling = true;
+		await new Promise<void>(resolve => {
+			httpRequest({
+				host: '127.0.0.1', port: target.port, path: '/read/', agent: false, headers: {[meshHeaders.attemptId]: 'a', [meshHeaders.expectedInstance]: 'i'},
+			}, response => {
+				response.on('close', resolve).destroy();
+			}).end();
+		});
+		await expect.poll(() => target.receivedEnds.map(end => end?.outcome)).toEqual(['broken-off']);
+		await target.close();
+	});
+});
+
 describe('the checks of the soak', () => {
 	it('find nothing where nothing is broken', () => {
 		const killed = createRecord([refused(0, {isWhole: false, error: 'ECONNRESET'}), refused(429, {attemptId: 'l', key: 'key-limited-0', retryAfter: '1'}), refused(401, {attemptId: 'u', key: 'nobody-s-key'})]);
@@ -116,6 +168,7 @@
 		['a run that is broken off at the end of the grace period', () => stop(createRecord([replaced()], [replacedRun()]), 1, 2100)],
 		['a run whose deadline is over', () => stop(createRecord([replaced({deadlineMs: 3000})], [replacedRun()]), 1, 1000)],
 		['a run whose answer another daemon\'s stop replaces', () => stop(createRecord([replaced()], [replacedRun()]), 2, 1000)],
+		['an answer without a length on a used connection', () => stop(createRecord([replaced()], [replacedRun(3000, 'unframed')]), 1, 1000)],
 		['a request that reaches a target within its drain time', () => drain(DRAIN_MS)],
 		['a request that reaches the next start of a target that drained', () => drain(5000)],
 		['a request that reaches another target while one drains', () => drain(DRAIN_MS + 1, {host: 3})],
