Own path: pipelined requests of a client that left no longer stay open for good

Callers: refused for overload (503) by an idle daemon, once clients have left with several of their pipelined requests unanswered; a stop waits 10 s for nobody.

Cause: a request ended with the close event of its response, which the HTTP server emits only for the first response that is due on a connection.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -40,6 +40,11 @@
 /** Handles a request for one of the daemon's own endpoints. */
 export type OwnEndpointHandler = (request: IncomingMessage, body: Buffer, response: ServerResponse) => void;
 
+/** A caller's connection, with the ids of the requests on it whose responses are open. */
+class CallerConnection extends ServerConnection {
+	readonly openIds = new Set<number>();
+}
+
 /** Owns the callers' connections: turns HTTP requests into inputs to the core, and the core's answers into responses. */
 export class RequestServer {
 	readonly server: http.Server;
@@ -48,7 +53,9 @@
 	readonly #log: Logger;
 	readonly #options: RequestServerOptions;
 	readonly #openResponses = new Map<number, ServerResponse>();
-	readonly #connections = new Map<Socket, ServerConnection>();
+	readonly #connections = new Map<Socket, CallerConnection>();
+	/** Called when no response is open any more. */
+	readonly #onNoneOpen = new Set<() => void>();
 	#nextId = 1;
 	#isClosing = false;
 	#rejectedRequests = 0;
@@ -64,12 +71,17 @@
 			this.#onRequest(request, response);
 		});
 		this.server.on('connection', (socket: Socket) => {
-			this.#connections.set(socket, new ServerConnection(socket, (outcome, code) => {
+			const connection = new CallerConnection(socket, (outcome, code) => {
 				this.#rejectedRequests += outcome === 'in-time' ? 0 : 1;
 				this.#log.info('client_error', {code, outcome});
-			}));
+			});
+			this.#connections.set(socket, connection);
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				// The HTTP server tells only the first of the pipelined responses that are due.
+				for (const id of connection.openIds) {
+					this.#onResponseClosed(id);
+				}
 			});
 		});
 		closeWhenIdle(this.server, socket => {
@@ -123,9 +135,11 @@
 
 	/** Resolves when all open responses are written or broken off, or clients take too long to read them. */
 	async waitForResponses(): Promise<void> {
-		await Promise.race([sleep(MAX_WRITE_MS, undefined, {ref: false}), Promise.all([...this.#openResponses.values()].map(async response => new Promise(resolve => {
-			response.once('close', resolve);
-		})))]);
+		if (this.#openResponses.size > 0) {
+			await Promise.race([sleep(MAX_WRITE_MS, undefined, {ref: false}), new Promise<void>(resolve => {
+				this.#onNoneOpen.add(resolve);
+			})]);
+		}
 	}
 
 	/** Resolves when clients have closed their side of the connections that this daemon has closed, or take too long. */
@@ -192,11 +206,9 @@
 
 		const id = this.#nextId++;
 		this.#openResponses.set(id, response);
+		this.#connections.get(request.socket)?.openIds.add(id);
 		response.on('close', () => {
-			this.#openResponses.delete(id);
-			if (!response.writableFinished) {
-				this.#bus.send({type: 'abandon', id});
-			}
+			this.#onResponseClosed(id);
 		});
 		const payload: HttpMessage = {
 			method: head.method, path: head.path, headers: head.headers, body,
@@ -216,6 +228,27 @@
 		});
 	}
 
+	#onResponseClosed(id: number): void {
+		const response = this.#openResponses.get(id);
+		if (response === undefined) {
+			return;
+		}
+
+		this.#openResponses.delete(id);
+		this.#connections.get(response.req.socket)?.openIds.delete(id);
+		if (!response.writableFinished) {
+			this.#bus.send({type: 'abandon', id});
+		}
+
+		if (this.#openResponses.size === 0) {
+			for (const resolve of this.#onNoneOpen) {
+				resolve();
+			}
+
+			this.#onNoneOpen.clear();
+		}
+	}
+
 	#respond(id: number, answer: Answer): void {
 		const response = this.#openResponses.get(id);
 		if (response !== undefined) {
