A CONNECT or upgrade request is answered in its turn and takes no answers along

Callers: requests at work lose their answers if a CONNECT follows them on the connection, on both paths; on the product's own path also if an upgrade does. The CONNECT itself got no answer.

Cause: the HTTP server destroys a connection on which nobody handles CONNECT; the own path's handler of upgrades destroyed it if answers were due.

Evidence: six cases of unownedanswers.test.ts failed before: no answers for 200, 200 and 501, and for 501 alone, on both paths; none for 200 and 501 with an answer of 8 MB; none for 200 and 400 behind an upgrade.

--- a/src/daemon/requestserver.ts
+++ b/src/daemon/requestserver.ts
@@ -87,6 +87,9 @@
 		closeWhenIdle(this.server, socket => {
 			this.#connections.get(socket)?.close();
 		});
+		this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+			this.#connections.get(socket)?.onTunnelRequest();
+		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#connections.get(socket)?.onClientError(error);
 		});
@@ -115,8 +118,10 @@
 	onUpgrade(handle: (request: IncomingMessage, socket: Socket, head: Buffer) => void): void {
 		this.server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
 			const connection = this.#connections.get(socket);
-			if (connection === undefined || connection.isClosing || connection.unansweredRequests > 0) {
+			if (connection === undefined) {
 				socket.destroy();
+			} else if (connection.isClosing || connection.unansweredRequests > 0) {
+				connection.rejectSwitch('UPGRADE');
 			} else {
 				handle(request, socket, head);
 			}
--- a/src/relay/clients/requestserver.ts
+++ b/src/relay/clients/requestserver.ts
@@ -124,6 +124,9 @@
 		closeWhenIdle(this.#server, socket => {
 			this.#connections.get(socket)?.close();
 		});
+		this.#server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+			this.#connections.get(socket)?.onTunnelRequest();
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#connections.get(socket)?.onClientError(error);
 		});
--- a/src/wire/serverconnection.ts
+++ b/src/wire/serverconnection.ts
@@ -5,6 +5,8 @@
 
 /** The HTTP server's code of a request that isn't complete in time. */
 const LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** The code of a request for a tunnel. */
+const TUNNEL_CODE = 'CONNECT';
 /** What is done about an error that the HTTP server reports of a connection: it is answered in its turn, ends the connection at once, or was none because the request has come. */
 export type ClientErrorOutcome = 'rejected' | 'destroyed' | 'in-time';
 
@@ -94,9 +96,36 @@
 		}
 	}
 
+	/** Handles a request for a tunnel, with which the HTTP server gives the connection up: it is rejected in its turn. */
+	onTunnelRequest(): void {
+		this.rejectSwitch(TUNNEL_CODE);
+	}
+
+	/** Rejects a request for another protocol, with which the HTTP server gives the connection up, once the answers that are due are written. */
+	rejectSwitch(code: string): void {
+		// The HTTP server's own listeners are gone.
+		this.socket.on('error', () => undefined);
+		this.socket.resume();
+		if (!this.#isSettled) {
+			this.#reject(code);
+		}
+	}
+
 	/** The status line of the answer to what isn't a request, by the HTTP server's code. */
 	protected rejectionStatus(code: string): string {
-		return code === LATE_CODE ? '408 Request Timeout' : '400 Bad Request';
+		switch (code) {
+			case LATE_CODE: {
+				return '408 Request Timeout';
+			}
+
+			case TUNNEL_CODE: {
+				return '501 Not Implemented';
+			}
+
+			default: {
+				return '400 Bad Request';
+			}
+		}
 	}
 
 	/** Called when an answer is fully written to the socket. */
