--- a/src/relay/store/directory.ts
+++ b/src/relay/store/directory.ts
@@ -22,6 +22,7 @@
 const JITTER_SHARE = 0.25;
 /** The mean number of confirmations by the watchers of a site within a lease. */
 const CONFIRMATIONS_PER_LEASE = 2;
+
 export type DirectoryParts = {
 	readonly adapter: Adapter;
 	readonly clock: Clock;
