--- a/bench/gossip/main.ts
+++ b/bench/gossip/main.ts
@@ -88,7 +88,7 @@
 	});
 	await record('entry', async () => {
 		const [changed] = mesh.members;
-		void changed.directory.publish({...changed.entry, target: undefined});
+		changed.directory.publish({...changed.entry, target: undefined});
 		const knownMs = await advanceUntil(isKnownToAll(({hosts}) => hosts.get(changed.name)?.target === undefined), CHANGE_MS);
 		await advance(CHANGE_MS - (knownMs ?? CHANGE_MS));
 		return knownMs;
--- a/fakes/directorymesh.ts
+++ b/fakes/directorymesh.ts
@@ -322,7 +322,7 @@
 		});
 		this.#stores.set(member, store);
 		member.directory.start();
-		void member.directory.publish(entry ?? member.entry);
+		member.directory.publish(entry ?? member.entry);
 		return member;
 	}
 
